feat(instance): serve a program of dependent calls with `coriandergw dev`

Cause: there is no code yet; the thin path comes first. Change: workspace with the shipped crate and the testkit; shared types (names, partitions, epochs, time, entry, class, limits, result codes, event numbers); borders as traits (transport, replicated log, state machine, partitions, dispatcher, catalogue view and writer); QUIC and in-memory transports; keys; callers' and operators' HTTP routes; programs in memory; stand-in engine and tool; page and import checks. Before: nothing. Conclusion: the parts can go on side by side behind these borders.

--- /dev/null
+++ b/coriandergw/src/addresses/mod.rs
@@ -0,0 +1,1 @@
+//! Which instance addresses callers are told to use.
--- /dev/null
+++ b/coriandergw/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Which calls are let in, and which are refused early.
--- /dev/null
+++ b/coriandergw/src/context.rs
@@ -0,0 +1,23 @@
+//! What every feature is given first.
+
+use std::sync::Arc;
+
+use crate::clock::Clock;
+use crate::events::Recorder;
+use crate::ids::DataCentre;
+use crate::ids::InstanceName;
+
+/// Shared by all features of one instance.
+#[derive(Clone)]
+pub struct Context {
+    /// This instance's name.
+    pub instance: InstanceName,
+    /// This instance's data centre.
+    pub data_centre: DataCentre,
+    /// The source of time for drivers.
+    pub clock: Arc<dyn Clock>,
+    /// Records numbered events.
+    pub events: Arc<Recorder>,
+    /// Counts and times what happens.
+    pub metrics: Arc<crate::metrics::Metrics>,
+}
--- /dev/null
+++ b/coriandergw/src/events/mod.rs
@@ -0,0 +1,147 @@
+//! Numbered events: the log lines and the time line are made of them.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Clock;
+use crate::ids::CallId;
+use crate::ids::EntryName;
+use crate::ids::InstanceName;
+use crate::ids::ProgramId;
+
+mod number;
+
+pub use number::EventNumber;
+pub use number::Severity;
+
+/// The events that an instance keeps in memory for the time line.
+pub const KEPT_EVENTS: usize = 50_000;
+
+/// What an event is about; every part is optional.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Subject {
+    /// The program.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub program: Option<ProgramId>,
+    /// The call.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub call: Option<CallId>,
+    /// The catalogue entry.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub entry: Option<EntryName>,
+    /// The epoch of a lease or the term of a leader.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub epoch: Option<u64>,
+    /// Another instance or an endpoint.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub peer: Option<String>,
+    /// The event that caused this one, as `instance#sequence`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cause: Option<String>,
+}
+
+/// One event as it is kept and shown.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Event {
+    /// The event's number in the catalogue of events.
+    pub number: u16,
+    /// The instance that recorded it.
+    pub instance: InstanceName,
+    /// Counts the events of this process.
+    pub sequence: u64,
+    /// Wall time in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+    /// Monotonic time of the process in microseconds.
+    pub monotonic_us: u64,
+    /// What the event is about.
+    pub subject: Subject,
+    /// Details, for people.
+    pub message: String,
+}
+
+/// Records events of one instance: keeps them for the time line and hands them to the log.
+pub struct Recorder {
+    instance: InstanceName,
+    clock: Arc<dyn Clock>,
+    kept: Mutex<Kept>,
+}
+
+#[derive(Default)]
+struct Kept {
+    next_sequence: u64,
+    events: VecDeque<Event>,
+}
+
+impl Recorder {
+    /// Creates an empty recorder.
+    pub fn new(instance: InstanceName, clock: Arc<dyn Clock>) -> Self {
+        Self { instance, clock, kept: Mutex::default() }
+    }
+
+    /// Records an event.
+    pub fn record<M>(&self, number: EventNumber, subject: Subject, message: M)
+    where
+        M: Into<String>,
+    {
+        let mut kept = self.kept.lock().expect("not poisoned");
+        let event = Event {
+            number: number.number(),
+            instance: self.instance.clone(),
+            sequence: kept.next_sequence,
+            wall_ms: self.clock.wall().0,
+            monotonic_us: self.clock.now().0,
+            subject,
+            message: message.into(),
+        };
+        kept.next_sequence += 1;
+        if kept.events.len() == KEPT_EVENTS {
+            kept.events.pop_front();
+        }
+        kept.events.push_back(event.clone());
+        drop(kept);
+        write_log_line(number, &event);
+    }
+
+    /// Returns the kept events that `wanted` selects, oldest first.
+    pub fn select<F>(&self, wanted: F) -> Vec<Event>
+    where
+        F: Fn(&Event) -> bool,
+    {
+        let kept = self.kept.lock().expect("not poisoned");
+        kept.events.iter().filter(|event| wanted(event)).cloned().collect()
+    }
+}
+
+fn write_log_line(number: EventNumber, event: &Event) {
+    let level = match number.severity() {
+        Severity::Debug => log::Level::Debug,
+        Severity::Info => log::Level::Info,
+        Severity::Warning => log::Level::Warn,
+        Severity::Error => log::Level::Error,
+    };
+    if !log::log_enabled!(level) {
+        return;
+    }
+    let subject = &event.subject;
+    log::log!(
+        level,
+        event = event.number,
+        name = number.name(),
+        instance = event.instance.as_str(),
+        sequence = event.sequence,
+        program = subject.program.as_ref().map(ProgramId::as_str),
+        call = subject.call.as_ref().map(CallId::as_str),
+        entry = subject.entry.as_ref().map(EntryName::as_str),
+        epoch = subject.epoch,
+        peer = subject.peer.as_deref(),
+        cause = subject.cause.as_deref();
+        "{}",
+        event.message
+    );
+}
--- /dev/null
+++ b/coriandergw/src/lib.rs
@@ -0,0 +1,33 @@
+//! A scheduler for agent programs that runs as many cooperating instances.
+//!
+//! A caller creates a program under a catalogue entry and adds calls to it. The program's home
+//! instance keeps its history and budget, runs its calls in dependent order and journals each step
+//! in a replicated log. `docs/DESIGN.md` gives the design.
+
+pub mod addresses;
+pub mod admission;
+pub mod callers;
+pub mod catalogue;
+pub mod cli;
+pub mod clock;
+pub mod context;
+pub mod dev;
+pub mod dispatch;
+pub mod endpoints;
+pub mod events;
+pub mod ids;
+pub mod instance;
+pub mod keys;
+pub mod leases;
+pub mod log_groups;
+pub mod membership;
+pub mod metrics;
+pub mod operators;
+pub mod orders;
+pub mod placement;
+pub mod programs;
+pub mod queueing;
+pub mod result_code;
+pub mod settings;
+pub mod storage;
+pub mod transport;
--- /dev/null
+++ b/coriandergw/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Which instances are alive: probes, suspicion and leaving.
--- /dev/null
+++ b/coriandergw/src/metrics.rs
@@ -0,0 +1,111 @@
+//! Counters and histograms for Prometheus.
+
+use prometheus::Encoder;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// The bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS_SECONDS: &[f64] =
+    &[0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 0.36, 1.0, 3.0, 10.0, 30.0, 100.0, 300.0];
+
+/// The metrics of one instance.
+pub struct Metrics {
+    registry: Registry,
+    /// Seconds from a program's creation to its end, by entry and class.
+    pub program_seconds: HistogramVec,
+    /// Seconds a call waited for a place, by class.
+    pub queue_seconds: HistogramVec,
+    /// Prompt tokens that engines found in their cache.
+    pub prefix_tokens_reused: IntCounter,
+    /// Prompt tokens that were computed before and had to be computed again.
+    pub prefix_tokens_recomputed: IntCounter,
+    /// Refusals by result code.
+    pub refusals: IntCounterVec,
+    /// Retries by kind of call.
+    pub retries: IntCounterVec,
+    /// Orders to engines by kind and result.
+    pub orders: IntCounterVec,
+    /// Partitions held and similar states, by name.
+    pub states: IntGaugeVec,
+    /// Messages of control traffic by kind and direction.
+    pub control_messages: IntCounterVec,
+    /// Bytes of control traffic by kind and direction.
+    pub control_bytes: IntCounterVec,
+}
+
+impl Metrics {
+    /// Creates and registers all metrics.
+    ///
+    /// # Errors
+    /// Fails if a metric is registered twice, which is a fault of this module.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let histogram = |name: &str, help: &str, labels: &[&str]| {
+            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS_SECONDS.to_vec());
+            let metric = HistogramVec::new(opts, labels)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok::<_, prometheus::Error>(metric)
+        };
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let metric = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok::<_, prometheus::Error>(metric)
+        };
+        let counter = |name: &str, help: &str| {
+            let metric = IntCounter::new(name, help)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok::<_, prometheus::Error>(metric)
+        };
+        let states = IntGaugeVec::new(Opts::new("cgw_state", "States by name"), &["name"])?;
+        registry.register(Box::new(states.clone()))?;
+        Ok(Self {
+            program_seconds: histogram(
+                "cgw_program_seconds",
+                "Seconds from a program's creation to its end",
+                &["entry", "class"],
+            )?,
+            queue_seconds: histogram(
+                "cgw_queue_seconds",
+                "Seconds that a call waited for a place",
+                &["class"],
+            )?,
+            prefix_tokens_reused: counter(
+                "cgw_prefix_tokens_reused_total",
+                "Prompt tokens found in an engine's cache",
+            )?,
+            prefix_tokens_recomputed: counter(
+                "cgw_prefix_tokens_recomputed_total",
+                "Prompt tokens that had to be computed again",
+            )?,
+            refusals: counters("cgw_refusals_total", "Refusals by result code", &["code"])?,
+            retries: counters("cgw_retries_total", "Retries by kind of call", &["kind"])?,
+            orders: counters("cgw_orders_total", "Orders to engines", &["kind", "result"])?,
+            control_messages: counters(
+                "cgw_control_messages_total",
+                "Messages between instances",
+                &["kind", "direction"],
+            )?,
+            control_bytes: counters(
+                "cgw_control_bytes_total",
+                "Payload bytes between instances",
+                &["kind", "direction"],
+            )?,
+            states,
+            registry,
+        })
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut buf = Vec::new();
+        // Writing to a Vec cannot fail; an encoding fault leaves the text short.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        String::from_utf8_lossy(&buf).into_owned()
+    }
+}
--- /dev/null
+++ b/coriandergw/src/orders/mod.rs
@@ -0,0 +1,1 @@
+//! Orders to engines: load a model, change a role, release memory.
--- /dev/null
+++ b/coriandergw/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Which endpoint a call is sent to.
--- /dev/null
+++ b/coriandergw/src/queueing/mod.rs
@@ -0,0 +1,1 @@
+//! Which waiting call goes next.
--- /dev/null
+++ b/coriandergw/src/storage/mod.rs
@@ -0,0 +1,1 @@
+//! Files under the data folder: the write-ahead file and the snapshots.
--- /dev/null
+++ b/testkit/src/lib.rs
@@ -0,0 +1,3 @@
+//! Fakes at the interfaces, a fault-injecting proxy and measurements. Not shipped.
+
+pub mod generate;
--- /dev/null
+++ b/testkit/tests/pages.rs
@@ -0,0 +1,57 @@
+//! Checks that the catalogues in `docs/` and the source agree.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::path::PathBuf;
+
+use coriandergw::events::EventNumber;
+use coriandergw::result_code::ResultCode;
+
+fn repository() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
+}
+
+fn page(name: &str) -> String {
+    std::fs::read_to_string(repository().join("docs").join(name)).expect("the page is there")
+}
+
+/// Reads the rows `| number | name | … |` of a page.
+fn listed(text: &str, prefix: &str) -> BTreeMap<u16, String> {
+    let mut rows = BTreeMap::new();
+    for line in text.lines().filter(|line| line.starts_with('|')) {
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        let number = cells[1].strip_prefix(prefix).and_then(|cell| cell.parse().ok());
+        if let Some(number) = number {
+            let twice = rows.insert(number, cells[2].to_owned());
+            assert!(twice.is_none(), "{number} is listed twice");
+        }
+    }
+    rows
+}
+
+fn assert_unique<I>(numbers: I)
+where
+    I: IntoIterator<Item = u16>,
+{
+    let mut seen = BTreeSet::new();
+    for number in numbers {
+        assert!(seen.insert(number), "number {number} is used twice");
+    }
+}
+
+#[test]
+fn result_codes_match_their_page() {
+    let in_code: BTreeMap<u16, String> =
+        ResultCode::ALL.iter().map(|code| (code.number(), code.name().to_owned())).collect();
+    assert_unique(ResultCode::ALL.iter().map(|code| code.number()));
+    assert_eq!(listed(&page("RESULT-CODES.md"), "CG-"), in_code);
+}
+
+#[test]
+fn events_match_their_page() {
+    let in_code: BTreeMap<u16, String> =
+        EventNumber::ALL.iter().map(|event| (event.number(), event.name().to_owned())).collect();
+    assert_unique(EventNumber::ALL.iter().map(|event| event.number()));
+    assert_eq!(listed(&page("EVENTS.md"), ""), in_code);
+}
