--- a/coriandergw/src/log_groups/mod.rs
+++ b/coriandergw/src/log_groups/mod.rs
@@ -8,6 +8,8 @@
 use crate::ids::GroupId;
 use crate::ids::InstanceName;
 
+pub mod local;
+
 /// Says why a command has no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Display, Error)]
