--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -54,6 +54,24 @@
     DrainFinished = 103, Info;
     /// The drain limit passed with requests still running.
     DrainLimitReached = 104, Warning;
+    /// The instance became the leader of a log group.
+    LogLeaderElected = 200, Info;
+    /// The instance stopped leading a log group.
+    LogLeaderLost = 201, Warning;
+    /// Writing to the data folder failed; the instance takes no further part in the log.
+    LogStorageFailed = 202, Error;
+    /// A damaged log was set aside; the instance learns it anew and does not vote until readmitted.
+    LogSetAside = 203, Error;
+    /// An unfinished write at the end of the log was cut off.
+    LogTailCut = 204, Warning;
+    /// A snapshot of a log group was taken.
+    LogSnapshotTaken = 205, Debug;
+    /// A snapshot of a log group came from its leader.
+    LogSnapshotInstalled = 206, Info;
+    /// The voters of a log group changed.
+    LogVotersChanged = 207, Info;
+    /// A message of the log could not be used.
+    LogMessageRefused = 208, Warning;
     /// A program was created.
     ProgramCreated = 300, Debug;
     /// A call was accepted.
--- /dev/null
+++ b/coriandergw/src/log_groups/core/config_change.rs
@@ -0,0 +1,73 @@
+//! Replacement of voters, one at a time.
+
+use crate::clock::Timestamp;
+use crate::ids::InstanceName;
+use crate::log_groups::core::Core;
+use crate::log_groups::core::Payload;
+use crate::log_groups::core::ProposeFault;
+use crate::log_groups::core::Replacement;
+use crate::log_groups::core::replica::Role;
+
+fn refused(reason: &str) -> ProposeFault {
+    ProposeFault::MembersRefused { reason: reason.to_owned() }
+}
+
+impl Core {
+    /// Starts to replace the voter `old` by `new`; both are the same for one that lost its log.
+    ///
+    /// The new instance learns first. It becomes a voter once it has synced everything up to the
+    /// entry of this change, and only then the old one leaves. Each step is an entry of its own.
+    ///
+    /// # Errors
+    /// Fails, with nothing appended, if this member does not lead or another change is under way.
+    pub fn replace_voter(
+        &mut self,
+        old: InstanceName,
+        new: InstanceName,
+        now: Timestamp,
+    ) -> Result<u64, ProposeFault> {
+        if !self.is_leader() {
+            return Err(ProposeFault::NotLeader);
+        }
+        let (members_index, members) = self.log.members();
+        if !self.is_ready_leader() || members_index > self.commit || members.replacement.is_some() {
+            return Err(refused("another change is under way"));
+        }
+        if !members.voters.contains(&old) {
+            return Err(refused("the old instance is no voter"));
+        }
+        if old != new && members.voters.contains(&new) {
+            return Err(refused("the new instance is a voter already"));
+        }
+        if old == new && (old == self.name || members.voters.len() == 1) {
+            return Err(refused("the leader cannot replace itself by itself"));
+        }
+        let next = members.start_replacement(Replacement { old, new });
+        Ok(self.append(Payload::Members(next), now))
+    }
+
+    /// Takes the next step of a replacement once the conditions for it hold.
+    pub(super) fn advance_replacement(&mut self, now: Timestamp) {
+        let Role::Leader(leading) = &self.role else {
+            return;
+        };
+        let (members_index, members) = self.log.members();
+        if members_index > self.commit {
+            return;
+        }
+        if let Some(Replacement { new, .. }) = &members.replacement {
+            let has_caught_up = leading
+                .progress
+                .get(new)
+                .is_some_and(|progress| progress.counts && progress.matched >= members_index);
+            let is_ready = self.is_ready_leader();
+            if let Some(next) = members.next_step().filter(|_| has_caught_up && is_ready) {
+                self.append(Payload::Members(next), now);
+            }
+            return;
+        }
+        if !members.voters.contains(&self.name) {
+            self.become_follower(self.term, None, now);
+        }
+    }
+}
--- /dev/null
+++ b/coriandergw/src/log_groups/core/election.rs
@@ -0,0 +1,140 @@
+//! Elections: pre-vote, vote, and the promise that keeps a leader's lease.
+
+use std::collections::BTreeSet;
+
+use crate::clock::Timestamp;
+use crate::ids::InstanceName;
+use crate::log_groups::core::Body;
+use crate::log_groups::core::Core;
+use crate::log_groups::core::Message;
+use crate::log_groups::core::replica::Role;
+use crate::log_groups::core::timing::ELECTION_RETRY_MS;
+use crate::log_groups::core::timing::ELECTION_TIMEOUT_MS;
+use crate::log_groups::core::timing::PROMISE;
+
+/// The members that granted a vote.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Ballot {
+    granted: BTreeSet<InstanceName>,
+}
+
+impl Core {
+    fn may_campaign(&self) -> bool {
+        !self.lost && self.members().voters.contains(&self.name)
+    }
+
+    /// Returns whether a log that ends thus holds everything that this one may have acknowledged.
+    pub(super) fn is_current(&self, last_index: u64, last_term: u64) -> bool {
+        (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    /// Returns whether a leader may still rely on this member's promise.
+    fn has_promised(&self, now: Timestamp) -> bool {
+        match self.role {
+            Role::Leader(_) => now < self.lease_until(now),
+            _ => now < self.heard_at + PROMISE,
+        }
+    }
+
+    pub(super) fn start_pre_vote(&mut self, now: Timestamp) {
+        if !self.may_campaign() {
+            self.leader = None;
+            return self.delay_election(ELECTION_TIMEOUT_MS, now);
+        }
+        self.leader = None;
+        self.role = Role::PreCandidate(Ballot::default());
+        self.delay_election(ELECTION_RETRY_MS, now);
+        let body =
+            Body::PreVote { last_index: self.log.last_index(), last_term: self.log.last_term() };
+        let message = Message { term: self.term + 1, sent_at: now, counts: true, body };
+        for voter in self.other_voters() {
+            self.send_now(&voter, message.clone());
+        }
+        let name = self.name.clone();
+        self.on_pre_vote_granted(&name, self.term + 1, now);
+    }
+
+    fn start_vote(&mut self, now: Timestamp) {
+        self.set_hard_state(self.term + 1, Some(self.name.clone()));
+        self.role = Role::Candidate(Ballot::default());
+        self.delay_election(ELECTION_RETRY_MS, now);
+        let body =
+            Body::Vote { last_index: self.log.last_index(), last_term: self.log.last_term() };
+        let message = Message { term: self.term, sent_at: now, counts: true, body };
+        for voter in self.other_voters() {
+            self.queue_after_sync(&voter, message.clone());
+        }
+        let name = self.name.clone();
+        self.on_vote_granted(&name, now);
+    }
+
+    fn other_voters(&self) -> Vec<InstanceName> {
+        self.members().voters.iter().filter(|voter| **voter != self.name).cloned().collect()
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        from: &InstanceName,
+        term: u64,
+        log_is_current: bool,
+        now: Timestamp,
+    ) {
+        let granted = term > self.term && log_is_current && !self.lost && !self.has_promised(now);
+        let term = if granted { term } else { self.term };
+        let body = Body::PreVoteAnswer { granted };
+        let message = Message { term, sent_at: now, counts: true, body };
+        self.queue_after_sync(from, message);
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        from: &InstanceName,
+        term: u64,
+        log_is_current: bool,
+        now: Timestamp,
+    ) {
+        if self.has_promised(now) {
+            return;
+        }
+        if term > self.term {
+            self.become_follower(term, None, now);
+        }
+        let is_free = self.voted_for.as_ref().is_none_or(|voted_for| voted_for == from);
+        let granted = term == self.term && log_is_current && !self.lost && is_free;
+        if granted && self.voted_for.is_none() {
+            self.set_hard_state(term, Some(from.clone()));
+            self.delay_election(ELECTION_TIMEOUT_MS, now);
+        }
+        self.answer_after_sync(from, now, Body::VoteAnswer { granted });
+    }
+
+    pub(super) fn on_pre_vote_granted(&mut self, from: &InstanceName, term: u64, now: Timestamp) {
+        if term != self.term + 1 {
+            return;
+        }
+        let Role::PreCandidate(ballot) = &mut self.role else {
+            return;
+        };
+        ballot.granted.insert(from.clone());
+        let granted = ballot.granted.clone();
+        if self.is_quorum(&granted) {
+            self.start_vote(now);
+        }
+    }
+
+    pub(super) fn on_vote_granted(&mut self, from: &InstanceName, now: Timestamp) {
+        let Role::Candidate(ballot) = &mut self.role else {
+            return;
+        };
+        ballot.granted.insert(from.clone());
+        let granted = ballot.granted.clone();
+        if self.is_quorum(&granted) {
+            self.become_leader(now);
+        }
+    }
+
+    fn is_quorum(&self, granted: &BTreeSet<InstanceName>) -> bool {
+        let members = self.members();
+        members.voters.intersection(granted).count() >= members.quorum()
+    }
+}
--- /dev/null
+++ b/coriandergw/src/log_groups/core/leader.rs
@@ -0,0 +1,235 @@
+//! What a leader does: replication, commitment, heartbeats and its lease.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use crate::clock::Timestamp;
+use crate::ids::InstanceName;
+use crate::log_groups::core::Body;
+use crate::log_groups::core::Core;
+use crate::log_groups::core::Entry;
+use crate::log_groups::core::Message;
+use crate::log_groups::core::Payload;
+use crate::log_groups::core::ProposeFault;
+use crate::log_groups::core::Snapshot;
+use crate::log_groups::core::progress::Progress;
+use crate::log_groups::core::progress::Transfer;
+use crate::log_groups::core::replica::Role;
+use crate::log_groups::core::timing::HEARTBEAT_INTERVAL;
+use crate::log_groups::core::timing::LEASE;
+
+/// The most bytes of entries in one message.
+const APPEND_MAX_BYTES: usize = 1 << 20;
+
+/// The bytes of a snapshot in one message.
+const CHUNK_BYTES: usize = 256 << 10;
+
+/// What a leader keeps for its term.
+#[derive(Debug, Clone)]
+pub(super) struct Leading {
+    /// The index of the first entry of its term.
+    pub first_index: u64,
+    /// When it was elected.
+    pub since: Timestamp,
+    pub heartbeat_due: Timestamp,
+    pub progress: BTreeMap<InstanceName, Progress>,
+}
+
+impl Core {
+    pub(super) fn become_leader(&mut self, now: Timestamp) {
+        let first_index = self.log.last_index() + 1;
+        self.role = Role::Leader(Leading {
+            first_index,
+            since: now,
+            heartbeat_due: now,
+            progress: BTreeMap::new(),
+        });
+        self.leader = Some(self.name.clone());
+        self.append(Payload::Empty, now);
+        self.tick_leader(now);
+    }
+
+    /// Appends an entry of the own term and returns its index.
+    pub(super) fn append(&mut self, payload: Payload, now: Timestamp) -> u64 {
+        let index = self.log.last_index() + 1;
+        self.push_entries(vec![Entry { index, term: self.term, payload }]);
+        self.update_progress(index, now);
+        index
+    }
+
+    /// Proposes a command; returns its index if this member leads.
+    ///
+    /// # Errors
+    /// Fails if this member does not lead; nothing is appended then.
+    pub fn propose(&mut self, command: Bytes, now: Timestamp) -> Result<u64, ProposeFault> {
+        if !self.is_leader() {
+            return Err(ProposeFault::NotLeader);
+        }
+        Ok(self.append(Payload::Command(command), now))
+    }
+
+    /// Starts and ends to follow members that came and went.
+    fn update_progress(&mut self, next: u64, now: Timestamp) {
+        let others = self.members().others(&self.name);
+        let Role::Leader(leading) = &mut self.role else {
+            return;
+        };
+        leading.progress.retain(|member, _| others.contains(member));
+        for member in others {
+            leading.progress.entry(member).or_insert_with(|| Progress::new(next, now));
+        }
+    }
+
+    /// Returns when the leader's lease ends; a time in the past if it does not lead.
+    pub fn lease_until(&self, now: Timestamp) -> Timestamp {
+        match self.quorum_contact(now) {
+            Some(contact) if contact > Timestamp::default() => contact + LEASE,
+            _ => Timestamp::default(),
+        }
+    }
+
+    /// Returns the sending time of the last heartbeat that a quorum answered.
+    fn quorum_contact(&self, now: Timestamp) -> Option<Timestamp> {
+        let Role::Leader(leading) = &self.role else {
+            return None;
+        };
+        let answered = |voter: &InstanceName| match leading.progress.get(voter) {
+            _ if *voter == self.name => now,
+            Some(progress) if progress.counts => progress.answered,
+            _ => Timestamp::default(),
+        };
+        Some(self.members().quorum_value(answered))
+    }
+
+    pub(super) fn tick_leader(&mut self, now: Timestamp) {
+        let contact = self.quorum_contact(now).unwrap_or_default();
+        let Role::Leader(leading) = &mut self.role else {
+            return;
+        };
+        if now >= contact.max(leading.since) + LEASE {
+            return self.become_follower(self.term, None, now);
+        }
+        if now < leading.heartbeat_due {
+            return;
+        }
+        // Due times are multiples of the interval, so that all groups' heartbeats share messages.
+        let interval = HEARTBEAT_INTERVAL.as_micros() as u64;
+        leading.heartbeat_due = Timestamp((now.0 / interval + 1) * interval);
+        self.send_heartbeats(now);
+    }
+
+    fn send_heartbeats(&mut self, now: Timestamp) {
+        let Role::Leader(leading) = &self.role else {
+            return;
+        };
+        let (members_index, members) = self.log.members();
+        let members_committed = members_index <= self.commit;
+        let mut out = Vec::new();
+        for (member, progress) in &leading.progress {
+            let commit = self.commit.min(progress.matched);
+            let is_voter = !members_committed || members.voters.contains(member);
+            let body = Body::Heartbeat { commit, is_voter };
+            out.push((member.clone(), self.request(body, now)));
+        }
+        out.into_iter().for_each(|(member, message)| self.send_now(&member, message));
+    }
+
+    fn request(&self, body: Body, now: Timestamp) -> Message {
+        Message { term: self.term, sent_at: now, counts: true, body }
+    }
+
+    /// Sends each member what it lacks.
+    pub(super) fn replicate(&mut self, now: Timestamp) {
+        let Role::Leader(leading) = &self.role else {
+            return;
+        };
+        let members: Vec<InstanceName> = leading.progress.keys().cloned().collect();
+        for member in members {
+            if let Some(message) = self.next_message(&member, now) {
+                self.send_now(&member, message);
+            }
+        }
+    }
+
+    fn next_message(&mut self, member: &InstanceName, now: Timestamp) -> Option<Message> {
+        let last_index = self.log.last_index();
+        let commit = self.commit;
+        let Role::Leader(leading) = &mut self.role else {
+            return None;
+        };
+        let progress = leading.progress.get_mut(member)?;
+        if progress.next > last_index || !progress.may_send(now) {
+            return None;
+        }
+        progress.in_flight = Some(now);
+        let prev_index = progress.next - 1;
+        let body = match self.log.term_at(prev_index) {
+            Some(prev_term) if progress.transfer.is_none() => {
+                let entries = self.log.slice(progress.next, APPEND_MAX_BYTES);
+                Body::Append { prev_index, prev_term, commit, entries }
+            }
+            _ => next_chunk(progress, self.log.snapshot()),
+        };
+        Some(self.request(body, now))
+    }
+
+    pub(super) fn on_answer(
+        &mut self,
+        from: &InstanceName,
+        sent_at: Timestamp,
+        counts: bool,
+        body: Body,
+        now: Timestamp,
+    ) {
+        let last_index = self.log.last_index();
+        let Role::Leader(leading) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leading.progress.get_mut(from) else {
+            return;
+        };
+        progress.note_answer(sent_at, counts, now);
+        match body {
+            Body::AppendAnswer { matched } => progress.confirm(matched.min(last_index)),
+            Body::AppendRefused { next } => progress.refuse(next.max(1)),
+            Body::ChunkAnswer { index, received } => progress.confirm_chunk(index, received),
+            _ => {}
+        }
+        self.advance_leader_commit(now);
+    }
+
+    /// Commits what a quorum has synced, if it ends with an entry of the own term.
+    pub(super) fn advance_leader_commit(&mut self, now: Timestamp) {
+        let Role::Leader(leading) = &self.role else {
+            return;
+        };
+        let synced = |voter: &InstanceName| match leading.progress.get(voter) {
+            _ if *voter == self.name => self.durable_index(),
+            Some(progress) if progress.counts => progress.matched,
+            _ => 0,
+        };
+        let index = self.members().quorum_value(synced);
+        if index > self.commit && self.log.term_at(index) == Some(self.term) {
+            self.commit = index;
+            self.commit_known = index;
+        }
+        self.advance_replacement(now);
+    }
+}
+
+fn next_chunk(progress: &mut Progress, snapshot: &Snapshot) -> Body {
+    let fresh = || Transfer { snapshot: snapshot.clone(), received: 0 };
+    let transfer = progress.transfer.get_or_insert_with(fresh);
+    let Snapshot { index, term, members, data } = &transfer.snapshot;
+    let start = (transfer.received as usize).min(data.len());
+    let end = (start + CHUNK_BYTES).min(data.len());
+    Body::Chunk {
+        index: *index,
+        index_term: *term,
+        members: members.clone(),
+        offset: start as u64,
+        total: data.len() as u64,
+        data: data.slice(start..end),
+    }
+}
--- /dev/null
+++ b/coriandergw/src/log_groups/core/members.rs
@@ -0,0 +1,86 @@
+//! The instances that hold a group's log.
+
+use std::collections::BTreeSet;
+
+use crate::ids::InstanceName;
+
+/// A voter that is being replaced by another instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Replacement {
+    /// The voter that leaves.
+    pub old: InstanceName,
+    /// The instance that becomes a voter; the same as `old` when it lost its log.
+    pub new: InstanceName,
+}
+
+/// The voters and learners of a group; takes effect as soon as its entry is appended.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Members {
+    /// The instances that make up quorums.
+    pub voters: BTreeSet<InstanceName>,
+    /// The instances that receive the log without counting.
+    pub learners: BTreeSet<InstanceName>,
+    /// The replacement under way.
+    pub replacement: Option<Replacement>,
+}
+
+impl Members {
+    /// Creates a group of voters only.
+    pub fn of_voters<I>(voters: I) -> Self
+    where
+        I: IntoIterator<Item = InstanceName>,
+    {
+        Self { voters: voters.into_iter().collect(), ..Self::default() }
+    }
+
+    /// Returns the number of voters that make a quorum.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Returns all members except `name`.
+    pub fn others(&self, name: &InstanceName) -> Vec<InstanceName> {
+        let all = self.voters.union(&self.learners);
+        all.filter(|member| *member != name).cloned().collect()
+    }
+
+    /// Returns the highest value that a quorum of voters has reached.
+    ///
+    /// `value_of` gives the value of one voter; a voter that does not count has the lowest one.
+    pub fn quorum_value<T, F>(&self, value_of: F) -> T
+    where
+        T: Ord + Copy + Default,
+        F: Fn(&InstanceName) -> T,
+    {
+        let mut values: Vec<T> = self.voters.iter().map(value_of).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.quorum() - 1).copied().unwrap_or_default()
+    }
+
+    /// Returns the first step of a replacement: the new instance starts to learn.
+    pub(super) fn start_replacement(&self, replacement: Replacement) -> Self {
+        let mut next = self.clone();
+        if replacement.old == replacement.new {
+            next.voters.remove(&replacement.old);
+        }
+        next.learners.insert(replacement.new.clone());
+        next.replacement = Some(replacement);
+        next
+    }
+
+    /// Returns the next step of the replacement under way, once the step before it is committed.
+    pub(super) fn next_step(&self) -> Option<Self> {
+        let Replacement { old, new } = self.replacement.clone()?;
+        let mut next = self.clone();
+        if next.learners.remove(&new) {
+            next.voters.insert(new.clone());
+            if old == new {
+                next.replacement = None;
+            }
+        } else {
+            next.voters.remove(&old);
+            next.replacement = None;
+        }
+        Some(next)
+    }
+}
--- /dev/null
+++ b/coriandergw/src/log_groups/driver.rs
@@ -0,0 +1,304 @@
+//! The task that owns all groups of an instance and carries out what their cores ask for.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::MissedTickBehavior;
+
+use crate::clock::Timestamp;
+use crate::context::Context;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::GroupId;
+use crate::ids::InstanceName;
+use crate::log_groups::RestoreError;
+use crate::log_groups::core::Message;
+use crate::log_groups::core::ProposeFault;
+use crate::log_groups::core::Record;
+use crate::log_groups::group::Group;
+use crate::log_groups::propose::Outcome;
+use crate::log_groups::wire;
+use crate::storage::StorageError;
+use crate::storage::store::Store;
+use crate::transport::Kind;
+use crate::transport::Transport;
+
+/// The time between two ticks of the cores.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The inputs that are taken in before the groups act on them.
+const INPUTS_PER_TURN: usize = 1_024;
+
+/// The bytes of proposals that are taken in before the groups act on them.
+const BYTES_PER_TURN: usize = 8 << 20;
+
+/// What other tasks tell the driver.
+pub enum Input {
+    /// Messages of other members.
+    Messages {
+        /// Who sent them.
+        from: InstanceName,
+        /// The messages.
+        messages: Vec<(GroupId, Message)>,
+    },
+    /// A command to commit.
+    Propose {
+        /// The group.
+        group: GroupId,
+        /// The command.
+        command: Bytes,
+        /// Gets its fate.
+        reply: oneshot::Sender<Outcome>,
+    },
+    /// A voter to replace.
+    ReplaceVoter {
+        /// The group.
+        group: GroupId,
+        /// The voter that leaves.
+        old: InstanceName,
+        /// The instance that becomes a voter.
+        new: InstanceName,
+        /// Learns whether the change has started.
+        reply: oneshot::Sender<Result<(), ProposeFault>>,
+    },
+    /// Ends the driver.
+    Stop,
+}
+
+/// Owns the cores, the state machines and the write-ahead file.
+pub struct Driver {
+    pub(super) cx: Context,
+    pub(super) transport: Arc<dyn Transport>,
+    pub(super) cluster: String,
+    pub(super) groups: BTreeMap<GroupId, Group>,
+    pub(super) store: Arc<Mutex<Store>>,
+    pub(super) inputs: mpsc::Receiver<Input>,
+    sync: Option<JoinHandle<Result<(), StorageError>>>,
+    /// Messages that wait for the sync under way.
+    held: Outgoing,
+    outgoing: Outgoing,
+}
+
+type Outgoing = BTreeMap<InstanceName, Vec<(GroupId, Message)>>;
+
+impl Driver {
+    /// Creates a driver of groups that were read from `store`.
+    pub fn new(
+        cx: Context,
+        transport: Arc<dyn Transport>,
+        cluster: String,
+        groups: BTreeMap<GroupId, Group>,
+        store: Store,
+        inputs: mpsc::Receiver<Input>,
+    ) -> Self {
+        Self {
+            cx,
+            transport,
+            cluster,
+            groups,
+            store: Arc::new(Mutex::new(store)),
+            inputs,
+            sync: None,
+            held: Outgoing::new(),
+            outgoing: Outgoing::new(),
+        }
+    }
+
+    /// Runs until it is stopped or the storage fails.
+    pub async fn run(mut self) {
+        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let is_going_on = tokio::select! {
+                input = self.inputs.recv() => self.take_inputs(input),
+                synced = finished(&mut self.sync) => self.note_sync(synced),
+                _ = ticks.tick() => {
+                    self.tick();
+                    true
+                }
+            };
+            if !is_going_on || !self.act() {
+                break;
+            }
+        }
+        if let Some(sync) = self.sync.take() {
+            // The folder is in use until the write under way has ended.
+            let _ = sync.await;
+        }
+        for group in self.groups.values_mut() {
+            group.retire();
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.cx.clock.now();
+        for group in self.groups.values_mut() {
+            group.core.tick(now);
+        }
+    }
+
+    /// Takes in what has arrived; returns false if the driver is to stop.
+    fn take_inputs(&mut self, first: Option<Input>) -> bool {
+        let mut next = first;
+        let mut bytes = 0;
+        for _ in 0..INPUTS_PER_TURN {
+            match next {
+                None | Some(Input::Stop) => return false,
+                Some(input) => bytes += self.take_input(input),
+            }
+            if bytes > BYTES_PER_TURN {
+                break;
+            }
+            match self.inputs.try_recv() {
+                Ok(input) => next = Some(input),
+                Err(_) => break,
+            }
+        }
+        true
+    }
+
+    fn take_input(&mut self, input: Input) -> usize {
+        let now = self.cx.clock.now();
+        match input {
+            Input::Messages { from, messages } => {
+                for (group, message) in messages {
+                    if let Some(group) = self.groups.get_mut(&group) {
+                        group.core.step(&from, message, now);
+                    }
+                }
+                0
+            }
+            Input::Propose { group, command, reply } => {
+                let bytes = command.len();
+                match self.groups.get_mut(&group) {
+                    Some(group) => group.propose(command, reply, now),
+                    None => answer(reply, Outcome::NotProposed(format!("no group {group}"))),
+                }
+                bytes
+            }
+            Input::ReplaceVoter { group, old, new, reply } => {
+                let group = self.groups.get_mut(&group);
+                let result = group.map_or(Err(ProposeFault::NotLeader), |group| {
+                    group.core.replace_voter(old, new, now).map(|_| ())
+                });
+                let _ = reply.send(result);
+                0
+            }
+            Input::Stop => 0,
+        }
+    }
+
+    fn note_sync(&mut self, result: Result<(), StorageError>) -> bool {
+        self.sync = None;
+        if let Err(cause) = result {
+            self.report(EventNumber::LogStorageFailed, cause.to_string());
+            return false;
+        }
+        let now = self.cx.clock.now();
+        for group in self.groups.values_mut() {
+            group.core.synced(now);
+        }
+        for (to, messages) in std::mem::take(&mut self.held) {
+            self.outgoing.entry(to).or_default().extend(messages);
+        }
+        true
+    }
+
+    /// Carries out what the cores ask for; returns false if a state machine failed.
+    fn act(&mut self) -> bool {
+        let now = self.cx.clock.now();
+        for (id, group) in &mut self.groups {
+            queue(&mut self.outgoing, *id, group.core.take_messages(now));
+        }
+        if let Err(cause) = self.apply(now) {
+            self.report(EventNumber::LogStorageFailed, cause.to_string());
+            return false;
+        }
+        if self.sync.is_none() {
+            self.start_sync();
+        }
+        for (to, messages) in std::mem::take(&mut self.outgoing) {
+            let payload = wire::encode_envelope(&self.cluster, messages);
+            self.transport.send(&to, Kind::Log, payload);
+        }
+        true
+    }
+
+    fn apply(&mut self, now: Timestamp) -> Result<(), RestoreError> {
+        for group in self.groups.values_mut() {
+            group.apply(&self.cx)?;
+            group.publish(&self.cx, now);
+        }
+        Ok(())
+    }
+
+    /// Takes the cores' next batches and starts to write their records, if there are any.
+    fn start_sync(&mut self) {
+        let mut records: Vec<(GroupId, Record)> = Vec::new();
+        let mut messages = Outgoing::new();
+        for (id, group) in &mut self.groups {
+            let batch = group.core.take_batch();
+            records.extend(batch.records.into_iter().map(|record| (*id, record)));
+            queue(&mut messages, *id, batch.messages);
+        }
+        if records.is_empty() {
+            for (to, messages) in messages {
+                self.outgoing.entry(to).or_default().extend(messages);
+            }
+            return;
+        }
+        self.held = messages;
+        let wants_rewrite = self.store.lock().expect("not poisoned").wants_rewrite();
+        if wants_rewrite {
+            records = self.live_records();
+        }
+        let store = self.store.clone();
+        self.sync = Some(tokio::task::spawn_blocking(move || {
+            let mut store = store.lock().expect("not poisoned");
+            if wants_rewrite { store.rewrite(records) } else { store.write(records) }
+        }));
+    }
+
+    fn live_records(&self) -> Vec<(GroupId, Record)> {
+        let live = |(id, group): (&GroupId, &Group)| {
+            let records = group.core.live_records();
+            records.into_iter().map(|record| (*id, record)).collect::<Vec<_>>()
+        };
+        self.groups.iter().flat_map(live).collect()
+    }
+
+    fn report(&self, number: EventNumber, message: String) {
+        self.cx.events.record(number, Subject::default(), message);
+    }
+}
+
+fn queue(outgoing: &mut Outgoing, group: GroupId, messages: Vec<(InstanceName, Message)>) {
+    for (to, message) in messages {
+        outgoing.entry(to).or_default().push((group, message));
+    }
+}
+
+/// Answers a proposer, who may have stopped to wait.
+pub fn answer(reply: oneshot::Sender<Outcome>, outcome: Outcome) {
+    let _ = reply.send(outcome);
+}
+
+/// Waits for the sync under way; forever if there is none.
+async fn finished(
+    sync: &mut Option<JoinHandle<Result<(), StorageError>>>,
+) -> Result<(), StorageError> {
+    let Some(handle) = sync else {
+        return std::future::pending().await;
+    };
+    let panicked = |cause: tokio::task::JoinError| StorageError::Failed {
+        file: "the write-ahead file".to_owned(),
+        reason: cause.to_string(),
+    };
+    handle.await.unwrap_or_else(|cause| Err(panicked(cause)))
+}
--- a/coriandergw/src/log_groups/mod.rs
+++ b/coriandergw/src/log_groups/mod.rs
@@ -8,7 +8,16 @@
 use crate::ids::GroupId;
 use crate::ids::InstanceName;
 
+pub mod client;
+pub mod core;
+mod driver;
+#[allow(missing_docs, clippy::all)]
+mod generated;
+mod group;
 pub mod local;
+pub mod node;
+mod propose;
+pub mod wire;
 
 /// Says why a command has no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,6 +37,17 @@
     },
 }
 
+/// Who leads a group, as one of its members sees it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Leadership {
+    /// The term.
+    pub term: u64,
+    /// The leader of the term, where known.
+    pub leader: Option<InstanceName>,
+    /// Whether this instance leads and has applied everything that earlier leaders committed.
+    pub is_leader: bool,
+}
+
 /// Commits commands to groups, from any instance.
 ///
 /// The answer is what the group's state machine returned when the command was applied. A command
@@ -64,3 +84,8 @@
     /// What is wrong with it.
     pub reason: String,
 }
+
+#[cfg(test)]
+mod test_cluster;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/coriandergw/src/log_groups/node.rs
@@ -0,0 +1,247 @@
+//! The replicated log on a store instance.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::clock::Timestamp;
+use crate::context::Context;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::GroupId;
+use crate::ids::InstanceName;
+use crate::log_groups::Leadership;
+use crate::log_groups::ProposeError;
+use crate::log_groups::ReplicatedLog;
+use crate::log_groups::RestoreError;
+use crate::log_groups::StateMachine;
+use crate::log_groups::client::LogClient;
+use crate::log_groups::core::Core;
+use crate::log_groups::core::Members;
+use crate::log_groups::core::ProposeFault;
+use crate::log_groups::driver::Driver;
+use crate::log_groups::driver::Input;
+use crate::log_groups::group::Group;
+use crate::log_groups::propose::LocalProposer;
+use crate::log_groups::wire;
+use crate::storage::Disk;
+use crate::storage::StorageError;
+use crate::storage::store::Opened;
+use crate::storage::store::Store;
+use crate::storage::store::StoreOptions;
+use crate::transport::Handler;
+use crate::transport::Kind;
+use crate::transport::Transport;
+
+/// The entries that are applied between two snapshots of a group.
+pub const SNAPSHOT_EVERY_ENTRIES: u64 = 10_000;
+
+/// The inputs that wait for the driver at most; further ones are refused or dropped.
+const INPUT_QUEUE: usize = 4_096;
+
+/// What a store instance needs to take part in the log.
+pub struct LogOptions {
+    /// The cluster's name.
+    pub cluster: String,
+    /// The voters of a new log. An instance that is to replace a voter does not list itself.
+    pub voters: Vec<InstanceName>,
+    /// The data folder.
+    pub disk: Arc<dyn Disk>,
+    /// The groups and their state machines.
+    pub groups: Vec<(GroupId, Box<dyn StateMachine>)>,
+    /// The entries between two snapshots; [`SNAPSHOT_EVERY_ENTRIES`] unless a test wants fewer.
+    pub snapshot_every: u64,
+}
+
+/// Says why the log could not start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum LogStartError {
+    /// The data folder cannot be used.
+    #[display("{cause}")]
+    Storage {
+        /// Why not.
+        cause: StorageError,
+    },
+    /// A stored snapshot does not restore.
+    #[display("{cause}")]
+    Restore {
+        /// Why not.
+        cause: RestoreError,
+    },
+}
+
+impl From<StorageError> for LogStartError {
+    fn from(cause: StorageError) -> Self {
+        Self::Storage { cause }
+    }
+}
+
+impl From<RestoreError> for LogStartError {
+    fn from(cause: RestoreError) -> Self {
+        Self::Restore { cause }
+    }
+}
+
+/// What others may see of a group.
+struct GroupView {
+    leadership: watch::Receiver<Leadership>,
+    lease_until: Arc<AtomicU64>,
+}
+
+/// Takes part in the groups of the log and commits commands to them.
+pub struct LogNode {
+    client: LogClient,
+    inputs: mpsc::Sender<Input>,
+    views: BTreeMap<GroupId, GroupView>,
+    task: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl LogNode {
+    /// Opens the data folder, restores the state machines and starts to take part.
+    ///
+    /// Must be called inside a tokio runtime.
+    ///
+    /// # Errors
+    /// Fails if the data folder cannot be used or a state machine refuses its snapshot.
+    pub fn start(
+        cx: Context,
+        transport: Arc<dyn Transport>,
+        options: LogOptions,
+    ) -> Result<Arc<Self>, LogStartError> {
+        let LogOptions { cluster, voters, disk, groups, snapshot_every } = options;
+        let store_options = StoreOptions {
+            cluster: cluster.clone(),
+            instance: cx.instance.clone(),
+            groups: groups.iter().map(|(id, _)| *id).collect(),
+            members: Members::of_voters(voters.iter().cloned()),
+        };
+        let opened = Store::open(disk, &store_options)?;
+        report_opened(&cx, &opened);
+        let Opened { store, groups: mut recovered, .. } = opened;
+        let mut held = BTreeMap::new();
+        for (id, machine) in groups {
+            let Some(recovered) = recovered.remove(&id) else {
+                continue;
+            };
+            let seed = rand::random();
+            let core = Core::new(cx.instance.clone(), recovered, seed, cx.clock.now());
+            let mut group = Group::new(id, core, machine, snapshot_every);
+            group.apply(&cx)?;
+            held.insert(id, group);
+        }
+        let views = held.iter().map(|(id, group)| (*id, view(group))).collect();
+        let (inputs, receiver) = mpsc::channel(INPUT_QUEUE);
+        let local = LocalProposer { inputs: inputs.clone() };
+        let receive = Receive { cx: cx.clone(), cluster: cluster.clone(), inputs: inputs.clone() };
+        transport.register(Kind::Log, Arc::new(receive));
+        transport.register(Kind::Propose, Arc::new(local.clone()));
+        let client = LogClient::new(transport.clone(), voters);
+        let client = client.with_local(cx.instance.clone(), local);
+        let driver = Driver::new(cx, transport, cluster, held, store, receiver);
+        let task = Mutex::new(Some(tokio::spawn(driver.run())));
+        Ok(Arc::new(Self { client, inputs, views, task }))
+    }
+
+    /// Returns where the leadership of a group can be watched; `None` for an unknown group.
+    pub fn leadership(&self, group: GroupId) -> Option<watch::Receiver<Leadership>> {
+        self.views.get(&group).map(|view| view.leadership.clone())
+    }
+
+    /// Returns until when this instance may act as the leader of a group.
+    ///
+    /// The time is in the past if it does not lead. An instance that leads acts only while this
+    /// time has not passed by its own clock.
+    pub fn lease_until(&self, group: GroupId) -> Timestamp {
+        let view = self.views.get(&group);
+        view.map_or(Timestamp::default(), |view| {
+            Timestamp(view.lease_until.load(Ordering::Acquire))
+        })
+    }
+
+    /// Starts to replace a voter of a group; to be called on the group's leader.
+    ///
+    /// # Errors
+    /// Fails, with nothing changed, if this instance does not lead or a change is under way.
+    pub async fn replace_voter(
+        &self,
+        group: GroupId,
+        old: InstanceName,
+        new: InstanceName,
+    ) -> Result<(), ProposeFault> {
+        let (reply, result) = oneshot::channel();
+        let input = Input::ReplaceVoter { group, old, new, reply };
+        self.inputs.send(input).await.map_err(|_| ProposeFault::NotLeader)?;
+        result.await.unwrap_or(Err(ProposeFault::NotLeader))
+    }
+
+    /// Stops to take part and waits until the data folder is free.
+    pub async fn stop(&self) {
+        let _ = self.inputs.send(Input::Stop).await;
+        let task = self.task.lock().expect("not poisoned").take();
+        if let Some(task) = task {
+            let _ = task.await;
+        }
+    }
+}
+
+#[async_trait]
+impl ReplicatedLog for LogNode {
+    async fn propose(&self, group: GroupId, command: Bytes) -> Result<Bytes, ProposeError> {
+        if let Some(leader) = self.leader(group) {
+            self.client.note_leader(group, Some(leader));
+        }
+        self.client.propose(group, command).await
+    }
+
+    fn leader(&self, group: GroupId) -> Option<InstanceName> {
+        self.views.get(&group).and_then(|view| view.leadership.borrow().leader.clone())
+    }
+}
+
+fn view(group: &Group) -> GroupView {
+    GroupView { leadership: group.leadership(), lease_until: group.lease_until() }
+}
+
+fn report_opened(cx: &Context, opened: &Opened) {
+    if let Some(damage) = &opened.damage {
+        cx.events.record(EventNumber::LogSetAside, Subject::default(), damage.to_string());
+    }
+    if opened.cut_bytes > 0 {
+        let message = format!("{} bytes", opened.cut_bytes);
+        cx.events.record(EventNumber::LogTailCut, Subject::default(), message);
+    }
+}
+
+/// Hands messages of other members to the driver.
+struct Receive {
+    cx: Context,
+    cluster: String,
+    inputs: mpsc::Sender<Input>,
+}
+
+#[async_trait]
+impl Handler for Receive {
+    async fn handle(&self, from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
+        let messages = wire::decode_envelope(&self.cluster, payload).map_err(|cause| {
+            let subject = Subject { peer: Some(from.to_string()), ..Subject::default() };
+            self.cx.events.record(EventNumber::LogMessageRefused, subject, cause.to_string());
+            cause.to_string()
+        })?;
+        let input = Input::Messages { from: from.clone(), messages };
+        // A message that finds the queue full is lost; its sender repeats it.
+        self.inputs.try_send(input).map_err(|cause| cause.to_string())?;
+        Ok(Bytes::new())
+    }
+}
--- /dev/null
+++ b/coriandergw/src/log_groups/test_cluster.rs
@@ -0,0 +1,273 @@
+//! Builds log nodes over a memory network, with disks that fail on demand.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::clock::Clock;
+use crate::clock::SystemClock;
+use crate::context::Context;
+use crate::events::EventNumber;
+use crate::events::Recorder;
+use crate::ids::CONTROL_GROUP;
+use crate::ids::DataCentre;
+use crate::ids::InstanceName;
+use crate::log_groups::ReplicatedLog;
+use crate::log_groups::RestoreError;
+use crate::log_groups::StateMachine;
+use crate::log_groups::node::LogNode;
+use crate::log_groups::node::LogOptions;
+use crate::log_groups::node::LogStartError;
+use crate::metrics::Metrics;
+use crate::storage::Disk;
+use crate::storage::memory_disk::MemoryDisk;
+use crate::transport::memory::MemoryNetwork;
+
+/// How long a condition may take before a test gives up.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+/// Waits until `condition` holds.
+pub async fn wait_for<F>(what: &str, condition: F)
+where
+    F: Fn() -> bool,
+{
+    let polled = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_LIMIT, polled).await.unwrap_or_else(|_| panic!("waited for {what}"));
+}
+
+pub fn name(raw: &str) -> InstanceName {
+    InstanceName::try_from(raw).expect("a valid name")
+}
+
+/// The commands applied by one state machine, which the test looks at.
+pub type Applied = Arc<Mutex<Vec<Bytes>>>;
+
+/// Keeps every new command and answers with its place.
+struct Commands(Applied);
+
+impl StateMachine for Commands {
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Bytes {
+        let mut applied = self.0.lock().expect("not poisoned");
+        let place = applied.iter().position(|known| known == command).unwrap_or_else(|| {
+            applied.push(Bytes::copy_from_slice(command));
+            applied.len() - 1
+        });
+        place.to_string().into()
+    }
+
+    fn snapshot(&self) -> Bytes {
+        let applied = self.0.lock().expect("not poisoned");
+        serde_json::to_vec(&*applied.iter().map(|c| c.to_vec()).collect::<Vec<_>>())
+            .expect("serialises")
+            .into()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        let commands: Vec<Vec<u8>> = serde_json::from_slice(snapshot)
+            .map_err(|cause| RestoreError { reason: cause.to_string() })?;
+        *self.0.lock().expect("not poisoned") = commands.into_iter().map(Bytes::from).collect();
+        Ok(())
+    }
+}
+
+/// A memory disk whose syncs and space fail on demand.
+pub struct FaultyDisk {
+    pub files: MemoryDisk,
+    pub fails_syncs: AtomicBool,
+    pub free_bytes: AtomicUsize,
+}
+
+impl Default for FaultyDisk {
+    fn default() -> Self {
+        Self {
+            files: MemoryDisk::default(),
+            fails_syncs: AtomicBool::new(false),
+            free_bytes: AtomicUsize::new(usize::MAX),
+        }
+    }
+}
+
+impl Disk for FaultyDisk {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        self.files.read(name)
+    }
+
+    fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        if bytes.len() > self.free_bytes.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        self.files.append(name, bytes)
+    }
+
+    fn sync(&self, name: &str) -> io::Result<()> {
+        if self.fails_syncs.load(Ordering::SeqCst) {
+            return Err(io::Error::other("injected"));
+        }
+        self.files.sync(name)
+    }
+
+    fn truncate(&self, name: &str, bytes: u64) -> io::Result<()> {
+        self.files.truncate(name, bytes)
+    }
+
+    fn replace(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.files.replace(name, bytes)
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.files.rename(from, to)
+    }
+}
+
+/// One instance of a [`Cluster`].
+pub struct Member {
+    pub name: InstanceName,
+    pub cx: Context,
+    pub disk: Arc<FaultyDisk>,
+    pub applied: Applied,
+    pub node: Option<Arc<LogNode>>,
+}
+
+impl Member {
+    pub fn node(&self) -> &Arc<LogNode> {
+        self.node.as_ref().expect("the node runs")
+    }
+
+    pub fn is_leader(&self) -> bool {
+        let leadership = self.node.as_ref().and_then(|node| node.leadership(CONTROL_GROUP));
+        leadership.is_some_and(|leadership| leadership.borrow().is_leader)
+    }
+
+    pub fn applied_count(&self) -> usize {
+        self.applied.lock().expect("not poisoned").len()
+    }
+
+    pub fn has_event(&self, number: EventNumber) -> bool {
+        !self.cx.events.select(|event| event.number == number.number()).is_empty()
+    }
+
+    pub async fn stop(&mut self) {
+        if let Some(node) = self.node.take() {
+            node.stop().await;
+        }
+    }
+}
+
+/// Instances with one log group over a memory network.
+pub struct Cluster {
+    pub network: Arc<MemoryNetwork>,
+    pub clock: Arc<SystemClock>,
+    pub members: Vec<Member>,
+    pub snapshot_every: u64,
+    proposed: AtomicUsize,
+}
+
+impl Cluster {
+    /// Starts the voters `a`, `b` and `c`.
+    pub async fn start(snapshot_every: u64) -> Self {
+        let mut cluster = Self {
+            network: Arc::default(),
+            clock: Arc::default(),
+            members: Vec::new(),
+            snapshot_every,
+            proposed: AtomicUsize::new(0),
+        };
+        for member in ["a", "b", "c"] {
+            cluster.add(member);
+        }
+        for at in 0..3 {
+            cluster.start_member(at).expect("a new folder");
+        }
+        cluster
+    }
+
+    /// Adds a member that does not run yet.
+    pub fn add(&mut self, raw: &str) -> usize {
+        let member = Member {
+            name: name(raw),
+            cx: self.context(raw),
+            disk: Arc::default(),
+            applied: Arc::default(),
+            node: None,
+        };
+        self.members.push(member);
+        self.members.len() - 1
+    }
+
+    pub fn context(&self, raw: &str) -> Context {
+        Context {
+            instance: name(raw),
+            data_centre: DataCentre::try_from("dc").expect("a valid name"),
+            clock: self.clock.clone(),
+            events: Arc::new(Recorder::new(name(raw), self.clock.clone())),
+            metrics: Arc::new(Metrics::new().expect("metrics")),
+        }
+    }
+
+    /// Starts a member with an empty state machine on the disk that it has.
+    pub fn start_member(&mut self, at: usize) -> Result<(), LogStartError> {
+        let voters = ["a", "b", "c"].map(name).to_vec();
+        let transport = self.network.join(self.members[at].name.clone());
+        let snapshot_every = self.snapshot_every;
+        let member = &mut self.members[at];
+        member.applied.lock().expect("not poisoned").clear();
+        let machine = Box::new(Commands(member.applied.clone()));
+        let options = LogOptions {
+            cluster: "test".to_owned(),
+            voters,
+            disk: member.disk.clone(),
+            groups: vec![(CONTROL_GROUP, machine)],
+            snapshot_every,
+        };
+        member.node = Some(LogNode::start(member.cx.clone(), transport, options)?);
+        Ok(())
+    }
+
+    /// Waits for a leader other than the one at `except` and returns its place.
+    pub async fn leader(&self, except: Option<usize>) -> usize {
+        let find = || {
+            (0..self.members.len()).find(|at| Some(*at) != except && self.members[*at].is_leader())
+        };
+        wait_for("a leader", || find().is_some()).await;
+        find().expect("found just now")
+    }
+
+    /// Proposes `count` commands through the member at `at`, and waits for each answer.
+    pub async fn propose(&self, at: usize, count: usize) {
+        for _ in 0..count {
+            let number = self.proposed.fetch_add(1, Ordering::SeqCst);
+            let command = Bytes::from(format!("command {number}"));
+            let answer = self.members[at].node().propose(CONTROL_GROUP, command).await;
+            answer.expect("the command is committed");
+        }
+    }
+
+    /// Waits until the member at `at` has applied `count` commands.
+    pub async fn applied(&self, at: usize, count: usize) {
+        let member = &self.members[at];
+        wait_for("commands to be applied", || member.applied_count() >= count).await;
+        assert_eq!(member.applied_count(), count, "on {}", member.name);
+    }
+
+    /// Loses all messages between the member at `at` and the others.
+    pub fn cut_off(&self, at: usize) {
+        for other in self.members.iter().filter(|other| other.name != self.members[at].name) {
+            self.network.cut(&self.members[at].name, &other.name);
+            self.network.cut(&other.name, &self.members[at].name);
+        }
+    }
+
+    pub fn now(&self) -> crate::clock::Timestamp {
+        self.clock.now()
+    }
+}
--- /dev/null
+++ b/coriandergw/src/log_groups/tests.rs
@@ -0,0 +1,228 @@
+//! Tests of log nodes over a memory network.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+
+use crate::events::EventNumber;
+use crate::ids::CONTROL_GROUP;
+use crate::ids::GroupId;
+use crate::log_groups::ProposeError;
+use crate::log_groups::ReplicatedLog;
+use crate::log_groups::client::LogClient;
+use crate::log_groups::node::LogStartError;
+use crate::log_groups::test_cluster::Cluster;
+use crate::log_groups::test_cluster::name;
+use crate::log_groups::test_cluster::wait_for;
+use crate::result_code::ResultCode;
+use crate::storage::Disk;
+use crate::storage::identity::IDENTITY_FILE;
+use crate::storage::identity::Identity;
+use crate::storage::store::LOG_FILE;
+
+/// More entries between snapshots than any test writes.
+const NO_SNAPSHOTS: u64 = 1_000_000;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_proposed_anywhere_are_applied_everywhere() {
+    let cluster = Cluster::start(NO_SNAPSHOTS).await;
+    for at in 0..3 {
+        cluster.propose(at, 5).await;
+    }
+    for at in 0..3 {
+        cluster.applied(at, 15).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_cut_off_silently_loses_its_lease_before_another_leads() {
+    let cluster = Cluster::start(NO_SNAPSHOTS).await;
+    let old = cluster.leader(None).await;
+    cluster.propose(old, 3).await;
+    cluster.cut_off(old);
+    let new = cluster.leader(Some(old)).await;
+    let old_lease = cluster.members[old].node().lease_until(CONTROL_GROUP);
+    assert!(cluster.now() >= old_lease, "two leases at once");
+    let fate = cluster.members[old].node().propose(CONTROL_GROUP, Bytes::from("late")).await;
+    assert!(fate.is_err(), "a leader without a quorum answered {fate:?}");
+    cluster.propose(new, 3).await;
+    cluster.network.heal();
+    let voters = [0, 1, 2];
+    for at in voters {
+        wait_for("healing", || cluster.members[at].applied_count() >= 6).await;
+    }
+    cluster.propose(old, 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn state_returns_from_disk_with_and_without_snapshots() {
+    for snapshot_every in [NO_SNAPSHOTS, 7] {
+        let mut cluster = Cluster::start(snapshot_every).await;
+        cluster.propose(0, 30).await;
+        for at in 0..3 {
+            cluster.members[at].stop().await;
+        }
+        for at in 0..3 {
+            cluster.start_member(at).expect("the folder is whole");
+        }
+        cluster.leader(None).await;
+        for at in 0..3 {
+            cluster.applied(at, 30).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_far_behind_gets_the_snapshot_and_the_tail() {
+    let mut cluster = Cluster::start(10).await;
+    let leader = cluster.leader(None).await;
+    let behind = (leader + 1) % 3;
+    cluster.members[behind].stop().await;
+    cluster.propose(leader, 75).await;
+    cluster.start_member(behind).expect("the folder is whole");
+    cluster.applied(behind, 75).await;
+    assert!(cluster.members[behind].has_event(EventNumber::LogSnapshotInstalled));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_whose_sync_fails_acknowledges_nothing_more() {
+    let cluster = Cluster::start(NO_SNAPSHOTS).await;
+    let old = cluster.leader(None).await;
+    cluster.propose(old, 3).await;
+    cluster.members[old].disk.fails_syncs.store(true, Ordering::SeqCst);
+    // The command may be lost or committed by the others, and the client finds out which.
+    cluster.propose((old + 1) % 3, 1).await;
+    wait_for("the report", || cluster.members[old].has_event(EventNumber::LogStorageFailed)).await;
+    let new = cluster.leader(Some(old)).await;
+    assert!(!cluster.members[old].is_leader());
+    cluster.propose(new, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_with_a_full_disk_leaves_the_quorum() {
+    let mut cluster = Cluster::start(NO_SNAPSHOTS).await;
+    let leader = cluster.leader(None).await;
+    let full = (leader + 1) % 3;
+    cluster.members[full].disk.free_bytes.store(0, Ordering::SeqCst);
+    cluster.propose(leader, 3).await;
+    let has_failed = || cluster.members[full].has_event(EventNumber::LogStorageFailed);
+    wait_for("the report", has_failed).await;
+    cluster.members[full].stop().await;
+    cluster.members[full].disk.free_bytes.store(usize::MAX, Ordering::SeqCst);
+    cluster.start_member(full).expect("nothing was overwritten");
+    cluster.applied(full, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unfinished_write_is_cut_off() {
+    let mut cluster = Cluster::start(NO_SNAPSHOTS).await;
+    cluster.propose(0, 5).await;
+    cluster.members[0].stop().await;
+    let disk = cluster.members[0].disk.clone();
+    let whole = disk.read(LOG_FILE).expect("reads").expect("is there").len();
+    disk.append(LOG_FILE, b"CGWF\xff\xff\0\0half a frame").expect("appends");
+    cluster.start_member(0).expect("the folder is whole");
+    assert!(cluster.members[0].has_event(EventNumber::LogTailCut));
+    cluster.applied(0, 5).await;
+    let prefix = disk.read(LOG_FILE).expect("reads").expect("is there");
+    assert!(prefix.get(whole..).is_none_or(|rest| !rest.starts_with(b"CGWF\xff\xff")));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_with_a_damaged_log_learns_it_anew_and_is_readmitted() {
+    let mut cluster = Cluster::start(NO_SNAPSHOTS).await;
+    let leader = cluster.leader(None).await;
+    let damaged = (leader + 1) % 3;
+    cluster.propose(leader, 5).await;
+    cluster.members[damaged].stop().await;
+    let disk = cluster.members[damaged].disk.clone();
+    let mut bytes = disk.read(LOG_FILE).expect("reads").expect("is there");
+    bytes[14] ^= 1;
+    disk.replace(LOG_FILE, &bytes).expect("replaces");
+    cluster.start_member(damaged).expect("starts as a learner");
+    assert!(cluster.members[damaged].has_event(EventNumber::LogSetAside));
+    let kept = disk.read(&format!("{LOG_FILE}.damaged-1")).expect("reads");
+    assert_eq!(kept, Some(bytes), "the damaged file is kept");
+    let lost_groups = || Identity::read(&*disk).expect("reads").expect("is there").lost_groups;
+    assert_eq!(lost_groups().into_iter().collect::<Vec<_>>(), [CONTROL_GROUP.0]);
+    cluster.applied(damaged, 5).await;
+    let same = cluster.members[damaged].name.clone();
+    let leader = cluster.leader(None).await;
+    let node = cluster.members[leader].node();
+    node.replace_voter(CONTROL_GROUP, same.clone(), same).await.expect("the change starts");
+    wait_for("the vote to return", || lost_groups().is_empty()).await;
+    cluster.propose(leader, 1).await;
+    cluster.applied(damaged, 6).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_voter_carries_the_log_after_a_second_loss() {
+    let mut cluster = Cluster::start(10).await;
+    let leader = cluster.leader(None).await;
+    let (first, second) = ((leader + 1) % 3, (leader + 2) % 3);
+    cluster.propose(leader, 25).await;
+    cluster.members[first].stop().await;
+    let fresh = cluster.add("d");
+    cluster.start_member(fresh).expect("a new folder");
+    let (old, new) = (cluster.members[first].name.clone(), cluster.members[fresh].name.clone());
+    let node = cluster.members[leader].node();
+    node.replace_voter(CONTROL_GROUP, old, new).await.expect("the change starts");
+    let voters_changed = |at: usize| {
+        let number = EventNumber::LogVotersChanged.number();
+        cluster.members[at].cx.events.select(|event| event.number == number).len()
+    };
+    wait_for("all steps of the change", || voters_changed(leader) == 3).await;
+    cluster.members[second].stop().await;
+    cluster.propose(leader, 1).await;
+    cluster.members[leader].stop().await;
+    cluster.start_member(leader).expect("the folder is whole");
+    cluster.leader(None).await;
+    cluster.propose(fresh, 1).await;
+    cluster.applied(fresh, 27).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_folder_of_another_instance_is_refused() {
+    let mut cluster = Cluster::start(NO_SNAPSHOTS).await;
+    cluster.members[0].stop().await;
+    cluster.members[1].stop().await;
+    cluster.members[0].disk = cluster.members[1].disk.clone();
+    let before = cluster.members[0].disk.read(IDENTITY_FILE).expect("reads");
+    let refused = cluster.start_member(0);
+    let Err(LogStartError::Storage { cause }) = refused else {
+        panic!("started on a foreign folder");
+    };
+    assert_eq!(cause.code(), ResultCode::ForeignDataFolder);
+    assert_eq!(cluster.members[0].disk.read(IDENTITY_FILE).expect("reads"), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_a_disk_proposes_through_the_voters() {
+    let cluster = Cluster::start(NO_SNAPSHOTS).await;
+    let transport = cluster.network.join(name("entry"));
+    let client = LogClient::new(transport, ["a", "b", "c"].map(name).to_vec());
+    let answer = client.propose(CONTROL_GROUP, Bytes::from("x")).await;
+    assert_eq!(answer, Ok(Bytes::from("0")));
+    assert!(client.leader(CONTROL_GROUP).is_some());
+    let refused = client.propose(GroupId(9), Bytes::from("x")).await;
+    assert!(matches!(refused, Err(ProposeError::NotProposed { .. })), "{refused:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_tells_lost_answers_from_commands_that_went_nowhere() {
+    let cluster = Cluster::start(NO_SNAPSHOTS).await;
+    let leader = cluster.leader(None).await;
+    let client = LogClient::new(
+        cluster.network.join(name("entry")),
+        vec![cluster.members[leader].name.clone()],
+    );
+    cluster.network.cut(&cluster.members[leader].name, &name("entry"));
+    let lost = client.propose(CONTROL_GROUP, Bytes::from("x")).await;
+    assert!(matches!(lost, Err(ProposeError::Unknown { .. })), "{lost:?}");
+    let nowhere = LogClient::new(cluster.network.join(name("entry")), vec![name("nobody")]);
+    let refused = nowhere.propose(CONTROL_GROUP, Bytes::from("x")).await;
+    assert!(matches!(refused, Err(ProposeError::NotProposed { .. })), "{refused:?}");
+    let applied = Arc::clone(&cluster.members[leader].applied);
+    wait_for("the lost command", || !applied.lock().expect("not poisoned").is_empty()).await;
+}
--- /dev/null
+++ b/coriandergw/src/storage/memory_disk.rs
@@ -0,0 +1,48 @@
+//! Files in memory, for `coriandergw dev` and for tests.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Mutex;
+
+use crate::storage::Disk;
+
+/// Keeps all files in memory; they last as long as the value.
+#[derive(Debug, Default)]
+pub struct MemoryDisk {
+    files: Mutex<BTreeMap<String, Vec<u8>>>,
+}
+
+impl Disk for MemoryDisk {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        Ok(self.files.lock().expect("not poisoned").get(name).cloned())
+    }
+
+    fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut files = self.files.lock().expect("not poisoned");
+        files.entry(name.to_owned()).or_default().extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn sync(&self, _name: &str) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn truncate(&self, name: &str, bytes: u64) -> io::Result<()> {
+        if let Some(file) = self.files.lock().expect("not poisoned").get_mut(name) {
+            file.truncate(usize::try_from(bytes).unwrap_or(usize::MAX));
+        }
+        Ok(())
+    }
+
+    fn replace(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.files.lock().expect("not poisoned").insert(name.to_owned(), bytes.to_vec());
+        Ok(())
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut files = self.files.lock().expect("not poisoned");
+        let moved = files.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        files.insert(to.to_owned(), moved);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/coriandergw/src/storage/store.rs
@@ -0,0 +1,324 @@
+//! The write-ahead file that all groups share, and their snapshots.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::ids::GroupId;
+use crate::ids::InstanceName;
+use crate::log_groups::core::Members;
+use crate::log_groups::core::Record;
+use crate::log_groups::core::Recovered;
+use crate::log_groups::core::Snapshot;
+use crate::log_groups::wire;
+use crate::storage::Disk;
+use crate::storage::StorageError;
+use crate::storage::frames;
+use crate::storage::identity::Identity;
+
+/// The name of the write-ahead file.
+pub const LOG_FILE: &str = "log.wal";
+
+/// The size below which the write-ahead file is not rewritten, in bytes.
+const REWRITE_MIN_BYTES: u64 = 16 << 20;
+
+/// The entries in one frame of a rewritten file.
+const REWRITE_FRAME_ENTRIES: usize = 1_024;
+
+/// What an instance is and holds.
+pub struct StoreOptions {
+    /// The cluster's name.
+    pub cluster: String,
+    /// The instance's name.
+    pub instance: InstanceName,
+    /// The groups of the log.
+    pub groups: Vec<GroupId>,
+    /// The voters of a new log.
+    pub members: Members,
+}
+
+/// The durable state of all groups of an instance.
+pub struct Store {
+    disk: Arc<dyn Disk>,
+    identity: Identity,
+    log_bytes: u64,
+    rewritten_bytes: u64,
+    snapshot_indices: BTreeMap<GroupId, u64>,
+    failure: Option<StorageError>,
+}
+
+/// What was found in a data folder.
+pub struct Opened {
+    /// The folder, ready to be written to.
+    pub store: Store,
+    /// What each group's records hold.
+    pub groups: BTreeMap<GroupId, Recovered>,
+    /// The bytes of an unfinished write that were cut off.
+    pub cut_bytes: usize,
+    /// Why the log was set aside, if it was; the instance has lost it.
+    pub damage: Option<StorageError>,
+}
+
+/// What replaying the files gave.
+struct Replayed {
+    groups: BTreeMap<GroupId, Recovered>,
+    whole_bytes: usize,
+    file_bytes: usize,
+}
+
+fn snapshot_file(group: GroupId) -> String {
+    format!("group-{group}.snapshot")
+}
+
+impl Store {
+    /// Opens a data folder: cuts an unfinished write, and sets a damaged log aside.
+    ///
+    /// # Errors
+    /// Fails if the folder cannot be used or belongs to another cluster or instance.
+    pub fn open(disk: Arc<dyn Disk>, options: &StoreOptions) -> Result<Opened, StorageError> {
+        let identity = match Identity::read(&*disk)? {
+            Some(identity) => identity,
+            None => create(&*disk, options)?,
+        };
+        identity.check(&options.cluster, &options.instance)?;
+        let store = Self {
+            disk,
+            identity,
+            log_bytes: 0,
+            rewritten_bytes: 0,
+            snapshot_indices: BTreeMap::new(),
+            failure: None,
+        };
+        match store.replay(options) {
+            Ok(replayed) => store.finish_open(replayed),
+            Err(damage @ StorageError::Corrupt { .. }) => store.set_aside(options, damage),
+            Err(cause) => Err(cause),
+        }
+    }
+
+    fn finish_open(mut self, replayed: Replayed) -> Result<Opened, StorageError> {
+        let Replayed { groups, whole_bytes, file_bytes } = replayed;
+        let cut_bytes = file_bytes - whole_bytes;
+        if cut_bytes > 0 {
+            let cut = self.disk.truncate(LOG_FILE, whole_bytes as u64);
+            cut.map_err(|e| StorageError::failed(LOG_FILE, &e))?;
+        }
+        self.log_bytes = whole_bytes as u64;
+        self.rewritten_bytes = self.log_bytes;
+        self.snapshot_indices =
+            groups.iter().map(|(group, found)| (*group, found.snapshot_index())).collect();
+        let regained = groups.iter().filter(|(_, recovered)| !recovered.lost);
+        let regained: Vec<GroupId> = regained.map(|(group, _)| *group).collect();
+        self.note_regained(&regained)?;
+        Ok(Opened { store: self, groups, cut_bytes, damage: None })
+    }
+
+    fn replay(&self, options: &StoreOptions) -> Result<Replayed, StorageError> {
+        let bytes = read(&*self.disk, LOG_FILE)?
+            .ok_or_else(|| StorageError::corrupt(LOG_FILE, "the file is missing"))?;
+        let frames =
+            frames::split_frames(&bytes).map_err(|e| StorageError::corrupt(LOG_FILE, e))?;
+        let mut groups = BTreeMap::new();
+        for group in &options.groups {
+            groups.insert(*group, self.new_group(*group, &options.members));
+        }
+        for payload in frames.payloads {
+            let records =
+                wire::decode_records(payload).map_err(|e| StorageError::corrupt(LOG_FILE, e))?;
+            for (group, record) in records {
+                let recovered =
+                    groups.get_mut(&group).ok_or(StorageError::UnknownGroup { group })?;
+                recovered.replay(record).map_err(|e| StorageError::corrupt(LOG_FILE, e))?;
+            }
+        }
+        for (group, recovered) in &mut groups {
+            let stored = self.read_snapshot(*group)?;
+            recovered.finish(stored).map_err(|e| StorageError::corrupt(LOG_FILE, e))?;
+        }
+        Ok(Replayed { groups, whole_bytes: frames.whole_bytes, file_bytes: bytes.len() })
+    }
+
+    fn new_group(&self, group: GroupId, members: &Members) -> Recovered {
+        let snapshot = Snapshot { members: members.clone(), ..Snapshot::default() };
+        let mut recovered = Recovered::new(snapshot);
+        recovered.lost = self.identity.lost_groups.contains(&group.0);
+        recovered
+    }
+
+    fn read_snapshot(&self, group: GroupId) -> Result<Option<Snapshot>, StorageError> {
+        let file = snapshot_file(group);
+        let Some(bytes) = read(&*self.disk, &file)? else {
+            return Ok(None);
+        };
+        let split = frames::split_frames(&bytes).map_err(|e| StorageError::corrupt(&file, e))?;
+        let payload = split.payloads.first();
+        let payload = payload.ok_or_else(|| StorageError::corrupt(&file, "the file is damaged"))?;
+        let snapshot = wire::decode_snapshot(payload);
+        snapshot.map(Some).map_err(|e| StorageError::corrupt(&file, e))
+    }
+
+    /// Keeps the damaged files under other names and starts anew, as one that must not vote.
+    fn set_aside(
+        mut self,
+        options: &StoreOptions,
+        damage: StorageError,
+    ) -> Result<Opened, StorageError> {
+        self.identity.lost_groups = options.groups.iter().map(|group| group.0).collect();
+        self.identity.write(&*self.disk)?;
+        let mut files: Vec<String> = options.groups.iter().copied().map(snapshot_file).collect();
+        files.push(LOG_FILE.to_owned());
+        for file in files {
+            self.set_file_aside(&file)?;
+        }
+        let empty = self.disk.replace(LOG_FILE, &[]);
+        empty.map_err(|e| StorageError::failed(LOG_FILE, &e))?;
+        let new_group = |group: &GroupId| (*group, self.new_group(*group, &options.members));
+        let groups = options.groups.iter().map(new_group).collect();
+        Ok(Opened { store: self, groups, cut_bytes: 0, damage: Some(damage) })
+    }
+
+    fn set_file_aside(&self, file: &str) -> Result<(), StorageError> {
+        if read(&*self.disk, file)?.is_none() {
+            return Ok(());
+        }
+        let mut number = 1;
+        while read(&*self.disk, &format!("{file}.damaged-{number}"))?.is_some() {
+            number += 1;
+        }
+        let renamed = self.disk.rename(file, &format!("{file}.damaged-{number}"));
+        renamed.map_err(|e| StorageError::failed(file, &e))
+    }
+
+    /// Writes and syncs the records of one batch.
+    ///
+    /// # Errors
+    /// Fails if anything could not be made durable, and from then on always.
+    pub fn write(&mut self, records: Vec<(GroupId, Record)>) -> Result<(), StorageError> {
+        self.guarded(|store| {
+            let regained = regained_groups(&records);
+            let records = store.store_snapshots(records)?;
+            let mut buf = Vec::new();
+            frames::push_frame(&mut buf, store.log_bytes, &wire::encode_records(records));
+            let appended = store.disk.append(LOG_FILE, &buf);
+            appended.map_err(|e| StorageError::failed(LOG_FILE, &e))?;
+            let synced = store.disk.sync(LOG_FILE);
+            synced.map_err(|e| StorageError::failed(LOG_FILE, &e))?;
+            store.log_bytes += buf.len() as u64;
+            store.note_regained(&regained)
+        })
+    }
+
+    /// Replaces the write-ahead file by one with these records, which stand for everything.
+    ///
+    /// # Errors
+    /// Fails if anything could not be made durable, and from then on always.
+    pub fn rewrite(&mut self, records: Vec<(GroupId, Record)>) -> Result<(), StorageError> {
+        self.guarded(|store| {
+            let regained = regained_groups(&records);
+            let records = store.store_snapshots(records)?;
+            let mut buf = Vec::new();
+            for record in records.into_iter().flat_map(split_record) {
+                let offset = buf.len() as u64;
+                frames::push_frame(&mut buf, offset, &wire::encode_records(vec![record]));
+            }
+            let replaced = store.disk.replace(LOG_FILE, &buf);
+            replaced.map_err(|e| StorageError::failed(LOG_FILE, &e))?;
+            store.log_bytes = buf.len() as u64;
+            store.rewritten_bytes = store.log_bytes;
+            store.note_regained(&regained)
+        })
+    }
+
+    /// Returns whether the write-ahead file has grown so far that it should be rewritten.
+    pub fn wants_rewrite(&self) -> bool {
+        self.log_bytes > REWRITE_MIN_BYTES.max(2 * self.rewritten_bytes)
+    }
+
+    /// Returns the size of the write-ahead file in bytes.
+    pub fn log_bytes(&self) -> u64 {
+        self.log_bytes
+    }
+
+    fn guarded<F>(&mut self, action: F) -> Result<(), StorageError>
+    where
+        F: FnOnce(&mut Self) -> Result<(), StorageError>,
+    {
+        if let Some(failure) = &self.failure {
+            return Err(failure.clone());
+        }
+        let result = action(self);
+        // After a failed sync the kernel may have dropped the data, so a retry proves nothing.
+        self.failure = result.as_ref().err().cloned();
+        result
+    }
+
+    /// Writes the snapshots' files and returns the records without the data.
+    fn store_snapshots(
+        &mut self,
+        mut records: Vec<(GroupId, Record)>,
+    ) -> Result<Vec<(GroupId, Record)>, StorageError> {
+        for (group, record) in &mut records {
+            let Record::Snapshot(snapshot) = record else {
+                continue;
+            };
+            let whole = snapshot.clone();
+            snapshot.data = Bytes::new();
+            let index = whole.index;
+            let stored_index = self.snapshot_indices.get(group).copied().unwrap_or_default();
+            if index <= stored_index {
+                continue;
+            }
+            let file = snapshot_file(*group);
+            let mut buf = Vec::new();
+            frames::push_frame(&mut buf, 0, &wire::encode_snapshot(whole));
+            let replaced = self.disk.replace(&file, &buf);
+            replaced.map_err(|e| StorageError::failed(&file, &e))?;
+            self.snapshot_indices.insert(*group, index);
+        }
+        Ok(records)
+    }
+
+    fn note_regained(&mut self, groups: &[GroupId]) -> Result<(), StorageError> {
+        let before = self.identity.lost_groups.len();
+        self.identity.lost_groups.retain(|lost| !groups.contains(&GroupId(*lost)));
+        if self.identity.lost_groups.len() == before {
+            return Ok(());
+        }
+        self.identity.write(&*self.disk)
+    }
+}
+
+fn create(disk: &dyn Disk, options: &StoreOptions) -> Result<Identity, StorageError> {
+    if read(disk, LOG_FILE)?.is_some_and(|bytes| !bytes.is_empty()) {
+        return Err(StorageError::Foreign { owner: "an instance that is not named".to_owned() });
+    }
+    // The log comes first: an identity without a log means that the log was lost.
+    disk.replace(LOG_FILE, &[]).map_err(|e| StorageError::failed(LOG_FILE, &e))?;
+    let identity = Identity {
+        cluster: options.cluster.clone(),
+        instance: options.instance.clone(),
+        lost_groups: Default::default(),
+    };
+    identity.write(disk)?;
+    Ok(identity)
+}
+
+fn read(disk: &dyn Disk, file: &str) -> Result<Option<Vec<u8>>, StorageError> {
+    disk.read(file).map_err(|e| StorageError::failed(file, &e))
+}
+
+fn regained_groups(records: &[(GroupId, Record)]) -> Vec<GroupId> {
+    let regained = records.iter().filter(|(_, record)| *record == Record::VoteRegained);
+    regained.map(|(group, _)| *group).collect()
+}
+
+fn split_record((group, record): (GroupId, Record)) -> Vec<(GroupId, Record)> {
+    match record {
+        Record::Entries(entries) => entries
+            .chunks(REWRITE_FRAME_ENTRIES)
+            .map(|chunk| (group, Record::Entries(chunk.to_vec())))
+            .collect(),
+        other => vec![(group, other)],
+    }
+}
