test(log_groups): run fault schedules against the core and fuzz the parsers

Cause: the core was only proven by tests over a well-behaved network.

CGW_SCHEDULES and CGW_SEED set number and seed; a failure prints the seed and the shortest schedule found.

--- a/coriandergw/src/log_groups/core/message.rs
+++ b/coriandergw/src/log_groups/core/message.rs
@@ -19,6 +19,25 @@
     pub body: Body,
 }
 
+/// The largest term or index that is taken in, far beyond what any group reaches.
+const NUMBER_MAX: u64 = u64::MAX >> 1;
+
+impl Message {
+    /// Returns whether the numbers in the message can be those of a sound member.
+    pub(super) fn is_plausible(&self) -> bool {
+        let index = match &self.body {
+            Body::Append { prev_index, entries, .. } => {
+                let are_of_term = entries.iter().all(|entry| entry.term <= self.term);
+                if !are_of_term { u64::MAX } else { *prev_index }
+            }
+            Body::Chunk { index, index_term, .. } => (*index).max(*index_term),
+            Body::AppendRefused { next } => *next,
+            _ => 0,
+        };
+        self.term <= NUMBER_MAX && index <= NUMBER_MAX
+    }
+}
+
 /// The content of a message.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Body {
--- a/coriandergw/src/log_groups/core/mod.rs
+++ b/coriandergw/src/log_groups/core/mod.rs
@@ -39,3 +39,8 @@
 pub use timing::HEARTBEAT_INTERVAL;
 pub use timing::LEASE;
 pub use timing::PROMISE;
+
+#[cfg(test)]
+mod simulation;
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/log_groups/core/replica.rs
+++ b/coriandergw/src/log_groups/core/replica.rs
@@ -247,6 +247,9 @@
 
     /// Takes in a message from another member.
     pub fn step(&mut self, from: &InstanceName, message: Message, now: Timestamp) {
+        if !message.is_plausible() {
+            return;
+        }
         let Message { term, sent_at, counts, body } = message;
         match body {
             Body::PreVote { last_index, last_term } => {
--- /dev/null
+++ b/coriandergw/src/log_groups/core/simulation.rs
@@ -0,0 +1,438 @@
+//! Cores over a simulated network and simulated disks, with checks after each step.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::clock::Timestamp;
+use crate::ids::InstanceName;
+use crate::log_groups::core::Apply;
+use crate::log_groups::core::Core;
+use crate::log_groups::core::Entry;
+use crate::log_groups::core::Members;
+use crate::log_groups::core::Message;
+use crate::log_groups::core::Payload;
+use crate::log_groups::core::Record;
+use crate::log_groups::core::Recovered;
+use crate::log_groups::core::Snapshot;
+
+/// The simulated time between two rounds of deliveries.
+const SLOT: Duration = Duration::from_millis(20);
+
+/// The members: the first three are voters, the others may replace them.
+pub const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+/// The rates of the members' clocks in percent, within the stated bound of each other.
+const CLOCK_RATES: [u64; 5] = [100, 102, 98, 101, 99];
+
+/// What happens next in a schedule. Members are named by their place.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Time passes.
+    Pass { slots: u8 },
+    /// Every member is asked to commit a command.
+    Propose,
+    /// One direction of a link loses all messages.
+    Cut { from: usize, to: usize },
+    /// A member loses all its links.
+    Isolate { member: usize },
+    /// All links work again.
+    Heal,
+    /// Messages are lost and duplicated at these rates in percent, and delayed by up to this.
+    Network { loss: u8, duplicates: u8, delay_slots: u8 },
+    /// A member stops; what is not synced may be lost.
+    Crash { member: usize },
+    /// A member starts again.
+    Restart { member: usize },
+    /// A member stops and loses its log.
+    LoseLog { member: usize },
+    /// A member takes a snapshot.
+    Compact { member: usize, trailing: u8 },
+    /// The leader is asked to replace a voter.
+    Replace { old: usize, new: usize },
+}
+
+struct PendingSync {
+    due: Timestamp,
+    records: Vec<Record>,
+    replaces_all: bool,
+    messages: Vec<(InstanceName, Message)>,
+}
+
+struct Member {
+    name: InstanceName,
+    core: Option<Core>,
+    records: Vec<Record>,
+    stored: Option<Snapshot>,
+    lost: bool,
+    pending: Option<PendingSync>,
+    /// The last applied index and a digest of everything applied.
+    state: (u64, u64),
+    commit: u64,
+    rate: u64,
+}
+
+struct InFlight {
+    due: Timestamp,
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+/// A group of cores with what they did so far.
+pub struct Simulation {
+    members: Vec<Member>,
+    network: Vec<InFlight>,
+    cut: BTreeSet<(usize, usize)>,
+    loss: u8,
+    duplicates: u8,
+    delay_slots: u8,
+    now: Timestamp,
+    rng: ChaCha8Rng,
+    next_command: u64,
+    leaders: BTreeMap<u64, usize>,
+    committed: BTreeMap<u64, (Entry, u64)>,
+    /// The index and term of each acknowledged command.
+    acknowledged: Vec<(u64, u64)>,
+}
+
+fn name(member: usize) -> InstanceName {
+    InstanceName::try_from(NAMES[member]).expect("a valid name")
+}
+
+fn place(name: &InstanceName) -> usize {
+    NAMES.iter().position(|known| *known == name.as_str()).expect("a known name")
+}
+
+fn digest(state: u64, entry: &Entry) -> u64 {
+    let text = format!("{state} {entry:?}");
+    let high = u64::from(crc32fast::hash(text.as_bytes()));
+    high << 32 | u64::from(crc32fast::hash(format!("{text}.").as_bytes()))
+}
+
+impl Simulation {
+    /// Starts three voters; the other members wait to replace one.
+    pub fn new(seed: u64) -> Self {
+        let member = |place: usize| Member {
+            name: name(place),
+            core: None,
+            records: Vec::new(),
+            stored: None,
+            lost: false,
+            pending: None,
+            state: (0, 0),
+            commit: 0,
+            rate: CLOCK_RATES[place],
+        };
+        let mut simulation = Self {
+            members: (0..NAMES.len()).map(member).collect(),
+            network: Vec::new(),
+            cut: BTreeSet::new(),
+            loss: 0,
+            duplicates: 0,
+            delay_slots: 1,
+            now: Timestamp::from_millis(1_000),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            next_command: 0,
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            acknowledged: Vec::new(),
+        };
+        (0..NAMES.len()).for_each(|member| simulation.restart(member));
+        simulation
+    }
+
+    /// Carries out one action and checks all invariants.
+    pub fn run(&mut self, action: &Action) {
+        match *action {
+            Action::Pass { slots } => (0..slots).for_each(|_| self.pass_slot()),
+            Action::Propose => self.propose(),
+            Action::Cut { from, to } => drop(self.cut.insert((from, to))),
+            Action::Isolate { member } => {
+                let others = (0..NAMES.len()).filter(|other| *other != member);
+                self.cut.extend(others.flat_map(|other| [(member, other), (other, member)]));
+            }
+            Action::Heal => self.cut.clear(),
+            Action::Network { loss, duplicates, delay_slots } => {
+                (self.loss, self.duplicates, self.delay_slots) = (loss, duplicates, delay_slots);
+            }
+            Action::Crash { member } => self.crash(member),
+            Action::Restart { member } => self.restart(member),
+            Action::LoseLog { member } => self.lose_log(member),
+            Action::Compact { member, trailing } => self.compact(member, trailing),
+            Action::Replace { old, new } => self.replace(old, new),
+        }
+        (0..NAMES.len()).for_each(|member| self.act(member));
+        self.check();
+    }
+
+    /// Mends everything and checks that the members agree in the end, if no log was lost.
+    pub fn settle(&mut self) {
+        self.run(&Action::Heal);
+        self.run(&Action::Network { loss: 0, duplicates: 0, delay_slots: 1 });
+        for member in 0..NAMES.len() {
+            self.run(&Action::Restart { member });
+        }
+        for _ in 0..4 {
+            self.run(&Action::Pass { slots: 100 });
+            self.run(&Action::Propose);
+        }
+        self.run(&Action::Pass { slots: 50 });
+        if self.members.iter().any(|member| member.lost) {
+            return;
+        }
+        let leading = |member: &&Member| member.core.as_ref().is_some_and(Core::is_ready_leader);
+        let leader = self.members.iter().find(leading).expect("no leader after all faults ended");
+        let members = leader.core.as_ref().expect("runs").members().clone();
+        for voter in members.voters.iter().map(place) {
+            assert_eq!(self.members[voter].state, leader.state, "{} is behind", NAMES[voter]);
+        }
+        let last_acknowledged = self.acknowledged.iter().map(|(index, _)| *index).max();
+        assert!(leader.state.0 >= last_acknowledged.unwrap_or_default());
+    }
+
+    /// Returns how many commands were acknowledged.
+    pub fn acknowledged(&self) -> usize {
+        self.acknowledged.len()
+    }
+
+    fn local(&self, member: usize) -> Timestamp {
+        Timestamp(self.now.0 * self.members[member].rate / 100)
+    }
+
+    fn pass_slot(&mut self) {
+        self.now = self.now + SLOT;
+        for member in 0..NAMES.len() {
+            self.finish_sync(member);
+        }
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.network)
+            .into_iter()
+            .partition::<Vec<_>, _>(|in_flight| in_flight.due <= now);
+        self.network = later;
+        for InFlight { from, to, message, .. } in due {
+            let local = self.local(to);
+            if let Some(core) = &mut self.members[to].core {
+                core.step(&name(from), message, local);
+            }
+        }
+        for member in 0..NAMES.len() {
+            let local = self.local(member);
+            if let Some(core) = &mut self.members[member].core {
+                core.tick(local);
+            }
+            self.act(member);
+        }
+        self.check();
+    }
+
+    fn finish_sync(&mut self, at: usize) {
+        let (now, local) = (self.now, self.local(at));
+        let member = &mut self.members[at];
+        let Some(pending) = member.pending.take_if(|pending| pending.due <= now) else {
+            return;
+        };
+        member.persist(pending.records, pending.replaces_all);
+        if let Some(core) = &mut member.core {
+            core.synced(local);
+        }
+        self.send(at, pending.messages);
+    }
+
+    fn send(&mut self, from: usize, messages: Vec<(InstanceName, Message)>) {
+        for (to, message) in messages {
+            let to = place(&to);
+            if self.cut.contains(&(from, to)) {
+                continue;
+            }
+            let mut copies = u8::from(self.rng.random_range(0..100) >= self.loss);
+            copies += u8::from(self.rng.random_range(0..100) < self.duplicates);
+            for _ in 0..copies {
+                let delay = SLOT * u32::from(self.rng.random_range(0..=self.delay_slots));
+                let due = self.now + delay;
+                self.network.push(InFlight { due, from, to, message: message.clone() });
+            }
+        }
+    }
+
+    /// Carries out what a core asks for.
+    fn act(&mut self, at: usize) {
+        let local = self.local(at);
+        let Some(core) = &mut self.members[at].core else {
+            return;
+        };
+        let messages = core.take_messages(local);
+        let steps = core.take_apply();
+        self.send(at, messages);
+        steps.into_iter().for_each(|step| self.apply(at, step));
+        let sync_time = SLOT * self.rng.random_range(0..3);
+        let replaces_all = self.rng.random_range(0..16) == 0;
+        let due = self.now + sync_time;
+        let member = &mut self.members[at];
+        let Some(core) = member.core.as_mut().filter(|_| member.pending.is_none()) else {
+            return;
+        };
+        let batch = core.take_batch();
+        if batch.records.is_empty() {
+            return self.send(at, batch.messages);
+        }
+        let records = if replaces_all { core.live_records() } else { batch.records };
+        member.pending = Some(PendingSync { due, records, replaces_all, messages: batch.messages });
+    }
+
+    fn apply(&mut self, at: usize, step: Apply) {
+        let entry = match step {
+            Apply::Restore(snapshot) => {
+                let state = u64::from_le_bytes(snapshot.data[..].try_into().expect("a digest"));
+                let known = &self.committed[&snapshot.index];
+                assert_eq!(state, known.1, "the snapshot at {} differs", snapshot.index);
+                self.members[at].state = (snapshot.index, state);
+                return;
+            }
+            Apply::Entry(entry) => entry,
+        };
+        let (last, state) = self.members[at].state;
+        assert_eq!(entry.index, last + 1, "{} skips entries", NAMES[at]);
+        let state = digest(state, &entry);
+        self.members[at].state = (entry.index, state);
+        let core = self.members[at].core.as_ref().expect("it runs");
+        let answers = core.is_leader() && core.term() == entry.term;
+        if answers && matches!(entry.payload, Payload::Command(_)) {
+            self.acknowledged.push((entry.index, entry.term));
+        }
+        let known = self.committed.entry(entry.index).or_insert_with(|| (entry.clone(), state));
+        assert_eq!(known, &(entry, state), "a committed entry changed");
+    }
+
+    fn propose(&mut self) {
+        for member in 0..NAMES.len() {
+            let local = self.local(member);
+            self.next_command += 1;
+            let command = Bytes::from(self.next_command.to_string());
+            if let Some(core) = &mut self.members[member].core {
+                let _ = core.propose(command, local);
+            }
+        }
+    }
+
+    fn crash(&mut self, at: usize) {
+        let (is_written, is_stored) = (self.rng.random(), self.rng.random());
+        let member = &mut self.members[at];
+        member.core = None;
+        let Some(PendingSync { records, replaces_all, .. }) = member.pending.take() else {
+            return;
+        };
+        if is_written {
+            member.persist(records, replaces_all);
+        } else if is_stored {
+            // A snapshot's file is written before the record that names it.
+            records.iter().for_each(|record| member.store_snapshot(record));
+        }
+    }
+
+    fn lose_log(&mut self, at: usize) {
+        self.crash(at);
+        let member = &mut self.members[at];
+        member.records.clear();
+        member.stored = None;
+        member.lost = true;
+    }
+
+    fn restart(&mut self, at: usize) {
+        let (local, seed) = (self.local(at), self.rng.random());
+        let member = &mut self.members[at];
+        if member.core.is_some() {
+            return;
+        }
+        let members = Members::of_voters([0, 1, 2].map(name));
+        let mut recovered = Recovered::new(Snapshot { members, ..Snapshot::default() });
+        recovered.lost = member.lost;
+        for record in &member.records {
+            recovered.replay(record.clone()).expect("the records are whole");
+        }
+        recovered.finish(member.stored.clone()).expect("the snapshot is there");
+        member.state = (0, 0);
+        member.commit = 0;
+        member.core = Some(Core::new(member.name.clone(), recovered, seed, local));
+    }
+
+    fn compact(&mut self, at: usize, trailing: u8) {
+        let (index, state) = self.members[at].state;
+        let data = Bytes::copy_from_slice(&state.to_le_bytes());
+        if let Some(core) = &mut self.members[at].core {
+            core.compact(index, data, u64::from(trailing));
+        }
+    }
+
+    fn replace(&mut self, old: usize, new: usize) {
+        for member in 0..NAMES.len() {
+            let local = self.local(member);
+            if let Some(core) = &mut self.members[member].core {
+                let _ = core.replace_voter(name(old), name(new), local);
+            }
+        }
+    }
+
+    fn check(&mut self) {
+        let mut leases = Vec::new();
+        for (at, name) in NAMES.iter().enumerate() {
+            let local = self.local(at);
+            let member = &mut self.members[at];
+            let Some(core) = &member.core else {
+                continue;
+            };
+            assert!(core.commit_index() >= member.commit, "{name} goes back");
+            member.commit = core.commit_index();
+            if local < core.lease_until(local) {
+                leases.push(name);
+            }
+            if !core.is_leader() {
+                continue;
+            }
+            let first = *self.leaders.entry(core.term()).or_insert(at);
+            assert_eq!(first, at, "two leaders in term {}", core.term());
+            if core.is_ready_leader() {
+                let earlier = self.acknowledged.iter().filter(|(_, term)| *term < core.term());
+                let last = earlier.map(|(index, _)| *index).max().unwrap_or_default();
+                assert!(core.commit_index() >= last, "an acknowledged command is gone");
+            }
+        }
+        assert!(leases.len() <= 1, "leases held at once by {leases:?}");
+    }
+}
+
+impl Member {
+    fn persist(&mut self, records: Vec<Record>, replaces_all: bool) {
+        if replaces_all {
+            self.records.clear();
+        }
+        for record in records {
+            self.store_snapshot(&record);
+            if record == Record::VoteRegained {
+                self.lost = false;
+            }
+            self.records.push(without_data(record));
+        }
+    }
+
+    fn store_snapshot(&mut self, record: &Record) {
+        let stored_index = self.stored.as_ref().map_or(0, |stored| stored.index);
+        if let Record::Snapshot(snapshot) = record
+            && snapshot.index > stored_index
+        {
+            self.stored = Some(snapshot.clone());
+        }
+    }
+}
+
+fn without_data(record: Record) -> Record {
+    match record {
+        Record::Snapshot(snapshot) => Record::Snapshot(Snapshot { data: Bytes::new(), ..snapshot }),
+        other => other,
+    }
+}
--- /dev/null
+++ b/coriandergw/src/log_groups/core/tests.rs
@@ -0,0 +1,119 @@
+//! Random schedules of faults against the core.
+//!
+//! `CGW_SCHEDULES` sets how many schedules are run, `CGW_SEED` the seed that they are made from.
+
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestCaseError;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use crate::log_groups::core::simulation::Action;
+use crate::log_groups::core::simulation::NAMES;
+use crate::log_groups::core::simulation::Simulation;
+
+/// The schedules that are run unless the environment says otherwise.
+const SCHEDULES: u32 = 10_000;
+
+/// The tests that share the schedules, so that they run at the same time.
+const SHARES: u32 = 4;
+
+/// The seed that schedules are made from unless the environment says otherwise.
+const SEED: u64 = 4;
+
+fn from_environment<T>(variable: &str) -> Option<T>
+where
+    T: std::str::FromStr,
+{
+    std::env::var(variable).ok()?.parse().ok()
+}
+
+fn member() -> impl Strategy<Value = usize> {
+    0..NAMES.len()
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        10 => (1u8..40).prop_map(|slots| Action::Pass { slots }),
+        6 => Just(Action::Propose),
+        2 => (member(), member()).prop_map(|(from, to)| Action::Cut { from, to }),
+        1 => member().prop_map(|member| Action::Isolate { member }),
+        2 => Just(Action::Heal),
+        1 => (0u8..30, 0u8..30, 0u8..6).prop_map(|(loss, duplicates, delay_slots)| {
+            Action::Network { loss, duplicates, delay_slots }
+        }),
+        2 => member().prop_map(|member| Action::Crash { member }),
+        3 => member().prop_map(|member| Action::Restart { member }),
+        2 => (member(), 0u8..4).prop_map(|(member, trailing)| Action::Compact { member, trailing }),
+        1 => (member(), member()).prop_map(|(old, new)| Action::Replace { old, new }),
+    ]
+}
+
+fn lossy_action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        19 => action(),
+        1 => member().prop_map(|member| Action::LoseLog { member }),
+    ]
+}
+
+fn run_schedule(seed: u64, actions: &[Action]) -> Result<usize, TestCaseError> {
+    let run = || {
+        let mut simulation = Simulation::new(seed);
+        actions.iter().for_each(|action| simulation.run(action));
+        simulation.settle();
+        simulation.acknowledged()
+    };
+    catch_unwind(AssertUnwindSafe(run)).map_err(|cause| {
+        let text = cause.downcast_ref::<String>().cloned();
+        let text = text.or_else(|| cause.downcast_ref::<&str>().map(|text| text.to_string()));
+        TestCaseError::fail(text.unwrap_or_default())
+    })
+}
+
+fn run_share<S>(share: u32, action: S)
+where
+    S: Strategy<Value = Action>,
+{
+    let cases = from_environment("CGW_SCHEDULES").unwrap_or(SCHEDULES) / SHARES;
+    let base = from_environment("CGW_SEED").unwrap_or(SEED);
+    let mut seed = [0; 32];
+    seed[..8].copy_from_slice(&base.to_le_bytes());
+    seed[8] = share as u8;
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let schedule = (any::<u64>(), prop::collection::vec(action, 10..40));
+    let mut acknowledged = 0;
+    let counted = std::cell::Cell::new(0);
+    let result = runner.run(&schedule, |(seed, actions)| {
+        counted.set(counted.get() + run_schedule(seed, &actions)?);
+        Ok(())
+    });
+    acknowledged += counted.get();
+    result.unwrap_or_else(|cause| panic!("CGW_SEED={base}, share {share}: {cause}"));
+    assert!(acknowledged > cases as usize, "only {acknowledged} commands were acknowledged");
+}
+
+#[test]
+fn schedules_keep_the_invariants_1() {
+    run_share(0, action());
+}
+
+#[test]
+fn schedules_keep_the_invariants_2() {
+    run_share(1, action());
+}
+
+#[test]
+fn schedules_keep_the_invariants_3() {
+    run_share(2, action());
+}
+
+#[test]
+fn schedules_with_lost_logs_keep_the_invariants() {
+    run_share(3, lossy_action());
+}
--- a/coriandergw/src/log_groups/tests.rs
+++ b/coriandergw/src/log_groups/tests.rs
@@ -1,20 +1,33 @@
-//! Tests of log nodes over a memory network.
+//! Tests of log nodes over a memory network, and of the messages between them.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
+use crate::clock::Timestamp;
 use crate::events::EventNumber;
 use crate::ids::CONTROL_GROUP;
 use crate::ids::GroupId;
 use crate::log_groups::ProposeError;
 use crate::log_groups::ReplicatedLog;
 use crate::log_groups::client::LogClient;
+use crate::log_groups::core::Body;
+use crate::log_groups::core::Core;
+use crate::log_groups::core::Entry;
+use crate::log_groups::core::Members;
+use crate::log_groups::core::Message;
+use crate::log_groups::core::Payload;
+use crate::log_groups::core::Recovered;
+use crate::log_groups::core::Snapshot;
 use crate::log_groups::node::LogStartError;
 use crate::log_groups::test_cluster::Cluster;
 use crate::log_groups::test_cluster::name;
 use crate::log_groups::test_cluster::wait_for;
+use crate::log_groups::wire;
 use crate::result_code::ResultCode;
 use crate::storage::Disk;
 use crate::storage::identity::IDENTITY_FILE;
@@ -226,3 +239,117 @@
     let applied = Arc::clone(&cluster.members[leader].applied);
     wait_for("the lost command", || !applied.lock().expect("not poisoned").is_empty()).await;
 }
+
+fn last_entry_bodies() -> impl Strategy<Value = Body> {
+    (any::<bool>(), any::<u64>(), any::<u64>()).prop_map(|(pre, last_index, last_term)| match pre {
+        true => Body::PreVote { last_index, last_term },
+        false => Body::Vote { last_index, last_term },
+    })
+}
+
+fn bodies() -> impl Strategy<Value = Body> {
+    let small = || prop_oneof![0u64..6, any::<u64>()];
+    let payload = prop_oneof![
+        Just(Payload::Empty),
+        Just(Payload::Command(Bytes::from("x"))),
+        Just(Payload::Members(Members::of_voters([name("a"), name("z")]))),
+    ];
+    let entry = (small(), small(), payload).prop_map(|(index, term, payload)| Entry {
+        index,
+        term,
+        payload,
+    });
+    let append = (small(), small(), small(), prop::collection::vec(entry, 0..4)).prop_map(
+        |(prev_index, prev_term, commit, entries)| Body::Append {
+            prev_index,
+            prev_term,
+            commit,
+            entries,
+        },
+    );
+    let chunk =
+        (small(), small(), small(), small()).prop_map(|(index, index_term, offset, total)| {
+            Body::Chunk {
+                index,
+                index_term,
+                members: Members::of_voters([name("a")]),
+                offset,
+                total,
+                data: Bytes::from("data"),
+            }
+        });
+    prop_oneof![
+        last_entry_bodies(),
+        any::<bool>().prop_map(|granted| Body::PreVoteAnswer { granted }),
+        any::<bool>().prop_map(|granted| Body::VoteAnswer { granted }),
+        append,
+        small().prop_map(|matched| Body::AppendAnswer { matched }),
+        small().prop_map(|next| Body::AppendRefused { next }),
+        (small(), any::<bool>())
+            .prop_map(|(commit, is_voter)| Body::Heartbeat { commit, is_voter }),
+        Just(Body::HeartbeatAnswer),
+        chunk,
+        (small(), small()).prop_map(|(index, received)| Body::ChunkAnswer { index, received }),
+    ]
+}
+
+fn messages() -> impl Strategy<Value = Vec<(GroupId, Message)>> {
+    let term = prop_oneof![9 => 0u64..9, 1 => u64::MAX / 2 - 1..u64::MAX];
+    let message =
+        (term, any::<u64>(), any::<bool>(), bodies()).prop_map(|(term, sent_at, counts, body)| {
+            (CONTROL_GROUP, Message { term, sent_at: Timestamp(sent_at), counts, body })
+        });
+    prop::collection::vec(message, 0..12)
+}
+
+/// The seed of the random cases.
+const SEED: u64 = 4;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn messages_survive_the_wire(messages in messages()) {
+        let bytes = wire::encode_envelope("test", messages.clone());
+        prop_assert_eq!(wire::decode_envelope("test", bytes.clone()), Ok(messages));
+        prop_assert!(wire::decode_envelope("other", bytes).is_err());
+    }
+
+    #[test]
+    fn damaged_envelopes_are_errors_or_parse(
+        messages in messages(),
+        noise in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6),
+    ) {
+        let mut bytes = wire::encode_envelope("test", messages).to_vec();
+        for (at, byte) in noise {
+            let at = at.index(bytes.len());
+            bytes[at] = byte;
+        }
+        if let Ok(messages) = wire::decode_envelope("test", bytes.into()) {
+            let again = wire::encode_envelope("test", messages.clone());
+            prop_assert_eq!(wire::decode_envelope("test", again), Ok(messages));
+        }
+    }
+
+    #[test]
+    fn no_message_makes_a_core_panic(messages in messages(), seed in any::<u64>()) {
+        let members = Members::of_voters(["a", "b", "c"].map(name));
+        let recovered = Recovered::new(Snapshot { members, ..Snapshot::default() });
+        let mut core = Core::new(name("a"), recovered, seed, Timestamp(1));
+        let mut now = Timestamp(1);
+        for (_, message) in messages {
+            now = now + Duration::from_millis(300);
+            core.step(&name("b"), message, now);
+            core.tick(now);
+            core.take_messages(now);
+            core.take_apply();
+            core.take_batch();
+            core.synced(now);
+            prop_assert!(core.commit_index() <= core.last_index());
+        }
+    }
+}
--- a/coriandergw/src/storage/mod.rs
+++ b/coriandergw/src/storage/mod.rs
@@ -14,6 +14,9 @@
 pub mod memory_disk;
 pub mod store;
 
+#[cfg(test)]
+mod tests;
+
 /// A flat folder of files; the border to the operating system.
 ///
 /// What was appended survives a crash only after [`Disk::sync`]. The other changes are durable
