feat(settings): read, check and run from settings files; feat(cli): all commands

Change: one checked type per section, all faults of a file reported at once with line, key, value, what is allowed and the nearest known name; `run`, `check`, `keys`, `entry`, `status`, `timeline`, `version`; events merged in causal order and drawn as SVG; log lines by logforth; samples for one instance, association and consortium. Conclusion: `run` still keeps its state in memory; the log, the leases and the programs are wired in next.

--- a/coriandergw/src/cli/mod.rs
+++ b/coriandergw/src/cli/mod.rs
@@ -1,13 +1,20 @@
 //! The command line.
+//!
+//! Each command is one file with one entry function that returns the exit code.
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use gumdrop::Options;
 
-use crate::instance;
-use crate::settings::DEV_LISTEN;
-use crate::settings::Settings;
+mod check;
+mod client;
+mod dev;
+mod entry;
+mod keys;
+mod run;
+mod status;
+mod timeline;
+mod version;
 
 /// The exit code of a command that failed while it ran.
 pub const EXIT_FAILED: u8 = 1;
@@ -15,6 +22,21 @@
 /// The exit code of a command line or settings file that is not valid.
 pub const EXIT_INVALID: u8 = 2;
 
+/// The exit code of a change that was refused because another one came first.
+pub const EXIT_CONFLICT: u8 = 3;
+
+const EXAMPLES: &str = "Examples:
+  coriandergw dev
+  coriandergw check settings.ini
+  coriandergw run settings.ini
+  coriandergw keys --cluster association --out keys e1 e2 e3
+  coriandergw entry show default
+  coriandergw entry set drafting entry.json
+  coriandergw status --json
+  coriandergw timeline --program p-… --svg timeline.svg
+
+Exit codes: 0 done, 1 failed, 2 invalid command line or settings, 3 another change came first.";
+
 #[derive(Debug, Options)]
 struct Arguments {
     #[options(help = "print this help")]
@@ -25,63 +47,48 @@
 
 #[derive(Debug, Options)]
 enum Command {
+    #[options(help = "run one instance from a settings file")]
+    Run(run::Arguments),
     #[options(help = "run one instance with embedded stand-ins")]
-    Dev(DevArguments),
+    Dev(dev::Arguments),
+    #[options(help = "check a settings file")]
+    Check(check::Arguments),
+    #[options(help = "make an authority and certificates of instances")]
+    Keys(keys::Arguments),
+    #[options(help = "list, show, set or remove catalogue entries; show their history")]
+    Entry(entry::Arguments),
+    #[options(help = "show the instances and what they have applied")]
+    Status(status::Arguments),
+    #[options(help = "show the events of all instances in causal order")]
+    Timeline(timeline::Arguments),
     #[options(help = "print the version")]
-    Version(VersionArguments),
-}
-
-#[derive(Debug, Options)]
-struct DevArguments {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(help = "the address to listen on", default = "127.0.0.1:7400")]
-    listen: String,
-}
-
-#[derive(Debug, Options)]
-struct VersionArguments {
-    #[options(help = "print this help")]
-    help: bool,
+    Version(version::Arguments),
 }
 
 /// Parses the command line, runs the command and returns its exit code.
 pub fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.command {
-        Some(Command::Dev(arguments)) => dev(&arguments),
-        Some(Command::Version(_)) => {
-            println!("coriandergw {}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
-        }
+        Some(Command::Run(arguments)) => run::run(&arguments),
+        Some(Command::Dev(arguments)) => dev::dev(&arguments),
+        Some(Command::Check(arguments)) => check::check(&arguments),
+        Some(Command::Keys(arguments)) => keys::keys(&arguments),
+        Some(Command::Entry(arguments)) => entry::entry(&arguments),
+        Some(Command::Status(arguments)) => status::status(&arguments),
+        Some(Command::Timeline(arguments)) => timeline::timeline(&arguments),
+        Some(Command::Version(_)) => version::version(),
         None => {
             println!("Usage: coriandergw COMMAND\n\n{}", Arguments::usage());
-            println!("\nCommands:\n{}", Command::usage());
+            println!("\nCommands:\n{}\n\n{EXAMPLES}", Command::usage());
             ExitCode::from(EXIT_INVALID)
         }
     }
 }
 
-fn dev(arguments: &DevArguments) -> ExitCode {
-    let listen: SocketAddr = match arguments.listen.parse() {
-        Ok(listen) => listen,
-        Err(cause) => {
-            eprintln!("--listen {}: {cause}; for example {DEV_LISTEN}", arguments.listen);
-            return ExitCode::from(EXIT_INVALID);
-        }
-    };
-    let runtime = match tokio::runtime::Runtime::new() {
-        Ok(runtime) => runtime,
-        Err(cause) => {
-            eprintln!("cannot start: {cause}");
-            return ExitCode::from(EXIT_FAILED);
-        }
-    };
-    match runtime.block_on(instance::run_dev(Settings::dev(listen))) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(cause) => {
-            eprintln!("{cause}");
-            ExitCode::from(EXIT_FAILED)
-        }
-    }
+fn fail<M>(code: u8, message: M) -> ExitCode
+where
+    M: std::fmt::Display,
+{
+    eprintln!("{message}");
+    ExitCode::from(code)
 }
--- /dev/null
+++ b/coriandergw/src/events/log_output.rs
@@ -0,0 +1,19 @@
+//! Writes log lines to standard error, one an event.
+
+use logforth::append::Stderr;
+use logforth::layout::JsonLayout;
+use logforth::layout::LogfmtLayout;
+
+use crate::settings::LogFormat;
+use crate::settings::LogSettings;
+
+/// Sets up the log of this process; later calls change the level only.
+pub fn start(settings: LogSettings) {
+    let appender = match settings.format {
+        LogFormat::Logfmt => Stderr::default().with_layout(LogfmtLayout::default()),
+        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    };
+    // Fails only where another logger is in place, which then is the one to use.
+    let _ = logforth::starter_log::builder().dispatch(|d| d.append(appender)).try_apply();
+    log::set_max_level(settings.level);
+}
--- a/coriandergw/src/events/mod.rs
+++ b/coriandergw/src/events/mod.rs
@@ -13,10 +13,16 @@
 use crate::ids::InstanceName;
 use crate::ids::ProgramId;
 
+pub mod log_output;
+pub mod merge;
 mod number;
+pub mod picture;
+mod query;
+pub mod routes;
 
 pub use number::EventNumber;
 pub use number::Severity;
+pub use query::EventQuery;
 
 /// The events that an instance keeps in memory for the time line.
 pub const KEPT_EVENTS: usize = 50_000;
--- a/coriandergw/src/instance.rs
+++ b/coriandergw/src/instance.rs
@@ -22,6 +22,7 @@
 use crate::dispatch::direct::DirectDispatcher;
 use crate::endpoints::directory::Directory;
 use crate::endpoints::directory::RENEWAL_INTERVAL;
+use crate::events;
 use crate::events::EventNumber;
 use crate::events::Recorder;
 use crate::events::Subject;
@@ -31,9 +32,10 @@
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 use crate::settings::Settings;
-
-/// How long callers may keep an answer with addresses, in milliseconds.
-const ADDRESSES_TTL_MS: u64 = 10_000;
+use crate::transport::quic::QuicTransport;
+use crate::transport::quic::StartError;
+use crate::transport::tls::KeyError;
+use crate::transport::tls::TlsConfigs;
 
 /// What the HTTP handlers of an instance share.
 pub struct Shared {
@@ -55,9 +57,10 @@
     /// Returns the body of an address answer.
     pub fn addresses(&self) -> serde_json::Value {
         let instance = &self.settings.instance;
+        let address = instance.advertise.unwrap_or(instance.listen);
         json!({
-            "addresses": [{"address": instance.advertise, "data_centre": instance.data_centre}],
-            "ttl_ms": ADDRESSES_TTL_MS,
+            "addresses": [{"address": address, "data_centre": instance.data_centre}],
+            "ttl_ms": instance.addresses_ttl.as_millis() as u64,
         })
     }
 
@@ -79,6 +82,15 @@
         /// What the operating system reported.
         cause: std::io::Error,
     },
+    /// The settings name no keys.
+    #[display("{} the settings name no keys", ResultCode::InvalidSettings)]
+    NoKeys,
+    /// The keys could not be used.
+    #[display("{} {cause}", ResultCode::ForeignCertificate)]
+    Keys {
+        /// What is wrong with them.
+        cause: KeyError,
+    },
     /// Serving failed.
     #[display("{} serving failed: {cause}", ResultCode::Internal)]
     Serve {
@@ -136,6 +148,43 @@
     serve(shared).await
 }
 
+/// Runs one instance until a signal asks it to stop.
+///
+/// # Errors
+/// Fails if keys cannot be used or an address cannot be bound.
+pub async fn run(settings: Settings) -> Result<(), RunError> {
+    let cx = context(&settings)?;
+    let transport = start_transport(&cx, &settings)?;
+    let directory = Arc::new(Directory::default());
+    let catalogue = Arc::new(MemoryCatalogue::default());
+    let dispatcher = Arc::new(DirectDispatcher::new(cx.clone(), directory.clone()));
+    let programs = Arc::new(Programs::new(cx.clone(), catalogue.clone(), dispatcher));
+    let shared = Arc::new(Shared {
+        cx,
+        settings,
+        catalogue: catalogue.clone(),
+        catalogue_writer: catalogue,
+        directory,
+        programs,
+    });
+    serve(shared).await?;
+    transport.close();
+    Ok(())
+}
+
+fn start_transport(cx: &Context, settings: &Settings) -> Result<Arc<QuicTransport>, RunError> {
+    let files = settings.keys.as_ref().ok_or(RunError::NoKeys)?;
+    let tls = TlsConfigs::load(files).map_err(|cause| RunError::Keys { cause })?;
+    let peers = settings.cluster.peers.clone();
+    let listen = settings.instance.peer_listen;
+    let bind_error = |cause| RunError::Bind { address: listen, cause };
+    let transport = QuicTransport::start(listen, tls, peers, cx.metrics.clone())
+        .map_err(|StartError::Bind { cause, .. }| bind_error(cause))?;
+    let address = transport.local_address().map_err(bind_error)?;
+    println!("coriandergw {} peers at {address}", cx.instance);
+    Ok(transport)
+}
+
 async fn renew_forever(
     cx: Context,
     directory: Arc<Directory>,
@@ -170,6 +219,7 @@
     Router::new()
         .merge(callers::routes())
         .merge(operators::routes())
+        .merge(events::routes::routes())
         .fallback(|uri: Uri| async move {
             Refusal::not_run(ResultCode::NotFound, format!("nothing is at {}", uri.path()))
         })
--- a/coriandergw/src/operators/mod.rs
+++ b/coriandergw/src/operators/mod.rs
@@ -50,7 +50,11 @@
     shared.cx.metrics.render()
 }
 
-fn check_operator(shared: &Shared, headers: &HeaderMap) -> Result<(), Refusal> {
+/// Refuses a request without the operator key, where one is set.
+///
+/// # Errors
+/// Refuses a missing or wrong key.
+pub fn check_operator(shared: &Shared, headers: &HeaderMap) -> Result<(), Refusal> {
     let Some(expected) = &shared.settings.access.operator_key_digest else {
         return Ok(());
     };
--- a/coriandergw/src/settings/mod.rs
+++ b/coriandergw/src/settings/mod.rs
@@ -1,20 +1,41 @@
 //! Settings of an instance, read from an INI file.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
 use crate::transport::tls::KeyFiles;
 
+mod access;
+mod cluster;
+mod fault;
+mod instance;
+mod log;
+mod options;
+mod reader;
+mod tls;
+
+pub use access::AccessSettings;
+pub use cluster::ClusterSettings;
+pub use fault::Fault;
+pub use fault::SettingsError;
+pub use instance::InstanceSettings;
+pub use log::LogFormat;
+pub use log::LogSettings;
+pub use options::OPTIONS;
+pub use options::OptionSpec;
+
+use reader::Reader;
+
 /// The address that `coriandergw dev` listens on unless told otherwise.
 pub const DEV_LISTEN: &str = "127.0.0.1:7400";
 
 /// The checked settings of one instance.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Who the instance is and where callers reach it.
+    /// Who the instance is and where it is reached.
     pub instance: InstanceSettings,
     /// The cluster that it belongs to.
     pub cluster: ClusterSettings,
@@ -22,68 +43,81 @@
     pub data: Option<PathBuf>,
     /// The keys for TLS between instances; absent for `dev` only.
     pub keys: Option<KeyFiles>,
-    /// Whether callers and operators are asked for keys.
+    /// What callers and operators must show.
     pub access: AccessSettings,
+    /// How events are logged.
+    pub log: LogSettings,
 }
 
-/// Who an instance is and where it is reached.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct InstanceSettings {
-    /// The name, unique in the cluster.
-    pub name: InstanceName,
-    /// The data centre.
-    pub data_centre: DataCentre,
-    /// Where callers, endpoints and operators connect.
-    pub listen: SocketAddr,
-    /// The address that callers are told; `listen` unless set.
-    pub advertise: SocketAddr,
-    /// Where other instances connect.
-    pub peer_listen: SocketAddr,
-    /// How long a shutdown waits for running requests, in milliseconds.
-    pub drain_limit_ms: u64,
-}
-
-/// The cluster that an instance belongs to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ClusterSettings {
-    /// The cluster's name.
-    pub name: String,
-    /// The known peers and where this instance reaches them.
-    pub peers: BTreeMap<InstanceName, SocketAddr>,
-    /// The store instances that vote at first.
-    pub voters: Vec<InstanceName>,
-}
+impl Settings {
+    /// Reads and checks a file. Paths in it are relative to its folder.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be read, or with all its faults.
+    pub fn load(file: &Path) -> Result<Self, SettingsError> {
+        let text =
+            std::fs::read_to_string(file).map_err(|cause| SettingsError::Unreadable { cause })?;
+        let folder = file.parent().unwrap_or(Path::new("."));
+        Self::parse(&text, folder).map_err(|faults| SettingsError::Faults { faults })
+    }
 
-/// What callers and operators must show.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct AccessSettings {
-    /// The SHA-256 digest of the operator key in hexadecimal; none asks for no key.
-    pub operator_key_digest: Option<String>,
-    /// Whether callers must show an account key of the entry.
-    pub require_account_key: bool,
-}
+    /// Checks a text whose paths are relative to `folder`.
+    ///
+    /// # Errors
+    /// Fails with all faults of the text.
+    pub fn parse(text: &str, folder: &Path) -> Result<Self, Vec<Fault>> {
+        let mut reader = Reader::new(text);
+        let instance = InstanceSettings::read(&mut reader);
+        let cluster = ClusterSettings::read(&mut reader);
+        let data = reader.optional("storage", "data").map(|data| folder.join(data));
+        let keys = tls::read(&mut reader, folder);
+        let access = AccessSettings::read(&mut reader);
+        let log = LogSettings::read(&mut reader);
+        if let (Some(instance), Some(cluster)) = (&instance, &cluster) {
+            check_together(&mut reader, instance, cluster, data.is_some());
+            access::check_exposure(&mut reader, &access, instance.listen);
+        }
+        let faults = reader.into_faults();
+        match (instance, cluster, keys) {
+            (Some(instance), Some(cluster), Some(keys)) if faults.is_empty() => {
+                Ok(Self { instance, cluster, data, keys: Some(keys), access, log })
+            }
+            _ => Err(faults),
+        }
+    }
 
-impl Settings {
     /// Returns the settings of `coriandergw dev`: one instance, nothing on disk, no keys.
     pub fn dev(listen: SocketAddr) -> Self {
         let name = InstanceName::try_from("dev").expect("a valid name");
+        let data_centre = DataCentre::try_from("local").expect("a valid name");
         Self {
-            instance: InstanceSettings {
-                name: name.clone(),
-                data_centre: DataCentre::try_from("local").expect("a valid name"),
-                listen,
-                advertise: listen,
-                peer_listen: SocketAddr::new(listen.ip(), 0),
-                drain_limit_ms: 60_000,
-            },
-            cluster: ClusterSettings {
-                name: "dev".to_owned(),
-                peers: BTreeMap::new(),
-                voters: vec![name],
-            },
+            instance: InstanceSettings::new(name.clone(), data_centre, listen),
+            cluster: ClusterSettings::alone("dev", name),
             data: None,
             keys: None,
             access: AccessSettings::default(),
+            log: LogSettings::default(),
         }
     }
 }
+
+/// Checks what concerns more than one section.
+fn check_together(
+    reader: &mut Reader,
+    instance: &InstanceSettings,
+    cluster: &ClusterSettings,
+    has_data: bool,
+) {
+    let is_voter = cluster.voters.contains(&instance.name);
+    if is_voter && !has_data {
+        reader.fault("storage", "data", "is missing, and this instance is a voter");
+    }
+    for voter in &cluster.voters {
+        if *voter != instance.name && !cluster.peers.contains_key(voter) {
+            reader.fault("cluster", "voters", format!("voter {voter} is not among the peers"));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/testkit/tests/pages.rs
+++ b/testkit/tests/pages.rs
@@ -55,3 +55,16 @@
     assert_unique(EventNumber::ALL.iter().map(|event| event.number()));
     assert_eq!(listed(&page("EVENTS.md"), ""), in_code);
 }
+
+#[test]
+fn settings_match_their_page() {
+    let text = page("SETTINGS.md");
+    let rows = text.lines().filter(|line| line.starts_with("| ") && !line.starts_with("| section"));
+    let listed: Vec<Vec<&str>> =
+        rows.map(|row| row.trim_matches('|').split(" | ").map(str::trim).collect()).collect();
+    let in_code: Vec<Vec<&str>> = coriandergw::settings::OPTIONS
+        .iter()
+        .map(|o| vec![o.section, o.key, o.default, o.unit, o.allowed, o.description])
+        .collect();
+    assert_eq!(listed, in_code);
+}
