feat(transport): read names and expiry with x509-parser, reload keys, limit validity

Cause: the peer's name was found by searching DER bytes, certificates were valid until the year 4096, and new keys needed a restart. Change: x509-parser reads the subject and the expiry; authorities are valid for ten years and instances for one; QuicTransport::reload swaps keys; log lines leave out parts that an event lacks. Checked: four tests over real sockets (sender named, foreign authority and wrong instance refused, reload, oversize payload).

--- a/coriandergw/src/cli/keys.rs
+++ b/coriandergw/src/cli/keys.rs
@@ -12,6 +12,9 @@
 use crate::cli::EXIT_FAILED;
 use crate::cli::EXIT_INVALID;
 use crate::cli::fail;
+use crate::clock::Clock;
+use crate::clock::SystemClock;
+use crate::clock::WallTime;
 use crate::ids::InstanceName;
 use crate::keys::KeyPem;
 use crate::keys::make_authority;
@@ -50,10 +53,11 @@
 
 fn write_keys(arguments: &Arguments, instances: &[InstanceName]) -> Result<(), String> {
     let out = &arguments.out;
+    let now = SystemClock::default().wall();
     std::fs::create_dir_all(out).map_err(|cause| format!("{}: {cause}", out.display()))?;
-    let authority_key = authority_key(&arguments.cluster, out)?;
+    let authority_key = authority_key(&arguments.cluster, out, now)?;
     for instance in instances {
-        let pem = make_certificate(&arguments.cluster, &authority_key, instance)
+        let pem = make_certificate(&arguments.cluster, &authority_key, instance, now)
             .map_err(|cause| format!("{instance}: {cause}"))?;
         write_pair(out, instance.as_str(), &pem)?;
         println!("{}", out.join(format!("{instance}.pem")).display());
@@ -62,13 +66,13 @@
 }
 
 /// Returns the authority's private key; an authority that exists is kept.
-fn authority_key(cluster: &str, out: &Path) -> Result<String, String> {
+fn authority_key(cluster: &str, out: &Path, now: WallTime) -> Result<String, String> {
     let file = out.join("authority.key");
     if file.exists() {
         return std::fs::read_to_string(&file)
             .map_err(|cause| format!("{}: {cause}", file.display()));
     }
-    let pem = make_authority(cluster).map_err(|cause| cause.to_string())?;
+    let pem = make_authority(cluster, now).map_err(|cause| cause.to_string())?;
     write_pair(out, "authority", &pem)?;
     Ok(pem.key)
 }
--- a/coriandergw/src/events/mod.rs
+++ b/coriandergw/src/events/mod.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use log::kv::Value;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -134,20 +135,31 @@
     if !log::log_enabled!(level) {
         return;
     }
-    let subject = &event.subject;
-    log::log!(
-        level,
-        event = event.number,
-        name = number.name(),
-        instance = event.instance.as_str(),
-        sequence = event.sequence,
-        program = subject.program.as_ref().map(ProgramId::as_str),
-        call = subject.call.as_ref().map(CallId::as_str),
-        entry = subject.entry.as_ref().map(EntryName::as_str),
-        epoch = subject.epoch,
-        peer = subject.peer.as_deref(),
-        cause = subject.cause.as_deref();
-        "{}",
-        event.message
+    let pairs = log_pairs(number, event);
+    log::logger().log(
+        &log::Record::builder()
+            .level(level)
+            .target("coriandergw")
+            .key_values(&pairs.as_slice())
+            .args(format_args!("{}", event.message))
+            .build(),
     );
 }
+
+/// Lists what a log line shows besides its message; parts that an event lacks are left out.
+fn log_pairs<'a>(number: EventNumber, event: &'a Event) -> Vec<(&'static str, Value<'a>)> {
+    let subject = &event.subject;
+    let mut pairs = vec![
+        ("event", Value::from(event.number)),
+        ("name", Value::from(number.name())),
+        ("instance", Value::from(event.instance.as_str())),
+        ("sequence", Value::from(event.sequence)),
+    ];
+    pairs.extend(subject.program.as_ref().map(|id| ("program", Value::from(id.as_str()))));
+    pairs.extend(subject.call.as_ref().map(|id| ("call", Value::from(id.as_str()))));
+    pairs.extend(subject.entry.as_ref().map(|name| ("entry", Value::from(name.as_str()))));
+    pairs.extend(subject.epoch.map(|epoch| ("epoch", Value::from(epoch))));
+    pairs.extend(subject.peer.as_deref().map(|peer| ("peer", Value::from(peer))));
+    pairs.extend(subject.cause.as_deref().map(|cause| ("cause", Value::from(cause))));
+    pairs
+}
--- a/coriandergw/src/transport/quic.rs
+++ b/coriandergw/src/transport/quic.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use bytes::BufMut;
 use bytes::Bytes;
@@ -70,7 +71,7 @@
 
 struct Shared {
     endpoint: Endpoint,
-    tls: TlsConfigs,
+    tls: ArcSwap<TlsConfigs>,
     peers: PeerBook,
     handlers: Handlers,
     metrics: Arc<Metrics>,
@@ -89,13 +90,11 @@
         fixed_peers: BTreeMap<InstanceName, SocketAddr>,
         metrics: Arc<Metrics>,
     ) -> Result<Arc<Self>, StartError> {
-        let mut server = quinn::ServerConfig::with_crypto(tls.server.clone());
-        server.transport_config(Arc::new(transport_config()));
-        let endpoint = Endpoint::server(server, listen)
+        let endpoint = Endpoint::server(server_config(&tls), listen)
             .map_err(|cause| StartError::Bind { address: listen, cause })?;
         let shared = Arc::new(Shared {
             endpoint,
-            tls,
+            tls: ArcSwap::from_pointee(tls),
             peers: PeerBook::new(fixed_peers),
             handlers: Handlers::default(),
             metrics,
@@ -114,12 +113,29 @@
         self.shared.endpoint.local_addr()
     }
 
+    /// Uses other keys for all connections from now on; open connections stay.
+    pub fn reload(&self, tls: TlsConfigs) {
+        self.shared.endpoint.set_server_config(Some(server_config(&tls)));
+        self.shared.tls.store(Arc::new(tls));
+    }
+
+    /// Returns when the instance's certificate expires, in seconds since the Unix epoch.
+    pub fn certificate_expires_at_s(&self) -> Option<i64> {
+        self.shared.tls.load().expires_at_s
+    }
+
     /// Closes all connections.
     pub fn close(&self) {
         self.shared.endpoint.close(0u32.into(), b"shutting down");
     }
 }
 
+fn server_config(tls: &TlsConfigs) -> quinn::ServerConfig {
+    let mut server = quinn::ServerConfig::with_crypto(tls.server.clone());
+    server.transport_config(Arc::new(transport_config()));
+    server
+}
+
 fn transport_config() -> quinn::TransportConfig {
     let mut config = quinn::TransportConfig::default();
     config.max_concurrent_bidi_streams(STREAMS_PER_PEER.into());
@@ -212,7 +228,7 @@
     async fn connect(&self, to: &InstanceName) -> Result<Connection, TransportError> {
         let address =
             self.peers.find(to).ok_or(TransportError::UnknownPeer { peer: to.clone() })?;
-        let mut client = quinn::ClientConfig::new(self.tls.client.clone());
+        let mut client = quinn::ClientConfig::new(self.tls.load().client.clone());
         client.transport_config(Arc::new(transport_config()));
         let unreachable = |reason: String| TransportError::Unreachable { peer: to.clone(), reason };
         let connecting = self
@@ -308,3 +324,6 @@
         self.shared.peers.learn(peer, address);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/transport/tls.rs
+++ b/coriandergw/src/transport/tls.rs
@@ -20,9 +20,6 @@
 /// The application protocol that both sides must name.
 const PROTOCOL: &[u8] = b"coriandergw/1";
 
-/// The longest instance name in a certificate, in bytes; the limit of a common name in X.509.
-const MAX_NAME_BYTES: usize = 64;
-
 /// Where an instance finds its keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeyFiles {
@@ -52,6 +49,8 @@
     pub server: Arc<QuicServerConfig>,
     /// Used for outgoing connections.
     pub client: Arc<QuicClientConfig>,
+    /// When the instance's certificate expires, in seconds since the Unix epoch.
+    pub expires_at_s: Option<i64>,
 }
 
 impl TlsConfigs {
@@ -78,6 +77,7 @@
         key: PrivateKeyDer<'static>,
     ) -> Result<Self, String> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let expires_at_s = expiry_seconds(&certificate);
         let mut roots = RootCertStore::empty();
         roots.add(authority).map_err(|cause| cause.to_string())?;
         let roots = Arc::new(roots);
@@ -100,7 +100,7 @@
         client.alpn_protocols = vec![PROTOCOL.to_vec()];
         let server = QuicServerConfig::try_from(server).map_err(|cause| cause.to_string())?;
         let client = QuicClientConfig::try_from(client).map_err(|cause| cause.to_string())?;
-        Ok(Self { server: Arc::new(server), client: Arc::new(client) })
+        Ok(Self { server: Arc::new(server), client: Arc::new(client), expires_at_s })
     }
 }
 
@@ -116,17 +116,15 @@
     common_name(chain.first()?)
 }
 
-/// Finds the common name (object identifier 2.5.4.3) of the subject in a DER certificate.
+/// Returns the common name of a certificate's subject.
 fn common_name(certificate: &CertificateDer<'_>) -> Option<InstanceName> {
-    const COMMON_NAME_OID: &[u8] = &[0x06, 0x03, 0x55, 0x04, 0x03];
-    let der = certificate.as_ref();
-    // The issuer's name comes first, the subject's is the last one.
-    let start = der.windows(COMMON_NAME_OID.len()).rposition(|w| w == COMMON_NAME_OID)?;
-    let value = der.get(start + COMMON_NAME_OID.len()..)?;
-    let length = usize::from(*value.get(1)?);
-    if length > MAX_NAME_BYTES {
-        return None;
-    }
-    let text = std::str::from_utf8(value.get(2..2 + length)?).ok()?;
-    InstanceName::try_from(text).ok()
+    let (_, parsed) = x509_parser::parse_x509_certificate(certificate).ok()?;
+    let name = parsed.subject().iter_common_name().next()?.as_str().ok()?;
+    InstanceName::try_from(name).ok()
+}
+
+/// Returns when a certificate expires, in seconds since the Unix epoch.
+fn expiry_seconds(certificate: &CertificateDer<'_>) -> Option<i64> {
+    let (_, parsed) = x509_parser::parse_x509_certificate(certificate).ok()?;
+    Some(parsed.validity().not_after.timestamp())
 }
