--- a/coriandergw/src/events/mod.rs
+++ b/coriandergw/src/events/mod.rs
@@ -1,8 +1,10 @@
 //! Numbered events: the log lines and the time line are made of them.
 
 use std::collections::VecDeque;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::mpsc::SyncSender;
 
 use log::kv::Value;
 use serde::Deserialize;
@@ -14,6 +16,7 @@
 use crate::ids::InstanceName;
 use crate::ids::ProgramId;
 
+pub mod file;
 pub mod log_output;
 pub mod merge;
 mod number;
@@ -77,6 +80,7 @@
     instance: InstanceName,
     clock: Arc<dyn Clock>,
     kept: Mutex<Kept>,
+    writer: Option<SyncSender<Event>>,
 }
 
 #[derive(Default)]
@@ -86,9 +90,25 @@
 }
 
 impl Recorder {
-    /// Creates an empty recorder.
+    /// Creates an empty recorder that keeps events in memory only.
     pub fn new(instance: InstanceName, clock: Arc<dyn Clock>) -> Self {
-        Self { instance, clock, kept: Mutex::default() }
+        Self { instance, clock, kept: Mutex::default(), writer: None }
+    }
+
+    /// Creates a recorder that goes on from the events in a folder and adds to them.
+    ///
+    /// # Errors
+    /// Fails if the folder cannot be written to.
+    pub fn with_folder(
+        instance: InstanceName,
+        clock: Arc<dyn Clock>,
+        folder: &Path,
+    ) -> std::io::Result<Self> {
+        let events: VecDeque<Event> = file::read_events(folder).into();
+        let next_sequence = events.back().map_or(0, |event| event.sequence + 1);
+        let writer = Some(file::start_writer(folder)?);
+        let kept = Mutex::new(Kept { next_sequence, events });
+        Ok(Self { instance, clock, kept, writer })
     }
 
     /// Records an event.
@@ -107,10 +127,14 @@
             message: message.into(),
         };
         kept.next_sequence += 1;
-        if kept.events.len() == KEPT_EVENTS {
+        if kept.events.len() >= KEPT_EVENTS {
             kept.events.pop_front();
         }
         kept.events.push_back(event.clone());
+        if let Some(writer) = &self.writer {
+            // Dropped where the writer is behind; the log line is still written.
+            let _ = writer.try_send(event.clone());
+        }
         drop(kept);
         write_log_line(number, &event);
     }
