feat(http_server): bound heads, handshakes and connections; optional TLS towards callers

Cause: the framework's plain serving has no limit on slow heads and no TLS. Change: HttpServer accepts, limits and serves; it stops accepting when told and finishes what has begun; [caller_tls] names its keys. Conclusion: the instance uses it once it is wired.

--- /dev/null
+++ b/coriandergw/src/http_server/mod.rs
@@ -0,0 +1,184 @@
+//! Serves HTTP towards callers, endpoints and operators, with TLS where keys are set.
+//!
+//! Slow and oversize senders are cut off by limits of the HTTP library; a stopping server finishes
+//! the requests that it has begun.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use derive_more::Display;
+use derive_more::Error;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use rustls::ServerConfig;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::PrivateKeyDer;
+use rustls::pki_types::pem::PemObject;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio_rustls::TlsAcceptor;
+
+/// How long a sender may take for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long a TLS handshake may take.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The largest head of a request, in bytes.
+const HEAD_MAX_BYTES: usize = 32 * 1024;
+
+/// The connections served at once; more wait to be accepted.
+const CONNECTIONS_MAX: usize = 16_384;
+
+/// How long the accept loop waits after a failed accept, for example without free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Where the keys towards callers are.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerKeyFiles {
+    /// The certificate chain, PEM.
+    pub certificate: PathBuf,
+    /// The private key, PEM.
+    pub key: PathBuf,
+}
+
+/// Says why keys towards callers could not be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+#[display("{}: {reason}", file.display())]
+pub struct CallerKeyError {
+    /// The file at fault.
+    pub file: PathBuf,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// Loads the TLS settings towards callers.
+///
+/// # Errors
+/// Fails if a file cannot be read or does not hold what it should.
+pub fn load_caller_tls(files: &CallerKeyFiles) -> Result<TlsAcceptor, CallerKeyError> {
+    let fault = |file: &Path, reason: String| CallerKeyError { file: file.to_owned(), reason };
+    let chain = CertificateDer::pem_file_iter(&files.certificate)
+        .and_then(Iterator::collect::<Result<Vec<_>, _>>)
+        .map_err(|cause| fault(&files.certificate, cause.to_string()))?;
+    let key = PrivateKeyDer::from_pem_file(&files.key)
+        .map_err(|cause| fault(&files.key, cause.to_string()))?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .and_then(|builder| builder.with_no_client_auth().with_single_cert(chain, key))
+        .map_err(|cause| fault(&files.certificate, cause.to_string()))?;
+    Ok(TlsAcceptor::from(Arc::new(config)))
+}
+
+/// Accepts and serves connections until told to stop.
+pub struct HttpServer {
+    listener: TcpListener,
+    routes: Router,
+    tls: Option<TlsAcceptor>,
+}
+
+impl HttpServer {
+    /// Binds an address.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        routes: Router,
+        tls: Option<TlsAcceptor>,
+    ) -> std::io::Result<Self> {
+        Ok(Self { listener: TcpListener::bind(address).await?, routes, tls })
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    /// Fails if the operating system does not tell.
+    pub fn local_address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `stop` turns true, then finishes the requests that have begun.
+    pub async fn serve(self, mut stop: watch::Receiver<bool>) {
+        let graceful = GracefulShutdown::new();
+        let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                _ = stop.wait_for(|stop| *stop) => break,
+            };
+            let Ok((stream, peer)) = accepted else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let Ok(place) = places.clone().acquire_owned().await else {
+                break;
+            };
+            let watcher = graceful.watcher();
+            let routes = self.routes.clone();
+            let tls = self.tls.clone();
+            tokio::spawn(async move {
+                serve_stream(stream, peer, routes, tls, watcher).await;
+                drop(place);
+            });
+        }
+        drop(self.listener);
+        graceful.shutdown().await;
+    }
+}
+
+async fn serve_stream(
+    stream: TcpStream,
+    peer: SocketAddr,
+    routes: Router,
+    tls: Option<TlsAcceptor>,
+    watcher: hyper_util::server::graceful::Watcher,
+) {
+    // Small answers must not wait for more data.
+    let _ = stream.set_nodelay(true);
+    let Some(tls) = tls else {
+        return serve_http(stream, peer, routes, watcher).await;
+    };
+    if let Ok(Ok(stream)) = tokio::time::timeout(HANDSHAKE_TIMEOUT, tls.accept(stream)).await {
+        serve_http(stream, peer, routes, watcher).await;
+    }
+}
+
+async fn serve_http<S>(
+    stream: S,
+    peer: SocketAddr,
+    routes: Router,
+    watcher: hyper_util::server::graceful::Watcher,
+) where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_MAX_BYTES);
+    builder.http2().timer(TokioTimer::new()).max_header_list_size(HEAD_MAX_BYTES as u32);
+    let routes = routes.layer(axum::Extension(axum::extract::ConnectInfo(peer)));
+    let service = TowerToHyperService::new(routes);
+    let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
+    // A broken connection concerns its peer only.
+    let _ = watcher.watch(connection.into_owned()).await;
+}
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dispatch;
 pub mod endpoints;
 pub mod events;
+pub mod http_server;
 pub mod ids;
 pub mod instance;
 pub mod keys;
--- a/coriandergw/src/settings/mod.rs
+++ b/coriandergw/src/settings/mod.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use crate::http_server::CallerKeyFiles;
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
 use crate::transport::tls::KeyFiles;
@@ -43,6 +44,8 @@
     pub data: Option<PathBuf>,
     /// The keys for TLS between instances; absent for `dev` only.
     pub keys: Option<KeyFiles>,
+    /// The keys towards callers; none serves plain HTTP.
+    pub caller_keys: Option<CallerKeyFiles>,
     /// What callers and operators must show.
     pub access: AccessSettings,
     /// How events are logged.
@@ -71,6 +74,7 @@
         let cluster = ClusterSettings::read(&mut reader);
         let data = reader.optional("storage", "data").map(|data| folder.join(data));
         let keys = tls::read(&mut reader, folder);
+        let caller_keys = tls::read_caller(&mut reader, folder);
         let access = AccessSettings::read(&mut reader);
         let log = LogSettings::read(&mut reader);
         if let (Some(instance), Some(cluster)) = (&instance, &cluster) {
@@ -80,7 +84,7 @@
         let faults = reader.into_faults();
         match (instance, cluster, keys) {
             (Some(instance), Some(cluster), Some(keys)) if faults.is_empty() => {
-                Ok(Self { instance, cluster, data, keys: Some(keys), access, log })
+                Ok(Self { instance, cluster, data, keys: Some(keys), caller_keys, access, log })
             }
             _ => Err(faults),
         }
@@ -95,6 +99,7 @@
             cluster: ClusterSettings::alone("dev", name),
             data: None,
             keys: None,
+            caller_keys: None,
             access: AccessSettings::default(),
             log: LogSettings::default(),
         }
--- a/coriandergw/src/settings/options.rs
+++ b/coriandergw/src/settings/options.rs
@@ -52,6 +52,8 @@
     "tls", "authority", "", "", FILE, "The certificate of the cluster's authority, PEM.";
     "tls", "certificate", "", "", FILE, "The instance's certificate, PEM.";
     "tls", "key", "", "", FILE, "The instance's private key, PEM.";
+    "caller_tls", "certificate", "", "", FILE, "The certificate chain towards callers, PEM. Left out: plain HTTP.";
+    "caller_tls", "key", "", "", FILE, "The private key towards callers, PEM.";
     "access", "operator_key_digest", "", "", "64 hexadecimal digits", "The SHA-256 digest of the operator key. Left out: no key is asked for, on loopback only.";
     "access", "require_account_key", "false", "", "true or false", "Whether a new program needs an account key of its entry.";
     "log", "format", "logfmt", "", "logfmt or json", "The form of a log line.";
--- a/coriandergw/src/settings/tests.rs
+++ b/coriandergw/src/settings/tests.rs
@@ -81,3 +81,9 @@
     let found = faults(&with("127.0.0.1:7400", "10.0.0.5:7400"));
     assert_eq!(found[0].key, "operator_key_digest");
 }
+
+#[test]
+fn half_of_the_caller_keys_is_a_fault() {
+    let found = faults(&format!("{VALID}[caller_tls]\nkey = caller.key\n"));
+    assert_eq!((found[0].section.as_str(), found[0].key.as_str()), ("caller_tls", "certificate"));
+}
