--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod fakes;
 pub mod generate;
 pub mod http;
+pub mod proxy;
