feat(control): keep catalogue, instances, partitions and fencing numbers in group 0

Nothing kept the control state: changes lived in the memory of one process. ControlState applies the commands of group 0: catalogue changes with kept first answers, history per entry, registered instances with incarnations, the partition table with epochs that are never reused, and fencing numbers. What every instance must know changes by numbered deltas with an additive digest. Shared files: lib.rs (module), result codes 4100-4107, events 230-240.

Time to apply a command was not measured.

--- a/coriandergw/src/catalogue/store.rs
+++ b/coriandergw/src/catalogue/store.rs
@@ -1,6 +1,5 @@
 //! Changes to the catalogue.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::RwLock;
 
@@ -8,11 +7,15 @@
 
 use crate::catalogue::CatalogueView;
 use crate::catalogue::Entry;
+use crate::clock::Clock;
+use crate::clock::SystemClock;
+use crate::control::ControlState;
+use crate::control::change_command;
+use crate::control::decode_change_answer;
 use crate::ids::ChangeId;
 use crate::ids::EntryName;
 use crate::ids::Revision;
 use crate::result_code::Refusal;
-use crate::result_code::ResultCode;
 
 /// What a change does to an entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,14 +54,8 @@
 /// A catalogue in the memory of one process.
 #[derive(Debug, Default)]
 pub struct MemoryCatalogue {
-    state: RwLock<State>,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    revision: Revision,
-    entries: BTreeMap<EntryName, Arc<Entry>>,
-    answers: BTreeMap<ChangeId, (Change, ChangeAnswer)>,
+    clock: SystemClock,
+    state: RwLock<ControlState>,
 }
 
 impl MemoryCatalogue {
@@ -67,71 +64,45 @@
     where
         I: IntoIterator<Item = Entry>,
     {
-        let mut state = State::default();
-        for entry in entries {
-            state.put(entry);
+        let catalogue = Self::default();
+        for (number, entry) in entries.into_iter().enumerate() {
+            let change = Change {
+                id: ChangeId::try_from(format!("start-{number}")).expect("a valid name"),
+                entry: entry.name.clone(),
+                against: Revision(0),
+                operator: "start".to_owned(),
+                action: ChangeAction::Put(entry),
+            };
+            // Checked entries are refused only where a name is given twice; the first one stays.
+            let _ = catalogue.apply(&change);
         }
-        Self { state: RwLock::new(state) }
+        catalogue
     }
-}
 
-impl State {
-    fn put(&mut self, mut entry: Entry) -> Revision {
-        self.revision = Revision(self.revision.0 + 1);
-        entry.revision = self.revision;
-        self.entries.insert(entry.name.clone(), Arc::new(entry));
-        self.revision
-    }
-
-    fn apply(&mut self, change: &Change) -> ChangeAnswer {
-        let current = self.entries.get(&change.entry).map(|entry| entry.revision);
-        if current.unwrap_or_default() != change.against {
-            let message = format!(
-                "entry {} is at revision {}, not {}",
-                change.entry,
-                current.unwrap_or_default(),
-                change.against
-            );
-            return Err(Refusal::not_run(ResultCode::RevisionConflict, message));
-        }
-        match &change.action {
-            ChangeAction::Put(entry) => Ok(self.put(entry.clone())),
-            ChangeAction::Remove => {
-                self.revision = Revision(self.revision.0 + 1);
-                self.entries.remove(&change.entry);
-                Ok(self.revision)
-            }
-        }
+    fn apply(&self, change: &Change) -> ChangeAnswer {
+        let command = change_command(change, self.clock.wall()).encode_command();
+        decode_change_answer(&self.state.write().expect("not poisoned").apply(&command))
     }
 }
 
 #[async_trait]
 impl CatalogueWriter for MemoryCatalogue {
     async fn change(&self, change: Change) -> ChangeAnswer {
-        let mut state = self.state.write().expect("not poisoned");
-        if let Some((first, answer)) = state.answers.get(&change.id) {
-            if *first == change {
-                return answer.clone();
-            }
-            let message = format!("change id {} was used for another change", change.id);
-            return Err(Refusal::not_run(ResultCode::ChangeIdReused, message));
-        }
-        let answer = state.apply(&change);
-        state.answers.insert(change.id.clone(), (change, answer.clone()));
-        answer
+        self.apply(&change)
     }
 }
 
 impl CatalogueView for MemoryCatalogue {
     fn entry(&self, name: &EntryName) -> Option<Arc<Entry>> {
-        self.state.read().expect("not poisoned").entries.get(name).cloned()
+        self.state.read().expect("not poisoned").published().entries().get(name).cloned()
     }
 
     fn entries(&self) -> Vec<Arc<Entry>> {
-        self.state.read().expect("not poisoned").entries.values().cloned().collect()
+        let state = self.state.read().expect("not poisoned");
+        state.published().entries().values().cloned().collect()
     }
 
     fn revision(&self) -> Revision {
-        self.state.read().expect("not poisoned").revision
+        self.state.read().expect("not poisoned").published().revision()
     }
 }
--- /dev/null
+++ b/coriandergw/src/control/mod.rs
@@ -0,0 +1,44 @@
+//! The control state: catalogue, registered instances, partition table and fencing numbers.
+//!
+//! Group 0 of the replicated log applies [`Command`]s to [`ControlState`] on each store instance.
+//! What every instance must know of it is [`Published`]: it changes by numbered deltas, and the
+//! digest of the whole is the same wherever the same revision is applied.
+
+mod answers;
+mod command;
+#[allow(missing_docs, clippy::all)]
+mod generated;
+mod history;
+mod machine;
+mod published;
+mod replica;
+mod state;
+mod table;
+
+pub use command::change_command;
+pub use command::decode_answer;
+pub use command::decode_change_answer;
+pub use generated::Command;
+pub use generated::Delta;
+pub use generated::Forget;
+pub use generated::HistoryRecord;
+pub use generated::Instance as RawInstance;
+pub use generated::InstanceState;
+pub use generated::Move;
+pub use generated::Reassign;
+pub use generated::Register;
+pub use generated::SetState;
+pub use generated::TakeControl;
+pub use generated::command::Kind as CommandKind;
+pub use machine::ControlMachine;
+pub use machine::SharedControlState;
+pub use published::Instance;
+pub use published::Published;
+pub use published::PublishedError;
+pub use replica::Replica;
+pub use state::ControlState;
+pub use table::PartitionTable;
+pub use table::Tenure;
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -54,6 +54,28 @@
     DrainFinished = 103, Info;
     /// The drain limit passed with requests still running.
     DrainLimitReached = 104, Warning;
+    /// The instance became the control leader and took a fencing number.
+    ControlTaken = 230, Info;
+    /// The instance is no longer the control leader.
+    ControlLost = 231, Warning;
+    /// The control leader declared an instance dead.
+    InstanceDead = 232, Warning;
+    /// An instance is leaving.
+    InstanceLeaving = 233, Info;
+    /// Partitions were given to new homes.
+    PartitionsMoved = 234, Info;
+    /// The instance registered with the control group.
+    InstanceRegistered = 235, Info;
+    /// The instance replaced its configuration by a full copy.
+    FullStateFetched = 236, Info;
+    /// The digest of the configuration differs from the sender's.
+    DigestMismatch = 237, Error;
+    /// The instance cannot confirm its configuration.
+    ConfirmationLost = 238, Warning;
+    /// The instance confirmed its configuration again.
+    ConfirmationRegained = 239, Info;
+    /// The file of the applied revision could not be written.
+    RevisionFileFailed = 240, Error;
     /// A program was created.
     ProgramCreated = 300, Debug;
     /// A call was accepted.
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cli;
 pub mod clock;
 pub mod context;
+pub mod control;
 pub mod dev;
 pub mod dispatch;
 pub mod endpoints;
--- a/coriandergw/src/result_code.rs
+++ b/coriandergw/src/result_code.rs
@@ -108,6 +108,22 @@
     RevisionRequired = 4003, 428;
     /// The change id was used before with another change.
     ChangeIdReused = 4004, 409;
+    /// A command to the control state cannot be read.
+    MalformedCommand = 4100, 400;
+    /// The command comes from a former control leader.
+    StaleFencing = 4101, 409;
+    /// The partition table changed after the plan was made.
+    StaleTable = 4102, 409;
+    /// No instance of this name or index is registered.
+    UnknownInstance = 4103, 404;
+    /// The message comes from an earlier incarnation of the instance.
+    StaleIncarnation = 4104, 409;
+    /// The instance still lives or holds partitions.
+    InstanceInUse = 4105, 409;
+    /// A control message between instances cannot be read.
+    MalformedControlMessage = 4106, 400;
+    /// The instance that was asked is not the control leader.
+    NotControlLeader = 4107, 503;
     /// A record in the middle of the log is corrupt.
     CorruptRecord = 5001, 500;
     /// The data folder belongs to another cluster or instance.
