feat(endpoints): index endpoints by target and spread them between instances

The directory scanned all endpoints on each lookup and knew only those that renew at the same instance.

Endpoints are now indexed by kind and target; a lookup shares the group. Endpoints of a silent sponsor leave the candidates after 1.9 s near and after at most 3.6 s elsewhere.

Control traffic was not measured.

--- a/coriandergw/src/endpoints/directory.rs
+++ b/coriandergw/src/endpoints/directory.rs
@@ -1,6 +1,10 @@
 //! The endpoints known to this instance.
+//!
+//! An endpoint renews its announcement at one instance, its sponsor. Other instances know the
+//! endpoint through the sponsor, and take it for a candidate only while the sponsor is heard.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::RwLock;
 use std::time::Duration;
@@ -9,6 +13,7 @@
 use crate::dispatch::CallKind;
 use crate::endpoints::Announcement;
 use crate::ids::EndpointName;
+use crate::ids::InstanceName;
 use crate::ids::TargetName;
 
 /// How long an announcement holds without a renewal.
@@ -17,6 +22,21 @@
 /// How often an endpoint should renew its announcement.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How long a sponsor of the same data centre is trusted without a heartbeat.
+pub const NEAR_SPONSOR_LEASE: Duration = Duration::from_millis(1_900);
+
+/// How long a sponsor of another data centre is trusted without a heartbeat.
+pub const FAR_SPONSOR_LEASE: Duration = Duration::from_millis(3_600);
+
+/// Names the instance that vouches for an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// The endpoint renews here.
+    Local,
+    /// The endpoint renews at another instance.
+    Sponsor(InstanceName),
+}
+
 /// An endpoint and when it was last heard of.
 #[derive(Debug, Clone)]
 pub struct KnownEndpoint {
@@ -24,30 +44,166 @@
     pub announcement: Arc<Announcement>,
     /// When the announcement arrived.
     pub heard_at: Timestamp,
+    /// Who vouches for it.
+    pub source: Source,
+}
+
+/// A change of what this instance vouches for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LocalChange {
+    /// The endpoint is new, has changed or is leaving.
+    Upsert(Arc<Announcement>),
+    /// The endpoint stopped renewing.
+    Gone(EndpointName),
+}
+
+/// The endpoints of one kind and target that take new calls.
+pub type Group = Arc<[EndpointName]>;
+
+type GroupKey = (CallKind, TargetName);
+
+#[derive(Debug, Clone, Copy)]
+struct SponsorHeard {
+    at: Timestamp,
+    lease: Duration,
 }
 
-/// Keeps the announcements that still hold.
+#[derive(Debug, Default)]
+struct State {
+    endpoints: HashMap<EndpointName, KnownEndpoint>,
+    groups: HashMap<GroupKey, Group>,
+    sponsors: BTreeMap<InstanceName, SponsorHeard>,
+    changes: Vec<LocalChange>,
+}
+
+/// Keeps the announcements that still hold, indexed by kind and target.
 #[derive(Debug, Default)]
 pub struct Directory {
-    endpoints: RwLock<BTreeMap<EndpointName, KnownEndpoint>>,
+    state: RwLock<State>,
 }
 
 impl Directory {
     /// Records an announcement or a renewal. Returns whether the endpoint is new or has changed.
     pub fn announce(&self, announcement: Announcement, now: Timestamp) -> bool {
-        let mut endpoints = self.endpoints.write().expect("not poisoned");
-        let known = endpoints.get(&announcement.name);
-        let changed = known.is_none_or(|known| {
-            known.announcement.leaving != announcement.leaving
-                || known.announcement.targets != announcement.targets
-                || known.announcement.address != announcement.address
-        });
-        let name = announcement.name.clone();
-        let known = KnownEndpoint { announcement: Arc::new(announcement), heard_at: now };
-        endpoints.insert(name, known);
+        let mut state = self.state.write().expect("not poisoned");
+        let known = state.endpoints.get(&announcement.name);
+        let moved = known.is_none_or(|known| known.source != Source::Local);
+        let changed = known.is_none_or(|known| differs(&known.announcement, &announcement));
+        let announcement = Arc::new(announcement);
+        if moved || changed {
+            state.changes.push(LocalChange::Upsert(announcement.clone()));
+        }
+        state.insert(KnownEndpoint { announcement, heard_at: now, source: Source::Local });
         changed
     }
 
+    /// Records what a sponsor vouches for, unless the endpoint renews here.
+    pub fn vouch(&self, sponsor: &InstanceName, announcement: Announcement, now: Timestamp) {
+        let mut state = self.state.write().expect("not poisoned");
+        let renews_here = state.endpoints.get(&announcement.name).is_some_and(|known| {
+            known.source == Source::Local && now.since(known.heard_at) <= RENEWAL_INTERVAL * 2
+        });
+        if renews_here {
+            return;
+        }
+        state.insert(KnownEndpoint {
+            announcement: Arc::new(announcement),
+            heard_at: now,
+            source: Source::Sponsor(sponsor.clone()),
+        });
+    }
+
+    /// Removes an endpoint that `sponsor` no longer vouches for.
+    pub fn retract(&self, sponsor: &InstanceName, name: &EndpointName) {
+        let mut state = self.state.write().expect("not poisoned");
+        let vouched = state.endpoints.get(name).is_some_and(|known| known.is_from(sponsor));
+        if vouched {
+            state.remove(name);
+        }
+    }
+
+    /// Replaces everything that `sponsor` vouches for.
+    pub fn replace(&self, sponsor: &InstanceName, all: Vec<Announcement>, now: Timestamp) {
+        let kept: Vec<EndpointName> = all.iter().map(|one| one.name.clone()).collect();
+        for name in self.vouched_by(sponsor) {
+            if !kept.contains(&name) {
+                self.retract(sponsor, &name);
+            }
+        }
+        for announcement in all {
+            self.vouch(sponsor, announcement, now);
+        }
+    }
+
+    /// Records that a sponsor is alive.
+    pub fn hear_sponsor(&self, sponsor: &InstanceName, lease: Duration, now: Timestamp) {
+        let heard = SponsorHeard { at: now, lease };
+        let mut state = self.state.write().expect("not poisoned");
+        state.sponsors.insert(sponsor.clone(), heard);
+    }
+
+    /// Removes what is silent at `now` and returns the names.
+    pub fn expire(&self, now: Timestamp) -> Vec<EndpointName> {
+        let mut state = self.state.write().expect("not poisoned");
+        let silent: Vec<KnownEndpoint> =
+            state.endpoints.values().filter(|known| !state.holds(known, now)).cloned().collect();
+        for known in &silent {
+            let name = known.announcement.name.clone();
+            state.remove(&name);
+            if known.source == Source::Local {
+                state.changes.push(LocalChange::Gone(name));
+            }
+        }
+        silent.into_iter().map(|known| known.announcement.name.clone()).collect()
+    }
+
+    /// Takes the changes of what this instance vouches for since the last time.
+    pub fn take_changes(&self) -> Vec<LocalChange> {
+        std::mem::take(&mut self.state.write().expect("not poisoned").changes)
+    }
+
+    /// Returns what this instance vouches for.
+    pub fn local(&self) -> Vec<Arc<Announcement>> {
+        let state = self.state.read().expect("not poisoned");
+        let local = state.endpoints.values().filter(|known| known.source == Source::Local);
+        local.map(|known| known.announcement.clone()).collect()
+    }
+
+    /// Returns what a sponsor vouches for, as known here.
+    pub fn sponsored(&self, sponsor: &InstanceName) -> Vec<Arc<Announcement>> {
+        let state = self.state.read().expect("not poisoned");
+        let theirs = state.endpoints.values().filter(|known| known.is_from(sponsor));
+        theirs.map(|known| known.announcement.clone()).collect()
+    }
+
+    /// Returns the names of the endpoints that take new calls for a target.
+    ///
+    /// The group is shared, not copied; a member may have turned silent since, see
+    /// [`Directory::find`].
+    pub fn group(&self, kind: CallKind, target: &TargetName) -> Group {
+        let state = self.state.read().expect("not poisoned");
+        state.groups.get(&(kind, target.clone())).cloned().unwrap_or_default()
+    }
+
+    /// Returns an endpoint if it takes new calls at `now`.
+    pub fn find(&self, name: &EndpointName, now: Timestamp) -> Option<KnownEndpoint> {
+        let state = self.state.read().expect("not poisoned");
+        let known = state.endpoints.get(name)?;
+        (!known.announcement.leaving && state.holds(known, now)).then(|| known.clone())
+    }
+
+    /// Returns an endpoint as last announced, also if it is leaving or silent.
+    pub fn last_known(&self, name: &EndpointName) -> Option<KnownEndpoint> {
+        self.state.read().expect("not poisoned").endpoints.get(name).cloned()
+    }
+
+    /// Returns all endpoints that hold at `now`, those that are leaving too.
+    pub fn all(&self, now: Timestamp) -> Vec<KnownEndpoint> {
+        let state = self.state.read().expect("not poisoned");
+        let held = state.endpoints.values().filter(|known| state.holds(known, now));
+        held.cloned().collect()
+    }
+
     /// Returns the endpoints that take new calls for `target` at `now`.
     pub fn candidates(
         &self,
@@ -55,14 +211,78 @@
         target: &TargetName,
         now: Timestamp,
     ) -> Vec<KnownEndpoint> {
-        let endpoints = self.endpoints.read().expect("not poisoned");
-        let serves = |known: &&KnownEndpoint| {
-            let announcement = &known.announcement;
-            announcement.kind == kind
-                && !announcement.leaving
-                && now.since(known.heard_at) <= ANNOUNCEMENT_LEASE
-                && announcement.targets.contains(target)
-        };
-        endpoints.values().filter(serves).cloned().collect()
+        self.group(kind, target).iter().filter_map(|name| self.find(name, now)).collect()
+    }
+
+    fn vouched_by(&self, sponsor: &InstanceName) -> Vec<EndpointName> {
+        let theirs = self.sponsored(sponsor);
+        theirs.into_iter().map(|announcement| announcement.name.clone()).collect()
+    }
+}
+
+impl KnownEndpoint {
+    fn is_from(&self, sponsor: &InstanceName) -> bool {
+        matches!(&self.source, Source::Sponsor(name) if name == sponsor)
     }
 }
+
+impl State {
+    fn holds(&self, known: &KnownEndpoint, now: Timestamp) -> bool {
+        match &known.source {
+            Source::Local => now.since(known.heard_at) <= ANNOUNCEMENT_LEASE,
+            Source::Sponsor(sponsor) => {
+                self.sponsors.get(sponsor).is_some_and(|heard| now.since(heard.at) <= heard.lease)
+            }
+        }
+    }
+
+    fn insert(&mut self, known: KnownEndpoint) {
+        let name = known.announcement.name.clone();
+        let before = self.endpoints.insert(name.clone(), known.clone());
+        let before_keys = before.as_ref().map(group_keys).unwrap_or_default();
+        let after_keys = group_keys(&known);
+        if before_keys == after_keys {
+            return;
+        }
+        self.leave_groups(&name, &before_keys);
+        for key in after_keys {
+            let group = self.groups.entry(key).or_default();
+            *group = group.iter().cloned().chain([name.clone()]).collect();
+        }
+    }
+
+    fn remove(&mut self, name: &EndpointName) {
+        if let Some(known) = self.endpoints.remove(name) {
+            self.leave_groups(name, &group_keys(&known));
+        }
+    }
+
+    fn leave_groups(&mut self, name: &EndpointName, keys: &[GroupKey]) {
+        for key in keys {
+            let Some(group) = self.groups.get_mut(key) else {
+                continue;
+            };
+            *group = group.iter().filter(|member| *member != name).cloned().collect();
+            if group.is_empty() {
+                self.groups.remove(key);
+            }
+        }
+    }
+}
+
+fn group_keys(known: &KnownEndpoint) -> Vec<GroupKey> {
+    let announcement = &known.announcement;
+    if announcement.leaving {
+        return Vec::new();
+    }
+    announcement.targets.iter().map(|target| (announcement.kind, target.clone())).collect()
+}
+
+fn differs(known: &Announcement, new: &Announcement) -> bool {
+    // The load changes with each renewal and does not spread.
+    let without_load = Announcement { load: known.load, ..new.clone() };
+    *known != without_load
+}
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/endpoints/mod.rs
+++ b/coriandergw/src/endpoints/mod.rs
@@ -12,6 +12,11 @@
 
 pub mod client;
 pub mod directory;
+#[allow(missing_docs, clippy::all)]
+mod generated;
+pub mod gossip;
+pub mod outcomes;
+pub mod wire;
 
 /// What an endpoint tells of itself with `POST /v1/endpoints`, at first and on each renewal.
 #[derive(Debug, Clone, PartialEq)]
--- /dev/null
+++ b/coriandergw/src/endpoints/outcomes.rs
@@ -0,0 +1,1 @@
+//! Health of endpoints by the outcomes of their calls.
