feat(dispatch): queue, admit and place calls; add placement and admission

Calls were sent to the endpoints in turn, without queue, limits, retries or release of memory.

ScheduledDispatcher admits a call or refuses it at once, queues it, places it where its expected finish is earliest by load, learned rates and known prefixes, and sends it after the intent is recorded. It repeats only idempotent calls and calls that were not sent, at another endpoint and within 10% of an entry's calls. A dropped call gives its place back. An ended program's memory is released until the engine confirms. Endpoints can be asked for lost outcomes. Candidates are bounded, so that the cost of a decision does not grow with the endpoints.

Latency and decision cost are not measured yet.

--- /dev/null
+++ b/coriandergw/src/admission/limits.rs
@@ -0,0 +1,37 @@
+//! Limits of entries, as this instance's share of them.
+
+use std::collections::HashMap;
+
+use crate::ids::EntryName;
+
+/// Returns an instance's share of a limit that holds for the whole system; at least 1.
+pub fn share_of(limit: u64, instances: usize) -> u64 {
+    (limit / (instances.max(1) as u64)).max(1)
+}
+
+/// Counts the calls of each entry that wait or run here.
+#[derive(Debug, Default)]
+pub struct EntryCounts {
+    calls: HashMap<EntryName, u64>,
+}
+
+impl EntryCounts {
+    /// Counts one more call if fewer than `limit` are counted. Returns whether it was counted.
+    pub fn acquire(&mut self, entry: &EntryName, limit: u64) -> bool {
+        let count = self.calls.entry(entry.clone()).or_default();
+        let has_room = *count < limit;
+        *count += u64::from(has_room);
+        has_room
+    }
+
+    /// Counts one call less.
+    pub fn release(&mut self, entry: &EntryName) {
+        let Some(count) = self.calls.get_mut(entry) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.calls.remove(entry);
+        }
+    }
+}
--- /dev/null
+++ b/coriandergw/src/admission/tests.rs
@@ -0,0 +1,93 @@
+use std::time::Duration;
+
+use super::*;
+use crate::clock::Timestamp;
+use crate::result_code::ResultCode;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn observe(limit: &mut ConcurrencyLimit, ratio: f64, from_second: u64, times: u64) {
+    for n in from_second..from_second + times {
+        limit.observe(ratio, limit.get(), SECOND, Timestamp::from_millis(n * 1_500));
+    }
+}
+
+#[test]
+fn concurrency_falls_with_latency_and_rises_to_the_capacity() {
+    let mut limit = ConcurrencyLimit::new(16);
+    observe(&mut limit, 1.0, 1, 20);
+    assert_eq!(limit.get(), 16);
+    observe(&mut limit, 10.0, 30, 5);
+    let lowered = limit.get();
+    assert!(lowered < 10, "{lowered}");
+    observe(&mut limit, 1.0, 50, 200);
+    assert_eq!(limit.get(), 16);
+}
+
+#[test]
+fn concurrency_is_lowered_once_for_calls_that_ran_together() {
+    let mut limit = ConcurrencyLimit::new(16);
+    limit.observe(1.0, 16, SECOND, Timestamp::from_millis(5_000));
+    for _ in 0..16 {
+        limit.observe(10.0, 16, SECOND, Timestamp::from_millis(9_000));
+    }
+    assert_eq!(limit.get(), 13);
+    (0..100).for_each(|_| limit.lower(Timestamp::from_millis(9_500)));
+    assert_eq!(limit.get(), 1);
+}
+
+#[test]
+fn an_entry_gets_its_share_and_no_more() {
+    assert_eq!(share_of(10, 4), 2);
+    assert_eq!(share_of(2, 12), 1);
+    let entry = "e".try_into().unwrap();
+    let mut counts = EntryCounts::default();
+    assert!(counts.acquire(&entry, 1));
+    assert!(!counts.acquire(&entry, 1));
+    counts.release(&entry);
+    assert!(counts.acquire(&entry, 1));
+}
+
+#[test]
+fn retries_are_a_tenth_of_the_calls() {
+    let mut budget = RetryBudget::default();
+    while budget.withdraw() {}
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.deposit();
+        retries += u32::from(budget.withdraw());
+    }
+    assert!((98..=101).contains(&retries), "{retries}");
+    assert!(backoff(0, 0.0) < backoff(0, 1.0) && backoff(0, 1.0) < backoff(3, 0.5));
+    assert_eq!(backoff(40, 0.5), Duration::from_secs(2));
+}
+
+fn arrival(expected_wait: Duration) -> Arrival {
+    Arrival { expected_wait, bound: SECOND * 2, under_way: true, deadline: None }
+}
+
+#[test]
+fn a_call_that_would_wait_too_long_is_refused_as_not_run() {
+    let now = Timestamp::from_millis(1_000);
+    assert_eq!(admit(arrival(SECOND * 2), now), Ok(()));
+    let refusal = admit(arrival(SECOND * 5), now).unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::Overloaded, true));
+    assert_eq!(refusal.retry_after, Some(SECOND * 3));
+    let new = Arrival { under_way: false, ..arrival(SECOND * 2) };
+    assert!(admit(new, now).is_err());
+    let deadline = Some(Timestamp::from_millis(1_500));
+    assert!(admit(Arrival { deadline, ..arrival(SECOND) }, now).is_err());
+    let missed = Some(Timestamp::from_millis(500));
+    assert_eq!(admit(Arrival { deadline: missed, ..arrival(SECOND) }, now), Ok(()));
+}
+
+#[test]
+fn the_expected_wait_follows_the_rate_of_starts() {
+    let mut estimate = WaitEstimate::default();
+    assert_eq!(estimate.wait(100, 1.0), Duration::ZERO);
+    for n in 0..200 {
+        estimate.started(true, Timestamp::from_millis(n * 100));
+    }
+    let wait = estimate.wait(10, 0.5);
+    assert!((wait.as_secs_f64() - 2.0).abs() < 0.01, "{wait:?}");
+}
--- /dev/null
+++ b/coriandergw/src/dispatch/cache_feeds.rs
@@ -0,0 +1,95 @@
+//! Asks engines for the events of their caches.
+
+use std::sync::Weak;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use serde::Deserialize;
+
+use crate::dispatch::CallKind;
+use crate::dispatch::scheduled::Inner;
+use crate::endpoints::Announcement;
+use crate::ids::ProgramId;
+use crate::placement::CacheChange;
+use crate::placement::CacheEvent;
+
+/// How often each engine is asked.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How many engines are asked at once.
+const ASKED_AT_ONCE: usize = 16;
+
+/// How long an engine may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Deserialize)]
+struct RawPage {
+    next: u64,
+    events: Vec<RawEvent>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawEvent {
+    sequence: u64,
+    change: RawChange,
+    program: String,
+    tokens: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum RawChange {
+    Stored,
+    Evicted,
+}
+
+impl TryFrom<RawEvent> for CacheEvent {
+    type Error = crate::ids::NameError;
+
+    fn try_from(raw: RawEvent) -> Result<Self, Self::Error> {
+        let change = match raw.change {
+            RawChange::Stored => CacheChange::Stored,
+            RawChange::Evicted => CacheChange::Evicted,
+        };
+        let program = ProgramId::try_from(raw.program)?;
+        Ok(Self { sequence: raw.sequence, change, program, tokens: raw.tokens })
+    }
+}
+
+/// Polls the engines that calls were sent to, until the dispatcher is dropped.
+pub(super) async fn poll_forever(inner: Weak<Inner>) {
+    loop {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        let Some(inner) = inner.upgrade() else {
+            return;
+        };
+        let names = inner.state.lock().expect("not poisoned").scheduler.known_endpoints();
+        let now = inner.cx.clock.now();
+        let known = names.iter().filter_map(|name| inner.directory.find(name, now));
+        let engines = known.map(|known| known.announcement);
+        let engines = engines.filter(|announcement| announcement.kind == CallKind::Model);
+        futures_util::stream::iter(engines)
+            .for_each_concurrent(ASKED_AT_ONCE, |engine| poll(&inner, engine))
+            .await;
+    }
+}
+
+async fn poll(inner: &Inner, engine: std::sync::Arc<Announcement>) {
+    let since = {
+        let mut state = inner.state.lock().expect("not poisoned");
+        state.scheduler.prefixes().next_sequence(&engine.name)
+    };
+    let path = format!("/cache_events?since={since}");
+    let asked = inner.client.get_json(&engine, &path);
+    let Ok(Ok(answer)) = tokio::time::timeout(ANSWER_TIMEOUT, asked).await else {
+        return;
+    };
+    let Ok(page) = serde_json::from_value::<RawPage>(answer) else {
+        return;
+    };
+    let events: Vec<CacheEvent> =
+        page.events.into_iter().filter_map(|raw| raw.try_into().ok()).collect();
+    let now = inner.cx.clock.now();
+    let mut state = inner.state.lock().expect("not poisoned");
+    state.scheduler.prefixes().apply(&engine.name, &events, page.next, now);
+}
--- a/coriandergw/src/dispatch/direct.rs
+++ b/coriandergw/src/dispatch/direct.rs
@@ -16,6 +16,8 @@
 use crate::dispatch::TokenSink;
 use crate::endpoints::client::EndpointAnswer;
 use crate::endpoints::client::EndpointClient;
+use crate::endpoints::client::ModelOptions;
+use crate::endpoints::client::Progress;
 use crate::endpoints::client::SendError;
 use crate::endpoints::directory::Directory;
 use crate::endpoints::directory::KnownEndpoint;
@@ -60,7 +62,10 @@
         sink: Option<&TokenSink>,
     ) -> Result<EndpointAnswer, SendError> {
         if call.kind == CallKind::Model {
-            return self.client.complete(&endpoint.announcement, call, sink).await;
+            let options = ModelOptions::new(0, call.root.to_string());
+            let progress = Progress::default();
+            let client = &self.client;
+            return client.complete(&endpoint.announcement, call, &options, sink, &progress).await;
         }
         let invoked = self.client.invoke(&endpoint.announcement, call);
         let timed_out = |_| SendError::Lost { reason: "timed out".to_owned() };
@@ -106,10 +111,10 @@
         SendError::Status { .. } => {
             DispatchOutcome::Failed(Refusal::may_have_run(ResultCode::EndpointFailed, message))
         }
-        SendError::Lost { .. } if call.idempotent => {
+        SendError::Lost { .. } | SendError::Stalled { .. } if call.idempotent => {
             DispatchOutcome::Failed(Refusal::may_have_run(ResultCode::EndpointFailed, message))
         }
-        SendError::Lost { .. } => {
+        SendError::Lost { .. } | SendError::Stalled { .. } => {
             DispatchOutcome::Unknown(Refusal::may_have_run(ResultCode::OutcomeUnknown, message))
         }
     }
--- a/coriandergw/src/dispatch/mod.rs
+++ b/coriandergw/src/dispatch/mod.rs
@@ -14,7 +14,13 @@
 use crate::ids::TargetName;
 use crate::result_code::Refusal;
 
+mod cache_feeds;
 pub mod direct;
+mod endpoint_state;
+mod facts;
+mod releases;
+pub mod scheduled;
+mod scheduler;
 
 /// Says what kind of endpoint a call is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -128,6 +134,17 @@
 /// Passes generated text on as it arrives; bounded, so that a slow caller slows the engine.
 pub type TokenSink = mpsc::Sender<Bytes>;
 
+/// What an endpoint knows of a call whose answer was lost.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LookUp {
+    /// The call ran; this is its output.
+    Ran(serde_json::Value),
+    /// The call did not run and never will.
+    NotRan,
+    /// Nobody could tell.
+    Unknown,
+}
+
 /// Queues, places, sends and retries calls.
 #[async_trait]
 pub trait Dispatcher: Send + Sync {
@@ -141,4 +158,15 @@
 
     /// Releases the engine memory of a program that has ended; repeated until confirmed.
     fn program_ended(&self, program: &ProgramId);
+
+    /// Asks the endpoints of a target whether a call ran whose answer was lost.
+    async fn look_up(
+        &self,
+        _kind: CallKind,
+        _target: &TargetName,
+        _program: &ProgramId,
+        _call: &CallId,
+    ) -> LookUp {
+        LookUp::Unknown
+    }
 }
--- a/coriandergw/src/endpoints/client.rs
+++ b/coriandergw/src/endpoints/client.rs
@@ -3,7 +3,11 @@
 //! Engines are met by the chat-completions convention with streaming, tools and services by a plain
 //! `POST /call`.
 
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -49,6 +53,12 @@
         /// The start of the body.
         body: String,
     },
+    /// The endpoint accepted the call and then produced nothing for too long.
+    #[display("the endpoint produced nothing for {} ms", limit.as_millis())]
+    Stalled {
+        /// The limit that passed.
+        limit: Duration,
+    },
     /// The call may have run; its answer is lost or cut short.
     #[display("the answer is lost: {reason}")]
     Lost {
@@ -66,6 +76,57 @@
     pub usage: Usage,
 }
 
+/// How a model call is sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelOptions {
+    /// The priority among the engine's calls; 0 is the most urgent.
+    pub priority: u32,
+    /// Only calls with the same salt may share a cached prefix.
+    pub cache_salt: String,
+    /// The longest time until the first token.
+    pub first_token_limit: Duration,
+    /// The longest time between two tokens.
+    pub stall_limit: Duration,
+}
+
+impl ModelOptions {
+    /// Returns options with the usual limits.
+    pub fn new(priority: u32, cache_salt: String) -> Self {
+        let first_token_limit = Duration::from_secs(120);
+        Self { priority, cache_salt, first_token_limit, stall_limit: Duration::from_secs(20) }
+    }
+}
+
+/// What became visible of a call while it ran, also if it failed.
+#[derive(Debug)]
+pub struct Progress {
+    begun: Instant,
+    first_token: OnceLock<Duration>,
+    text_passed_on: AtomicBool,
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        Self {
+            begun: Instant::now(),
+            first_token: OnceLock::new(),
+            text_passed_on: AtomicBool::new(false),
+        }
+    }
+}
+
+impl Progress {
+    /// Returns the time until the first token, if one came.
+    pub fn first_token(&self) -> Option<Duration> {
+        self.first_token.get().copied()
+    }
+
+    /// Returns whether the caller has been given a part of the answer.
+    pub fn text_passed_on(&self) -> bool {
+        self.text_passed_on.load(Ordering::Relaxed)
+    }
+}
+
 /// Sends calls; keeps connections to endpoints open between calls.
 #[derive(Debug, Clone)]
 pub struct EndpointClient {
@@ -90,7 +151,9 @@
         &self,
         endpoint: &Announcement,
         call: &ReadyCall,
+        options: &ModelOptions,
         sink: Option<&TokenSink>,
+        progress: &Progress,
     ) -> Result<EndpointAnswer, SendError> {
         let body = json!({
             "model": call.target,
@@ -99,9 +162,12 @@
             "stream": true,
             "stream_options": {"include_usage": true},
             "user": call.program,
+            "priority": options.priority,
+            "cache_salt": options.cache_salt,
         });
-        let res = self.post(endpoint, "/v1/chat/completions", call, &body).await?;
-        read_completion(res, sink).await
+        let posted = self.post(endpoint, "/v1/chat/completions", call, &body);
+        let res = within(options.first_token_limit, posted).await??;
+        read_completion(res, options, sink, progress).await
     }
 
     /// Sends a tool or service call.
@@ -126,36 +192,82 @@
         Ok(EndpointAnswer { output, usage: Usage::default() })
     }
 
-    async fn post(
+    /// Asks an endpoint for a JSON document. An answer with 404 counts as one.
+    ///
+    /// # Errors
+    /// Fails as [`SendError`] describes.
+    pub async fn get_json(&self, endpoint: &Announcement, path: &str) -> Result<Value, SendError> {
+        let req = Request::get(format!("http://{}{path}", endpoint.address)).body(Full::default());
+        let res = self.request(req).await?;
+        let status = res.status().as_u16();
+        let bytes = read_whole(res).await?;
+        match status {
+            200 | 404 => serde_json::from_slice(&bytes)
+                .map_err(|cause| SendError::Lost { reason: cause.to_string() }),
+            _ => Err(status_error(status, &bytes)),
+        }
+    }
+
+    /// Sends a JSON document and returns once it is confirmed.
+    ///
+    /// # Errors
+    /// Fails as [`SendError`] describes.
+    pub async fn post_json(
         &self,
         endpoint: &Announcement,
         path: &str,
-        call: &ReadyCall,
         body: &Value,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<(), SendError> {
         let req = Request::post(format!("http://{}{path}", endpoint.address))
             .header("content-type", "application/json")
-            .header("call-id", call.call.as_str())
-            .header("program", call.program.as_str())
-            .body(Full::new(Bytes::from(body.to_string())))
-            .map_err(|cause| SendError::NotSent { reason: cause.to_string() })?;
-        let res = self.http.request(req).await.map_err(|cause| {
+            .body(Full::new(Bytes::from(body.to_string())));
+        let res = self.request(req).await?;
+        if res.status().is_success() {
+            return Ok(());
+        }
+        let status = res.status().as_u16();
+        Err(status_error(status, &read_whole(res).await.unwrap_or_default()))
+    }
+
+    async fn request(
+        &self,
+        req: Result<Request<Full<Bytes>>, hyper::http::Error>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let req = req.map_err(|cause| SendError::NotSent { reason: cause.to_string() })?;
+        self.http.request(req).await.map_err(|cause| {
             let reason = cause.to_string();
             match cause.is_connect() {
                 true => SendError::NotSent { reason },
                 false => SendError::Lost { reason },
             }
-        })?;
+        })
+    }
+
+    async fn post(
+        &self,
+        endpoint: &Announcement,
+        path: &str,
+        call: &ReadyCall,
+        body: &Value,
+    ) -> Result<Response<Incoming>, SendError> {
+        let req = Request::post(format!("http://{}{path}", endpoint.address))
+            .header("content-type", "application/json")
+            .header("call-id", call.call.as_str())
+            .header("program", call.program.as_str())
+            .body(Full::new(Bytes::from(body.to_string())));
+        let res = self.request(req).await?;
         if res.status().is_success() {
             return Ok(res);
         }
         let status = res.status().as_u16();
-        let body = read_whole(res).await.unwrap_or_default();
-        let body = String::from_utf8_lossy(&body).chars().take(200).collect();
-        Err(SendError::Status { status, body })
+        Err(status_error(status, &read_whole(res).await.unwrap_or_default()))
     }
 }
 
+fn status_error(status: u16, body: &[u8]) -> SendError {
+    SendError::Status { status, body: String::from_utf8_lossy(body).chars().take(200).collect() }
+}
+
 /// Builds the prompt of a model call: the history, then the call's own input.
 pub fn prompt(history: &[Message], input: &Value) -> Vec<Message> {
     let mut messages = history.to_vec();
@@ -183,25 +295,42 @@
     Ok(limited.collect().await.map_err(lost)?.to_bytes())
 }
 
+async fn within<F>(limit: Duration, work: F) -> Result<F::Output, SendError>
+where
+    F: Future,
+{
+    tokio::time::timeout(limit, work).await.map_err(|_| SendError::Stalled { limit })
+}
+
 async fn read_completion(
     res: Response<Incoming>,
+    options: &ModelOptions,
     sink: Option<&TokenSink>,
+    progress: &Progress,
 ) -> Result<EndpointAnswer, SendError> {
     let mut body = res.into_body();
     let mut parser = CompletionParser::default();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let limit = match progress.first_token() {
+            None => options.first_token_limit,
+            Some(_) => options.stall_limit,
+        };
+        let Some(frame) = within(limit, body.frame()).await? else {
+            return parser.finish();
+        };
         let frame = frame.map_err(|cause| SendError::Lost { reason: cause.to_string() })?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
         for text in parser.feed(&data) {
+            progress.first_token.get_or_init(|| progress.begun.elapsed());
             if let Some(sink) = sink {
+                progress.text_passed_on.store(true, Ordering::Relaxed);
                 // A caller that went away is noticed by whoever runs the call.
                 let _ = sink.send(Bytes::from(text)).await;
             }
         }
     }
-    parser.finish()
 }
 
 /// Reads the server-sent events of a chat completion.
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -70,4 +70,6 @@
     EndpointLeaving = 401, Info;
     /// An endpoint stopped renewing its announcement.
     EndpointSilent = 402, Warning;
+    /// An attempt of a call failed at its endpoint.
+    AttemptFailed = 403, Warning;
 }
--- /dev/null
+++ b/coriandergw/src/placement/baselines.rs
@@ -0,0 +1,84 @@
+//! Simple rules for placing calls, which the measurements compare with.
+
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use rand::Rng;
+
+use crate::placement::Candidate;
+use crate::placement::Need;
+use crate::placement::Placer;
+use crate::placement::Verdict;
+
+/// Takes the candidates in turn, whatever their load.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: AtomicUsize,
+}
+
+impl Placer for RoundRobin {
+    fn place(&self, _need: Need, candidates: &[Candidate]) -> Verdict {
+        if candidates.is_empty() {
+            return Verdict::NoRoom;
+        }
+        Verdict::Send(self.next.fetch_add(1, Ordering::Relaxed) % candidates.len())
+    }
+
+    fn wants_all(&self) -> bool {
+        true
+    }
+}
+
+/// Takes the candidate with the least known load.
+#[derive(Debug, Default)]
+pub struct LeastLoaded;
+
+impl Placer for LeastLoaded {
+    fn place(&self, _need: Need, candidates: &[Candidate]) -> Verdict {
+        // Ties are broken at random, else all instances would choose the same endpoint.
+        let key = |candidate: &Candidate| (candidate.load, rand::random::<u32>());
+        send_to(candidates.iter().enumerate().min_by_key(|(_, candidate)| key(candidate)))
+    }
+
+    fn wants_all(&self) -> bool {
+        true
+    }
+}
+
+/// Takes the less loaded of two candidates chosen at random.
+#[derive(Debug, Default)]
+pub struct TwoChoices;
+
+impl Placer for TwoChoices {
+    fn place(&self, _need: Need, candidates: &[Candidate]) -> Verdict {
+        if candidates.is_empty() {
+            return Verdict::NoRoom;
+        }
+        let mut rng = rand::rng();
+        let (a, b) = (rng.random_range(0..candidates.len()), rng.random_range(0..candidates.len()));
+        Verdict::Send(if candidates[a].load <= candidates[b].load { a } else { b })
+    }
+
+    fn wants_all(&self) -> bool {
+        true
+    }
+}
+
+/// Takes the candidate with the most cached tokens, whatever its load.
+#[derive(Debug, Default)]
+pub struct PrefixOnly;
+
+impl Placer for PrefixOnly {
+    fn place(&self, _need: Need, candidates: &[Candidate]) -> Verdict {
+        let key = |candidate: &Candidate| (candidate.cached_tokens, rand::random::<u32>());
+        send_to(candidates.iter().enumerate().max_by_key(|(_, candidate)| key(candidate)))
+    }
+
+    fn wants_all(&self) -> bool {
+        true
+    }
+}
+
+fn send_to(chosen: Option<(usize, &Candidate)>) -> Verdict {
+    chosen.map_or(Verdict::NoRoom, |(index, _)| Verdict::Send(index))
+}
--- /dev/null
+++ b/coriandergw/src/placement/expected.rs
@@ -0,0 +1,96 @@
+//! The expected finish of a call at a candidate, and the choice by it.
+
+use std::time::Duration;
+
+use crate::ids::EndpointName;
+use crate::placement::Rates;
+
+/// How much a computed prompt token counts beyond its own time, because it delays other calls.
+const RECOMPUTE_WEIGHT: f64 = 1.5;
+
+/// The least weight by which an expected finish is divided.
+const WEIGHT_MIN: f64 = 0.05;
+
+/// What a call needs of an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Need {
+    /// The tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// The tokens that it is expected to generate.
+    pub answer_tokens: u64,
+}
+
+/// An endpoint that a call may be sent to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Whether it has room for a call now.
+    pub has_room: bool,
+    /// The calls that are known to be there.
+    pub load: u32,
+    /// The time until it is expected to have room.
+    pub wait: Duration,
+    /// The tokens of the prompt that its cache is expected to hold.
+    pub cached_tokens: u64,
+    /// Its learned rates.
+    pub rates: Rates,
+    /// The time for the way there and back.
+    pub transfer: Duration,
+    /// Its health, from 0 to 1.
+    pub weight: f64,
+}
+
+/// What to do with a call now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Send it to the candidate with this index.
+    Send(usize),
+    /// Leave it in the queue: waiting for the candidate with this index finishes sooner.
+    WaitFor(usize),
+    /// Leave it in the queue: no candidate has room.
+    NoRoom,
+}
+
+/// Chooses among candidates.
+pub trait Placer: Send + Sync {
+    /// Chooses a candidate for a call.
+    fn place(&self, need: Need, candidates: &[Candidate]) -> Verdict;
+
+    /// Returns whether all endpoints are to be offered instead of a few.
+    fn wants_all(&self) -> bool {
+        false
+    }
+}
+
+/// Returns how long a call is expected to take at a candidate from now on.
+pub fn expected_finish(need: Need, candidate: &Candidate) -> Duration {
+    let uncached = need.prompt_tokens.saturating_sub(candidate.cached_tokens) as f64;
+    let prefill = uncached * candidate.rates.prefill_seconds_per_token * RECOMPUTE_WEIGHT;
+    let decode = need.answer_tokens as f64 * candidate.rates.decode_seconds_per_token;
+    let service = prefill + decode + candidate.rates.overhead_seconds;
+    let total = candidate.wait.as_secs_f64() + candidate.transfer.as_secs_f64() + service;
+    Duration::try_from_secs_f64(total / candidate.weight.max(WEIGHT_MIN)).unwrap_or(Duration::MAX)
+}
+
+/// Chooses the candidate with the earliest expected finish.
+#[derive(Debug, Default)]
+pub struct ExpectedFinish;
+
+impl Placer for ExpectedFinish {
+    fn place(&self, need: Need, candidates: &[Candidate]) -> Verdict {
+        let finish = |candidate: &Candidate| expected_finish(need, candidate);
+        let best = candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, candidate)| candidate.weight > 0.0)
+            .min_by_key(|(_, candidate)| (finish(candidate), candidate.load));
+        match best {
+            Some((index, candidate)) if candidate.has_room => Verdict::Send(index),
+            Some((index, _)) if candidates.iter().any(|one| one.has_room) => {
+                Verdict::WaitFor(index)
+            }
+            _ => Verdict::NoRoom,
+        }
+    }
+}
--- /dev/null
+++ b/coriandergw/src/placement/tests.rs
@@ -0,0 +1,113 @@
+use std::time::Duration;
+
+use super::*;
+use crate::clock::Timestamp;
+use crate::ids::EndpointName;
+
+const NEED: Need = Need { prompt_tokens: 4_000, answer_tokens: 100 };
+
+fn name(raw: &str) -> EndpointName {
+    raw.try_into().unwrap()
+}
+
+fn key(program: &str) -> PrefixKey {
+    PrefixKey::Program(program.try_into().unwrap())
+}
+
+/// Builds an idle candidate without the prefix.
+fn candidate(endpoint: &str) -> Candidate {
+    Candidate {
+        endpoint: name(endpoint),
+        has_room: true,
+        load: 0,
+        wait: Duration::ZERO,
+        cached_tokens: 0,
+        rates: Rates::default(),
+        transfer: Duration::ZERO,
+        weight: 1.0,
+    }
+}
+
+#[test]
+fn the_holder_of_the_prefix_wins_while_waiting_for_it_is_cheaper() {
+    let holder = |wait_ms| Candidate {
+        has_room: wait_ms == 0,
+        wait: Duration::from_millis(wait_ms),
+        cached_tokens: 4_000,
+        ..candidate("holder")
+    };
+    let place = |wait_ms| ExpectedFinish.place(NEED, &[candidate("idle"), holder(wait_ms)]);
+    assert_eq!(place(0), Verdict::Send(1));
+    assert_eq!(place(500), Verdict::WaitFor(1));
+    assert_eq!(place(5_000), Verdict::Send(0));
+}
+
+#[test]
+fn unhealthy_and_slow_endpoints_are_avoided_and_those_out_get_nothing() {
+    let sick = Candidate { weight: 0.5, ..candidate("sick") };
+    let slow_rates = Rates { decode_seconds_per_token: 0.2, ..Rates::default() };
+    let slow = Candidate { rates: slow_rates, ..candidate("slow") };
+    let well = candidate("well");
+    assert_eq!(ExpectedFinish.place(NEED, &[sick, slow, well]), Verdict::Send(2));
+    let out = Candidate { weight: 0.0, ..candidate("out") };
+    assert_eq!(ExpectedFinish.place(NEED, &[out]), Verdict::NoRoom);
+}
+
+#[test]
+fn rates_are_learned_from_answers() {
+    let mut book = RateBook::default();
+    let sample = Sample {
+        uncached_tokens: 1_000,
+        answer_tokens: 101,
+        first_token: Duration::from_millis(1_010),
+        total: Duration::from_millis(6_010),
+    };
+    for _ in 0..100 {
+        book.learn(&name("a"), sample);
+    }
+    let rates = book.rates(&name("a"));
+    assert!((rates.prefill_seconds_per_token - 0.001).abs() < 0.000_1);
+    assert!((rates.decode_seconds_per_token - 0.05).abs() < 0.001);
+    assert!((book.rates(&name("unseen")).decode_seconds_per_token - 0.05).abs() < 0.001);
+}
+
+fn evicted(sequence: u64, program: &str, tokens: u64) -> CacheEvent {
+    let program = program.try_into().unwrap();
+    CacheEvent { sequence, change: CacheChange::Evicted, program, tokens }
+}
+
+#[test]
+fn evictions_lower_a_claim_unless_it_was_used_since() {
+    let at = Timestamp::from_millis;
+    let mut book = PrefixBook::default();
+    book.record(key("old"), &name("a"), 1_000, at(1));
+    book.apply(&name("a"), &[], 0, at(10));
+    book.record(key("new"), &name("a"), 1_000, at(11));
+    book.apply(&name("a"), &[evicted(0, "old", 600), evicted(1, "new", 600)], 2, at(20));
+    assert_eq!(book.cached_tokens(&key("old"), &name("a")), 400);
+    assert_eq!(book.cached_tokens(&key("new"), &name("a")), 1_000);
+    assert_eq!(book.computed_tokens(&key("old")), 1_000);
+}
+
+#[test]
+fn a_gap_lowers_only_the_claims_of_that_engine_from_before_it() {
+    let at = Timestamp::from_millis;
+    let mut book = PrefixBook::default();
+    book.record(key("p"), &name("a"), 1_000, at(1));
+    book.record(key("p"), &name("b"), 1_000, at(1));
+    assert_eq!(book.apply(&name("a"), &[], 5, at(10)), 0);
+    book.record(key("q"), &name("a"), 1_000, at(11));
+    assert_eq!(book.apply(&name("a"), &[evicted(7, "other", 1)], 8, at(20)), 1);
+    assert_eq!(book.cached_tokens(&key("p"), &name("a")), 500);
+    assert_eq!(book.cached_tokens(&key("p"), &name("b")), 1_000);
+    assert_eq!(book.cached_tokens(&key("q"), &name("a")), 1_000);
+}
+
+#[test]
+fn an_ended_program_names_the_engines_that_hold_its_memory() {
+    let mut book = PrefixBook::default();
+    book.record(key("p"), &name("a"), 10, Timestamp(1));
+    book.record(key("p"), &name("b"), 10, Timestamp(2));
+    assert_eq!(book.remove(&key("p")), [name("a"), name("b")]);
+    assert_eq!(book.holders(&key("p")).count(), 0);
+}
