feat(testkit): run real processes behind proxies; audit what was recorded

Cause: promises are shown with processes of the shipped binary, not with parts. Change: a harness that starts 1 to 12 instances from settings files, each behind a TCP proxy and with a UDP proxy for each directed link; kill, freeze, stop, restart, loss of the data folder, cut links. A caller that resends under the same call id and logs all answers; an operator's client; an auditor that checks order, repetition, histories, budgets, held memory, answers and each 'not run' against the fakes' own records.

--- /dev/null
+++ b/testkit/src/cluster/process.rs
@@ -0,0 +1,106 @@
+//! One process of the shipped binary.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitStatus;
+use std::process::Stdio;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::BufReader;
+use tokio::process::Child;
+use tokio::process::Command;
+
+use crate::cluster::binary;
+use crate::wait;
+
+/// Where a started process listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Listening {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other instances.
+    pub peers: SocketAddr,
+}
+
+/// A running process; dropping it kills it.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// Where it listens.
+    pub listening: Listening,
+}
+
+impl Process {
+    /// Starts an instance and waits until it says where it listens; its log goes to `log`.
+    ///
+    /// # Panics
+    /// Panics if the process cannot be started or does not say where it listens.
+    pub async fn start(settings: &Path, log: &Path) -> Self {
+        let log_file = File::options().create(true).append(true).open(log).expect("a log file");
+        let mut child = Command::new(binary::path())
+            .arg("run")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log_file)
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the binary can be started");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let listening = tokio::time::timeout(wait::LIMIT, read_listening(stdout, log)).await;
+        let listening = listening.expect("the process says in time where it listens");
+        Self { child, listening }
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id().unwrap_or(0)
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let pid = self.child.id().and_then(|id| Pid::from_raw(id as i32));
+        if let Some(pid) = pid {
+            let _ = rustix::process::kill_process(pid, signal);
+        }
+    }
+
+    /// Kills the process at once and waits for its end.
+    pub async fn kill(&mut self) {
+        let _ = self.child.kill().await;
+    }
+
+    /// Waits for the process to end by itself.
+    ///
+    /// # Panics
+    /// Panics if it does not end in time.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let ended = tokio::time::timeout(wait::LIMIT, self.child.wait()).await;
+        ended.expect("the process ends in time").expect("the process can be waited for")
+    }
+}
+
+async fn read_listening<R>(stdout: R, log: &Path) -> Listening
+where
+    R: tokio::io::AsyncRead + Unpin + Send + 'static,
+{
+    let mut lines = BufReader::new(stdout).lines();
+    let mut callers = None;
+    let mut peers = None;
+    loop {
+        if let (Some(callers), Some(peers)) = (callers, peers) {
+            // Goes on reading, so that a full pipe never blocks the process.
+            tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+            return Listening { callers, peers };
+        }
+        let Ok(Some(line)) = lines.next_line().await else {
+            let text = std::fs::read_to_string(log).unwrap_or_default();
+            panic!("the process ended before it listened; its log:\n{text}");
+        };
+        callers = callers.or_else(|| line.split_once(" listens on http://")?.1.parse().ok());
+        peers = peers.or_else(|| line.split_once(" peers at ")?.1.parse().ok());
+    }
+}
--- a/testkit/src/fakes/engine_core.rs
+++ b/testkit/src/fakes/engine_core.rs
@@ -21,6 +21,7 @@
 use crate::fakes::batch::Step;
 use crate::fakes::prefix_cache::CacheChange;
 use crate::fakes::prefix_cache::PrefixCache;
+use crate::sequence;
 
 /// The load samples that are kept for late reports.
 const LOAD_SAMPLES_MAX: usize = 4_096;
@@ -95,6 +96,10 @@
     pub finished: bool,
     /// Whether the caller hung up.
     pub cancelled: bool,
+    /// The place of its arrival in the order of all records.
+    pub started_at: u64,
+    /// The place of its last token in the order of all records.
+    pub finished_at: Option<u64>,
 }
 
 /// What a stream is told.
@@ -267,6 +272,8 @@
             text: String::new(),
             finished: false,
             cancelled: false,
+            started_at: sequence::next(),
+            finished_at: None,
         });
         self.sample_load(now);
         (id, rx)
@@ -334,7 +341,8 @@
         };
         let record = &mut self.records[id as usize];
         record.finished = true;
-        let answer = Message { role: "assistant".into(), content: record.text.trim_end().into() };
+        record.finished_at = Some(sequence::next());
+        let answer = Message { role: "assistant".into(), content: record.text.as_str().into() };
         let mut messages = record.call.messages.clone();
         messages.push(answer);
         let (program, pin, usage) = (record.call.program.clone(), record.call.pin, record.usage);
--- a/testkit/src/fakes/service.rs
+++ b/testkit/src/fakes/service.rs
@@ -25,6 +25,7 @@
 use serde_json::json;
 
 use crate::fakes::server::Server;
+use crate::sequence;
 
 /// The calls that a service takes at once, as it announces.
 const CAPACITY: u32 = 64;
@@ -85,6 +86,10 @@
     pub input: Value,
     /// The output.
     pub output: Value,
+    /// The place of its start in the order of all records.
+    pub started_at: u64,
+    /// The place of its answer in the order of all records.
+    pub finished_at: Option<u64>,
 }
 
 #[derive(Default)]
@@ -184,17 +189,19 @@
         }
         _ => {}
     }
-    let output = record(&shared, call);
+    let (index, output) = record(&shared, call);
     match behaviour {
         Behaviour::Late(delay) => tokio::time::sleep(delay).await,
         Behaviour::RunThenHang => std::future::pending::<()>().await,
         Behaviour::RunThenCut => return cut_answer(&output),
         _ => {}
     }
+    shared.ran.lock().expect("not poisoned")[index].finished_at = Some(sequence::next());
     Json(output).into_response()
 }
 
-fn record(shared: &Shared, call: CallBody) -> Value {
+/// Records a run. Returns its place and its output.
+fn record(shared: &Shared, call: CallBody) -> (usize, Value) {
     let mut ran = shared.ran.lock().expect("not poisoned");
     let output = json!({"call_id": call.call_id, "program": call.program, "run": ran.len()});
     ran.push(RunRecord {
@@ -202,8 +209,10 @@
         call: call.call_id,
         input: call.input,
         output: output.clone(),
+        started_at: sequence::next(),
+        finished_at: None,
     });
-    output
+    (ran.len() - 1, output)
 }
 
 fn cut_answer(output: &Value) -> Response {
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -1,6 +1,13 @@
 //! Fakes at the interfaces, a fault-injecting proxy and measurements. Not shipped.
 
+pub mod auditor;
+pub mod caller;
+pub mod cluster;
 pub mod fakes;
 pub mod generate;
 pub mod http;
+pub mod operator;
 pub mod proxy;
+pub mod scene;
+pub mod sequence;
+pub mod wait;
