--- a/coriandergw/src/log_groups/core/leader.rs
+++ b/coriandergw/src/log_groups/core/leader.rs
@@ -19,12 +19,6 @@
 use crate::log_groups::core::timing::HEARTBEAT_INTERVAL;
 use crate::log_groups::core::timing::LEASE;
 
-/// The most bytes of entries in one message.
-const APPEND_MAX_BYTES: usize = 1 << 20;
-
-/// The bytes of a snapshot in one message.
-const CHUNK_BYTES: usize = 256 << 10;
-
 /// What a leader keeps for its term.
 #[derive(Debug, Clone)]
 pub(super) struct Leading {
@@ -154,7 +148,7 @@
 
     fn next_message(&mut self, member: &InstanceName, now: Timestamp) -> Option<Message> {
         let last_index = self.log.last_index();
-        let commit = self.commit;
+        let (commit, limits) = (self.commit, self.limits);
         let Role::Leader(leading) = &mut self.role else {
             return None;
         };
@@ -166,10 +160,10 @@
         let prev_index = progress.next - 1;
         let body = match self.log.term_at(prev_index) {
             Some(prev_term) if progress.transfer.is_none() => {
-                let entries = self.log.slice(progress.next, APPEND_MAX_BYTES);
+                let entries = self.log.slice(progress.next, limits.append_bytes);
                 Body::Append { prev_index, prev_term, commit, entries }
             }
-            _ => next_chunk(progress, self.log.snapshot()),
+            _ => next_chunk(progress, self.log.snapshot(), limits.chunk_bytes),
         };
         Some(self.request(body, now))
     }
@@ -218,12 +212,12 @@
     }
 }
 
-fn next_chunk(progress: &mut Progress, snapshot: &Snapshot) -> Body {
+fn next_chunk(progress: &mut Progress, snapshot: &Snapshot, chunk_bytes: usize) -> Body {
     let fresh = || Transfer { snapshot: snapshot.clone(), received: 0 };
     let transfer = progress.transfer.get_or_insert_with(fresh);
     let Snapshot { index, term, members, data } = &transfer.snapshot;
     let start = (transfer.received as usize).min(data.len());
-    let end = (start + CHUNK_BYTES).min(data.len());
+    let end = (start + chunk_bytes).min(data.len());
     Body::Chunk {
         index: *index,
         index_term: *term,
--- a/coriandergw/src/log_groups/core/mod.rs
+++ b/coriandergw/src/log_groups/core/mod.rs
@@ -31,6 +31,7 @@
 pub use replica::Batch;
 pub use replica::Core;
 pub use replica::Entry;
+pub use replica::MessageLimits;
 pub use replica::Payload;
 pub use replica::ProposeFault;
 pub use replica::Record;
--- a/coriandergw/src/log_groups/core/replica.rs
+++ b/coriandergw/src/log_groups/core/replica.rs
@@ -116,6 +116,21 @@
     },
 }
 
+/// The sizes of messages that carry entries or snapshots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MessageLimits {
+    /// The most bytes of entries in one message; one entry may have more.
+    pub append_bytes: usize,
+    /// The bytes of a snapshot in one message.
+    pub chunk_bytes: usize,
+}
+
+impl Default for MessageLimits {
+    fn default() -> Self {
+        Self { append_bytes: 1 << 20, chunk_bytes: 256 << 10 }
+    }
+}
+
 /// What a member is doing.
 #[derive(Debug, Clone)]
 pub(super) enum Role {
@@ -145,6 +160,7 @@
     /// The highest index that the leader said is committed and at which the logs agree.
     pub(super) commit_known: u64,
     pub(super) incoming: Option<IncomingSnapshot>,
+    pub(super) limits: MessageLimits,
     handed_out: u64,
     durable_index: u64,
     durable_term: u64,
@@ -176,6 +192,7 @@
             commit: start,
             commit_known: start,
             incoming: None,
+            limits: MessageLimits::default(),
             handed_out: start,
             durable_index: log.last_index(),
             durable_term: term,
@@ -191,6 +208,12 @@
         core
     }
 
+    /// Sets the sizes of messages.
+    pub fn with_limits(mut self, limits: MessageLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     /// Returns the current term.
     pub fn term(&self) -> u64 {
         self.term
--- a/coriandergw/src/log_groups/core/simulation.rs
+++ b/coriandergw/src/log_groups/core/simulation.rs
@@ -16,6 +16,7 @@
 use crate::log_groups::core::Entry;
 use crate::log_groups::core::Members;
 use crate::log_groups::core::Message;
+use crate::log_groups::core::MessageLimits;
 use crate::log_groups::core::Payload;
 use crate::log_groups::core::Record;
 use crate::log_groups::core::Recovered;
@@ -24,6 +25,12 @@
 /// The simulated time between two rounds of deliveries.
 const SLOT: Duration = Duration::from_millis(20);
 
+/// Messages so small that entries and snapshots take several of them.
+const SMALL_MESSAGES: MessageLimits = MessageLimits { append_bytes: 70, chunk_bytes: 3 };
+
+/// The rounds of proposals within which the members agree after all faults ended.
+const SETTLE_ROUNDS: u32 = 40;
+
 /// The members: the first three are voters, the others may replace them.
 pub const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
 
@@ -178,22 +185,32 @@
         for member in 0..NAMES.len() {
             self.run(&Action::Restart { member });
         }
-        for _ in 0..4 {
-            self.run(&Action::Pass { slots: 100 });
+        let can_settle = self.members.iter().all(|member| !member.lost);
+        for _ in 0..SETTLE_ROUNDS {
             self.run(&Action::Propose);
+            self.run(&Action::Pass { slots: 10 });
+            if self.has_settled() {
+                return;
+            }
         }
-        self.run(&Action::Pass { slots: 50 });
-        if self.members.iter().any(|member| member.lost) {
-            return;
-        }
-        let leading = |member: &&Member| member.core.as_ref().is_some_and(Core::is_ready_leader);
-        let leader = self.members.iter().find(leading).expect("no leader after all faults ended");
-        let members = leader.core.as_ref().expect("runs").members().clone();
-        for voter in members.voters.iter().map(place) {
-            assert_eq!(self.members[voter].state, leader.state, "{} is behind", NAMES[voter]);
-        }
+        assert!(!can_settle, "the members do not agree after all faults ended");
+    }
+
+    fn has_settled(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let leader = &self.members[leader];
+        let voters = leader.core.iter().flat_map(|core| &core.members().voters);
+        let agree = voters.map(place).all(|voter| self.members[voter].state == leader.state);
         let last_acknowledged = self.acknowledged.iter().map(|(index, _)| *index).max();
-        assert!(leader.state.0 >= last_acknowledged.unwrap_or_default());
+        agree && Some(leader.state.0) == last_acknowledged
+    }
+
+    /// Returns the member that leads and knows what is committed.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |member: &Member| member.core.as_ref().is_some_and(Core::is_ready_leader);
+        self.members.iter().position(leads)
     }
 
     /// Returns how many commands were acknowledged.
@@ -358,7 +375,8 @@
         recovered.finish(member.stored.clone()).expect("the snapshot is there");
         member.state = (0, 0);
         member.commit = 0;
-        member.core = Some(Core::new(member.name.clone(), recovered, seed, local));
+        let core = Core::new(member.name.clone(), recovered, seed, local);
+        member.core = Some(core.with_limits(SMALL_MESSAGES));
     }
 
     fn compact(&mut self, at: usize, trailing: u8) {
--- a/coriandergw/src/log_groups/core/tests.rs
+++ b/coriandergw/src/log_groups/core/tests.rs
@@ -53,10 +53,55 @@
     ]
 }
 
-fn lossy_action() -> impl Strategy<Value = Action> {
+fn pass() -> impl Strategy<Value = Action> {
+    (1u8..30).prop_map(|slots| Action::Pass { slots })
+}
+
+fn voters() -> impl Strategy<Value = Vec<usize>> {
+    Just(vec![0, 1, 2]).prop_shuffle()
+}
+
+/// Commits without one voter, stops another, and lets the third one meet the first again.
+fn changing_quorums(loses_log: bool) -> impl Strategy<Value = Vec<Action>> {
+    let pauses = (1u8..4, pass(), pass());
+    (voters(), pauses, any::<bool>()).prop_map(move |(voters, (soon, settle, after), other)| {
+        let [first, second, third] = [voters[0], voters[1], voters[2]];
+        let stopped = if other { first } else { second };
+        let stop = match loses_log {
+            true => Action::LoseLog { member: stopped },
+            false => Action::Crash { member: stopped },
+        };
+        vec![
+            Action::Isolate { member: third },
+            settle.clone(),
+            Action::Propose,
+            Action::Pass { slots: soon },
+            stop,
+            Action::Heal,
+            Action::Isolate { member: first + second - stopped },
+            Action::Restart { member: stopped },
+            after,
+            settle,
+            Action::Propose,
+            Action::Pass { slots: 10 },
+            Action::Heal,
+        ]
+    })
+}
+
+fn steps() -> impl Strategy<Value = Vec<Action>> {
     prop_oneof![
-        19 => action(),
-        1 => member().prop_map(|member| Action::LoseLog { member }),
+        12 => action().prop_map(|action| vec![action]),
+        1 => changing_quorums(false),
+    ]
+}
+
+fn steps_with_lost_logs() -> impl Strategy<Value = Vec<Action>> {
+    let lose_log = member().prop_map(|member| vec![Action::LoseLog { member }]);
+    prop_oneof![
+        30 => steps(),
+        1 => lose_log,
+        3 => changing_quorums(true),
     ]
 }
 
@@ -74,9 +119,9 @@
     })
 }
 
-fn run_share<S>(share: u32, action: S)
+fn run_share<S>(share: u32, steps: S)
 where
-    S: Strategy<Value = Action>,
+    S: Strategy<Value = Vec<Action>>,
 {
     let cases = from_environment("CGW_SCHEDULES").unwrap_or(SCHEDULES) / SHARES;
     let base = from_environment("CGW_SEED").unwrap_or(SEED);
@@ -86,34 +131,54 @@
     let config = Config { cases, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let schedule = (any::<u64>(), prop::collection::vec(action, 10..40));
-    let mut acknowledged = 0;
-    let counted = std::cell::Cell::new(0);
+    let schedule = (any::<u64>(), prop::collection::vec(steps, 10..30));
+    let acknowledged = std::cell::Cell::new(0);
     let result = runner.run(&schedule, |(seed, actions)| {
-        counted.set(counted.get() + run_schedule(seed, &actions)?);
+        acknowledged.set(acknowledged.get() + run_schedule(seed, &actions.concat())?);
         Ok(())
     });
-    acknowledged += counted.get();
     result.unwrap_or_else(|cause| panic!("CGW_SEED={base}, share {share}: {cause}"));
+    let acknowledged = acknowledged.get();
     assert!(acknowledged > cases as usize, "only {acknowledged} commands were acknowledged");
 }
 
 #[test]
 fn schedules_keep_the_invariants_1() {
-    run_share(0, action());
+    run_share(0, steps());
 }
 
 #[test]
 fn schedules_keep_the_invariants_2() {
-    run_share(1, action());
+    run_share(1, steps());
 }
 
 #[test]
 fn schedules_keep_the_invariants_3() {
-    run_share(2, action());
+    run_share(2, steps());
 }
 
 #[test]
 fn schedules_with_lost_logs_keep_the_invariants() {
-    run_share(3, lossy_action());
+    run_share(3, steps_with_lost_logs());
+}
+
+#[test]
+fn a_voter_that_lost_its_log_makes_no_quorum() {
+    let mut simulation = Simulation::new(SEED);
+    simulation.run(&Action::Pass { slots: 100 });
+    let leader = simulation.leader().expect("nothing failed");
+    let (lost, stopped) = ((leader + 1) % 3, (leader + 2) % 3);
+    simulation.run(&Action::Crash { member: stopped });
+    simulation.run(&Action::LoseLog { member: lost });
+    simulation.run(&Action::Restart { member: lost });
+    let before = simulation.acknowledged();
+    simulation.run(&Action::Propose);
+    simulation.run(&Action::Pass { slots: 20 });
+    assert_eq!(simulation.acknowledged(), before);
+    simulation.run(&Action::Restart { member: stopped });
+    for _ in 0..20 {
+        simulation.run(&Action::Pass { slots: 10 });
+        simulation.run(&Action::Propose);
+    }
+    assert!(simulation.acknowledged() > before, "two whole voters make a quorum");
 }
