fix(testkit): let the log bench's histograms hold long times

Cause: the histograms clamped every time above 2,047 units, so the first run gave a p99 of 2 ms where the mean alone must be above 3 ms.

Change: bounds of 1 to 60,000,000 units.

--- a/testkit/src/bench_log.rs
+++ b/testkit/src/bench_log.rs
@@ -30,6 +30,9 @@
 /// The nodes of the measured clusters.
 const NODES: usize = 3;
 
+/// The longest time that is told from longer ones, in the unit of the histogram.
+const LATENCY_MAX: u64 = 60_000_000;
+
 /// The entries of one write when a log is prepared for the recovery measurement.
 const ENTRIES_PER_WRITE: u64 = 100;
 
@@ -143,7 +146,7 @@
 }
 
 fn new_histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are allowed")
+    Histogram::new_with_bounds(1, LATENCY_MAX, 3).expect("the bounds are in order")
 }
 
 /// Proposes one command after the other through the group's leader.
