--- a/coriandergw/src/log_groups/core/mod.rs
+++ b/coriandergw/src/log_groups/core/mod.rs
@@ -11,36 +11,40 @@
 
 mod config_change;
 mod election;
+mod entry;
 mod follower;
 mod leader;
 mod log;
 mod members;
 mod message;
+mod output;
 mod progress;
 mod recovery;
 mod replica;
 mod timing;
 
+pub use entry::Entry;
+pub use entry::Payload;
+pub use entry::Snapshot;
 pub use members::Members;
 pub use members::Replacement;
 pub use message::Body;
 pub use message::Message;
+pub use output::Apply;
+pub use output::Batch;
+pub use output::MessageLimits;
+pub use output::ProposeFault;
+pub use output::Record;
 pub use recovery::Recovered;
 pub use recovery::RecoveryError;
-pub use replica::Apply;
-pub use replica::Batch;
 pub use replica::Core;
-pub use replica::Entry;
-pub use replica::MessageLimits;
-pub use replica::Payload;
-pub use replica::ProposeFault;
-pub use replica::Record;
-pub use replica::Snapshot;
 pub use timing::CLOCK_DRIFT_PERCENT;
 pub use timing::HEARTBEAT_INTERVAL;
 pub use timing::LEASE;
 pub use timing::PROMISE;
 
+#[cfg(test)]
+mod simulated_member;
 #[cfg(test)]
 mod simulation;
 #[cfg(test)]
--- a/coriandergw/src/log_groups/core/replica.rs
+++ b/coriandergw/src/log_groups/core/replica.rs
@@ -1,136 +1,28 @@
 //! The state of one member of a group and what its driver sees of it.
 
 use bytes::Bytes;
-use derive_more::Display;
-use derive_more::Error;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::clock::Timestamp;
 use crate::ids::InstanceName;
+use crate::log_groups::core::Apply;
+use crate::log_groups::core::Batch;
 use crate::log_groups::core::Body;
+use crate::log_groups::core::Entry;
 use crate::log_groups::core::Members;
 use crate::log_groups::core::Message;
+use crate::log_groups::core::MessageLimits;
+use crate::log_groups::core::Record;
 use crate::log_groups::core::Recovered;
+use crate::log_groups::core::Snapshot;
 use crate::log_groups::core::election::Ballot;
 use crate::log_groups::core::follower::IncomingSnapshot;
 use crate::log_groups::core::leader::Leading;
 use crate::log_groups::core::log::Log;
 use crate::log_groups::core::timing::ELECTION_TIMEOUT_MS;
 
-/// What an entry carries.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Payload {
-    /// Nothing; a new leader commits it to learn what is committed.
-    Empty,
-    /// A command for the state machine.
-    Command(Bytes),
-    /// The members from this entry on.
-    Members(Members),
-}
-
-/// One entry of the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Entry {
-    /// Its place, from 1 on without gaps.
-    pub index: u64,
-    /// The term of the leader that appended it.
-    pub term: u64,
-    /// What it carries.
-    pub payload: Payload,
-}
-
-impl Entry {
-    /// Returns about how many bytes the entry takes.
-    pub fn size(&self) -> usize {
-        const OVERHEAD_BYTES: usize = 32;
-        match &self.payload {
-            Payload::Command(command) => OVERHEAD_BYTES + command.len(),
-            _ => OVERHEAD_BYTES,
-        }
-    }
-}
-
-/// The whole state of a group at an index.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Snapshot {
-    /// The last index that the state covers.
-    pub index: u64,
-    /// The term of the entry at that index.
-    pub term: u64,
-    /// The members at that index.
-    pub members: Members,
-    /// The state machine's state.
-    pub data: Bytes,
-}
-
-/// What must be synced, in order.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Record {
-    /// The term and the vote in it.
-    HardState {
-        /// The term.
-        term: u64,
-        /// Who got the vote.
-        voted_for: Option<InstanceName>,
-    },
-    /// Entries; they replace those at and after the first one's index.
-    Entries(Vec<Entry>),
-    /// A snapshot, from which on the log goes on.
-    Snapshot(Snapshot),
-    /// The instance no longer is a voter that lost its log.
-    VoteRegained,
-}
-
-/// Records to sync, and the messages that may be sent after that.
-#[derive(Debug, Default)]
-pub struct Batch {
-    /// What is to be synced.
-    pub records: Vec<Record>,
-    /// What may be sent once it is.
-    pub messages: Vec<(InstanceName, Message)>,
-}
-
-/// What the state machine is to do next.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Apply {
-    /// Applies a committed entry.
-    Entry(Entry),
-    /// Replaces the whole state.
-    Restore(Snapshot),
-}
-
-/// Says why a proposal was not appended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Display, Error)]
-pub enum ProposeFault {
-    /// Another member leads, or none.
-    #[display("this instance does not lead the group")]
-    NotLeader,
-    /// The change of members cannot be made now.
-    #[display("the voters cannot be changed: {reason}")]
-    MembersRefused {
-        /// Why not.
-        reason: String,
-    },
-}
-
-/// The sizes of messages that carry entries or snapshots.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct MessageLimits {
-    /// The most bytes of entries in one message; one entry may have more.
-    pub append_bytes: usize,
-    /// The bytes of a snapshot in one message.
-    pub chunk_bytes: usize,
-}
-
-impl Default for MessageLimits {
-    fn default() -> Self {
-        Self { append_bytes: 1 << 20, chunk_bytes: 256 << 10 }
-    }
-}
-
 /// What a member is doing.
 #[derive(Debug, Clone)]
 pub(super) enum Role {
--- a/coriandergw/src/log_groups/core/simulation.rs
+++ b/coriandergw/src/log_groups/core/simulation.rs
@@ -18,9 +18,10 @@
 use crate::log_groups::core::Message;
 use crate::log_groups::core::MessageLimits;
 use crate::log_groups::core::Payload;
-use crate::log_groups::core::Record;
 use crate::log_groups::core::Recovered;
 use crate::log_groups::core::Snapshot;
+use crate::log_groups::core::simulated_member::Member;
+use crate::log_groups::core::simulated_member::PendingSync;
 
 /// The simulated time between two rounds of deliveries.
 const SLOT: Duration = Duration::from_millis(20);
@@ -64,26 +65,6 @@
     Replace { old: usize, new: usize },
 }
 
-struct PendingSync {
-    due: Timestamp,
-    records: Vec<Record>,
-    replaces_all: bool,
-    messages: Vec<(InstanceName, Message)>,
-}
-
-struct Member {
-    name: InstanceName,
-    core: Option<Core>,
-    records: Vec<Record>,
-    stored: Option<Snapshot>,
-    lost: bool,
-    pending: Option<PendingSync>,
-    /// The last applied index and a digest of everything applied.
-    state: (u64, u64),
-    commit: u64,
-    rate: u64,
-}
-
 struct InFlight {
     due: Timestamp,
     from: usize,
@@ -412,8 +393,15 @@
             if !core.is_leader() {
                 continue;
             }
+            let is_new = !self.leaders.contains_key(&core.term());
             let first = *self.leaders.entry(core.term()).or_insert(at);
             assert_eq!(first, at, "two leaders in term {}", core.term());
+            if is_new {
+                assert!(
+                    holds_all(core, &self.acknowledged),
+                    "a leader lacks what was acknowledged"
+                );
+            }
             if core.is_ready_leader() {
                 let earlier = self.acknowledged.iter().filter(|(_, term)| *term < core.term());
                 let last = earlier.map(|(index, _)| *index).max().unwrap_or_default();
@@ -424,33 +412,10 @@
     }
 }
 
-impl Member {
-    fn persist(&mut self, records: Vec<Record>, replaces_all: bool) {
-        if replaces_all {
-            self.records.clear();
-        }
-        for record in records {
-            self.store_snapshot(&record);
-            if record == Record::VoteRegained {
-                self.lost = false;
-            }
-            self.records.push(without_data(record));
-        }
-    }
-
-    fn store_snapshot(&mut self, record: &Record) {
-        let stored_index = self.stored.as_ref().map_or(0, |stored| stored.index);
-        if let Record::Snapshot(snapshot) = record
-            && snapshot.index > stored_index
-        {
-            self.stored = Some(snapshot.clone());
-        }
-    }
-}
-
-fn without_data(record: Record) -> Record {
-    match record {
-        Record::Snapshot(snapshot) => Record::Snapshot(Snapshot { data: Bytes::new(), ..snapshot }),
-        other => other,
-    }
+/// Returns whether a leader holds the commands acknowledged by leaders before it.
+fn holds_all(leader: &Core, acknowledged: &[(u64, u64)]) -> bool {
+    let mut earlier = acknowledged.iter().filter(|(_, term)| *term < leader.term());
+    earlier.all(|(index, term)| {
+        *index <= leader.commit_index() || leader.log.term_at(*index) == Some(*term)
+    })
 }
--- a/coriandergw/src/log_groups/core/tests.rs
+++ b/coriandergw/src/log_groups/core/tests.rs
@@ -166,19 +166,26 @@
 fn a_voter_that_lost_its_log_makes_no_quorum() {
     let mut simulation = Simulation::new(SEED);
     simulation.run(&Action::Pass { slots: 100 });
-    let leader = simulation.leader().expect("nothing failed");
-    let (lost, stopped) = ((leader + 1) % 3, (leader + 2) % 3);
-    simulation.run(&Action::Crash { member: stopped });
+    simulation.run(&Action::Propose);
+    simulation.run(&Action::Pass { slots: 20 });
+    let first = simulation.leader().expect("nothing failed");
+    let lost = (first + 1) % 3;
     simulation.run(&Action::LoseLog { member: lost });
     simulation.run(&Action::Restart { member: lost });
+    // A leader elected after the loss knows nothing of what the voter once confirmed.
+    simulation.run(&Action::Crash { member: first });
+    simulation.run(&Action::Restart { member: first });
+    simulation.run(&Action::Pass { slots: 200 });
+    let leader = simulation.leader().expect("two whole voters make a quorum");
+    let stopped = 3 - leader - lost;
+    simulation.run(&Action::Crash { member: stopped });
     let before = simulation.acknowledged();
     simulation.run(&Action::Propose);
     simulation.run(&Action::Pass { slots: 20 });
     assert_eq!(simulation.acknowledged(), before);
     simulation.run(&Action::Restart { member: stopped });
-    for _ in 0..20 {
-        simulation.run(&Action::Pass { slots: 10 });
-        simulation.run(&Action::Propose);
-    }
+    simulation.run(&Action::Pass { slots: 200 });
+    simulation.run(&Action::Propose);
+    simulation.run(&Action::Pass { slots: 20 });
     assert!(simulation.acknowledged() > before, "two whole voters make a quorum");
 }
--- a/coriandergw/src/log_groups/group.rs
+++ b/coriandergw/src/log_groups/group.rs
@@ -24,6 +24,12 @@
 use crate::log_groups::driver::answer;
 use crate::log_groups::propose::Outcome;
 
+/// The bytes of applied entries after which a snapshot is taken, unless the last one is larger.
+const SNAPSHOT_EVERY_BYTES: usize = 16 << 20;
+
+/// The share of the entries since the last snapshot that stays in memory after the next one.
+const TRAILING_SHARE: u64 = 8;
+
 /// A proposer that waits for its command.
 struct Waiting {
     term: u64,
@@ -37,6 +43,8 @@
     machine: Box<dyn StateMachine>,
     waiting: BTreeMap<u64, Waiting>,
     applied: u64,
+    /// The bytes of the entries applied since the last snapshot.
+    applied_bytes: usize,
     snapshot_every: u64,
     leadership: watch::Sender<Leadership>,
     lease_until: Arc<AtomicU64>,
@@ -56,6 +64,7 @@
             machine,
             waiting: BTreeMap::new(),
             applied: 0,
+            applied_bytes: 0,
             snapshot_every,
             leadership: watch::Sender::default(),
             lease_until: Arc::default(),
@@ -107,6 +116,7 @@
     }
 
     fn apply_entry(&mut self, cx: &Context, entry: Entry) {
+        self.applied_bytes += entry.size();
         let Entry { index, term, payload } = entry;
         self.applied = index;
         let answered = match payload {
@@ -130,10 +140,15 @@
     }
 
     fn take_snapshot_if_due(&mut self, cx: &Context) {
-        if self.applied < self.core.snapshot().index + self.snapshot_every {
+        let last = self.core.snapshot();
+        let entries = self.applied - last.index;
+        let is_large = self.applied_bytes >= SNAPSHOT_EVERY_BYTES.max(last.data.len());
+        if entries < self.snapshot_every && !is_large {
             return;
         }
-        self.core.compact(self.applied, self.machine.snapshot(), self.snapshot_every);
+        let data = self.machine.snapshot();
+        self.core.compact(self.applied, data, entries / TRAILING_SHARE);
+        self.applied_bytes = 0;
         let message = format!("snapshot at {} of group {}", self.applied, self.id);
         cx.events.record(EventNumber::LogSnapshotTaken, Subject::default(), message);
     }
