test(log_groups): let syncs outlast answers, and check the catch-up of new voters

Cause: simulated syncs were always done before the first answer could arrive, so a leader that counts unsynced entries was not found; nothing tested that a new voter waits.

Change: syncs take up to five slots; a test that a new voter that cannot be reached is not counted, and that it replaces the old one once it can.

--- a/coriandergw/src/log_groups/core/simulation.rs
+++ b/coriandergw/src/log_groups/core/simulation.rs
@@ -29,6 +29,9 @@
 /// Messages so small that entries and snapshots take several of them.
 const SMALL_MESSAGES: MessageLimits = MessageLimits { append_bytes: 70, chunk_bytes: 3 };
 
+/// The slots that a sync takes less than.
+const SYNC_MAX_SLOTS: u32 = 6;
+
 /// The rounds of proposals within which the members agree after all faults ended.
 const SETTLE_ROUNDS: u32 = 40;
 
@@ -194,6 +197,12 @@
         self.members.iter().position(leads)
     }
 
+    /// Returns whether the leader counts a member among the voters.
+    pub fn is_voter(&self, member: usize) -> bool {
+        let leader = self.leader().and_then(|leader| self.members[leader].core.as_ref());
+        leader.is_some_and(|core| core.members().voters.contains(&name(member)))
+    }
+
     /// Returns how many commands were acknowledged.
     pub fn acknowledged(&self) -> usize {
         self.acknowledged.len()
@@ -268,7 +277,7 @@
         let steps = core.take_apply();
         self.send(at, messages);
         steps.into_iter().for_each(|step| self.apply(at, step));
-        let sync_time = SLOT * self.rng.random_range(0..3);
+        let sync_time = SLOT * self.rng.random_range(0..SYNC_MAX_SLOTS);
         let replaces_all = self.rng.random_range(0..16) == 0;
         let due = self.now + sync_time;
         let member = &mut self.members[at];
--- a/coriandergw/src/log_groups/core/tests.rs
+++ b/coriandergw/src/log_groups/core/tests.rs
@@ -189,3 +189,19 @@
     simulation.run(&Action::Pass { slots: 20 });
     assert!(simulation.acknowledged() > before, "two whole voters make a quorum");
 }
+
+#[test]
+fn a_new_voter_counts_only_once_it_has_caught_up() {
+    let mut simulation = Simulation::new(SEED);
+    simulation.run(&Action::Pass { slots: 100 });
+    simulation.run(&Action::Propose);
+    let old = (simulation.leader().expect("nothing failed") + 1) % 3;
+    let new = 3;
+    simulation.run(&Action::Isolate { member: new });
+    simulation.run(&Action::Replace { old, new });
+    simulation.run(&Action::Pass { slots: 100 });
+    assert!(simulation.is_voter(old) && !simulation.is_voter(new));
+    simulation.run(&Action::Heal);
+    simulation.run(&Action::Pass { slots: 200 });
+    assert!(simulation.is_voter(new) && !simulation.is_voter(old));
+}
