--- a/coriandergw/src/callers/mod.rs
+++ b/coriandergw/src/callers/mod.rs
@@ -150,7 +150,7 @@
     headers: HeaderMap,
 ) -> Result<Json<serde_json::Value>, Refusal> {
     let id = program_id(id)?;
-    let turns = shared.programs.history(&id, bearer(&headers))?;
+    let turns = shared.programs.history(&id, bearer(&headers)).await?;
     Ok(Json(json!({"program": id, "turns": turns})))
 }
 
--- a/coriandergw/src/dispatch/mod.rs
+++ b/coriandergw/src/dispatch/mod.rs
@@ -123,6 +123,23 @@
     /// After an error, the caller of this method must not send anything and must report
     /// [`DispatchOutcome::NotRun`] with the refusal.
     async fn before_send(&self, endpoint: &EndpointName) -> Result<(), Refusal>;
+
+    /// Is told that no byte of the attempt last announced by `before_send` was sent.
+    ///
+    /// Frees what was reserved for that attempt, so that another one is not charged twice.
+    async fn not_sent(&self, _endpoint: &EndpointName) {}
+}
+
+/// What an endpoint says of a call that it was asked about.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LookedUp {
+    /// It ran the call.
+    Ran {
+        /// The output of the call.
+        output: serde_json::Value,
+    },
+    /// It has not run the call so far.
+    NotRan,
 }
 
 /// Passes generated text on as it arrives; bounded, so that a slow caller slows the engine.
@@ -139,6 +156,11 @@
         sink: Option<TokenSink>,
     ) -> DispatchOutcome;
 
+    /// Asks an endpoint for the outcome of a call, where it can be asked.
+    async fn look_up(&self, _endpoint: &EndpointName, _call: &ReadyCall) -> Option<LookedUp> {
+        None
+    }
+
     /// Releases the engine memory of a program that has ended; repeated until confirmed.
     fn program_ended(&self, program: &ProgramId);
 }
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -64,6 +64,18 @@
     CallEnded = 303, Debug;
     /// A program ended.
     ProgramEnded = 304, Debug;
+    /// An endpoint reported more use than was reserved for the call.
+    ReservationExceeded = 305, Warning;
+    /// The outcome of a call that must not be repeated was lost.
+    OutcomeLost = 306, Warning;
+    /// An answer came too late to be recorded and was dropped.
+    AnswerDropped = 307, Warning;
+    /// A partition with programs was taken over.
+    PartitionTaken = 308, Info;
+    /// A partition was dropped.
+    PartitionDropped = 309, Info;
+    /// An ended program was forgotten after its retention.
+    ProgramForgotten = 310, Debug;
     /// An endpoint announced itself.
     EndpointAnnounced = 400, Info;
     /// An endpoint is leaving.
--- a/coriandergw/src/ids.rs
+++ b/coriandergw/src/ids.rs
@@ -133,9 +133,23 @@
         Self(format!("p-{}", hex::encode(bytes)).into())
     }
 
-    /// Returns the partition that the program belongs to.
+    /// Builds the identifier of a sub-agent from its tree's root and 8 random bytes.
+    pub fn child_from_random(root: &ProgramId, bytes: [u8; 8]) -> Self {
+        Self(format!("{root}.{}", hex::encode(bytes)).into())
+    }
+
+    /// Returns the root of the program's tree: the part before the first full stop.
+    pub fn root(&self) -> ProgramId {
+        match self.0.split_once('.') {
+            Some((root, _)) => Self(root.into()),
+            None => self.clone(),
+        }
+    }
+
+    /// Returns the partition that the program's tree belongs to.
     pub fn partition(&self) -> PartitionId {
-        let hash = crc32fast::hash(self.0.as_bytes());
+        let root = self.0.split('.').next().unwrap_or_default();
+        let hash = crc32fast::hash(root.as_bytes());
         PartitionId((hash % u32::from(PARTITION_COUNT)) as u16)
     }
 }
--- a/coriandergw/src/instance.rs
+++ b/coriandergw/src/instance.rs
@@ -19,14 +19,21 @@
 use crate::clock::SystemClock;
 use crate::context::Context;
 use crate::dev;
+use crate::dispatch::Dispatcher;
 use crate::dispatch::direct::DirectDispatcher;
 use crate::endpoints::directory::Directory;
 use crate::endpoints::directory::RENEWAL_INTERVAL;
 use crate::events::EventNumber;
 use crate::events::Recorder;
 use crate::events::Subject;
+use crate::ids::CONTROL_GROUP;
+use crate::ids::GroupId;
+use crate::leases::local::LocalPartitions;
+use crate::log_groups::StateMachine;
+use crate::log_groups::local::LocalLog;
 use crate::metrics::Metrics;
 use crate::operators;
+use crate::programs::JournalState;
 use crate::programs::Programs;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
@@ -124,7 +131,7 @@
     tokio::spawn(renew_forever(cx.clone(), directory.clone(), endpoints));
     let catalogue = Arc::new(MemoryCatalogue::with_entries([default_entry()]));
     let dispatcher = Arc::new(DirectDispatcher::new(cx.clone(), directory.clone()));
-    let programs = Arc::new(Programs::new(cx.clone(), catalogue.clone(), dispatcher));
+    let programs = local_programs(&cx, &settings, catalogue.clone(), dispatcher);
     let shared = Arc::new(Shared {
         cx,
         settings,
@@ -136,6 +143,19 @@
     serve(shared).await
 }
 
+/// Starts the programs of an instance without peers or data folder.
+fn local_programs(
+    cx: &Context,
+    settings: &Settings,
+    catalogue: Arc<dyn CatalogueView>,
+    dispatcher: Arc<dyn Dispatcher>,
+) -> Arc<Programs> {
+    let journal: Box<dyn StateMachine> = Box::new(JournalState::default());
+    let log = LocalLog::new(cx.instance.clone(), [(GroupId(CONTROL_GROUP.0 + 1), journal)]);
+    let partitions = LocalPartitions::new(cx.instance.clone(), settings.instance.advertise);
+    Programs::start(cx.clone(), catalogue, Arc::new(partitions), Arc::new(log), 1, dispatcher)
+}
+
 async fn renew_forever(
     cx: Context,
     directory: Arc<Directory>,
--- a/coriandergw/src/leases/mod.rs
+++ b/coriandergw/src/leases/mod.rs
@@ -7,6 +7,8 @@
 use crate::ids::InstanceName;
 use crate::ids::PartitionId;
 
+pub mod local;
+
 /// The home of a partition as this instance knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Home {
--- /dev/null
+++ b/coriandergw/src/programs/accept.rs
@@ -0,0 +1,336 @@
+//! Accepts calls and answers their callers.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_json::value::RawValue;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::catalogue::Entry;
+use crate::dispatch::CallKind;
+use crate::dispatch::Message;
+use crate::dispatch::TokenSink;
+use crate::events::EventNumber;
+use crate::ids::CallId;
+use crate::ids::ProgramId;
+use crate::programs::append::Persistence;
+use crate::programs::home::Listeners;
+use crate::programs::home::Place;
+use crate::programs::home::Programs;
+use crate::programs::home::RunningGuard;
+use crate::programs::home::home_lost;
+use crate::programs::home::program_of;
+use crate::programs::limits::check_predecessors;
+use crate::programs::limits::check_running;
+use crate::programs::limits::check_turns;
+use crate::programs::record::Completion;
+use crate::programs::record::What;
+use crate::programs::request::CallRequest;
+use crate::programs::reserve::Need;
+use crate::programs::reserve::Reservation;
+use crate::programs::reserve::need;
+use crate::programs::state::CallResult;
+use crate::programs::state::Program;
+use crate::result_code::Refusal;
+use crate::result_code::ResultCode;
+
+/// How long a model stream goes on after its last listener went away.
+const LISTENER_GRACE: Duration = Duration::from_secs(2);
+
+/// The answer to a call: a JSON body or a refusal. A resent call gets the same bytes.
+pub type CallAnswer = Result<Arc<str>, Refusal>;
+
+/// A call that is being worked on.
+pub(super) struct LiveCall {
+    /// The answer, once there is one.
+    pub answer: watch::Sender<Option<CallAnswer>>,
+    /// The callers that wait for it.
+    pub listeners: Listeners,
+    /// Cancelled when the call must not go on.
+    pub cancel: CancellationToken,
+}
+
+impl Default for LiveCall {
+    fn default() -> Self {
+        let answer = watch::Sender::new(None);
+        Self { answer, listeners: Listeners::default(), cancel: CancellationToken::new() }
+    }
+}
+
+/// What the work on a call starts with.
+#[derive(Default)]
+pub(super) struct Start {
+    /// What was reserved when the call was accepted.
+    pub reservation: Option<Reservation>,
+    /// Where generated text goes.
+    pub sink: Option<TokenSink>,
+}
+
+/// What is known of a call when it arrives.
+enum Known {
+    Answered(CallAnswer),
+    Open,
+    New,
+}
+
+impl Programs {
+    /// Runs a call to its end, or joins or repeats the answer of the same call sent before.
+    ///
+    /// # Errors
+    /// Refuses with a numbered code what cannot run.
+    pub async fn call(
+        self: &Arc<Self>,
+        id: &ProgramId,
+        secret: &str,
+        req: CallRequest,
+        sink: Option<TokenSink>,
+    ) -> CallAnswer {
+        let place = self.open(id, secret).await?;
+        check_input(&req)?;
+        let call = req.call_id.clone();
+        let streams = sink.is_some() && req.kind == CallKind::Model;
+        let work = match place.read(|program| known(program, &req))? {
+            Known::Answered(answer) => return answer,
+            Known::Open => self.work_on(&place, &call, Start { reservation: None, sink }),
+            Known::New => self.accept_and_work(&place, req, sink).await,
+        };
+        let live = match work {
+            Ok(live) => live,
+            Err(answer) => return answer,
+        };
+        let listener = Listener::new(live.clone(), streams);
+        let answer = listener.answer(&place).await;
+        drop(listener);
+        answer
+    }
+
+    /// Accepts a call and starts the work on it, also if the caller goes away meanwhile.
+    async fn accept_and_work(
+        self: &Arc<Self>,
+        place: &Place,
+        req: CallRequest,
+        sink: Option<TokenSink>,
+    ) -> Result<Arc<LiveCall>, CallAnswer> {
+        let programs = self.clone();
+        let place = place.clone();
+        let task = tokio::spawn(async move {
+            let call = req.call_id.clone();
+            let reservation = programs.accept(&place, req).await.map_err(Err)?;
+            programs.work_on(&place, &call, Start { reservation, sink })
+        });
+        task.await.unwrap_or_else(|_| Err(Err(home_lost())))
+    }
+
+    /// Accepts a call unless it is known by then. Returns what was reserved for it.
+    async fn accept(
+        self: &Arc<Self>,
+        place: &Place,
+        req: CallRequest,
+    ) -> Result<Option<Reservation>, Refusal> {
+        let entry = place.read(|program| self.entry_of(program))?;
+        let call = req.call_id.clone();
+        let id = place.program.clone();
+        let repeat = req.clone();
+        let build = move |tree: &crate::programs::state::Tree| {
+            let program = program_of(tree, &id)?;
+            let reservation = check_new(program, &entry, &req)?;
+            let reserved = reservation.map(|reservation| reservation.tokens);
+            Ok((What::Accepted { request: Arc::new(req), reserved }, reservation))
+        };
+        let accepted = self.append(place, Persistence::GiveUp, build).await;
+        match accepted {
+            // The same call may have been accepted while this one waited for the journal.
+            Err(refusal) if refusal.code == ResultCode::CallIdReused => {
+                match place.read(|program| known(program, &repeat))? {
+                    Known::New => Err(refusal),
+                    Known::Open | Known::Answered(_) => Ok(None),
+                }
+            }
+            Err(refusal) => Err(refusal),
+            Ok(reservation) => {
+                let subject = self.subject(place, Some(&call));
+                self.cx.events.record(EventNumber::CallAccepted, subject, "call accepted");
+                Ok(reservation)
+            }
+        }
+    }
+
+    /// Returns the work on an accepted call, starting it if there is none, or the call's answer.
+    pub(super) fn work_on(
+        self: &Arc<Self>,
+        place: &Place,
+        call: &CallId,
+        start: Start,
+    ) -> Result<Arc<LiveCall>, CallAnswer> {
+        let key = (place.program.clone(), call.clone());
+        let mut live = place.tree.live.lock().expect("not poisoned");
+        if let Some(known) = live.get(&key) {
+            return Ok(known.clone());
+        }
+        // Work is taken out of the map only after its result is in the state.
+        let result = place.read(|program| Ok(stored_answer(program, call))).map_err(Err)?;
+        match result {
+            Some(Some(answer)) => return Err(answer),
+            Some(None) => {}
+            None => return Err(Err(withdrawn())),
+        }
+        let work = Arc::new(LiveCall::default());
+        live.insert(key, work.clone());
+        drop(live);
+        let programs = self.clone();
+        let (place, call, task) = (place.clone(), call.clone(), work.clone());
+        tokio::spawn(async move {
+            let _running = RunningGuard::new(&programs.running);
+            programs.drive(&place, &call, &task, start).await;
+        });
+        Ok(work)
+    }
+}
+
+fn withdrawn() -> Refusal {
+    Refusal::may_have_run(ResultCode::Cancelled, "the call was withdrawn; it may be sent again")
+}
+
+/// Returns what is known of a request's call.
+fn known(program: &Program, req: &CallRequest) -> Result<Known, Refusal> {
+    let Some(call) = program.calls.get(&req.call_id) else {
+        return Ok(Known::New);
+    };
+    if *call.request != *req {
+        let message = format!("call id {} was used for another call", req.call_id);
+        return Err(Refusal::not_run(ResultCode::CallIdReused, message));
+    }
+    match stored_answer(program, &req.call_id) {
+        Some(Some(answer)) => Ok(Known::Answered(answer)),
+        _ => Ok(Known::Open),
+    }
+}
+
+/// Checks a new call and returns what to reserve for it if it can start at once.
+fn check_new(
+    program: &Program,
+    entry: &Entry,
+    req: &CallRequest,
+) -> Result<Option<Reservation>, Refusal> {
+    if program.calls.contains_key(&req.call_id) {
+        let message = format!("call id {} is in use", req.call_id);
+        return Err(Refusal::not_run(ResultCode::CallIdReused, message));
+    }
+    check_running(program)?;
+    check_predecessors(program, req)?;
+    check_turns(program, &entry.limits, req)?;
+    if program.ledger.remaining().calls == 0 {
+        let message = "the budget of calls is used up";
+        return Err(Refusal::not_run(ResultCode::BudgetExhausted, message));
+    }
+    let result =
+        |id: &CallId| program.calls.get(id).map(|call| (call.result.is_some(), call.is_done()));
+    let results: Vec<(bool, bool)> = req.after.iter().filter_map(result).collect();
+    if results.iter().any(|(ended, done)| *ended && !*done) {
+        return Err(predecessor_failed());
+    }
+    if results.iter().any(|(ended, _)| !*ended) {
+        return Ok(None);
+    }
+    match need(program, req) {
+        Need::Covered(reservation) => Ok(Some(reservation)),
+        Need::Later => Ok(None),
+        Need::Exhausted(refusal) => Err(refusal),
+    }
+}
+
+/// Builds the refusal of a call whose predecessor did not succeed.
+pub(super) fn predecessor_failed() -> Refusal {
+    Refusal::not_run(ResultCode::PredecessorFailed, "a predecessor did not succeed")
+}
+
+fn check_input(req: &CallRequest) -> Result<(), Refusal> {
+    let messages = req.input.get("messages").filter(|_| req.kind == CallKind::Model);
+    let Some(messages) = messages else {
+        return Ok(());
+    };
+    let parsed = serde_json::from_value::<Vec<Message>>(messages.clone());
+    parsed.map(drop).map_err(|cause| {
+        Refusal::not_run(ResultCode::MalformedRequest, format!("input.messages: {cause}"))
+    })
+}
+
+/// Returns the stored answer of a call: none if the call is unknown, or if it has none yet.
+pub(super) fn stored_answer(program: &Program, call: &CallId) -> Option<Option<CallAnswer>> {
+    let result = &program.calls.get(call)?.result;
+    Some(result.as_ref().map(|result| answer_of(&program.id, call, result)))
+}
+
+/// Builds the answer to a call from its result; equal results give equal bytes.
+pub(super) fn answer_of(program: &ProgramId, call: &CallId, result: &CallResult) -> CallAnswer {
+    match result {
+        CallResult::Done(completion) => Ok(done_body(program, call, completion)),
+        CallResult::Failed(failure) => {
+            Err(Refusal::may_have_run(failure.code, failure.message.clone()))
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct DoneBody<'a> {
+    call_id: &'a CallId,
+    outcome: &'a str,
+    output: &'a RawValue,
+    program: &'a ProgramId,
+    usage: serde_json::Value,
+}
+
+fn done_body(program: &ProgramId, call: &CallId, completion: &Completion) -> Arc<str> {
+    let output = serde_json::from_str(&completion.output).unwrap_or(RawValue::NULL);
+    let usage = serde_json::to_value(completion.usage).unwrap_or_default();
+    let body = DoneBody { call_id: call, outcome: "done", output, program, usage };
+    serde_json::to_string(&body).unwrap_or_default().into()
+}
+
+/// A caller that waits for the answer to a call.
+struct Listener {
+    live: Arc<LiveCall>,
+    streams: bool,
+}
+
+impl Listener {
+    fn new(live: Arc<LiveCall>, streams: bool) -> Self {
+        live.listeners.fetch_add(1, Ordering::AcqRel);
+        Self { live, streams }
+    }
+
+    async fn answer(&self, place: &Place) -> CallAnswer {
+        let mut answers = self.live.answer.subscribe();
+        tokio::select! {
+            biased;
+            answer = answers.wait_for(Option::is_some) => match answer.as_deref() {
+                Ok(Some(answer)) => answer.clone(),
+                _ => Err(home_lost()),
+            },
+            _ = place.home.lost.cancelled() => Err(home_lost()),
+        }
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        let others = self.live.listeners.fetch_sub(1, Ordering::AcqRel) - 1;
+        let unanswered = self.live.answer.borrow().is_none();
+        if !self.streams || others > 0 || !unanswered {
+            return;
+        }
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        let live = self.live.clone();
+        runtime.spawn(async move {
+            tokio::time::sleep(LISTENER_GRACE).await;
+            if live.listeners.load(Ordering::Acquire) == 0 {
+                live.cancel.cancel();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/coriandergw/src/programs/append.rs
@@ -0,0 +1,137 @@
+//! Writes records to the journal and takes them into the state once they are committed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::ids::ProgramId;
+use crate::programs::home::Home;
+use crate::programs::home::LiveTree;
+use crate::programs::home::Place;
+use crate::programs::home::Programs;
+use crate::programs::home::home_lost;
+use crate::programs::home::no_home;
+use crate::programs::journal::JournalError;
+use crate::programs::record::Record;
+use crate::programs::record::What;
+use crate::programs::state::Tree;
+use crate::result_code::Refusal;
+use crate::result_code::ResultCode;
+
+/// How long a record that may be given up is proposed again.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// The delay before a proposal is repeated.
+const REPEAT_DELAY: Duration = Duration::from_millis(20);
+
+/// When a caller should come back if the journal has no quorum.
+const NO_QUORUM_RETRY: Duration = Duration::from_millis(500);
+
+/// Says whether a record may be given up while the journal does not take it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Persistence {
+    /// Give up after a while if it is certain that the journal has not taken it.
+    GiveUp,
+    /// Try until the home is lost.
+    UntilLost,
+}
+
+impl Programs {
+    /// Builds a record from the tree's state, commits it and takes it into the state.
+    ///
+    /// Runs to its end also when the caller goes away, so that state and journal stay equal.
+    pub(super) async fn append<T, F>(
+        self: &Arc<Self>,
+        place: &Place,
+        persistence: Persistence,
+        build: F,
+    ) -> Result<T, Refusal>
+    where
+        T: Send + 'static,
+        F: FnOnce(&Tree) -> Result<(What, T), Refusal> + Send + 'static,
+    {
+        let programs = self.clone();
+        let place = place.clone();
+        let task = tokio::spawn(async move {
+            let _writer = place.tree.writer.lock().await;
+            let (what, built) = build(&place.tree.state.lock().expect("not poisoned"))?;
+            let at = programs.cx.clock.wall();
+            let record = Record { at, program: place.program.clone(), what };
+            programs.commit(&place, persistence, record).await?;
+            Ok(built)
+        });
+        task.await.unwrap_or_else(|cause| {
+            Err(Refusal::may_have_run(ResultCode::Internal, format!("a write failed: {cause}")))
+        })
+    }
+
+    async fn commit(
+        &self,
+        place: &Place,
+        persistence: Persistence,
+        record: Record,
+    ) -> Result<(), Refusal> {
+        let Place { home, tree, program } = place;
+        let sequence = tree.state.lock().expect("not poisoned").next_sequence;
+        let bytes = Bytes::from(record.encode());
+        self.propose(home, program.root(), sequence, bytes, persistence).await?;
+        let applied = tree.state.lock().expect("not poisoned").apply(home.epoch, record);
+        tree.changed.notify_waiters();
+        applied.map_err(|cause| {
+            self.drop_home(home, &cause.to_string());
+            home_lost()
+        })
+    }
+
+    /// Repeats a proposal, under the same sequence, until its fate is known or the home is lost.
+    async fn propose(
+        &self,
+        home: &Arc<Home>,
+        root: ProgramId,
+        sequence: u64,
+        record: Bytes,
+        persistence: Persistence,
+    ) -> Result<(), Refusal> {
+        let started = self.cx.clock.now();
+        let mut certain = true;
+        loop {
+            if home.lost.is_cancelled() {
+                return Err(lost(certain));
+            }
+            match home.journal.append(&root, sequence, record.clone()).await {
+                Ok(()) => return Ok(()),
+                Err(JournalError::NotTaken { reason }) => {
+                    let waited = self.cx.clock.now().since(started);
+                    if certain && persistence == Persistence::GiveUp && waited >= PATIENCE {
+                        let refusal = Refusal::not_run(ResultCode::NoQuorum, reason);
+                        return Err(refusal.retry_after(NO_QUORUM_RETRY));
+                    }
+                }
+                Err(JournalError::Unknown { .. }) => certain = false,
+                Err(cause @ (JournalError::Stale { .. } | JournalError::Invalid { .. })) => {
+                    self.drop_home(home, &cause.to_string());
+                    return Err(lost(certain));
+                }
+            }
+            tokio::select! {
+                _ = home.lost.cancelled() => {}
+                _ = tokio::time::sleep(REPEAT_DELAY) => {}
+            }
+        }
+    }
+}
+
+fn lost(certain: bool) -> Refusal {
+    match certain {
+        true => no_home("the program's home moved before the request was taken"),
+        false => home_lost(),
+    }
+}
+
+impl LiveTree {
+    /// Creates a tree from its journal.
+    pub fn from_state(state: Tree) -> Self {
+        Self { state: std::sync::Mutex::new(state), ..Self::default() }
+    }
+}
--- /dev/null
+++ b/coriandergw/src/programs/create.rs
@@ -0,0 +1,197 @@
+//! Creates programs and sub-agents.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::catalogue::Entry;
+use crate::clock::WallTime;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::ProgramId;
+use crate::programs::append::Persistence;
+use crate::programs::budget::Amount;
+use crate::programs::digest;
+use crate::programs::home::LiveTree;
+use crate::programs::home::Place;
+use crate::programs::home::Programs;
+use crate::programs::home::no_home;
+use crate::programs::home::program_of;
+use crate::programs::limits::check_running;
+use crate::programs::record::Creation;
+use crate::programs::record::What;
+use crate::programs::request::Budget;
+use crate::programs::request::ChildRequest;
+use crate::programs::request::ProgramRequest;
+use crate::programs::state::Program;
+use crate::result_code::Refusal;
+use crate::result_code::ResultCode;
+
+/// The random identifiers that are tried to find one of a partition held here.
+const ID_TRIES: usize = 100_000;
+
+/// When a caller should come back if the instance takes no new program.
+const REFUSED_RETRY: Duration = Duration::from_secs(1);
+
+/// A created program as its caller is told of it.
+#[derive(Debug, Clone)]
+#[derive(serde::Serialize)]
+pub struct CreatedProgram {
+    /// The identifier.
+    pub program: ProgramId,
+    /// The secret that opens the program; shown once.
+    pub secret: String,
+}
+
+impl Programs {
+    /// Creates a program.
+    ///
+    /// # Errors
+    /// Refuses an unknown entry, a budget of zero, and all programs while the instance drains or
+    /// cannot confirm its configuration.
+    pub async fn create(self: &Arc<Self>, req: ProgramRequest) -> Result<CreatedProgram, Refusal> {
+        self.check_admits()?;
+        let entry = self.entry(&req.entry)?;
+        let budget = checked_budget(&req.budget, &entry)?;
+        let id = self.new_root()?;
+        let home = self.home(id.partition()).await?;
+        let wall = self.cx.clock.wall();
+        let deadline = req.deadline_ms.map(|ms| WallTime(wall.0.saturating_add(ms)));
+        let secret = new_secret();
+        let creation = Creation {
+            entry: entry.name.clone(),
+            owner: entry.owner.clone(),
+            secret_digest: digest(&secret),
+            budget,
+            parent: None,
+            inherit_history: false,
+            deadline,
+        };
+        let place = Place { home, tree: Arc::new(LiveTree::default()), program: id.clone() };
+        let what = What::Created(creation);
+        let created = self.append(&place, Persistence::GiveUp, |_| Ok((what, ()))).await;
+        // No call of the program can exist before its identifier is known.
+        created.map_err(|refusal| Refusal { not_run: true, ..refusal })?;
+        let mut trees = place.home.trees.lock().expect("not poisoned");
+        trees.insert(id.clone(), place.tree.clone());
+        drop(trees);
+        self.record_created(&place, &entry);
+        Ok(CreatedProgram { program: id, secret })
+    }
+
+    /// Creates a sub-agent of a program.
+    ///
+    /// # Errors
+    /// Refuses what the secret does not open and what the parent's budget does not cover.
+    pub async fn create_child(
+        self: &Arc<Self>,
+        parent: &ProgramId,
+        secret: &str,
+        req: ChildRequest,
+    ) -> Result<CreatedProgram, Refusal> {
+        let place = self.open(parent, secret).await?;
+        let entry = place.read(|program| self.entry_of(program))?;
+        let id = ProgramId::child_from_random(&parent.root(), rand::random());
+        let secret = new_secret();
+        let secret_digest = digest(&secret);
+        let place = Place { program: id.clone(), ..place };
+        let parent = parent.clone();
+        let build = move |tree: &crate::programs::state::Tree| {
+            let parent = program_of(tree, &parent)?;
+            check_running(parent)?;
+            let creation = child_creation(parent, &req, secret_digest)?;
+            Ok((What::Created(creation), ()))
+        };
+        let created = self.append(&place, Persistence::GiveUp, build).await;
+        created.map_err(|refusal| Refusal { not_run: true, ..refusal })?;
+        self.record_created(&place, &entry);
+        Ok(CreatedProgram { program: id, secret })
+    }
+
+    fn check_admits(&self) -> Result<(), Refusal> {
+        if self.draining.is_cancelled() {
+            let refusal = Refusal::not_run(ResultCode::Draining, "the instance is shutting down");
+            return Err(refusal.retry_after(REFUSED_RETRY));
+        }
+        if !self.partitions.is_fresh(self.cx.clock.now()) {
+            let message = "the instance cannot confirm its configuration; use another address";
+            let refusal = Refusal::not_run(ResultCode::StaleConfiguration, message);
+            return Err(refusal.retry_after(REFUSED_RETRY));
+        }
+        Ok(())
+    }
+
+    /// Returns a new identifier whose partition is held here.
+    fn new_root(&self) -> Result<ProgramId, Refusal> {
+        let now = self.cx.clock.now();
+        if self.partitions.all_held(now).is_empty() {
+            return Err(no_home("this instance is the home of no partition"));
+        }
+        (0..ID_TRIES)
+            .map(|_| ProgramId::from_random(rand::random()))
+            .find(|id| self.partitions.held(id.partition(), now).is_some())
+            .ok_or_else(|| no_home("no identifier fits a partition held here"))
+    }
+
+    /// Returns whether this instance is the home of any partition.
+    pub fn holds_any(&self) -> bool {
+        !self.partitions.all_held(self.cx.clock.now()).is_empty()
+    }
+
+    fn record_created(&self, place: &Place, entry: &Entry) {
+        let entry = Some(entry.name.clone());
+        let subject = Subject { entry, ..self.subject(place, None) };
+        self.cx.events.record(EventNumber::ProgramCreated, subject, "program created");
+    }
+}
+
+fn new_secret() -> String {
+    hex::encode(rand::random::<[u8; 32]>())
+}
+
+fn checked_budget(budget: &Budget, entry: &Entry) -> Result<Amount, Refusal> {
+    let limits = &entry.limits;
+    let budget = Amount {
+        tokens: budget.tokens.unwrap_or(limits.tokens).min(limits.tokens),
+        calls: budget.calls.unwrap_or(limits.calls).min(limits.calls),
+    };
+    check_not_zero(budget)
+}
+
+fn check_not_zero(budget: Amount) -> Result<Amount, Refusal> {
+    if budget.tokens == 0 || budget.calls == 0 {
+        let message = "a budget must allow at least one call and one token";
+        return Err(Refusal::not_run(ResultCode::ZeroBudget, message));
+    }
+    Ok(budget)
+}
+
+fn child_creation(
+    parent: &Program,
+    req: &ChildRequest,
+    secret_digest: [u8; 32],
+) -> Result<Creation, Refusal> {
+    let rest = parent.ledger.remaining();
+    let exhausted = || {
+        let message = "the parent's budget does not cover the sub-agent's";
+        Refusal::not_run(ResultCode::BudgetExhausted, message)
+    };
+    if rest.tokens == 0 || rest.calls == 0 {
+        return Err(exhausted());
+    }
+    let budget = check_not_zero(Amount {
+        tokens: req.budget.tokens.unwrap_or(rest.tokens),
+        calls: req.budget.calls.unwrap_or(rest.calls),
+    })?;
+    if !rest.covers(budget) {
+        return Err(exhausted());
+    }
+    Ok(Creation {
+        entry: parent.entry.clone(),
+        owner: parent.owner.clone(),
+        secret_digest,
+        budget,
+        parent: Some(parent.id.clone()),
+        inherit_history: req.inherit_history,
+        deadline: parent.deadline,
+    })
+}
--- /dev/null
+++ b/coriandergw/src/programs/journal.rs
@@ -0,0 +1,188 @@
+//! Writes and reads the journal of a partition under one epoch.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use prost::Message;
+
+use crate::ids::CONTROL_GROUP;
+use crate::ids::Epoch;
+use crate::ids::GroupId;
+use crate::ids::PartitionId;
+use crate::ids::ProgramId;
+use crate::log_groups::ProposeError;
+use crate::log_groups::ReplicatedLog;
+use crate::programs::generated as wire;
+use crate::programs::generated::answer::Verdict;
+use crate::programs::generated::command::Command as WireCommand;
+use crate::programs::record::Record;
+use crate::programs::record::RecordError;
+use crate::programs::state::Tree;
+
+/// Says why the journal did not take a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum JournalError {
+    /// Another home has a higher epoch.
+    #[display("the partition has a home of epoch {epoch}")]
+    Stale {
+        /// The highest epoch.
+        epoch: Epoch,
+    },
+    /// The command was certainly not taken.
+    #[display("the journal did not take it: {reason}")]
+    NotTaken {
+        /// Why.
+        reason: String,
+    },
+    /// The command may be taken now or later.
+    #[display("the journal may have taken it: {reason}")]
+    Unknown {
+        /// Why it is not known.
+        reason: String,
+    },
+    /// What the journal holds cannot be understood.
+    #[display("the journal is not valid: {reason}")]
+    Invalid {
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+impl From<ProposeError> for JournalError {
+    fn from(cause: ProposeError) -> Self {
+        match cause {
+            ProposeError::NotProposed { reason } => JournalError::NotTaken { reason },
+            ProposeError::Unknown { reason } => JournalError::Unknown { reason },
+        }
+    }
+}
+
+impl From<RecordError> for JournalError {
+    fn from(cause: RecordError) -> Self {
+        JournalError::Invalid { reason: cause.reason }
+    }
+}
+
+/// Opens the journals of partitions.
+#[derive(Clone)]
+pub struct Journals {
+    log: Arc<dyn ReplicatedLog>,
+    groups: u32,
+}
+
+/// The journal of one partition under one epoch.
+#[derive(Clone)]
+pub struct Journal {
+    log: Arc<dyn ReplicatedLog>,
+    group: GroupId,
+    partition: PartitionId,
+    epoch: Epoch,
+}
+
+impl Journals {
+    /// Creates journals over the groups 1 to `groups`.
+    pub fn new(log: Arc<dyn ReplicatedLog>, groups: u32) -> Self {
+        Self { log, groups: groups.max(1) }
+    }
+
+    /// Returns the journal of a partition under an epoch; the epoch is not yet fenced.
+    pub fn open(&self, partition: PartitionId, epoch: Epoch) -> Journal {
+        let group = group_of(partition, self.groups);
+        Journal { log: self.log.clone(), group, partition, epoch }
+    }
+}
+
+/// Returns the group that keeps the journal of a partition.
+pub fn group_of(partition: PartitionId, groups: u32) -> GroupId {
+    GroupId(CONTROL_GROUP.0 + 1 + u32::from(partition.0) % groups)
+}
+
+impl Journal {
+    /// Refuses all lower epochs from now on.
+    ///
+    /// # Errors
+    /// Fails as [`JournalError`] describes.
+    pub async fn fence(&self) -> Result<(), JournalError> {
+        let partition = u32::from(self.partition.0);
+        let fence = wire::Fence { partition, epoch: self.epoch.0 };
+        self.propose(WireCommand::Fence(fence)).await.map(drop)
+    }
+
+    /// Appends a record; repeating it with the same sequence changes nothing.
+    ///
+    /// # Errors
+    /// Fails as [`JournalError`] describes.
+    pub async fn append(
+        &self,
+        root: &ProgramId,
+        sequence: u64,
+        record: Bytes,
+    ) -> Result<(), JournalError> {
+        let append = wire::Append { sequence, record, ..self.append_to(root) };
+        self.propose(WireCommand::Append(append)).await.map(drop)
+    }
+
+    /// Removes all records of a tree.
+    ///
+    /// # Errors
+    /// Fails as [`JournalError`] describes.
+    pub async fn forget(&self, root: &ProgramId) -> Result<(), JournalError> {
+        let append = wire::Append { forget: true, ..self.append_to(root) };
+        self.propose(WireCommand::Append(append)).await.map(drop)
+    }
+
+    fn append_to(&self, root: &ProgramId) -> wire::Append {
+        wire::Append {
+            partition: u32::from(self.partition.0),
+            epoch: self.epoch.0,
+            root: root.to_string(),
+            ..Default::default()
+        }
+    }
+
+    /// Reads all trees of the partition; the epoch must be fenced.
+    ///
+    /// # Errors
+    /// Fails as [`JournalError`] describes.
+    pub async fn read(&self) -> Result<BTreeMap<ProgramId, Tree>, JournalError> {
+        let mut trees: BTreeMap<ProgramId, Tree> = BTreeMap::new();
+        let mut read = wire::Read {
+            partition: u32::from(self.partition.0),
+            epoch: self.epoch.0,
+            ..Default::default()
+        };
+        loop {
+            let answer = self.propose(WireCommand::Read(read.clone())).await?;
+            if let Some(last) = answer.page.last() {
+                read.after_root = last.root.clone();
+                read.after_sequence = last.sequence;
+            }
+            for stored in answer.page {
+                let root = ProgramId::try_from(stored.root).map_err(RecordError::from)?;
+                let record = Record::decode(&stored.record)?;
+                trees.entry(root).or_default().apply(Epoch(stored.epoch), record)?;
+            }
+            if !answer.more {
+                return Ok(trees);
+            }
+        }
+    }
+
+    async fn propose(&self, command: WireCommand) -> Result<wire::Answer, JournalError> {
+        let command = wire::Command { command: Some(command) }.encode_to_vec();
+        let answer = self.log.propose(self.group, command.into()).await?;
+        let answer = wire::Answer::decode(answer)
+            .map_err(|cause| JournalError::Invalid { reason: cause.to_string() })?;
+        match answer.verdict() {
+            Verdict::Applied => Ok(answer),
+            Verdict::StaleEpoch => Err(JournalError::Stale { epoch: Epoch(answer.epoch) }),
+            Verdict::OutOfOrder | Verdict::Invalid => {
+                Err(JournalError::Invalid { reason: "a command was out of order".to_owned() })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coriandergw/src/programs/limits.rs
@@ -0,0 +1,81 @@
+//! The limits of programs, as pure functions.
+
+use crate::catalogue::Limits;
+use crate::clock::WallTime;
+use crate::programs::record::EndReason;
+use crate::programs::request::CallRequest;
+use crate::programs::state::Program;
+use crate::programs::turn::Turn;
+use crate::result_code::Refusal;
+use crate::result_code::ResultCode;
+
+/// The equal turns with equal answers in a row after which one more is refused.
+pub const REPETITION_LIMIT: usize = 32;
+
+/// Refuses what is asked of a program that has ended.
+pub fn check_running(program: &Program) -> Result<(), Refusal> {
+    let Some((_, reason)) = program.ended else {
+        return Ok(());
+    };
+    let code = match reason {
+        EndReason::WallTime => ResultCode::WallTimeLimit,
+        _ => ResultCode::ProgramEnded,
+    };
+    Err(Refusal::not_run(code, format!("the program has ended: {reason}")))
+}
+
+/// Refuses a call that depends on itself or on a call that the program does not know.
+pub fn check_predecessors(program: &Program, req: &CallRequest) -> Result<(), Refusal> {
+    for id in &req.after {
+        if *id == req.call_id {
+            let message = format!("call {id} depends on itself");
+            return Err(Refusal::not_run(ResultCode::DependencyCycle, message));
+        }
+        if !program.calls.contains_key(id) {
+            let message = format!("the program has no call {id}");
+            return Err(Refusal::not_run(ResultCode::UnknownPredecessor, message));
+        }
+    }
+    Ok(())
+}
+
+/// Refuses a call beyond the turn limit or the repetition limit.
+pub fn check_turns(program: &Program, limits: &Limits, req: &CallRequest) -> Result<(), Refusal> {
+    if program.calls.len() as u64 >= limits.turns {
+        let message = "the program has taken all the turns of its entry";
+        return Err(Refusal::not_run(ResultCode::TurnLimit, message));
+    }
+    if repeats(program, req) {
+        let message = format!("the last {REPETITION_LIMIT} turns were this call, answered alike");
+        return Err(Refusal::not_run(ResultCode::RepetitionLimit, message));
+    }
+    Ok(())
+}
+
+fn repeats(program: &Program, req: &CallRequest) -> bool {
+    let Some(last) = program.history.last() else {
+        return false;
+    };
+    let alike = |turn: &Turn| {
+        let asked = &turn.request;
+        asked.kind == req.kind
+            && asked.target == req.target
+            && asked.input == req.input
+            && turn.completion.output == last.completion.output
+    };
+    let row = program.history.iter().rev().take(REPETITION_LIMIT);
+    row.take_while(|turn| alike(turn)).count() == REPETITION_LIMIT
+}
+
+/// Returns why a program must end at `now`, if it must.
+pub fn end_due(program: &Program, limits: &Limits, now: WallTime) -> Option<EndReason> {
+    if program.ended.is_some() {
+        return None;
+    }
+    if now.0.saturating_sub(program.created_at.0) >= limits.wall_ms {
+        return Some(EndReason::WallTime);
+    }
+    let idle_ms = now.0.saturating_sub(program.active_at.0);
+    let is_idle = idle_ms >= limits.idle_ms && !program.has_open_calls();
+    is_idle.then_some(EndReason::Idle)
+}
--- a/coriandergw/src/programs/mod.rs
+++ b/coriandergw/src/programs/mod.rs
@@ -1,13 +1,45 @@
 //! Programs: chains of dependent calls with one history and one budget.
+//!
+//! Each partition of the programs has one home instance. The home journals each step of a call in
+//! the replicated log before it takes effect, and a new home rebuilds its programs from there.
 
+mod accept;
+mod append;
+mod budget;
+mod create;
+mod end;
+#[allow(missing_docs, clippy::all)]
+mod generated;
 mod home;
+mod journal;
+mod journal_state;
+mod limits;
+mod record;
 mod request;
+mod reserve;
+mod run;
+mod settle;
 mod state;
+mod sweep;
+mod takeover;
+mod turn;
 
-pub use home::CallAnswer;
+use sha2::Digest;
+use sha2::Sha256;
+
+pub use accept::CallAnswer;
+pub use create::CreatedProgram;
+pub use home::Location;
 pub use home::Programs;
+pub use home::no_home;
+pub use journal::group_of;
+pub use journal_state::JournalState;
 pub use request::Budget;
 pub use request::CallRequest;
 pub use request::ChildRequest;
 pub use request::ProgramRequest;
-pub use state::Turn;
+pub use turn::Turn;
+
+fn digest(secret: &str) -> [u8; 32] {
+    Sha256::digest(secret.as_bytes()).into()
+}
--- /dev/null
+++ b/coriandergw/src/programs/record.rs
@@ -0,0 +1,359 @@
+//! The records of a program's journal.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+use derive_more::Error;
+use prost::Message;
+
+use crate::clock::WallTime;
+use crate::dispatch::Usage;
+use crate::ids::CallId;
+use crate::ids::EndpointName;
+use crate::ids::EntryName;
+use crate::ids::NameError;
+use crate::ids::OwnerName;
+use crate::ids::ProgramId;
+use crate::programs::budget::Amount;
+use crate::programs::generated as wire;
+use crate::programs::generated::record::What as WireWhat;
+use crate::programs::request::CallRequest;
+use crate::result_code::ResultCode;
+
+/// One step in the life of a program.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Record {
+    /// When the home wrote it.
+    pub at: WallTime,
+    /// The program.
+    pub program: ProgramId,
+    /// What happened.
+    pub what: What,
+}
+
+/// What a record says.
+#[derive(Debug, Clone, PartialEq)]
+pub enum What {
+    /// The program was created.
+    Created(Creation),
+    /// A call was accepted, with the tokens reserved for it if it could start at once.
+    Accepted {
+        /// The request.
+        request: Arc<CallRequest>,
+        /// The reserved tokens.
+        reserved: Option<u64>,
+    },
+    /// Tokens were reserved for one more attempt at a call.
+    Reserved {
+        /// The call.
+        call: CallId,
+        /// The tokens.
+        tokens: u64,
+    },
+    /// The latest attempt at a call sent no byte.
+    NotSent {
+        /// The call.
+        call: CallId,
+    },
+    /// A call that must not be repeated is about to be sent.
+    Intent {
+        /// The call.
+        call: CallId,
+        /// The endpoint.
+        endpoint: EndpointName,
+    },
+    /// A call was answered in full.
+    Done {
+        /// The call.
+        call: CallId,
+        /// The answer.
+        completion: Completion,
+    },
+    /// A call failed for good, or its outcome is unknown.
+    Failed {
+        /// The call.
+        call: CallId,
+        /// How it failed.
+        failure: Failure,
+    },
+    /// A call was taken out again; a resend starts it anew.
+    Withdrawn {
+        /// The call.
+        call: CallId,
+        /// Whether a byte of it may have reached an endpoint.
+        sent: bool,
+    },
+    /// The program ended, and its sub-agents with it.
+    Ended {
+        /// Why.
+        reason: EndReason,
+    },
+}
+
+/// How a program starts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Creation {
+    /// The catalogue entry.
+    pub entry: EntryName,
+    /// The owner of the entry.
+    pub owner: OwnerName,
+    /// The SHA-256 digest of the secret that opens the program.
+    pub secret_digest: [u8; 32],
+    /// The budget.
+    pub budget: Amount,
+    /// The parent, for a sub-agent.
+    pub parent: Option<ProgramId>,
+    /// Whether a sub-agent starts from its parent's history.
+    pub inherit_history: bool,
+    /// When the caller wants the program done.
+    pub deadline: Option<WallTime>,
+}
+
+/// The whole answer of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Completion {
+    /// The output as JSON text.
+    pub output: Arc<str>,
+    /// What the call used.
+    pub usage: Usage,
+    /// The endpoint.
+    pub endpoint: Option<EndpointName>,
+    /// The turns of the history that the prompt held.
+    pub prompt_turns: u32,
+}
+
+/// Why a call has no output.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Failure {
+    /// The numbered result.
+    pub code: ResultCode,
+    /// What went wrong, for people.
+    pub message: String,
+}
+
+/// Why a program ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
+pub enum EndReason {
+    /// The caller ended it.
+    #[display("ended by the caller")]
+    Caller,
+    /// It was idle for longer than its entry allows.
+    #[display("idle for longer than its entry allows")]
+    Idle,
+    /// It reached the wall-time limit of its entry.
+    #[display("reached the wall-time limit of its entry")]
+    WallTime,
+    /// Its parent ended.
+    #[display("its parent ended")]
+    ParentEnded,
+}
+
+impl EndReason {
+    const ALL: [EndReason; 4] =
+        [EndReason::Caller, EndReason::Idle, EndReason::WallTime, EndReason::ParentEnded];
+
+    fn number(self) -> u32 {
+        match self {
+            EndReason::Caller => 1,
+            EndReason::Idle => 2,
+            EndReason::WallTime => 3,
+            EndReason::ParentEnded => 4,
+        }
+    }
+}
+
+/// Says why bytes are not a record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+#[display("a journal record is not valid: {reason}")]
+pub struct RecordError {
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl RecordError {
+    pub(super) fn new<R>(reason: R) -> Self
+    where
+        R: Into<String>,
+    {
+        Self { reason: reason.into() }
+    }
+}
+
+impl From<NameError> for RecordError {
+    fn from(cause: NameError) -> Self {
+        Self::new(cause.to_string())
+    }
+}
+
+impl Record {
+    /// Encodes the record for the log.
+    pub fn encode(&self) -> Vec<u8> {
+        let what = Some(encode_what(&self.what));
+        let program = self.program.to_string();
+        wire::Record { wall_ms: self.at.0, program, what }.encode_to_vec()
+    }
+
+    /// Decodes a record of the log.
+    ///
+    /// # Errors
+    /// Fails on bytes that are not a record.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        let raw =
+            wire::Record::decode(bytes).map_err(|cause| RecordError::new(cause.to_string()))?;
+        Self::try_from(raw)
+    }
+}
+
+impl TryFrom<wire::Record> for Record {
+    type Error = RecordError;
+
+    fn try_from(raw: wire::Record) -> Result<Self, RecordError> {
+        let what = raw.what.ok_or_else(|| RecordError::new("it says nothing"))?;
+        Ok(Self {
+            at: WallTime(raw.wall_ms),
+            program: ProgramId::try_from(raw.program)?,
+            what: decode_what(what)?,
+        })
+    }
+}
+
+fn encode_what(what: &What) -> WireWhat {
+    match what {
+        What::Created(creation) => WireWhat::Created(encode_creation(creation)),
+        What::Accepted { request, reserved } => WireWhat::Accepted(wire::Accepted {
+            request: serde_json::to_string(request.as_ref()).unwrap_or_default(),
+            reserved: *reserved,
+        }),
+        What::Reserved { call, tokens } => {
+            WireWhat::Reserved(wire::Reserved { call: call.to_string(), tokens: *tokens })
+        }
+        What::NotSent { call } => WireWhat::NotSent(wire::CallRef { call: call.to_string() }),
+        What::Intent { call, endpoint } => WireWhat::Intent(wire::Intent {
+            call: call.to_string(),
+            endpoint: endpoint.to_string(),
+        }),
+        What::Done { call, completion } => WireWhat::Done(encode_completion(call, completion)),
+        What::Failed { call, failure } => WireWhat::Failed(wire::Failed {
+            call: call.to_string(),
+            code: u32::from(failure.code.number()),
+            message: failure.message.clone(),
+        }),
+        What::Withdrawn { call, sent } => {
+            WireWhat::Withdrawn(wire::Withdrawn { call: call.to_string(), sent: *sent })
+        }
+        What::Ended { reason } => WireWhat::Ended(wire::Ended { reason: reason.number() }),
+    }
+}
+
+fn encode_creation(creation: &Creation) -> wire::Created {
+    wire::Created {
+        entry: creation.entry.to_string(),
+        owner: creation.owner.to_string(),
+        secret_digest: creation.secret_digest.to_vec().into(),
+        tokens: creation.budget.tokens,
+        calls: creation.budget.calls,
+        parent: creation.parent.as_ref().map(ToString::to_string).unwrap_or_default(),
+        inherit_history: creation.inherit_history,
+        deadline_wall_ms: creation.deadline.map(|deadline| deadline.0),
+    }
+}
+
+fn encode_completion(call: &CallId, completion: &Completion) -> wire::Done {
+    wire::Done {
+        call: call.to_string(),
+        output: completion.output.to_string(),
+        prompt_tokens: completion.usage.prompt_tokens,
+        cached_tokens: completion.usage.cached_tokens,
+        completion_tokens: completion.usage.completion_tokens,
+        endpoint: completion.endpoint.as_ref().map(ToString::to_string).unwrap_or_default(),
+        prompt_turns: completion.prompt_turns,
+    }
+}
+
+fn decode_what(what: WireWhat) -> Result<What, RecordError> {
+    Ok(match what {
+        WireWhat::Created(raw) => What::Created(Creation::try_from(raw)?),
+        WireWhat::Accepted(raw) => {
+            let request = serde_json::from_str(&raw.request)
+                .map_err(|cause| RecordError::new(cause.to_string()))?;
+            What::Accepted { request: Arc::new(request), reserved: raw.reserved }
+        }
+        WireWhat::Reserved(raw) => {
+            What::Reserved { call: CallId::try_from(raw.call)?, tokens: raw.tokens }
+        }
+        WireWhat::NotSent(raw) => What::NotSent { call: CallId::try_from(raw.call)? },
+        WireWhat::Intent(raw) => What::Intent {
+            call: CallId::try_from(raw.call)?,
+            endpoint: EndpointName::try_from(raw.endpoint)?,
+        },
+        WireWhat::Done(raw) => What::Done {
+            call: CallId::try_from(raw.call.as_str())?,
+            completion: Completion::try_from(raw)?,
+        },
+        WireWhat::Failed(raw) => What::Failed {
+            call: CallId::try_from(raw.call.as_str())?,
+            failure: Failure::try_from(raw)?,
+        },
+        WireWhat::Withdrawn(raw) => {
+            What::Withdrawn { call: CallId::try_from(raw.call)?, sent: raw.sent }
+        }
+        WireWhat::Ended(raw) => What::Ended { reason: EndReason::try_from(raw.reason)? },
+    })
+}
+
+impl TryFrom<wire::Created> for Creation {
+    type Error = RecordError;
+
+    fn try_from(raw: wire::Created) -> Result<Self, RecordError> {
+        let secret_digest = raw.secret_digest.as_ref().try_into();
+        let parent = Some(raw.parent).filter(|parent| !parent.is_empty());
+        Ok(Self {
+            entry: EntryName::try_from(raw.entry)?,
+            owner: OwnerName::try_from(raw.owner)?,
+            secret_digest: secret_digest.map_err(|_| RecordError::new("the digest is short"))?,
+            budget: Amount { tokens: raw.tokens, calls: raw.calls },
+            parent: parent.map(ProgramId::try_from).transpose()?,
+            inherit_history: raw.inherit_history,
+            deadline: raw.deadline_wall_ms.map(WallTime),
+        })
+    }
+}
+
+impl TryFrom<wire::Done> for Completion {
+    type Error = RecordError;
+
+    fn try_from(raw: wire::Done) -> Result<Self, RecordError> {
+        let endpoint = Some(raw.endpoint).filter(|endpoint| !endpoint.is_empty());
+        Ok(Self {
+            output: raw.output.into(),
+            usage: Usage {
+                prompt_tokens: raw.prompt_tokens,
+                cached_tokens: raw.cached_tokens,
+                completion_tokens: raw.completion_tokens,
+            },
+            endpoint: endpoint.map(EndpointName::try_from).transpose()?,
+            prompt_turns: raw.prompt_turns,
+        })
+    }
+}
+
+impl TryFrom<wire::Failed> for Failure {
+    type Error = RecordError;
+
+    fn try_from(raw: wire::Failed) -> Result<Self, RecordError> {
+        let code = ResultCode::ALL.iter().find(|code| u32::from(code.number()) == raw.code);
+        let code = *code.ok_or_else(|| RecordError::new(format!("no code is {}", raw.code)))?;
+        Ok(Self { code, message: raw.message })
+    }
+}
+
+impl TryFrom<u32> for EndReason {
+    type Error = RecordError;
+
+    fn try_from(raw: u32) -> Result<Self, RecordError> {
+        let reason = Self::ALL.into_iter().find(|reason| reason.number() == raw);
+        reason.ok_or_else(|| RecordError::new(format!("no reason is {raw}")))
+    }
+}
--- /dev/null
+++ b/coriandergw/src/programs/run.rs
@@ -0,0 +1,318 @@
+//! Works on accepted calls: waits for predecessors, reserves, dispatches and settles.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use async_trait::async_trait;
+
+use crate::clock::Timestamp;
+use crate::clock::WallTime;
+use crate::dispatch::CallKind;
+use crate::dispatch::DispatchObserver;
+use crate::dispatch::ReadyCall;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::CallId;
+use crate::ids::EndpointName;
+use crate::programs::accept::CallAnswer;
+use crate::programs::accept::LiveCall;
+use crate::programs::accept::Start;
+use crate::programs::accept::predecessor_failed;
+use crate::programs::append::Persistence;
+use crate::programs::home::Place;
+use crate::programs::home::Programs;
+use crate::programs::home::home_lost;
+use crate::programs::home::no_home;
+use crate::programs::home::program_of;
+use crate::programs::limits::check_running;
+use crate::programs::record::What;
+use crate::programs::request::CallRequest;
+use crate::programs::reserve::Need;
+use crate::programs::reserve::Reservation;
+use crate::programs::reserve::need;
+use crate::programs::state::Call;
+use crate::programs::state::Program;
+use crate::programs::state::Tree;
+use crate::result_code::Refusal;
+use crate::result_code::ResultCode;
+
+/// One call that is being worked on.
+#[derive(Clone)]
+pub(super) struct Work {
+    pub place: Place,
+    pub call: CallId,
+    pub request: Arc<CallRequest>,
+    /// Whether a former home accepted the call and may have sent it.
+    pub resumed: bool,
+}
+
+/// Journals what must be durable before a call is sent.
+struct Observer<'a> {
+    programs: &'a Arc<Programs>,
+    work: &'a Work,
+    reservation: Reservation,
+    attempts: AtomicU32,
+}
+
+impl Programs {
+    /// Works on a call to its end and tells its listeners.
+    pub(super) async fn drive(
+        self: &Arc<Self>,
+        place: &Place,
+        call: &CallId,
+        live: &LiveCall,
+        start: Start,
+    ) {
+        let answer = tokio::select! {
+            biased;
+            _ = place.home.lost.cancelled() => Err(home_lost()),
+            answer = self.run(place, call, live, start) => answer,
+        };
+        let key = (place.program.clone(), call.clone());
+        place.tree.live.lock().expect("not poisoned").remove(&key);
+        live.answer.send_replace(Some(answer));
+        place.tree.changed.notify_waiters();
+        let subject = self.subject(place, Some(call));
+        self.cx.events.record(EventNumber::CallEnded, subject, "call ended");
+        self.release_if_quiet(place);
+    }
+
+    async fn run(
+        self: &Arc<Self>,
+        place: &Place,
+        call: &CallId,
+        live: &LiveCall,
+        start: Start,
+    ) -> CallAnswer {
+        let (work, sent_to) = place.read(|program| found(program, place, call))?;
+        if let Some(endpoint) = sent_to {
+            return self.recover(&work, &endpoint).await;
+        }
+        let prepared = match start.reservation {
+            Some(reservation) => Ok(reservation),
+            None => tokio::select! {
+                prepared = self.prepare(&work) => prepared,
+                _ = live.cancel.cancelled() => Err(cancelled_before()),
+            },
+        };
+        let reservation = match prepared {
+            Ok(reservation) => reservation,
+            Err(refusal) => return self.withdraw(&work, refusal, false).await,
+        };
+        self.dispatch(&work, live, start.sink, reservation).await
+    }
+
+    async fn dispatch(
+        self: &Arc<Self>,
+        work: &Work,
+        live: &LiveCall,
+        sink: Option<crate::dispatch::TokenSink>,
+        reservation: Reservation,
+    ) -> CallAnswer {
+        let ready = match self.ready_call(work, reservation) {
+            Ok(ready) => ready,
+            Err(refusal) => return self.withdraw(work, refusal, false).await,
+        };
+        let attempts = AtomicU32::new(0);
+        let observer = Observer { programs: self, work, reservation, attempts };
+        let running = self.dispatcher.run(ready.clone(), &observer, sink);
+        if !ready.idempotent {
+            // What must not be repeated is not cut off once it may have been sent.
+            let outcome = running.await;
+            return self.settle(work, &ready, reservation, outcome).await;
+        }
+        let outcome = tokio::select! {
+            outcome = running => Some(outcome),
+            _ = live.cancel.cancelled() => None,
+        };
+        let sent = observer.attempts.load(Ordering::Acquire) > 0;
+        match outcome {
+            Some(outcome) => self.settle(work, &ready, reservation, outcome).await,
+            None => self.withdraw(work, cancelled(sent), sent).await,
+        }
+    }
+
+    /// Waits until a call may start and journals the reservation for it.
+    async fn prepare(self: &Arc<Self>, work: &Work) -> Result<Reservation, Refusal> {
+        let Work { place, call, request, .. } = work;
+        loop {
+            place.wait_for(|program| startable(program, request)).await?;
+            let id = place.program.clone();
+            let (call, request) = (call.clone(), request.clone());
+            let build = move |tree: &Tree| {
+                let program = program_of(tree, &id)?;
+                check_running(program)?;
+                match need(program, &request) {
+                    Need::Covered(reservation) => {
+                        let tokens = reservation.tokens;
+                        Ok((What::Reserved { call, tokens }, reservation))
+                    }
+                    Need::Exhausted(refusal) => Err(refusal),
+                    Need::Later => Err(not_yet()),
+                }
+            };
+            match self.append(place, Persistence::UntilLost, build).await {
+                Err(refusal) if refusal == not_yet() => {}
+                result => return result,
+            }
+        }
+    }
+
+    pub(super) fn ready_call(
+        &self,
+        work: &Work,
+        reservation: Reservation,
+    ) -> Result<ReadyCall, Refusal> {
+        let Work { place, call, request, .. } = work;
+        let state = place.tree.state.lock().expect("not poisoned");
+        let program = program_of(&state, &place.program)?;
+        check_running(program)?;
+        let entry = self.entry_of(program)?;
+        let prompt = match request.kind {
+            CallKind::Model => &program.history[..reservation.prompt_turns],
+            CallKind::Tool | CallKind::Service => &[],
+        };
+        let now = self.cx.clock.now();
+        let wall = self.cx.clock.wall();
+        Ok(ReadyCall {
+            program: place.program.clone(),
+            root: place.program.root(),
+            entry,
+            call: call.clone(),
+            kind: request.kind,
+            idempotent: request.is_idempotent(),
+            target: request.target.clone(),
+            history: prompt.iter().flat_map(|turn| turn.messages()).cloned().collect(),
+            history_tokens: reservation.history_tokens,
+            input: request.input.clone(),
+            max_tokens: reservation.max_tokens,
+            deadline: program.deadline.map(|deadline| to_timestamp(deadline, wall, now)),
+            attained_tokens: state.attained_tokens(),
+            under_way: !program.history.is_empty(),
+        })
+    }
+}
+
+/// Converts a wall time to this process's monotonic time.
+fn to_timestamp(time: WallTime, wall: WallTime, now: Timestamp) -> Timestamp {
+    match time.0.checked_sub(wall.0) {
+        Some(ahead_ms) => Timestamp(now.0.saturating_add(ahead_ms.saturating_mul(1_000))),
+        None => Timestamp(now.0.saturating_sub((wall.0 - time.0).saturating_mul(1_000))),
+    }
+}
+
+/// Returns the work on a call, and where a former home meant to send it if it must not be repeated.
+fn found(
+    program: &Program,
+    place: &Place,
+    id: &CallId,
+) -> Result<(Work, Option<EndpointName>), Refusal> {
+    let missing = || Refusal::may_have_run(ResultCode::Cancelled, "the call was withdrawn");
+    let call: &Call = program.calls.get(id).ok_or_else(missing)?;
+    let work = Work {
+        place: place.clone(),
+        call: id.clone(),
+        request: call.request.clone(),
+        resumed: call.epoch < place.home.epoch,
+    };
+    Ok((work, call.intent.clone()))
+}
+
+fn startable(program: &Program, req: &CallRequest) -> Result<Option<()>, Refusal> {
+    check_running(program)?;
+    for id in &req.after {
+        // A predecessor that was withdrawn has no result and never gets one.
+        let call = program.calls.get(id).ok_or_else(predecessor_failed)?;
+        if call.result.is_none() {
+            return Ok(None);
+        }
+        if !call.is_done() {
+            return Err(predecessor_failed());
+        }
+    }
+    match need(program, req) {
+        Need::Covered(_) => Ok(Some(())),
+        Need::Later => Ok(None),
+        Need::Exhausted(refusal) => Err(refusal),
+    }
+}
+
+fn not_yet() -> Refusal {
+    Refusal::not_run(ResultCode::BudgetExhausted, "calls under way hold the budget")
+}
+
+fn cancelled_before() -> Refusal {
+    Refusal::not_run(ResultCode::Cancelled, "the call was cancelled before it was sent")
+}
+
+fn cancelled(sent: bool) -> Refusal {
+    match sent {
+        true => Refusal::may_have_run(ResultCode::Cancelled, "the call was cancelled"),
+        false => cancelled_before(),
+    }
+}
+
+impl Observer<'_> {
+    /// Refuses to send once the home or the program is gone.
+    fn check_may_send(&self) -> Result<(), Refusal> {
+        let Place { home, .. } = &self.work.place;
+        let held = self.programs.partitions.held(home.partition, self.programs.cx.clock.now());
+        if held != Some(home.epoch) || home.lost.is_cancelled() {
+            return Err(no_home("the program's home is moving"));
+        }
+        self.work.place.read(check_running)
+    }
+
+    async fn reserve_again(&self) -> Result<(), Refusal> {
+        let (id, call) = (self.work.place.program.clone(), self.work.call.clone());
+        let tokens = self.reservation.tokens;
+        let build = move |tree: &Tree| {
+            let rest = program_of(tree, &id)?.ledger.remaining().tokens;
+            if tokens > rest {
+                let message = "the budget does not cover another attempt";
+                return Err(Refusal::may_have_run(ResultCode::BudgetExhausted, message));
+            }
+            Ok((What::Reserved { call, tokens }, ()))
+        };
+        self.programs.append(&self.work.place, Persistence::UntilLost, build).await
+    }
+
+    async fn journal_intent(&self, endpoint: &EndpointName) -> Result<(), Refusal> {
+        let (id, call) = (self.work.place.program.clone(), self.work.call.clone());
+        let endpoint = endpoint.clone();
+        let build = move |tree: &Tree| {
+            check_running(program_of(tree, &id)?)?;
+            Ok((What::Intent { call, endpoint }, ()))
+        };
+        let intended = self.programs.append(&self.work.place, Persistence::GiveUp, build).await;
+        // Nothing is sent after an error here.
+        intended.map_err(|refusal| Refusal { not_run: true, ..refusal })?;
+        self.check_may_send()
+    }
+}
+
+#[async_trait]
+impl DispatchObserver for Observer<'_> {
+    async fn before_send(&self, endpoint: &EndpointName) -> Result<(), Refusal> {
+        self.check_may_send()?;
+        let is_first = self.attempts.load(Ordering::Acquire) == 0;
+        match (self.work.request.is_idempotent(), is_first) {
+            (false, _) => self.journal_intent(endpoint).await?,
+            (true, false) if self.reservation.tokens > 0 => self.reserve_again().await?,
+            (true, _) => {}
+        }
+        self.attempts.fetch_add(1, Ordering::AcqRel);
+        let subject = self.programs.subject(&self.work.place, Some(&self.work.call));
+        let subject = Subject { peer: Some(endpoint.to_string()), ..subject };
+        self.programs.cx.events.record(EventNumber::CallSent, subject, "call sent");
+        Ok(())
+    }
+
+    async fn not_sent(&self, _endpoint: &EndpointName) {
+        let call = self.work.call.clone();
+        let build = move |_: &Tree| Ok((What::NotSent { call }, ()));
+        // If the home is lost, the next attempt is refused in any case.
+        let _ = self.programs.append(&self.work.place, Persistence::UntilLost, build).await;
+    }
+}
--- a/coriandergw/src/programs/state.rs
+++ b/coriandergw/src/programs/state.rs
@@ -1,103 +1,307 @@
-//! The state of one program.
+//! The state of a tree of programs, built from the records of its journal and nothing else.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use serde::Deserialize;
-use serde::Serialize;
-use serde_json::Value;
-
-use crate::catalogue::Entry;
-use crate::clock::Timestamp;
+use crate::clock::WallTime;
 use crate::dispatch::CallKind;
-use crate::dispatch::Message;
-use crate::dispatch::Usage;
-use crate::endpoints::client::input_messages;
 use crate::ids::CallId;
+use crate::ids::EndpointName;
+use crate::ids::EntryName;
+use crate::ids::Epoch;
+use crate::ids::OwnerName;
 use crate::ids::ProgramId;
-use crate::ids::TargetName;
-use crate::programs::home::CallAnswer;
+use crate::programs::budget::Amount;
+use crate::programs::budget::Ledger;
+use crate::programs::record::Completion;
+use crate::programs::record::Creation;
+use crate::programs::record::EndReason;
+use crate::programs::record::Failure;
+use crate::programs::record::Record;
+use crate::programs::record::RecordError;
+use crate::programs::record::What;
 use crate::programs::request::CallRequest;
+use crate::programs::turn::Turn;
 
-/// One finished call in a program's history.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub struct Turn {
-    /// The call.
-    pub call_id: CallId,
-    /// What kind of endpoint ran it.
-    pub kind: CallKind,
-    /// The model, tool or service.
-    pub target: TargetName,
-    /// What was asked.
-    pub input: Value,
-    /// What was answered.
-    pub output: Value,
-    /// What it used.
-    pub usage: Usage,
-}
-
-/// What is left of a budget, with reservations taken out.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Remaining {
-    /// Tokens.
-    pub tokens: u64,
-    /// Calls.
-    pub calls: u64,
-}
-
-/// A call and how far it got.
-#[derive(Debug)]
-pub struct CallState {
-    /// The request as first received.
-    pub request: CallRequest,
-    /// The answer, once there is one.
-    pub answer: Option<CallAnswer>,
+/// A program and its sub-agents; they share one journal.
+#[derive(Debug, Default)]
+pub struct Tree {
+    /// The number of the next record.
+    pub next_sequence: u64,
+    /// The programs.
+    pub programs: BTreeMap<ProgramId, Program>,
 }
 
-/// A program at its home instance.
+/// One program.
 #[derive(Debug)]
-pub struct ProgramState {
+pub struct Program {
     /// The identifier.
     pub id: ProgramId,
-    /// The entry it was created under.
-    pub entry: Arc<Entry>,
+    /// The entry that it was created under.
+    pub entry: EntryName,
+    /// The owner of that entry.
+    pub owner: OwnerName,
     /// The digest of the secret that opens it.
     pub secret_digest: [u8; 32],
     /// The parent, for a sub-agent.
     pub parent: Option<ProgramId>,
     /// When it was created.
-    pub created_at: Timestamp,
+    pub created_at: WallTime,
+    /// When the last record was written.
+    pub active_at: WallTime,
     /// When the caller wants it done.
-    pub deadline: Option<Timestamp>,
-    /// What is left of its budget.
-    pub remaining: Remaining,
+    pub deadline: Option<WallTime>,
+    /// Its budget.
+    pub ledger: Ledger,
     /// Its history, oldest first.
-    pub history: Vec<Turn>,
+    pub history: Vec<Arc<Turn>>,
     /// Its calls.
-    pub calls: BTreeMap<CallId, CallState>,
-    /// The tokens that it was served.
-    pub attained_tokens: u64,
-    /// Whether it has ended.
-    pub ended: bool,
+    pub calls: BTreeMap<CallId, Call>,
+    /// When and why it ended.
+    pub ended: Option<(WallTime, EndReason)>,
+}
+
+/// A call and how far it got.
+#[derive(Debug)]
+pub struct Call {
+    /// The request as first received.
+    pub request: Arc<CallRequest>,
+    /// The epoch that it was accepted under.
+    pub epoch: Epoch,
+    /// The tokens reserved for the latest attempt; none before it may start.
+    pub reserved: Option<u64>,
+    /// The tokens reserved for earlier attempts that may have been sent.
+    pub reserved_earlier: u64,
+    /// The endpoint that a call which must not be repeated was sent to.
+    pub intent: Option<EndpointName>,
+    /// How it ended.
+    pub result: Option<CallResult>,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone)]
+pub enum CallResult {
+    /// With a whole answer.
+    Done(Arc<Completion>),
+    /// Without one.
+    Failed(Failure),
+}
+
+impl Call {
+    /// Returns whether the call ended with a whole answer.
+    pub fn is_done(&self) -> bool {
+        matches!(self.result, Some(CallResult::Done(_)))
+    }
+
+    fn held(&self) -> Amount {
+        let tokens = self.reserved.unwrap_or(0).saturating_add(self.reserved_earlier);
+        Amount { tokens, calls: 1 }
+    }
+}
+
+impl Program {
+    fn new(id: ProgramId, at: WallTime, creation: Creation, history: Vec<Arc<Turn>>) -> Self {
+        Self {
+            id,
+            entry: creation.entry,
+            owner: creation.owner,
+            secret_digest: creation.secret_digest,
+            parent: creation.parent,
+            created_at: at,
+            active_at: at,
+            deadline: creation.deadline,
+            ledger: Ledger::new(creation.budget),
+            history,
+            calls: BTreeMap::new(),
+            ended: None,
+        }
+    }
+
+    /// Returns whether any call has no result yet.
+    pub fn has_open_calls(&self) -> bool {
+        self.calls.values().any(|call| call.result.is_none())
+    }
+
+    fn call(&mut self, id: &CallId) -> Result<&mut Call, RecordError> {
+        let missing = || RecordError::new(format!("program {} has no call {id}", self.id));
+        self.calls.get_mut(id).ok_or_else(missing)
+    }
 }
 
-impl ProgramState {
-    /// Returns the history as the messages of a prompt.
-    pub fn messages(&self) -> Vec<Message> {
-        self.history.iter().flat_map(turn_messages).collect()
+impl Tree {
+    /// Takes the next record, written under `epoch`, into the state.
+    ///
+    /// # Errors
+    /// Fails on a record that does not follow from those before it.
+    pub fn apply(&mut self, epoch: Epoch, record: Record) -> Result<(), RecordError> {
+        let Record { at, program, what } = record;
+        self.next_sequence += 1;
+        match what {
+            What::Created(creation) => return self.create(program, at, creation),
+            What::Ended { reason } => return self.end(&program, at, reason),
+            _ => {}
+        }
+        let missing = || RecordError::new(format!("there is no program {program}"));
+        let program = self.programs.get_mut(&program).ok_or_else(missing)?;
+        program.active_at = at;
+        apply_to_call(program, epoch, what)
+    }
+
+    fn create(
+        &mut self,
+        id: ProgramId,
+        at: WallTime,
+        creation: Creation,
+    ) -> Result<(), RecordError> {
+        let mut history = Vec::new();
+        if let Some(parent) = &creation.parent {
+            let missing = || RecordError::new(format!("there is no parent {parent}"));
+            let parent = self.programs.get_mut(parent).ok_or_else(missing)?;
+            if !parent.ledger.lend(creation.budget) {
+                return Err(RecordError::new("the parent's budget does not cover the sub-agent's"));
+            }
+            parent.active_at = at;
+            if creation.inherit_history {
+                history = parent.history.clone();
+            }
+        }
+        self.programs.insert(id.clone(), Program::new(id, at, creation, history));
+        Ok(())
+    }
+
+    fn end(&mut self, id: &ProgramId, at: WallTime, reason: EndReason) -> Result<(), RecordError> {
+        for child in self.children(id) {
+            self.end(&child, at, EndReason::ParentEnded)?;
+        }
+        let missing = || RecordError::new(format!("there is no program {id}"));
+        let program = self.programs.get_mut(id).ok_or_else(missing)?;
+        if program.ended.is_some() {
+            return Ok(());
+        }
+        program.ended = Some((at, reason));
+        let (total, rest) = (program.ledger.total(), program.ledger.remaining());
+        let parent = program.parent.clone();
+        if let Some(parent) = parent.and_then(|parent| self.programs.get_mut(&parent)) {
+            parent.ledger.take_back(total, rest);
+            parent.active_at = at;
+        }
+        Ok(())
+    }
+
+    fn children(&self, id: &ProgramId) -> Vec<ProgramId> {
+        let is_child = |program: &&Program| program.parent.as_ref() == Some(id);
+        self.programs.values().filter(is_child).map(|program| program.id.clone()).collect()
+    }
+
+    /// Returns a program and all programs below it.
+    pub fn family(&self, id: &ProgramId) -> Vec<ProgramId> {
+        let mut family = vec![id.clone()];
+        let mut next = 0;
+        while let Some(member) = family.get(next).cloned() {
+            family.extend(self.children(&member));
+            next += 1;
+        }
+        family
+    }
+
+    /// Returns the tokens that all programs of the tree were served.
+    pub fn attained_tokens(&self) -> u64 {
+        let usage = |call: &Call| match &call.result {
+            Some(CallResult::Done(completion)) => completion.usage.total(),
+            _ => 0,
+        };
+        self.programs.values().flat_map(|program| program.calls.values()).map(usage).sum()
     }
 }
 
-fn turn_messages(turn: &Turn) -> Vec<Message> {
-    let output = match &turn.output {
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
+fn apply_to_call(program: &mut Program, epoch: Epoch, what: What) -> Result<(), RecordError> {
+    match what {
+        What::Accepted { request, reserved } => accept(program, epoch, request, reserved),
+        What::Reserved { call, tokens } => reserve(program, &call, tokens),
+        What::NotSent { call } => release_attempt(program, &call),
+        What::Intent { call, endpoint } => {
+            program.call(&call)?.intent = Some(endpoint);
+            Ok(())
+        }
+        What::Done { call, completion } => finish(program, &call, completion),
+        What::Failed { call, failure } => fail(program, &call, failure),
+        What::Withdrawn { call, sent } => withdraw(program, &call, sent),
+        What::Created(_) | What::Ended { .. } => Ok(()),
+    }
+}
+
+fn accept(
+    program: &mut Program,
+    epoch: Epoch,
+    request: Arc<CallRequest>,
+    reserved: Option<u64>,
+) -> Result<(), RecordError> {
+    if !program.ledger.reserve(Amount { tokens: reserved.unwrap_or(0), calls: 1 }) {
+        return Err(RecordError::new("the budget does not cover an accepted call"));
+    }
+    let id = request.call_id.clone();
+    let call = Call { request, epoch, reserved, reserved_earlier: 0, intent: None, result: None };
+    program.calls.insert(id, call);
+    Ok(())
+}
+
+fn reserve(program: &mut Program, id: &CallId, tokens: u64) -> Result<(), RecordError> {
+    if !program.ledger.reserve(Amount { tokens, calls: 0 }) {
+        return Err(RecordError::new("the budget does not cover a reservation"));
+    }
+    let call = program.call(id)?;
+    call.reserved_earlier = call.reserved_earlier.saturating_add(call.reserved.unwrap_or(0));
+    call.reserved = Some(tokens);
+    Ok(())
+}
+
+fn release_attempt(program: &mut Program, id: &CallId) -> Result<(), RecordError> {
+    let call = program.call(id)?;
+    let tokens = call.reserved.replace(0).unwrap_or(0);
+    call.intent = None;
+    program.ledger.settle(Amount { tokens, calls: 0 }, Amount::default());
+    Ok(())
+}
+
+fn finish(program: &mut Program, id: &CallId, completion: Completion) -> Result<(), RecordError> {
+    let completion = Arc::new(completion);
+    let call = program.call(id)?;
+    let held = call.held();
+    // Earlier attempts may have used all that was reserved for them.
+    let tokens = call.reserved_earlier.saturating_add(completion.usage.total());
+    call.result = Some(CallResult::Done(completion.clone()));
+    let turn = Turn::new(call.request.clone(), completion);
+    program.ledger.settle(held, Amount { tokens, calls: 1 });
+    program.history.push(Arc::new(turn));
+    Ok(())
+}
+
+fn fail(program: &mut Program, id: &CallId, failure: Failure) -> Result<(), RecordError> {
+    let call = program.call(id)?;
+    let held = call.held();
+    call.result = Some(CallResult::Failed(failure));
+    program.ledger.settle(held, held);
+    Ok(())
+}
+
+fn withdraw(program: &mut Program, id: &CallId, sent: bool) -> Result<(), RecordError> {
+    let call = program.call(id)?;
+    let held = call.held();
+    let used = match sent {
+        true => held,
+        false => {
+            let calls = u64::from(call.reserved_earlier > 0);
+            Amount { tokens: call.reserved_earlier, calls }
+        }
     };
-    if turn.kind != CallKind::Model {
-        return vec![Message { role: "tool".into(), content: output.into() }];
+    program.calls.remove(id);
+    program.ledger.settle(held, used);
+    Ok(())
+}
+
+impl CallRequest {
+    /// Returns whether the call may run more than once; model calls always may.
+    pub fn is_idempotent(&self) -> bool {
+        self.idempotent || self.kind == CallKind::Model
     }
-    let mut messages = input_messages(&turn.input);
-    messages.push(Message { role: "assistant".into(), content: output.into() });
-    messages
 }
--- /dev/null
+++ b/coriandergw/src/programs/sweep.rs
@@ -0,0 +1,169 @@
+//! Takes over granted partitions, enforces limits and forgets ended programs, again and again.
+
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+
+use crate::clock::Timestamp;
+use crate::clock::WallTime;
+use crate::ids::ProgramId;
+use crate::programs::home::Home;
+use crate::programs::home::LiveTree;
+use crate::programs::home::Place;
+use crate::programs::home::Programs;
+use crate::programs::limits::end_due;
+use crate::programs::record::EndReason;
+
+/// The time between two sweeps.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The sweeps after which limits are looked at.
+const SWEEPS_PER_LIMIT_CHECK: u64 = 3;
+
+/// The partitions that are taken over at the same time.
+const TAKEOVERS_AT_ONCE: usize = 64;
+
+/// How long a home keeps its running calls while its lease is not confirmed.
+const LAPSE_GRACE: Duration = Duration::from_secs(3);
+
+/// How long an ended program can be read.
+const RETENTION: Duration = Duration::from_secs(10 * 60);
+
+impl Programs {
+    pub(super) async fn sweep_forever(programs: Weak<Self>) {
+        let mut round = 0u64;
+        while let Some(programs) = programs.upgrade() {
+            programs.follow_leases().await;
+            if round.is_multiple_of(SWEEPS_PER_LIMIT_CHECK) {
+                programs.sweep_programs().await;
+            }
+            drop(programs);
+            round += 1;
+            tokio::time::sleep(SWEEP_INTERVAL).await;
+        }
+    }
+
+    /// Drops homes whose lease is gone and takes over partitions that were granted.
+    pub(super) async fn follow_leases(self: &Arc<Self>) {
+        let now = self.cx.clock.now();
+        for home in self.known_homes() {
+            if self.is_gone(&home, now) {
+                self.drop_home(&home, "the lease is gone");
+            }
+        }
+        let held = self.partitions.all_held(now);
+        let missing: Vec<_> = {
+            let homes = self.homes.lock().expect("not poisoned");
+            let is_loaded = |home: &Arc<Home>| home.loaded.initialized();
+            held.into_iter()
+                .filter(|(partition, epoch)| {
+                    let home = homes.get(partition);
+                    !home.is_some_and(|home| home.epoch == *epoch && is_loaded(home))
+                })
+                .collect()
+        };
+        let takeovers = missing.into_iter().map(|(partition, _)| self.home(partition));
+        // A failed takeover is tried again by the next sweep.
+        let mut takeovers =
+            futures_util::stream::iter(takeovers).buffer_unordered(TAKEOVERS_AT_ONCE);
+        while takeovers.next().await.is_some() {}
+    }
+
+    fn known_homes(&self) -> Vec<Arc<Home>> {
+        self.homes.lock().expect("not poisoned").values().cloned().collect()
+    }
+
+    fn is_gone(&self, home: &Home, now: Timestamp) -> bool {
+        let mut lapsed_since = home.lapsed_since.lock().expect("not poisoned");
+        match self.partitions.held(home.partition, now) {
+            Some(epoch) => {
+                *lapsed_since = None;
+                epoch != home.epoch
+            }
+            None => now.since(*lapsed_since.get_or_insert(now)) >= LAPSE_GRACE,
+        }
+    }
+
+    /// Ends programs that reached a limit, forgets old ones and updates the gauges.
+    pub(super) async fn sweep_programs(self: &Arc<Self>) {
+        let now = self.cx.clock.wall();
+        let mut totals = Totals::default();
+        for home in self.known_homes() {
+            totals.partitions += 1;
+            let trees: Vec<(ProgramId, Arc<LiveTree>)> = {
+                let trees = home.trees.lock().expect("not poisoned");
+                trees.iter().map(|(root, tree)| (root.clone(), tree.clone())).collect()
+            };
+            for (program, tree) in trees {
+                let place = Place { home: home.clone(), tree, program };
+                totals.add(&place);
+                self.sweep_tree(&place, now).await;
+            }
+        }
+        self.show(&totals);
+    }
+
+    async fn sweep_tree(self: &Arc<Self>, place: &Place, now: WallTime) {
+        for (program, reason) in self.due(place, now) {
+            let place = Place { program, ..place.clone() };
+            // A failed attempt is repeated by the next sweep.
+            let _ = self.end_for(&place, reason).await;
+        }
+        if is_forgettable(place, now) {
+            self.forget(place).await;
+        }
+    }
+
+    fn due(&self, place: &Place, now: WallTime) -> Vec<(ProgramId, EndReason)> {
+        let state = place.tree.state.lock().expect("not poisoned");
+        let due = state.programs.values().filter_map(|program| {
+            let entry = self.catalogue.entry(&program.entry)?;
+            Some((program.id.clone(), end_due(program, &entry.limits, now)?))
+        });
+        due.collect()
+    }
+
+    fn show(&self, totals: &Totals) {
+        let states = &self.cx.metrics.states;
+        states.with_label_values(&["program_partitions"]).set(totals.partitions);
+        states.with_label_values(&["programs"]).set(totals.programs);
+        states.with_label_values(&["programs_ended"]).set(totals.ended);
+        states.with_label_values(&["program_turns"]).set(totals.turns);
+        states.with_label_values(&["program_history_bytes"]).set(totals.history_bytes);
+        states.with_label_values(&["calls_running"]).set(self.running() as i64);
+    }
+}
+
+/// Sums over all programs at home here.
+#[derive(Default)]
+struct Totals {
+    partitions: i64,
+    programs: i64,
+    ended: i64,
+    turns: i64,
+    history_bytes: i64,
+}
+
+impl Totals {
+    fn add(&mut self, place: &Place) {
+        let state = place.tree.state.lock().expect("not poisoned");
+        for program in state.programs.values() {
+            self.programs += 1;
+            self.ended += i64::from(program.ended.is_some());
+            self.turns += program.history.len() as i64;
+            let bytes: usize = program.history.iter().map(|turn| turn.text_bytes()).sum();
+            self.history_bytes += bytes as i64;
+        }
+    }
+}
+
+fn is_forgettable(place: &Place, now: WallTime) -> bool {
+    let retention_ms = RETENTION.as_millis() as u64;
+    let state = place.tree.state.lock().expect("not poisoned");
+    let is_old = |ended_at: WallTime| now.0.saturating_sub(ended_at.0) >= retention_ms;
+    let has_live = !place.tree.live.lock().expect("not poisoned").is_empty();
+    !has_live
+        && state.programs.values().all(|program| program.ended.is_some_and(|(at, _)| is_old(at)))
+}
--- /dev/null
+++ b/coriandergw/src/programs/takeover.rs
@@ -0,0 +1,68 @@
+//! Takes over a partition: fences it, rebuilds its programs and goes on with their calls.
+
+use std::sync::Arc;
+
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::CallId;
+use crate::ids::ProgramId;
+use crate::programs::accept::Start;
+use crate::programs::home::Home;
+use crate::programs::home::LiveTree;
+use crate::programs::home::Place;
+use crate::programs::home::Programs;
+use crate::programs::journal::JournalError;
+use crate::programs::state::Tree;
+
+impl Programs {
+    /// Rebuilds the programs of a partition and resumes their calls.
+    pub(super) async fn load(self: &Arc<Self>, home: &Arc<Home>) -> Result<(), JournalError> {
+        home.journal.fence().await?;
+        let trees = home.journal.read().await?;
+        let count = trees.len();
+        let mut places = Vec::new();
+        let mut live_trees = home.trees.lock().expect("not poisoned");
+        for (root, state) in trees {
+            let tree = Arc::new(LiveTree::from_state(state));
+            places.push(Place { home: home.clone(), tree: tree.clone(), program: root.clone() });
+            live_trees.insert(root, tree);
+        }
+        drop(live_trees);
+        for place in places {
+            self.resume(&place);
+        }
+        if count > 0 {
+            let subject = Subject { epoch: Some(home.epoch.0), ..Subject::default() };
+            let message = format!("partition {} taken over, {count} trees", home.partition);
+            self.cx.events.record(EventNumber::PartitionTaken, subject, message);
+        }
+        Ok(())
+    }
+
+    fn resume(self: &Arc<Self>, place: &Place) {
+        let (open, ended) = unfinished(&place.tree.state.lock().expect("not poisoned"));
+        for (program, call) in open {
+            let place = Place { program, ..place.clone() };
+            // A call that was answered meanwhile needs no work.
+            let _ = self.work_on(&place, &call, Start::default());
+        }
+        // Whether the former home released the memory is not known; releasing is idempotent.
+        for program in ended {
+            self.release_if_quiet(&Place { program, ..place.clone() });
+        }
+    }
+}
+
+/// Returns the calls without a result and the programs that have ended.
+fn unfinished(tree: &Tree) -> (Vec<(ProgramId, CallId)>, Vec<ProgramId>) {
+    let mut open = Vec::new();
+    let mut ended = Vec::new();
+    for program in tree.programs.values() {
+        let calls = program.calls.iter().filter(|(_, call)| call.result.is_none());
+        open.extend(calls.map(|(id, _)| (program.id.clone(), id.clone())));
+        if program.ended.is_some() {
+            ended.push(program.id.clone());
+        }
+    }
+    (open, ended)
+}
