feat(leases): lease partitions to homes and distribute the control state

No instance knew the partition table, and a change was in force in one process only. leases::start registers the instance, renews its lease with the control leader, directly or through the relay of its data centre, and applies numbered deltas whose digest is checked; a full state is fetched in parts where deltas are missing or a digest differs. On the store instance that leads group 0 it grants leases, declares instances dead after a full lease and a drift bound, and moves only what a join, departure or death needs, after the home released it. A new leader waits one lease. A schedule of cuts found that a former leader waited for itself as its own relay; it no longer does.

Tests run in paused time over the memory transport with one shared log. Time in force, failover time and control bytes a second were not measured.

--- a/coriandergw/src/control/replica.rs
+++ b/coriandergw/src/control/replica.rs
@@ -64,7 +64,7 @@
     /// Returns the deltas after `revision`, at most `max_bytes` but at least one. Returns nothing
     /// where some are no longer kept, so that a full state is needed.
     pub fn deltas_after(&self, revision: Revision, max_bytes: usize) -> Option<Vec<Bytes>> {
-        let missing = self.published.revision().0.checked_sub(revision.0)?;
+        let missing = self.published.revision().0.saturating_sub(revision.0);
         let missing = usize::try_from(missing).ok()?;
         let first = self.deltas.len().checked_sub(missing)?;
         let mut bytes = 0;
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -76,6 +76,8 @@
     ConfirmationRegained = 239, Info;
     /// The file of the applied revision could not be written.
     RevisionFileFailed = 240, Error;
+    /// A dead instance without partitions was removed.
+    InstanceForgotten = 241, Info;
     /// A program was created.
     ProgramCreated = 300, Debug;
     /// A call was accepted.
--- a/coriandergw/src/leases/mod.rs
+++ b/coriandergw/src/leases/mod.rs
@@ -1,12 +1,60 @@
-//! Leases of partitions to home instances.
+//! Leases of partitions to home instances and the distribution of the control state.
+//!
+//! The control leader keeps one lease an instance. An instance acts as the home of the partitions
+//! that the partition table gives it while its lease holds. It renews with the leader, directly or
+//! through the relay of its data centre, and gets the changes of the control state with the answer.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::clock::Timestamp;
 use crate::ids::Epoch;
 use crate::ids::InstanceName;
 use crate::ids::PartitionId;
 
+mod client;
+#[allow(missing_docs, clippy::all)]
+mod generated;
+mod handler;
+mod holder;
+mod leader;
+mod lease_table;
+mod messages;
+mod plan;
+mod relay;
+mod revision_file;
+mod start;
+mod status;
+
+pub use client::ControlClient;
+pub use leader::Leadership;
+pub use start::Registration;
+pub use start::StartError;
+pub use start::StoreSide;
+pub use start::start;
+pub use status::ClusterStatus;
+pub use status::HistoryItem;
+pub use status::InstanceStatus;
+pub use status::StatusReport;
+
+/// How long an instance may act on its lease, counted from the time that it sent the renewal.
+pub const LEASE: Duration = Duration::from_secs(3);
+
+/// How much longer the leader counts a lease, for clocks that run at different speeds.
+pub const DRIFT_BOUND: Duration = Duration::from_millis(300);
+
+/// The time between two renewals of an instance.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long a confirmation of the configuration counts as current.
+pub const FRESHNESS_LIMIT: Duration = Duration::from_secs(5);
+
+/// How long an instance waits for the answer to a control message.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The most bytes of deltas or of a full state in one answer.
+const PART_MAX_BYTES: usize = 4 * 1024 * 1024;
+
 /// The home of a partition as this instance knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Home {
@@ -32,3 +80,6 @@
     /// Returns whether this instance has confirmed its configuration within the freshness limit.
     fn is_fresh(&self, now: Timestamp) -> bool;
 }
+
+#[cfg(test)]
+mod tests;
