--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -1,12 +1,209 @@
 //! An instance of a cluster.
 
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Weak;
+
+use crate::context::Context;
+use crate::control::ControlMachine;
+use crate::control::SharedControlState;
+use crate::dispatch::scheduled::DispatchSettings;
+use crate::dispatch::scheduled::ScheduledDispatcher;
+use crate::endpoints::directory::Directory;
+use crate::endpoints::gossip::Gossip;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::CONTROL_GROUP;
+use crate::ids::GroupId;
 use crate::instance::RunError;
+use crate::instance::Shared;
+use crate::instance::adapters::LogLeadership;
+use crate::instance::adapters::Registered;
+use crate::instance::context;
+use crate::instance::serve::bind;
+use crate::instance::serve::serve;
+use crate::leases;
+use crate::leases::ClusterStatus;
+use crate::leases::ControlClient;
+use crate::leases::Registration;
+use crate::leases::StoreSide;
+use crate::log_groups::ReplicatedLog;
+use crate::log_groups::StateMachine;
+use crate::log_groups::client::LogClient;
+use crate::log_groups::node::LogNode;
+use crate::log_groups::node::LogOptions;
+use crate::log_groups::node::SNAPSHOT_EVERY_ENTRIES;
+use crate::programs::JournalState;
+use crate::programs::Programs;
 use crate::settings::Settings;
+use crate::storage::file_disk::FileDisk;
+use crate::transport::Transport;
+use crate::transport::quic::QuicTransport;
+use crate::transport::quic::StartError;
+use crate::transport::tls::KeyFiles;
+use crate::transport::tls::TlsConfigs;
+
+/// The log as an instance sees it, and what only a store instance has of it.
+struct LogSide {
+    log: Arc<dyn ReplicatedLog>,
+    node: Option<Arc<LogNode>>,
+    store: Option<StoreSide>,
+}
 
 /// Runs one instance until a signal asks it to stop.
 ///
 /// # Errors
-/// Fails if keys cannot be used or an address cannot be bound.
-pub async fn run(_settings: Settings) -> Result<(), RunError> {
-    Err(RunError::NoKeys)
+/// Fails if keys or the data folder cannot be used or an address cannot be bound.
+pub async fn run(settings: Settings) -> Result<(), RunError> {
+    let cx = context(&settings)?;
+    cx.events.record(EventNumber::InstanceStarted, Subject::default(), "started");
+    let server = bind(&settings).await?;
+    let caller_address = settings.instance.advertise.unwrap_or(server.local_address());
+    let (transport, peer_address) = start_transport(&cx, &settings)?;
+    let LogSide { log, node, store } = start_log(&cx, &settings, transport.clone())?;
+    let registration = registration(&settings, caller_address, peer_address);
+    let control = leases::start(cx.clone(), transport.clone(), log.clone(), registration, store)
+        .map_err(|cause| RunError::Control { cause })?;
+    tokio::spawn(learn_addresses(Arc::downgrade(&control), transport.clone()));
+    let registered = Arc::new(Registered {
+        control: control.clone(),
+        name: cx.instance.clone(),
+        data_centre: cx.data_centre.clone(),
+        addresses_ttl: settings.instance.addresses_ttl,
+    });
+    let directory = Arc::new(Directory::default());
+    let _gossip =
+        Gossip::start(cx.clone(), directory.clone(), transport.clone(), registered.clone());
+    let dispatcher = ScheduledDispatcher::start(
+        cx.clone(),
+        directory.clone(),
+        registered.clone(),
+        DispatchSettings::default(),
+    );
+    let programs = Programs::start(
+        cx.clone(),
+        control.clone(),
+        control.clone(),
+        log,
+        settings.cluster.journal_groups,
+        dispatcher,
+    );
+    let shared = Arc::new(Shared {
+        cx,
+        settings,
+        caller_address,
+        catalogue: control.clone(),
+        catalogue_writer: control.clone(),
+        directory,
+        programs,
+        partitions: control.clone(),
+        addresses: registered,
+        stage: Arc::default(),
+    });
+    serve(server, shared, || control.leave()).await;
+    control.stop();
+    if let Some(node) = node {
+        node.stop().await;
+    }
+    transport.close();
+    Ok(())
+}
+
+fn start_transport(
+    cx: &Context,
+    settings: &Settings,
+) -> Result<(Arc<QuicTransport>, SocketAddr), RunError> {
+    let files = settings.keys.as_ref().ok_or(RunError::NoKeys)?;
+    let tls = TlsConfigs::load(files).map_err(|cause| RunError::Keys { cause })?;
+    let peers = settings.cluster.peers.clone();
+    let listen = settings.instance.peer_listen;
+    let bind_error = |cause| RunError::Bind { address: listen, cause };
+    let transport = QuicTransport::start(listen, tls, peers, cx.metrics.clone())
+        .map_err(|StartError::Bind { cause, .. }| bind_error(cause))?;
+    let address = transport.local_address().map_err(bind_error)?;
+    println!("coriandergw {} peers at {address}", cx.instance);
+    tokio::spawn(reload_keys(cx.clone(), files.clone(), Arc::downgrade(&transport)));
+    Ok((transport, address))
+}
+
+/// Loads the keys again on each hang-up signal.
+async fn reload_keys(cx: Context, files: KeyFiles, transport: Weak<QuicTransport>) {
+    let hang_up = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup());
+    let mut hang_up = hang_up.expect("signals can be waited for");
+    while hang_up.recv().await.is_some() {
+        let Some(transport) = transport.upgrade() else {
+            return;
+        };
+        let (number, message) = match TlsConfigs::load(&files) {
+            Ok(tls) => {
+                transport.reload(tls);
+                (EventNumber::KeysReloaded, "other keys are in use".to_owned())
+            }
+            Err(cause) => (EventNumber::KeysRefused, cause.to_string()),
+        };
+        cx.events.record(number, Subject::default(), message);
+    }
+}
+
+fn start_log(
+    cx: &Context,
+    settings: &Settings,
+    transport: Arc<QuicTransport>,
+) -> Result<LogSide, RunError> {
+    let voters = settings.cluster.voters.clone();
+    let Some(folder) = &settings.data else {
+        let log = Arc::new(LogClient::new(transport, voters));
+        return Ok(LogSide { log, node: None, store: None });
+    };
+    let state = SharedControlState::default();
+    let options = log_options(settings, folder, state.clone())?;
+    let node =
+        LogNode::start(cx.clone(), transport, options).map_err(|cause| RunError::Log { cause })?;
+    let leadership = LogLeadership::of(node.clone()).map(Arc::new);
+    let store = leadership.map(|leadership| StoreSide { state, leadership });
+    Ok(LogSide { log: node.clone(), node: Some(node), store })
+}
+
+fn log_options(
+    settings: &Settings,
+    folder: &Path,
+    state: SharedControlState,
+) -> Result<LogOptions, RunError> {
+    let unusable = |cause| RunError::DataFolder { folder: folder.to_owned(), cause };
+    let mut groups: Vec<(GroupId, Box<dyn StateMachine>)> =
+        vec![(CONTROL_GROUP, Box::new(ControlMachine::new(state)))];
+    for number in 1..=settings.cluster.journal_groups {
+        groups.push((GroupId(number), Box::new(JournalState::default())));
+    }
+    Ok(LogOptions {
+        cluster: settings.cluster.name.clone(),
+        voters: settings.cluster.voters.clone(),
+        disk: Arc::new(FileDisk::open(folder).map_err(unusable)?),
+        groups,
+        snapshot_every: SNAPSHOT_EVERY_ENTRIES,
+    })
+}
+
+fn registration(
+    settings: &Settings,
+    caller_address: SocketAddr,
+    peer_address: SocketAddr,
+) -> Registration {
+    Registration {
+        caller_address,
+        peer_address,
+        voters: settings.cluster.voters.clone(),
+        data: settings.data.clone(),
+    }
+}
+
+/// Tells the transport where the registered instances are.
+async fn learn_addresses(control: Weak<ControlClient>, transport: Arc<QuicTransport>) {
+    while let Some(control) = control.upgrade() {
+        for instance in control.instances() {
+            transport.learn(&instance.name, instance.peer_address);
+        }
+        control.changed().await;
+    }
 }
