--- a/coriandergw/src/addresses/mod.rs
+++ b/coriandergw/src/addresses/mod.rs
@@ -1,1 +1,80 @@
 //! Which instance addresses callers are told to use.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::control::Instance;
+use crate::control::InstanceState;
+use crate::ids::DataCentre;
+
+/// The addresses in one answer.
+pub const ADDRESSES_MAX: usize = 5;
+
+/// One address that a caller can use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct CallerAddress {
+    /// Where the instance answers callers.
+    pub address: SocketAddr,
+    /// The instance's data centre.
+    pub data_centre: DataCentre,
+}
+
+/// The answer to a caller that asks which addresses to use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct AddressAnswer {
+    /// The addresses, the preferred one first.
+    pub addresses: Vec<CallerAddress>,
+    /// How long the caller may keep the answer, in milliseconds.
+    pub ttl_ms: u64,
+}
+
+/// Returns the number that spreads callers: the same for the same caller.
+pub fn caller_seed(caller: IpAddr) -> u64 {
+    u64::from(crc32fast::hash(caller.to_string().as_bytes()))
+}
+
+/// Chooses the addresses for one caller among the instances that are alive.
+///
+/// Those in `near` come first. Within a data centre the order depends on `seed`, so that callers are
+/// spread over all instances, also those whose first address is lost. One address of another data centre is always
+/// among them, where there is one, for a caller whose nearest data centre is lost.
+pub fn choose_addresses<'a, I>(
+    instances: I,
+    near: &DataCentre,
+    seed: u64,
+    ttl: Duration,
+) -> AddressAnswer
+where
+    I: IntoIterator<Item = &'a Instance>,
+{
+    let alive = instances.into_iter().filter(|instance| instance.state == InstanceState::Alive);
+    let (mut nearby, mut others): (Vec<_>, Vec<_>) =
+        alive.partition(|instance| instance.data_centre == *near);
+    for group in [&mut nearby, &mut others] {
+        group.sort_by_cached_key(|instance| rank(instance, seed));
+    }
+    let spare = usize::from(!others.is_empty());
+    nearby.truncate(ADDRESSES_MAX - spare);
+    let addresses = nearby.into_iter().chain(others).take(ADDRESSES_MAX);
+    let addresses = addresses.map(|instance| CallerAddress {
+        address: instance.caller_address,
+        data_centre: instance.data_centre.clone(),
+    });
+    AddressAnswer { addresses: addresses.collect(), ttl_ms: ttl.as_millis() as u64 }
+}
+
+/// Returns the place of an instance in the order of one caller.
+fn rank(instance: &Instance, seed: u64) -> [u8; 32] {
+    let hash = Sha256::new().chain_update(seed.to_be_bytes());
+    hash.chain_update(instance.name.as_str()).finalize().into()
+}
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/leases/client.rs
+++ b/coriandergw/src/leases/client.rs
@@ -130,7 +130,8 @@
         file: Option<RevisionFile>,
         floor: Revision,
     ) -> Self {
-        let holder = Mutex::new(Holder::new(cx.instance.clone(), floor));
+        let holder = Holder::new(cx.instance.clone(), floor, registration.freshness_limit);
+        let holder = Mutex::new(holder);
         Self {
             cx,
             transport,
--- a/coriandergw/src/leases/holder.rs
+++ b/coriandergw/src/leases/holder.rs
@@ -1,6 +1,7 @@
 //! What one instance holds: its copy of the control state and its lease.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use prost::Message;
 
@@ -15,7 +16,6 @@
 use crate::ids::InstanceName;
 use crate::ids::PartitionId;
 use crate::ids::Revision;
-use crate::leases::FRESHNESS_LIMIT;
 use crate::leases::Home;
 use crate::leases::LEASE;
 use crate::leases::PART_MAX_BYTES;
@@ -59,11 +59,12 @@
     confirmed_at: Option<Timestamp>,
     released: BTreeMap<PartitionId, ReleaseMark>,
     leaving: bool,
+    freshness_limit: Duration,
 }
 
 impl Holder {
     /// Creates the state of an instance that had applied `floor` before it started.
-    pub(super) fn new(name: InstanceName, floor: Revision) -> Self {
+    pub(super) fn new(name: InstanceName, floor: Revision, freshness_limit: Duration) -> Self {
         Self {
             name,
             replica: Replica::default(),
@@ -74,6 +75,7 @@
             confirmed_at: None,
             released: BTreeMap::new(),
             leaving: false,
+            freshness_limit,
         }
     }
 
@@ -201,7 +203,7 @@
 
     /// Returns whether the copy was confirmed as current within the freshness limit.
     pub(super) fn is_fresh(&self, now: Timestamp) -> bool {
-        self.confirmed_at.is_some_and(|at| now.since(at) < FRESHNESS_LIMIT)
+        self.confirmed_at.is_some_and(|at| now.since(at) < self.freshness_limit)
     }
 
     /// Returns the epoch if this instance may act as the partition's home at `now`.
--- a/coriandergw/src/leases/mod.rs
+++ b/coriandergw/src/leases/mod.rs
@@ -46,9 +46,6 @@
 /// The time between two renewals of an instance.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long a confirmation of the configuration counts as current.
-pub const FRESHNESS_LIMIT: Duration = Duration::from_secs(5);
-
 /// How long an instance waits for the answer to a control message.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/coriandergw/src/leases/start.rs
+++ b/coriandergw/src/leases/start.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use derive_more::Display;
 use derive_more::Error;
@@ -29,6 +30,8 @@
     pub peer_address: SocketAddr,
     /// The store instances that can be asked who leads.
     pub voters: Vec<InstanceName>,
+    /// After how long without a confirmation the configuration counts as out of date.
+    pub freshness_limit: Duration,
     /// The data folder; present on store instances only.
     pub data: Option<PathBuf>,
 }
--- a/coriandergw/src/leases/tests.rs
+++ b/coriandergw/src/leases/tests.rs
@@ -150,6 +150,7 @@
             caller_address: address,
             peer_address: address,
             voters: (0..3).map(self::name).collect(),
+            freshness_limit: Duration::from_secs(5),
             data: data.map(Path::to_owned),
         };
         let store = (number < 3).then(|| StoreSide {
