--- a/coriandergw/src/addresses/mod.rs
+++ b/coriandergw/src/addresses/mod.rs
@@ -5,20 +5,21 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use sha2::Digest;
-use sha2::Sha256;
 
-use crate::control::Instance;
-use crate::control::InstanceState;
 use crate::ids::DataCentre;
 
-/// The addresses in one answer.
-pub const ADDRESSES_MAX: usize = 5;
+mod choice;
+mod cluster;
 
-/// One address that a caller can use.
+pub use choice::ADDRESSES_MAX;
+pub use choice::caller_seed;
+pub use choice::choose_addresses;
+pub use cluster::ClusterAddresses;
+
+/// One address of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize)]
-pub struct CallerAddress {
+pub struct Address {
     /// Where the instance answers callers.
     pub address: SocketAddr,
     /// The instance's data centre.
@@ -29,51 +30,44 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize)]
 pub struct AddressAnswer {
-    /// The addresses, the preferred one first.
-    pub addresses: Vec<CallerAddress>,
+    /// The addresses, the one to try first in front.
+    pub addresses: Vec<Address>,
     /// How long the caller may keep the answer, in milliseconds.
     pub ttl_ms: u64,
 }
 
-/// Returns the number that spreads callers: the same for the same caller.
-pub fn caller_seed(caller: IpAddr) -> u64 {
-    u64::from(crc32fast::hash(caller.to_string().as_bytes()))
+/// Knows the instances that callers may use.
+pub trait AddressBook: Send + Sync {
+    /// Returns the answer for a caller.
+    fn answer(&self, caller: IpAddr) -> AddressAnswer;
+
+    /// Returns whether other instances take work.
+    fn has_others(&self) -> bool;
 }
 
-/// Chooses the addresses for one caller among the instances that are alive.
-///
-/// Those in `near` come first. Within a data centre the order depends on `seed`, so that callers are
-/// spread over all instances, also those whose first address is lost. One address of another data centre is always
-/// among them, where there is one, for a caller whose nearest data centre is lost.
-pub fn choose_addresses<'a, I>(
-    instances: I,
-    near: &DataCentre,
-    seed: u64,
+/// The addresses of an instance that is alone.
+#[derive(Debug)]
+pub struct OneAddress {
+    address: Address,
     ttl: Duration,
-) -> AddressAnswer
-where
-    I: IntoIterator<Item = &'a Instance>,
-{
-    let alive = instances.into_iter().filter(|instance| instance.state == InstanceState::Alive);
-    let (mut nearby, mut others): (Vec<_>, Vec<_>) =
-        alive.partition(|instance| instance.data_centre == *near);
-    for group in [&mut nearby, &mut others] {
-        group.sort_by_cached_key(|instance| rank(instance, seed));
+}
+
+impl OneAddress {
+    /// Creates the book with the instance's own address.
+    pub fn new(address: SocketAddr, data_centre: DataCentre, ttl: Duration) -> Self {
+        Self { address: Address { address, data_centre }, ttl }
     }
-    let spare = usize::from(!others.is_empty());
-    nearby.truncate(ADDRESSES_MAX - spare);
-    let addresses = nearby.into_iter().chain(others).take(ADDRESSES_MAX);
-    let addresses = addresses.map(|instance| CallerAddress {
-        address: instance.caller_address,
-        data_centre: instance.data_centre.clone(),
-    });
-    AddressAnswer { addresses: addresses.collect(), ttl_ms: ttl.as_millis() as u64 }
 }
 
-/// Returns the place of an instance in the order of one caller.
-fn rank(instance: &Instance, seed: u64) -> [u8; 32] {
-    let hash = Sha256::new().chain_update(seed.to_be_bytes());
-    hash.chain_update(instance.name.as_str()).finalize().into()
+impl AddressBook for OneAddress {
+    fn answer(&self, _caller: IpAddr) -> AddressAnswer {
+        let ttl_ms = self.ttl.as_millis() as u64;
+        AddressAnswer { addresses: vec![self.address.clone()], ttl_ms }
+    }
+
+    fn has_others(&self) -> bool {
+        false
+    }
 }
 
 #[cfg(test)]
--- a/coriandergw/src/http_server/mod.rs
+++ b/coriandergw/src/http_server/mod.rs
@@ -87,7 +87,7 @@
 /// Accepts and serves connections until told to stop.
 pub struct HttpServer {
     listener: TcpListener,
-    routes: Router,
+    address: SocketAddr,
     tls: Option<TlsAcceptor>,
 }
 
@@ -96,24 +96,19 @@
     ///
     /// # Errors
     /// Fails if the address cannot be bound.
-    pub async fn bind(
-        address: SocketAddr,
-        routes: Router,
-        tls: Option<TlsAcceptor>,
-    ) -> std::io::Result<Self> {
-        Ok(Self { listener: TcpListener::bind(address).await?, routes, tls })
+    pub async fn bind(address: SocketAddr, tls: Option<TlsAcceptor>) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        Ok(Self { listener, address, tls })
     }
 
     /// Returns the bound address.
-    ///
-    /// # Errors
-    /// Fails if the operating system does not tell.
-    pub fn local_address(&self) -> std::io::Result<SocketAddr> {
-        self.listener.local_addr()
+    pub fn local_address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Serves until `stop` turns true, then finishes the requests that have begun.
-    pub async fn serve(self, mut stop: watch::Receiver<bool>) {
+    pub async fn serve(self, routes: Router, mut stop: watch::Receiver<bool>) {
         let graceful = GracefulShutdown::new();
         let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
         loop {
@@ -129,7 +124,7 @@
                 break;
             };
             let watcher = graceful.watcher();
-            let routes = self.routes.clone();
+            let routes = routes.clone();
             let tls = self.tls.clone();
             tokio::spawn(async move {
                 serve_stream(stream, peer, routes, tls, watcher).await;
--- a/coriandergw/src/leases/mod.rs
+++ b/coriandergw/src/leases/mod.rs
@@ -19,6 +19,7 @@
 mod holder;
 mod leader;
 mod lease_table;
+pub mod local;
 mod messages;
 mod plan;
 mod relay;
