--- a/coriandergw/src/addresses/mod.rs
+++ b/coriandergw/src/addresses/mod.rs
@@ -8,6 +8,14 @@
 
 use crate::ids::DataCentre;
 
+mod choice;
+mod cluster;
+
+pub use choice::ADDRESSES_MAX;
+pub use choice::caller_seed;
+pub use choice::choose_addresses;
+pub use cluster::ClusterAddresses;
+
 /// One address of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize)]
@@ -61,3 +69,6 @@
         false
     }
 }
+
+#[cfg(test)]
+mod tests;
