--- a/coriandergw/src/programs/run.rs
+++ b/coriandergw/src/programs/run.rs
@@ -15,6 +15,7 @@
 use crate::events::Subject;
 use crate::ids::CallId;
 use crate::ids::EndpointName;
+use crate::ids::Epoch;
 use crate::programs::accept::CallAnswer;
 use crate::programs::accept::LiveCall;
 use crate::programs::accept::Start;
@@ -136,14 +137,15 @@
     /// Waits until a call may start and journals the reservation for it.
     async fn prepare(self: &Arc<Self>, work: &Work) -> Result<Reservation, Refusal> {
         let Work { place, call, request, .. } = work;
+        let epoch = place.home.epoch;
         loop {
-            place.wait_for(|program| startable(program, request)).await?;
+            place.wait_for(|program| startable(program, request, epoch)).await?;
             let id = place.program.clone();
             let (call, request) = (call.clone(), request.clone());
             let build = move |tree: &Tree| {
                 let program = program_of(tree, &id)?;
                 check_running(program)?;
-                match need(program, &request) {
+                match need(program, &request, epoch) {
                     Need::Covered(reservation) => {
                         let tokens = reservation.tokens;
                         Ok((What::Reserved { call, tokens }, reservation))
@@ -219,7 +221,7 @@
     Ok((work, call.intent.clone()))
 }
 
-fn startable(program: &Program, req: &CallRequest) -> Result<Option<()>, Refusal> {
+fn startable(program: &Program, req: &CallRequest, epoch: Epoch) -> Result<Option<()>, Refusal> {
     check_running(program)?;
     for id in &req.after {
         // A predecessor that was withdrawn has no result and never gets one.
@@ -231,7 +233,7 @@
             return Err(predecessor_failed());
         }
     }
-    match need(program, req) {
+    match need(program, req, epoch) {
         Need::Covered(_) => Ok(Some(())),
         Need::Later => Ok(None),
         Need::Exhausted(refusal) => Err(refusal),
--- /dev/null
+++ b/coriandergw/src/programs/tests/requests.rs
@@ -0,0 +1,109 @@
+//! What is refused, and that nothing of it is kept.
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::programs::CallRequest;
+use crate::programs::ChildRequest;
+use crate::programs::tests::world::World;
+use crate::programs::tests::world::model;
+use crate::result_code::ResultCode;
+
+async fn snapshot(world: &World) -> usize {
+    let home = world.home(99);
+    let now = home.programs.cx.clock.now();
+    let mut records = 0;
+    for (partition, epoch) in home.programs.partitions.all_held(now) {
+        let journal = home.programs.journals.open(partition, epoch);
+        journal.fence().await.unwrap();
+        let trees = journal.read().await.unwrap();
+        records += trees.values().map(|tree| tree.next_sequence as usize).sum::<usize>();
+    }
+    records
+}
+
+#[tokio::test]
+async fn bad_calls_are_refused_and_leave_nothing() {
+    let cases: [(Value, ResultCode); 6] = [
+        (json!({"call_id": "a", "input": "other"}), ResultCode::CallIdReused),
+        (json!({"call_id": "x", "after": ["y"]}), ResultCode::UnknownPredecessor),
+        (json!({"call_id": "x", "after": ["x"]}), ResultCode::DependencyCycle),
+        (json!({"call_id": "x", "input": {"max_tokens": 1_000_000}}), ResultCode::BudgetExhausted),
+        (json!({"call_id": "x", "input": {"messages": 7}}), ResultCode::MalformedRequest),
+        (json!({"call_id": "x", "input": "x".repeat(20_000)}), ResultCode::BudgetExhausted),
+    ];
+    for (mut req, code) in cases {
+        let world = World::default();
+        let home = world.home(1);
+        let program = home.create(10_000, 5).await;
+        home.call(&program, model("a")).await.unwrap();
+        req["kind"] = json!("model");
+        req["target"] = json!("t");
+        let parsed: CallRequest = serde_json::from_value(req.clone()).unwrap();
+        let refusal = home.call(&program, parsed).await.unwrap_err();
+        assert_eq!((refusal.code, refusal.not_run), (code, true), "{req}");
+        assert_eq!(home.history(&program).await, ["a"]);
+        assert_eq!(snapshot(&world).await, 3, "{req}: something was kept");
+    }
+}
+
+#[tokio::test]
+async fn bad_programs_are_refused() {
+    let world = World::default();
+    let home = world.home(1);
+    let cases = [
+        (json!({"entry": "none"}), ResultCode::UnknownEntry),
+        (json!({"entry": "e", "budget": {"tokens": 0}}), ResultCode::ZeroBudget),
+        (json!({"entry": "e", "budget": {"calls": 0}}), ResultCode::ZeroBudget),
+    ];
+    for (req, code) in cases {
+        let refusal = home.programs.create(serde_json::from_value(req).unwrap()).await.unwrap_err();
+        assert_eq!((refusal.code, refusal.not_run), (code, true));
+    }
+    home.partitions.fresh.store(false, std::sync::atomic::Ordering::SeqCst);
+    let req = serde_json::from_value(json!({"entry": "e"})).unwrap();
+    let refusal = home.programs.create(req).await.unwrap_err();
+    assert_eq!(refusal.code, ResultCode::StaleConfiguration);
+    assert_eq!(snapshot(&world).await, 0);
+}
+
+#[tokio::test]
+async fn a_secret_opens_its_own_program_alone() {
+    let world = World::default();
+    let home = world.home(1);
+    let parent = home.create(10_000, 5).await;
+    let other = home.create(10_000, 5).await;
+    let req = ChildRequest::default();
+    let child = home.programs.create_child(&parent.program, &parent.secret, req).await.unwrap();
+    assert_eq!(child.program.partition(), parent.program.partition());
+    let all = [&parent, &other, &child];
+    for program in all {
+        for key in all {
+            let read = home.programs.history(&program.program, &key.secret).await;
+            let same = program.program == key.program;
+            let code = read.err().map(|refusal| refusal.code);
+            assert_eq!(code, (!same).then_some(ResultCode::WrongSecret));
+        }
+    }
+    let unknown = "p-unknown".try_into().unwrap();
+    let home_of_unknown = home.programs.history(&unknown, "").await.unwrap_err();
+    assert!(home_of_unknown.not_run);
+}
+
+#[tokio::test]
+async fn an_inherited_history_goes_before_the_childs_own() {
+    let world = World::default();
+    let home = world.home(1);
+    let parent = home.create(10_000, 5).await;
+    home.call(&parent, model("a")).await.unwrap();
+    let req: ChildRequest =
+        serde_json::from_str(r#"{"budget":{"tokens":4000,"calls":2},"inherit_history":true}"#)
+            .unwrap();
+    let child = home.programs.create_child(&parent.program, &parent.secret, req).await.unwrap();
+    home.call(&child, model("b")).await.unwrap();
+    let home = world.home(2);
+    assert_eq!(home.history(&child).await, ["a", "b"]);
+    assert_eq!(home.history(&parent).await, ["a"]);
+    let runs = world.runs.lock().unwrap().clone();
+    assert_eq!(runs[1].prompt, ["a".to_owned(), format!("{}:a", parent.program)]);
+}
