--- a/coriandergw/src/dispatch/mod.rs
+++ b/coriandergw/src/dispatch/mod.rs
@@ -14,7 +14,13 @@
 use crate::ids::TargetName;
 use crate::result_code::Refusal;
 
+mod cache_feeds;
 pub mod direct;
+mod endpoint_state;
+mod facts;
+mod releases;
+pub mod scheduled;
+mod scheduler;
 
 /// Says what kind of endpoint a call is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
