--- a/coriandergw/src/programs/accept.rs
+++ b/coriandergw/src/programs/accept.rs
@@ -15,6 +15,7 @@
 use crate::dispatch::TokenSink;
 use crate::events::EventNumber;
 use crate::ids::CallId;
+use crate::ids::Epoch;
 use crate::ids::ProgramId;
 use crate::programs::append::Persistence;
 use crate::programs::home::Listeners;
@@ -34,6 +35,7 @@
 use crate::programs::reserve::need;
 use crate::programs::state::CallResult;
 use crate::programs::state::Program;
+use crate::programs::state::Tree;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 
@@ -134,9 +136,10 @@
         let call = req.call_id.clone();
         let id = place.program.clone();
         let repeat = req.clone();
-        let build = move |tree: &crate::programs::state::Tree| {
+        let epoch = place.home.epoch;
+        let build = move |tree: &Tree| {
             let program = program_of(tree, &id)?;
-            let reservation = check_new(program, &entry, &req)?;
+            let reservation = check_new(program, &entry, &req, epoch)?;
             let reserved = reservation.map(|reservation| reservation.tokens);
             Ok((What::Accepted { request: Arc::new(req), reserved }, reservation))
         };
@@ -214,6 +217,7 @@
     program: &Program,
     entry: &Entry,
     req: &CallRequest,
+    epoch: Epoch,
 ) -> Result<Option<Reservation>, Refusal> {
     if program.calls.contains_key(&req.call_id) {
         let message = format!("call id {} is in use", req.call_id);
@@ -235,7 +239,7 @@
     if results.iter().any(|(ended, _)| !*ended) {
         return Ok(None);
     }
-    match need(program, req) {
+    match need(program, req, epoch) {
         Need::Covered(reservation) => Ok(Some(reservation)),
         Need::Later => Ok(None),
         Need::Exhausted(refusal) => Err(refusal),
--- a/coriandergw/src/programs/append.rs
+++ b/coriandergw/src/programs/append.rs
@@ -61,8 +61,9 @@
             programs.commit(&place, persistence, record).await?;
             Ok(built)
         });
-        task.await.unwrap_or_else(|cause| {
-            Err(Refusal::may_have_run(ResultCode::Internal, format!("a write failed: {cause}")))
+        task.await.unwrap_or_else(|cause| match cause.is_cancelled() {
+            true => Err(home_lost()),
+            false => Err(Refusal::may_have_run(ResultCode::Internal, format!("write: {cause}"))),
         })
     }
 
--- a/coriandergw/src/programs/mod.rs
+++ b/coriandergw/src/programs/mod.rs
@@ -43,3 +43,6 @@
 fn digest(secret: &str) -> [u8; 32] {
     Sha256::digest(secret.as_bytes()).into()
 }
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/programs/reserve.rs
+++ b/coriandergw/src/programs/reserve.rs
@@ -6,6 +6,7 @@
 
 use crate::dispatch::CallKind;
 use crate::endpoints::client::input_messages;
+use crate::ids::Epoch;
 use crate::programs::request::CallRequest;
 use crate::programs::state::Program;
 use crate::programs::turn::Turn;
@@ -40,8 +41,10 @@
     Exhausted(Refusal),
 }
 
-/// Returns what a call needs of the program's budget.
-pub fn need(program: &Program, req: &CallRequest) -> Need {
+/// Returns what a call needs of the program's budget, at a home of this epoch.
+///
+/// What attempts under earlier epochs hold is never given back, so that nothing waits for it.
+pub fn need(program: &Program, req: &CallRequest, epoch: Epoch) -> Need {
     if req.kind != CallKind::Model {
         return Need::Covered(Reservation::default());
     }
@@ -56,7 +59,7 @@
         let prompt_turns = program.history.len();
         return Need::Covered(Reservation { tokens, max_tokens, prompt_turns, history_tokens });
     }
-    if tokens <= rest.saturating_add(program.ledger.reserved().tokens) {
+    if tokens <= rest.saturating_add(program.held_by_others(&req.call_id, epoch)) {
         return Need::Later;
     }
     let message = format!("the call may use {tokens} tokens, the budget has {rest} left");
--- a/coriandergw/src/programs/state.rs
+++ b/coriandergw/src/programs/state.rs
@@ -70,6 +70,8 @@
     pub epoch: Epoch,
     /// The tokens reserved for the latest attempt; none before it may start.
     pub reserved: Option<u64>,
+    /// The epoch that the latest reservation was made under.
+    pub reserved_epoch: Epoch,
     /// The tokens reserved for earlier attempts that may have been sent.
     pub reserved_earlier: u64,
     /// The endpoint that a call which must not be repeated was sent to.
@@ -122,6 +124,13 @@
         self.calls.values().any(|call| call.result.is_none())
     }
 
+    /// Returns the tokens that calls other than `id` hold while they run under `epoch`.
+    pub fn held_by_others(&self, id: &CallId, epoch: Epoch) -> u64 {
+        let runs = |call: &&Call| call.result.is_none() && call.reserved_epoch == epoch;
+        let others = self.calls.iter().filter(|(other, _)| *other != id).map(|(_, call)| call);
+        others.filter(runs).filter_map(|call| call.reserved).sum()
+    }
+
     fn call(&mut self, id: &CallId) -> Result<&mut Call, RecordError> {
         let missing = || RecordError::new(format!("program {} has no call {id}", self.id));
         self.calls.get_mut(id).ok_or_else(missing)
@@ -217,7 +226,7 @@
 fn apply_to_call(program: &mut Program, epoch: Epoch, what: What) -> Result<(), RecordError> {
     match what {
         What::Accepted { request, reserved } => accept(program, epoch, request, reserved),
-        What::Reserved { call, tokens } => reserve(program, &call, tokens),
+        What::Reserved { call, tokens } => reserve(program, epoch, &call, tokens),
         What::NotSent { call } => release_attempt(program, &call),
         What::Intent { call, endpoint } => {
             program.call(&call)?.intent = Some(endpoint);
@@ -240,18 +249,32 @@
         return Err(RecordError::new("the budget does not cover an accepted call"));
     }
     let id = request.call_id.clone();
-    let call = Call { request, epoch, reserved, reserved_earlier: 0, intent: None, result: None };
+    let call = Call {
+        request,
+        epoch,
+        reserved,
+        reserved_epoch: epoch,
+        reserved_earlier: 0,
+        intent: None,
+        result: None,
+    };
     program.calls.insert(id, call);
     Ok(())
 }
 
-fn reserve(program: &mut Program, id: &CallId, tokens: u64) -> Result<(), RecordError> {
+fn reserve(
+    program: &mut Program,
+    epoch: Epoch,
+    id: &CallId,
+    tokens: u64,
+) -> Result<(), RecordError> {
     if !program.ledger.reserve(Amount { tokens, calls: 0 }) {
         return Err(RecordError::new("the budget does not cover a reservation"));
     }
     let call = program.call(id)?;
     call.reserved_earlier = call.reserved_earlier.saturating_add(call.reserved.unwrap_or(0));
     call.reserved = Some(tokens);
+    call.reserved_epoch = epoch;
     Ok(())
 }
 
@@ -305,3 +328,21 @@
         self.idempotent || self.kind == CallKind::Model
     }
 }
+
+#[cfg(test)]
+impl Program {
+    /// Returns an empty program.
+    pub fn for_test() -> Self {
+        let creation = Creation {
+            entry: "e".try_into().expect("a valid name"),
+            owner: "o".try_into().expect("a valid name"),
+            secret_digest: [0; 32],
+            budget: Amount { tokens: 1_000, calls: 10 },
+            parent: None,
+            inherit_history: false,
+            deadline: None,
+        };
+        let id = "p-1".try_into().expect("a valid name");
+        Self::new(id, WallTime::default(), creation, Vec::new())
+    }
+}
--- /dev/null
+++ b/coriandergw/src/programs/tests/audit.rs
@@ -0,0 +1,170 @@
+//! Random programs whose homes are lost at random, then an audit of what ran.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use tokio::runtime::Handle;
+
+use crate::dispatch::CallKind;
+use crate::programs::CallAnswer;
+use crate::programs::CallRequest;
+use crate::programs::CreatedProgram;
+use crate::programs::tests::world::PATIENCE;
+use crate::programs::tests::world::TestHome;
+use crate::programs::tests::world::World;
+use crate::result_code::ResultCode;
+
+const SEED: u64 = 5;
+const PROGRAMS: usize = 200;
+const TOKENS: u64 = 20_000;
+const HOMES: u64 = 12;
+
+/// The home that serves at the moment, and where its tasks run.
+type Serving = Arc<Mutex<(Handle, TestHome)>>;
+
+fn random_calls(rng: &mut ChaCha8Rng) -> Vec<CallRequest> {
+    let kinds = [("model", true), ("tool", true), ("tool", false), ("service", false)];
+    let count = rng.random_range(2..7);
+    (0..count)
+        .map(|index| {
+            let (kind, idempotent) = kinds[rng.random_range(0..kinds.len())];
+            let after: Vec<String> = (0..index)
+                .filter(|_| rng.random_ratio(1, 2))
+                .map(|earlier| format!("c{earlier}"))
+                .collect();
+            serde_json::from_value(json!({
+                "call_id": format!("c{index}"), "kind": kind, "idempotent": idempotent,
+                "after": after, "target": "t", "input": format!("input {index}"),
+            }))
+            .unwrap()
+        })
+        .collect()
+}
+
+/// Sends a request to whichever home serves until it is answered for good.
+async fn persist<T, F, R>(serving: &Serving, ask: F) -> Result<T, crate::result_code::Refusal>
+where
+    T: Send + 'static,
+    F: Fn(TestHome) -> R,
+    R: Future<Output = Result<T, crate::result_code::Refusal>> + Send + 'static,
+{
+    loop {
+        let (handle, home) = serving.lock().unwrap().clone();
+        let asked = handle.spawn(ask(home));
+        match asked.await {
+            Ok(Err(refusal)) if refusal.code == ResultCode::NoHome => {}
+            Ok(answer) => return answer,
+            Err(_) => {}
+        }
+        tokio::time::sleep(Duration::from_millis(3)).await;
+    }
+}
+
+async fn run_program(
+    serving: Serving,
+    calls: Vec<CallRequest>,
+) -> (CreatedProgram, Vec<(CallRequest, CallAnswer)>) {
+    let created =
+        persist(&serving, |home: TestHome| async move { Ok(home.create(TOKENS, 10).await) });
+    let program = created.await.unwrap();
+    let mut answers = Vec::new();
+    // Sent in order, since a call must be known before another depends on it.
+    for req in calls {
+        let ask = |home: TestHome| {
+            let (program, req) = (program.clone(), req.clone());
+            async move { home.call(&program, req).await }
+        };
+        let answer = persist(&serving, ask).await;
+        answers.push((req, answer));
+    }
+    (program, answers)
+}
+
+fn audit(
+    world: &World,
+    program: &CreatedProgram,
+    answers: &[(CallRequest, CallAnswer)],
+    history: &[String],
+) {
+    let id = &program.program;
+    let runs: Vec<_> = {
+        let runs = world.runs.lock().unwrap();
+        runs.iter().filter(|run| run.program == *id).cloned().collect()
+    };
+    let mut first_run = BTreeMap::new();
+    for (position, run) in runs.iter().enumerate() {
+        first_run.entry(run.call.as_str()).or_insert(position);
+        let own = |text: &String| text.starts_with("input ") || text.starts_with(id.as_str());
+        assert!(run.prompt.iter().all(own), "{id}: a foreign history in a prompt");
+    }
+    for (req, answer) in answers {
+        let call = req.call_id.as_str();
+        let count = runs.iter().filter(|run| run.call == call).count();
+        let repeatable = req.idempotent || req.kind == CallKind::Model;
+        assert!(repeatable || count <= 1, "{id} {call}: ran {count} times");
+        match answer {
+            Ok(_) => assert!(count >= 1, "{id} {call}: done without a run"),
+            Err(refusal) => assert!(!refusal.not_run || count == 0, "{id} {call}: {refusal}"),
+        }
+        for earlier in &req.after {
+            let ran = (first_run.get(earlier.as_str()), first_run.get(call));
+            assert!(ran.1.is_none() || ran.0 < ran.1, "{id}: {call} before {earlier}");
+        }
+    }
+    let done = answers.iter().filter(|(_, answer)| answer.is_ok());
+    let done: BTreeSet<String> = done.map(|(req, _)| req.call_id.to_string()).collect();
+    assert_eq!(history.iter().cloned().collect::<BTreeSet<_>>(), done, "{id}: {answers:?}");
+    assert_eq!(history.len(), done.len(), "{id}: a turn stands twice");
+    assert!(world.tokens_of(id) <= TOKENS, "{id}: over its budget");
+}
+
+#[test]
+fn random_programs_hold_their_promises_while_homes_are_lost() {
+    let world = World { unknown_percent: 10, ..World::default() };
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let (mut runtime, home) = world.process(1);
+    let serving: Serving = Arc::new(Mutex::new((runtime.handle().clone(), home)));
+    let callers = tokio::runtime::Runtime::new().unwrap();
+    let mut programs = tokio::task::JoinSet::new();
+    for _ in 0..PROGRAMS {
+        programs.spawn_on(run_program(serving.clone(), random_calls(&mut rng)), callers.handle());
+    }
+    let mut losses = 0;
+    for epoch in 2..=HOMES {
+        // Each home is lost after it has run some more calls, or when all is done.
+        let enough = world.runs.lock().unwrap().len() + rng.random_range(20..60);
+        callers.block_on(async {
+            let ran_enough = async {
+                while world.runs.lock().unwrap().len() < enough {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+            };
+            // Callers may have finished already; then the home is lost without work.
+            let _ = tokio::time::timeout(Duration::from_millis(300), ran_enough).await;
+        });
+        let (next, home) = world.process(epoch);
+        *serving.lock().unwrap() = (next.handle().clone(), home);
+        std::mem::replace(&mut runtime, next).shutdown_background();
+        losses += 1;
+    }
+    let results = callers.block_on(async {
+        tokio::time::timeout(PATIENCE * 3, programs.join_all()).await.expect("callers finish")
+    });
+    assert_eq!((results.len(), losses), (PROGRAMS, HOMES as usize - 1));
+    let home = serving.lock().unwrap().1.clone();
+    for (program, answers) in &results {
+        let history = runtime.block_on(home.history(program));
+        audit(&world, program, answers, &history);
+    }
+    let is_done = |(_, answer): &&(CallRequest, CallAnswer)| answer.is_ok();
+    let done = results.iter().flat_map(|(_, answers)| answers).filter(is_done).count();
+    assert!(done > PROGRAMS, "most calls are done: {done}");
+    runtime.shutdown_background();
+}
