feat(orders): give engines orders under a lease, repeated until confirmed

Nothing loaded models, changed roles or released memory of programs that are gone.

The driver reads each engine's state back, orders what differs from what is wanted and repeats it until it is confirmed. Old versions are kept until the new one serves; loads draw on a token bucket. Orders to engines that do not check numbers are sent only while the lease holds, over connections that are reset when their time is up, and a new leader waits out the old lease and the longest time in flight.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -72,4 +72,8 @@
     EndpointSilent = 402, Warning;
     /// An attempt of a call failed at its endpoint.
     AttemptFailed = 403, Warning;
+    /// An engine confirmed an order.
+    OrderConfirmed = 404, Debug;
+    /// An order to an engine was not confirmed; it is repeated while it is due.
+    OrderFailed = 405, Warning;
 }
--- a/coriandergw/src/orders/mod.rs
+++ b/coriandergw/src/orders/mod.rs
@@ -1,1 +1,37 @@
 //! Orders to engines: load a model, change a role, release memory.
+//!
+//! The control leader compares the wanted state with what each engine reports and orders what
+//! differs. Orders state the wanted end, so a repeated order changes nothing.
+
+mod bucket;
+mod copies;
+mod driver;
+mod plan;
+mod sender;
+mod state;
+mod sweep;
+mod tenure;
+
+pub use bucket::TokenBucket;
+pub use copies::Demand;
+pub use copies::copies_by_peak;
+pub use driver::LivePrograms;
+pub use driver::OrderDriver;
+pub use driver::OrderSettings;
+pub use driver::Wishes;
+pub use plan::plan;
+pub use sender::OrderSender;
+pub use sender::SendOrderError;
+pub use state::EngineState;
+pub use state::LoadedModel;
+pub use state::ModelVersion;
+pub use state::Order;
+pub use state::Role;
+pub use state::StateError;
+pub use state::WantedState;
+pub use sweep::Sweep;
+pub use tenure::Tenure;
+pub use tenure::TenureSource;
+
+#[cfg(test)]
+mod tests;
