--- a/coriandergw/src/events/mod.rs
+++ b/coriandergw/src/events/mod.rs
@@ -1,9 +1,12 @@
 //! Numbered events: the log lines and the time line are made of them.
 
 use std::collections::VecDeque;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::mpsc::SyncSender;
 
+use log::kv::Value;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -13,10 +16,17 @@
 use crate::ids::InstanceName;
 use crate::ids::ProgramId;
 
+pub mod file;
+pub mod log_output;
+pub mod merge;
 mod number;
+pub mod picture;
+mod query;
+pub mod routes;
 
 pub use number::EventNumber;
 pub use number::Severity;
+pub use query::EventQuery;
 
 /// The events that an instance keeps in memory for the time line.
 pub const KEPT_EVENTS: usize = 50_000;
@@ -70,6 +80,7 @@
     instance: InstanceName,
     clock: Arc<dyn Clock>,
     kept: Mutex<Kept>,
+    writer: Option<SyncSender<Event>>,
 }
 
 #[derive(Default)]
@@ -79,9 +90,25 @@
 }
 
 impl Recorder {
-    /// Creates an empty recorder.
+    /// Creates an empty recorder that keeps events in memory only.
     pub fn new(instance: InstanceName, clock: Arc<dyn Clock>) -> Self {
-        Self { instance, clock, kept: Mutex::default() }
+        Self { instance, clock, kept: Mutex::default(), writer: None }
+    }
+
+    /// Creates a recorder that goes on from the events in a folder and adds to them.
+    ///
+    /// # Errors
+    /// Fails if the folder cannot be written to.
+    pub fn with_folder(
+        instance: InstanceName,
+        clock: Arc<dyn Clock>,
+        folder: &Path,
+    ) -> std::io::Result<Self> {
+        let events: VecDeque<Event> = file::read_events(folder).into();
+        let next_sequence = events.back().map_or(0, |event| event.sequence + 1);
+        let writer = Some(file::start_writer(folder)?);
+        let kept = Mutex::new(Kept { next_sequence, events });
+        Ok(Self { instance, clock, kept, writer })
     }
 
     /// Records an event.
@@ -100,10 +127,14 @@
             message: message.into(),
         };
         kept.next_sequence += 1;
-        if kept.events.len() == KEPT_EVENTS {
+        if kept.events.len() >= KEPT_EVENTS {
             kept.events.pop_front();
         }
         kept.events.push_back(event.clone());
+        if let Some(writer) = &self.writer {
+            // Dropped where the writer is behind; the log line is still written.
+            let _ = writer.try_send(event.clone());
+        }
         drop(kept);
         write_log_line(number, &event);
     }
@@ -128,20 +159,31 @@
     if !log::log_enabled!(level) {
         return;
     }
-    let subject = &event.subject;
-    log::log!(
-        level,
-        event = event.number,
-        name = number.name(),
-        instance = event.instance.as_str(),
-        sequence = event.sequence,
-        program = subject.program.as_ref().map(ProgramId::as_str),
-        call = subject.call.as_ref().map(CallId::as_str),
-        entry = subject.entry.as_ref().map(EntryName::as_str),
-        epoch = subject.epoch,
-        peer = subject.peer.as_deref(),
-        cause = subject.cause.as_deref();
-        "{}",
-        event.message
+    let pairs = log_pairs(number, event);
+    log::logger().log(
+        &log::Record::builder()
+            .level(level)
+            .target("coriandergw")
+            .key_values(&pairs.as_slice())
+            .args(format_args!("{}", event.message))
+            .build(),
     );
 }
+
+/// Lists what a log line shows besides its message; parts that an event lacks are left out.
+fn log_pairs<'a>(number: EventNumber, event: &'a Event) -> Vec<(&'static str, Value<'a>)> {
+    let subject = &event.subject;
+    let mut pairs = vec![
+        ("event", Value::from(event.number)),
+        ("name", Value::from(number.name())),
+        ("instance", Value::from(event.instance.as_str())),
+        ("sequence", Value::from(event.sequence)),
+    ];
+    pairs.extend(subject.program.as_ref().map(|id| ("program", Value::from(id.as_str()))));
+    pairs.extend(subject.call.as_ref().map(|id| ("call", Value::from(id.as_str()))));
+    pairs.extend(subject.entry.as_ref().map(|name| ("entry", Value::from(name.as_str()))));
+    pairs.extend(subject.epoch.map(|epoch| ("epoch", Value::from(epoch))));
+    pairs.extend(subject.peer.as_deref().map(|peer| ("peer", Value::from(peer))));
+    pairs.extend(subject.cause.as_deref().map(|cause| ("cause", Value::from(cause))));
+    pairs
+}
