--- a/coriandergw/src/dispatch/cache_feeds.rs
+++ b/coriandergw/src/dispatch/cache_feeds.rs
@@ -13,9 +13,6 @@
 use crate::placement::CacheChange;
 use crate::placement::CacheEvent;
 
-/// How often each engine is asked.
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
-
 /// How many engines are asked at once.
 const ASKED_AT_ONCE: usize = 16;
 
@@ -57,9 +54,9 @@
 }
 
 /// Polls the engines that calls were sent to, until the dispatcher is dropped.
-pub(super) async fn poll_forever(inner: Weak<Inner>) {
+pub(super) async fn poll_forever(inner: Weak<Inner>, interval: Duration) {
     loop {
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(interval).await;
         let Some(inner) = inner.upgrade() else {
             return;
         };
@@ -77,7 +74,7 @@
 async fn poll(inner: &Inner, engine: std::sync::Arc<Announcement>) {
     let since = {
         let mut state = inner.state.lock().expect("not poisoned");
-        state.scheduler.prefixes().next_sequence(&engine.name)
+        state.scheduler.prefixes().cursor(&engine.name)
     };
     let path = format!("/cache_events?since={since}");
     let asked = inner.client.get_json(&engine, &path);
--- a/coriandergw/src/dispatch/scheduled.rs
+++ b/coriandergw/src/dispatch/scheduled.rs
@@ -69,6 +69,8 @@
     pub queue: QueueSettings,
     /// The choice between endpoints.
     pub placer: Arc<dyn Placer>,
+    /// How often engines are asked for the events of their caches.
+    pub cache_poll_interval: Duration,
     /// Seeds the random choices.
     pub seed: u64,
 }
@@ -78,6 +80,7 @@
         Self {
             queue: QueueSettings::default(),
             placer: Arc::new(ExpectedFinish),
+            cache_poll_interval: Duration::from_millis(500),
             seed: rand::random(),
         }
     }
@@ -126,7 +129,8 @@
             state: Mutex::new(State { scheduler, waiters: HashMap::new() }),
         });
         tokio::spawn(tick_forever(Arc::downgrade(&inner)));
-        tokio::spawn(cache_feeds::poll_forever(Arc::downgrade(&inner)));
+        let interval = settings.cache_poll_interval;
+        tokio::spawn(cache_feeds::poll_forever(Arc::downgrade(&inner), interval));
         Arc::new(Self { inner })
     }
 }
--- a/coriandergw/src/placement/prefixes.rs
+++ b/coriandergw/src/placement/prefixes.rs
@@ -69,7 +69,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Feed {
-    next_sequence: u64,
+    cursor: u64,
+    last_sequence: Option<u64>,
     polled_at: Timestamp,
 }
 
@@ -119,34 +120,36 @@
         prefix.claims.into_iter().map(|claim| claim.endpoint).collect()
     }
 
-    /// Returns the number of the first event of an engine that has not been applied.
-    pub fn next_sequence(&self, endpoint: &EndpointName) -> u64 {
-        self.feeds.get(endpoint).map_or(0, |feed| feed.next_sequence)
+    /// Returns what to ask an engine's events from.
+    pub fn cursor(&self, endpoint: &EndpointName) -> u64 {
+        self.feeds.get(endpoint).map_or(0, |feed| feed.cursor)
     }
 
-    /// Applies the events that an engine answered with at `now`. Returns the number of gaps.
+    /// Applies the events that an engine answered with at `now`; the next ones are asked for from
+    /// `cursor`. Returns the number of gaps.
     pub fn apply(
         &mut self,
         endpoint: &EndpointName,
         events: &[CacheEvent],
-        next: u64,
+        cursor: u64,
         now: Timestamp,
     ) -> usize {
         let feed = self.feeds.get(endpoint).copied();
+        let polled_before = feed.map_or(now, |feed| feed.polled_at);
+        let mut last_sequence = feed.and_then(|feed| feed.last_sequence);
         let mut gaps = 0;
-        let mut expected = feed.map(|feed| feed.next_sequence);
         for event in events {
-            gaps += usize::from(expected.is_some_and(|number| event.sequence > number));
-            expected = Some(event.sequence + 1);
+            gaps += usize::from(last_sequence.is_some_and(|last| event.sequence > last + 1));
+            last_sequence = Some(event.sequence);
             if event.change == CacheChange::Evicted {
-                self.evict(endpoint, event, feed.map_or(now, |feed| feed.polled_at));
+                self.evict(endpoint, event, polled_before);
             }
         }
-        gaps += usize::from(expected.is_some_and(|number| next > number));
-        if let Some(feed) = feed.filter(|_| gaps > 0) {
-            self.doubt(endpoint, feed.polled_at);
+        if gaps > 0 {
+            self.doubt(endpoint, polled_before);
         }
-        self.feeds.insert(endpoint.clone(), Feed { next_sequence: next, polled_at: now });
+        let feed = Feed { cursor, last_sequence, polled_at: now };
+        self.feeds.insert(endpoint.clone(), feed);
         gaps
     }
 
