feat(cgw-bench): add fakes, proxy, open-loop load and capacity measurements

Cause: latency, memory and control traffic have to be measured by a command that anyone can repeat. Change: 'fakes' and 'proxy' run the test doubles by hand; 'load' sends programs of five shapes at Poisson arrivals and counts latency from the intended arrival; 'capacity' measures added latency, memory a program and the control traffic of idle clusters, and fits lines. 'experiment' and 'soak' say that they are not there yet.

--- /dev/null
+++ b/testkit/src/bin/cgw-bench/commands.rs
@@ -0,0 +1,276 @@
+//! The commands of `cgw-bench`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gumdrop::Options;
+use serde::Deserialize;
+use serde_json::json;
+use testkit::bench::capacity;
+use testkit::bench::load;
+use testkit::bench::load::LoadOptions;
+use testkit::bench::shapes::Shape;
+use testkit::bench::shapes::Targets;
+use testkit::fakes::announcer::Announcer;
+use testkit::fakes::engine::Engine;
+use testkit::fakes::engine::EngineOptions;
+use testkit::fakes::service::Service;
+use testkit::fakes::service::ServiceOptions;
+use testkit::proxy::Direction;
+use testkit::proxy::Faults;
+use testkit::proxy::Proxy;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::BufReader;
+
+use crate::print;
+
+/// The arguments of `fakes`.
+#[derive(Debug, Options)]
+pub struct FakesArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the instances to announce to, separated by commas", required)]
+    instances: String,
+    #[options(help = "how many engines", default = "2")]
+    engines: usize,
+    #[options(help = "the model", default = "model-a")]
+    model: String,
+    #[options(help = "real seconds that one second of an engine takes", default = "1.0")]
+    time_scale: f64,
+    #[options(help = "the seed", default = "1")]
+    seed: u64,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+fn addresses(raw: &str) -> Result<Vec<SocketAddr>, String> {
+    let parse = |item: &str| item.trim().parse().map_err(|cause| format!("{item}: {cause}"));
+    raw.split(',').map(parse).collect()
+}
+
+fn failed<E>(cause: E) -> String
+where
+    E: std::fmt::Display,
+{
+    cause.to_string()
+}
+
+/// Runs engines, a tool and a service until interrupted.
+pub async fn fakes(arguments: FakesArguments) -> Result<(), String> {
+    let instances = addresses(&arguments.instances)?;
+    let mut engines = Vec::new();
+    let mut announcers = Vec::new();
+    for n in 1..=arguments.engines {
+        let mut options = EngineOptions {
+            name: format!("engine-{n}"),
+            models: vec![arguments.model.clone()],
+            time_scale: arguments.time_scale,
+            ..EngineOptions::default()
+        };
+        options.core.seed = arguments.seed + n as u64;
+        let engine = Engine::start(options).await.map_err(failed)?;
+        announcers.push(Announcer::start(engine.announcements(), instances.clone()));
+        engines.push(engine);
+    }
+    let tool = testkit::fakes::tool::start("tool-1", "tool-a").await.map_err(failed)?;
+    let service = Service::start(ServiceOptions::default()).await.map_err(failed)?;
+    for service in [&tool, &service] {
+        let announcement = service.announcement();
+        announcers.push(Announcer::start(move || announcement.clone(), instances.clone()));
+    }
+    let started: Vec<_> = engines.iter().map(Engine::announcement).collect();
+    let list =
+        json!({"engines": started, "tool": tool.announcement(), "service": service.announcement()});
+    print(arguments.json, &list);
+    tokio::signal::ctrl_c().await.map_err(failed)
+}
+
+/// The arguments of `proxy`.
+#[derive(Debug, Options)]
+pub struct ProxyArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "where to send what arrives", required)]
+    target: String,
+    #[options(help = "pass UDP packets; else TCP connections")]
+    udp: bool,
+    #[options(help = "the seed", default = "1")]
+    seed: u64,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// A line that changes the faults of a running proxy.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FaultLine {
+    /// Both directions if left out.
+    direction: Option<Direction>,
+    faults: Faults,
+    target: Option<SocketAddr>,
+}
+
+/// Runs a proxy and reads its faults from the standard input until that ends.
+pub async fn proxy(arguments: ProxyArguments) -> Result<(), String> {
+    let target = arguments.target.parse().map_err(failed)?;
+    let seed = arguments.seed;
+    let proxy = match arguments.udp {
+        true => Proxy::start_udp(target, seed).await,
+        false => Proxy::start_tcp(target, seed).await,
+    };
+    let proxy = proxy.map_err(failed)?;
+    print(arguments.json, &json!({"listens_on": proxy.address()}));
+    let mut lines = BufReader::new(tokio::io::stdin()).lines();
+    while let Some(line) = lines.next_line().await.map_err(failed)? {
+        match serde_json::from_str::<FaultLine>(&line) {
+            Ok(change) => apply(&proxy, &change),
+            Err(cause) => eprintln!("{line}: {cause}"),
+        }
+    }
+    Ok(())
+}
+
+fn apply(proxy: &Proxy, change: &FaultLine) {
+    match change.direction {
+        Some(direction) => proxy.set_faults(direction, change.faults),
+        None => proxy.set_both(change.faults),
+    }
+    if let Some(target) = change.target {
+        proxy.set_target(target);
+    }
+}
+
+/// The arguments of `load`.
+#[derive(Debug, Options)]
+pub struct LoadArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the instances, separated by commas", default = "127.0.0.1:7400")]
+    addresses: String,
+    #[options(help = "the catalogue entry", default = "default")]
+    entry: String,
+    #[options(help = "the account key of the entry", default = "")]
+    key: String,
+    #[options(help = "programs that arrive a second", default = "20")]
+    rate: f64,
+    #[options(help = "seconds that programs arrive", default = "10")]
+    seconds: u64,
+    #[options(help = "seconds that programs arrive before anything is recorded", default = "2")]
+    warm_up: u64,
+    #[options(help = "chain, fanout, pauses, agents, loops or mixed", default = "mixed")]
+    shape: Shape,
+    #[options(help = "calls of a program", default = "6")]
+    turns: usize,
+    #[options(help = "the model", default = "dev-model")]
+    model: String,
+    #[options(help = "the tool", default = "echo")]
+    tool: String,
+    #[options(help = "programs under way at most", default = "4096")]
+    most_under_way: usize,
+    #[options(help = "the seed", default = "1")]
+    seed: u64,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// Runs an open-loop load.
+pub async fn load(arguments: LoadArguments) -> Result<(), String> {
+    let json = arguments.json;
+    let options = LoadOptions {
+        addresses: addresses(&arguments.addresses)?,
+        entry: arguments.entry,
+        key: arguments.key,
+        rate: arguments.rate,
+        duration: Duration::from_secs(arguments.seconds),
+        warm_up: Duration::from_secs(arguments.warm_up),
+        shape: arguments.shape,
+        turns: arguments.turns,
+        targets: Targets { model: arguments.model, tool: arguments.tool },
+        most_under_way: arguments.most_under_way,
+        seed: arguments.seed,
+    };
+    let report = load::run(options, |completed, under_way| {
+        if !json {
+            eprint!("\r{completed} programs completed, {under_way} under way ");
+        }
+    })
+    .await;
+    print(json, &json!(report));
+    Ok(())
+}
+
+/// The arguments of `experiment`.
+#[derive(Debug, Options)]
+pub struct ExperimentArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "association or consortium", default = "association")]
+    deployment: String,
+    #[options(help = "policies, separated by commas")]
+    policies: Option<String>,
+    #[options(help = "how many seeds", default = "3")]
+    seeds: u64,
+    #[options(help = "the first seed", default = "1")]
+    seed: u64,
+    #[options(help = "a shorter run")]
+    quick: bool,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// Compares policies.
+pub fn experiment(arguments: &ExperimentArguments) -> Result<(), String> {
+    Err(format!("the experiment on {} is not there yet", arguments.deployment))
+}
+
+/// The arguments of `soak`.
+#[derive(Debug, Options)]
+pub struct SoakArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "instances", default = "9")]
+    instances: usize,
+    #[options(help = "seconds", default = "900")]
+    seconds: u64,
+    #[options(help = "the seed", default = "1")]
+    seed: u64,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// Mixes load and faults.
+pub async fn soak(_arguments: SoakArguments) -> Result<(), String> {
+    Err("the soak is not there yet".to_owned())
+}
+
+/// The arguments of `capacity`.
+#[derive(Debug, Options)]
+pub struct CapacityArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "latency, memory or control; all if left out")]
+    part: Option<String>,
+    #[options(help = "calls done by each idle program when memory is measured", default = "0")]
+    turns: usize,
+    #[options(help = "the seed", default = "1")]
+    seed: u64,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// Measures the shipped binary beside this one.
+pub async fn capacity(arguments: CapacityArguments) -> Result<(), String> {
+    let wanted = |part: &str| arguments.part.as_deref().is_none_or(|wanted| wanted == part);
+    let mut result = json!({});
+    if wanted("latency") {
+        result["latency"] = capacity::added_latency().await;
+    }
+    if wanted("memory") {
+        result["memory"] = capacity::memory(arguments.turns).await;
+    }
+    if wanted("control") {
+        result["control"] = capacity::control(arguments.seed).await;
+    }
+    print(arguments.json, &result);
+    Ok(())
+}
--- a/testkit/src/cluster/files.rs
+++ b/testkit/src/cluster/files.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use coriandergw::clock::Clock;
+use coriandergw::clock::SystemClock;
 use coriandergw::ids::InstanceName;
 use coriandergw::keys::KeyPem;
 use coriandergw::keys::make_authority;
@@ -107,11 +109,12 @@
 
 /// Writes the authority's certificate and a certificate and key for each instance.
 pub fn write_keys(folder: &Path, names: &[String]) {
-    let authority = make_authority(CLUSTER).expect("an authority can be made");
+    let now = SystemClock::default().wall();
+    let authority = make_authority(CLUSTER, now).expect("an authority can be made");
     write_pair(folder, "authority", &authority);
     for name in names {
         let instance = InstanceName::try_from(name.as_str()).expect("a valid name");
-        let pem = make_certificate(CLUSTER, &authority.key, &instance).expect("a certificate");
+        let pem = make_certificate(CLUSTER, &authority.key, &instance, now).expect("a certificate");
         write_pair(folder, name, &pem);
     }
 }
--- a/testkit/src/cluster/process.rs
+++ b/testkit/src/cluster/process.rs
@@ -1,6 +1,8 @@
 //! One process of the shipped binary.
 
 use std::fs::File;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitStatus;
@@ -16,6 +18,9 @@
 use crate::cluster::binary;
 use crate::wait;
 
+/// Stands for the peer address of a process without one.
+const NO_PEERS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// Where a started process listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Listening {
@@ -39,10 +44,24 @@
     /// # Panics
     /// Panics if the process cannot be started or does not say where it listens.
     pub async fn start(settings: &Path, log: &Path) -> Self {
+        let mut command = Command::new(binary::path());
+        command.arg("run").arg(settings);
+        Self::start_command(command, log, true).await
+    }
+
+    /// Starts `coriandergw dev` on a port of the system's choice.
+    ///
+    /// # Panics
+    /// Panics as [`Process::start`] does.
+    pub async fn start_dev(log: &Path) -> Self {
+        let mut command = Command::new(binary::path());
+        command.args(["dev", "--listen", "127.0.0.1:0"]);
+        Self::start_command(command, log, false).await
+    }
+
+    async fn start_command(mut command: Command, log: &Path, has_peers: bool) -> Self {
         let log_file = File::options().create(true).append(true).open(log).expect("a log file");
-        let mut child = Command::new(binary::path())
-            .arg("run")
-            .arg(settings)
+        let mut child = command
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(log_file)
@@ -50,7 +69,8 @@
             .spawn()
             .expect("the binary can be started");
         let stdout = child.stdout.take().expect("stdout is piped");
-        let listening = tokio::time::timeout(wait::LIMIT, read_listening(stdout, log)).await;
+        let reading = read_listening(stdout, log, has_peers);
+        let listening = tokio::time::timeout(wait::LIMIT, reading).await;
         let listening = listening.expect("the process says in time where it listens");
         Self { child, listening }
     }
@@ -83,13 +103,14 @@
     }
 }
 
-async fn read_listening<R>(stdout: R, log: &Path) -> Listening
+async fn read_listening<R>(stdout: R, log: &Path, has_peers: bool) -> Listening
 where
     R: tokio::io::AsyncRead + Unpin + Send + 'static,
 {
     let mut lines = BufReader::new(stdout).lines();
     let mut callers = None;
-    let mut peers = None;
+    // One instance by itself has no port for peers.
+    let mut peers = (!has_peers).then_some(NO_PEERS);
     loop {
         if let (Some(callers), Some(peers)) = (callers, peers) {
             // Goes on reading, so that a full pipe never blocks the process.
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Fakes at the interfaces, a fault-injecting proxy and measurements. Not shipped.
 
 pub mod auditor;
+pub mod bench;
 pub mod caller;
 pub mod cluster;
 pub mod fakes;
