--- a/coriandergw/src/callers/mod.rs
+++ b/coriandergw/src/callers/mod.rs
@@ -1,11 +1,13 @@
 //! The HTTP interface of callers and of endpoints that announce themselves.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use axum::Json;
 use axum::Router;
 use axum::body::Bytes;
+use axum::extract::ConnectInfo;
 use axum::extract::DefaultBodyLimit;
 use axum::extract::FromRequest;
 use axum::extract::Path;
@@ -26,6 +28,7 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
+use crate::addresses::AddressAnswer;
 use crate::endpoints::Announcement;
 use crate::endpoints::directory::RENEWAL_INTERVAL;
 use crate::events::EventNumber;
@@ -112,8 +115,11 @@
     value.and_then(|value| value.strip_prefix("Bearer ")).unwrap_or("")
 }
 
-async fn addresses(State(shared): State<Arc<Shared>>) -> Json<serde_json::Value> {
-    Json(shared.addresses())
+async fn addresses(
+    State(shared): State<Arc<Shared>>,
+    ConnectInfo(caller): ConnectInfo<SocketAddr>,
+) -> Json<AddressAnswer> {
+    Json(shared.addresses.answer(caller.ip()))
 }
 
 async fn create_program(
@@ -150,7 +156,7 @@
     headers: HeaderMap,
 ) -> Result<Json<serde_json::Value>, Refusal> {
     let id = program_id(id)?;
-    let turns = shared.programs.history(&id, bearer(&headers))?;
+    let turns = shared.programs.history(&id, bearer(&headers)).await?;
     Ok(Json(json!({"program": id, "turns": turns})))
 }
 
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -76,6 +76,24 @@
     ConfirmationRegained = 239, Info;
     /// The file of the applied revision could not be written.
     RevisionFileFailed = 240, Error;
+    /// The instance became the leader of a log group.
+    LogLeaderElected = 200, Info;
+    /// The instance stopped leading a log group.
+    LogLeaderLost = 201, Warning;
+    /// Writing to the data folder failed; the instance takes no further part in the log.
+    LogStorageFailed = 202, Error;
+    /// A damaged log was set aside; the instance learns it anew and does not vote until readmitted.
+    LogSetAside = 203, Error;
+    /// An unfinished write at the end of the log was cut off.
+    LogTailCut = 204, Warning;
+    /// A snapshot of a log group was taken.
+    LogSnapshotTaken = 205, Debug;
+    /// A snapshot of a log group came from its leader.
+    LogSnapshotInstalled = 206, Info;
+    /// The voters of a log group changed.
+    LogVotersChanged = 207, Info;
+    /// A message of the log could not be used.
+    LogMessageRefused = 208, Warning;
     /// A program was created.
     ProgramCreated = 300, Debug;
     /// A call was accepted.
@@ -86,10 +104,24 @@
     CallEnded = 303, Debug;
     /// A program ended.
     ProgramEnded = 304, Debug;
+    /// An endpoint reported more use than was reserved for the call.
+    ReservationExceeded = 305, Warning;
+    /// The outcome of a call that must not be repeated was lost.
+    OutcomeLost = 306, Warning;
+    /// An answer came too late to be recorded and was dropped.
+    AnswerDropped = 307, Warning;
+    /// A partition with programs was taken over.
+    PartitionTaken = 308, Info;
+    /// A partition was dropped.
+    PartitionDropped = 309, Info;
+    /// An ended program was forgotten after its retention.
+    ProgramForgotten = 310, Debug;
     /// An endpoint announced itself.
     EndpointAnnounced = 400, Info;
     /// An endpoint is leaving.
     EndpointLeaving = 401, Info;
     /// An endpoint stopped renewing its announcement.
     EndpointSilent = 402, Warning;
+    /// An attempt of a call failed at its endpoint.
+    AttemptFailed = 403, Warning;
 }
