feat(instance): choose addresses and lead by what the parts now offer

Cause: the control part brought its own address book and leadership. Change: the adapters of the instance give way to them.

--- a/coriandergw/src/instance/adapters.rs
+++ b/coriandergw/src/instance/adapters.rs
@@ -1,76 +1,22 @@
 //! Connects features that do not know each other.
 
-use std::hash::BuildHasher;
-use std::hash::BuildHasherDefault;
-use std::hash::DefaultHasher;
-use std::net::IpAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use tokio::sync::watch;
-
-use crate::addresses::Address;
-use crate::addresses::AddressAnswer;
-use crate::addresses::AddressBook;
-use crate::clock::Timestamp;
-use crate::control::Instance;
 use crate::control::InstanceState;
 use crate::endpoints::gossip::Peer;
 use crate::endpoints::gossip::Peers;
-use crate::ids::CONTROL_GROUP;
-use crate::ids::DataCentre;
 use crate::ids::InstanceName;
-use crate::leases;
 use crate::leases::ClusterStatus;
-use crate::log_groups::Leadership;
-use crate::log_groups::node::LogNode;
-
-/// The most addresses that a caller is told.
-const ADDRESSES_MAX: usize = 5;
-
-/// Tells the leases whether this store instance leads the control group.
-pub(super) struct LogLeadership {
-    node: Arc<LogNode>,
-    leadership: watch::Receiver<Leadership>,
-}
 
-impl LogLeadership {
-    /// Watches the control group of a log; none if the log does not have it.
-    pub(super) fn of(node: Arc<LogNode>) -> Option<Self> {
-        let leadership = node.leadership(CONTROL_GROUP)?;
-        Some(Self { node, leadership })
-    }
-}
-
-impl leases::Leadership for LogLeadership {
-    fn term(&self, now: Timestamp) -> Option<u64> {
-        let leadership = self.leadership.borrow();
-        let leads = leadership.is_leader && now < self.node.lease_until(CONTROL_GROUP);
-        leads.then_some(leadership.term)
-    }
-}
-
-/// What the registered instances tell other features.
-pub(super) struct Registered {
+/// The registered instances as peers of the endpoint directory and the dispatcher.
+pub(super) struct RegisteredPeers {
     /// The source of the registered instances.
     pub(super) control: Arc<dyn ClusterStatus>,
     /// This instance.
     pub(super) name: InstanceName,
-    /// This instance's data centre.
-    pub(super) data_centre: DataCentre,
-    /// How long callers may keep an answer with addresses.
-    pub(super) addresses_ttl: Duration,
 }
 
-impl Registered {
-    fn taking_work(&self) -> Vec<Arc<Instance>> {
-        let mut instances = self.control.instances();
-        instances.retain(|instance| instance.state == InstanceState::Alive);
-        instances
-    }
-}
-
-impl Peers for Registered {
+impl Peers for RegisteredPeers {
     fn live(&self) -> Vec<Peer> {
         let others = self.control.instances().into_iter();
         let others = others.filter(|peer| peer.state != InstanceState::Dead);
@@ -80,35 +26,3 @@
             .collect()
     }
 }
-
-impl AddressBook for Registered {
-    fn answer(&self, caller: IpAddr) -> AddressAnswer {
-        let instances = self.taking_work();
-        let seed = BuildHasherDefault::<DefaultHasher>::default().hash_one(caller);
-        AddressAnswer {
-            addresses: choose(&instances, &self.data_centre, seed),
-            ttl_ms: self.addresses_ttl.as_millis() as u64,
-        }
-    }
-
-    fn has_others(&self) -> bool {
-        self.taking_work().iter().any(|instance| instance.name != self.name)
-    }
-}
-
-/// Orders addresses: this data centre first, each part begun at a place given by the seed.
-fn choose(instances: &[Arc<Instance>], near: &DataCentre, seed: u64) -> Vec<Address> {
-    let (mut here, mut elsewhere): (Vec<_>, Vec<_>) =
-        instances.iter().partition(|instance| instance.data_centre == *near);
-    for part in [&mut here, &mut elsewhere] {
-        let length = part.len().max(1) as u64;
-        part.rotate_left((seed % length) as usize);
-    }
-    let chosen = here.into_iter().chain(elsewhere).take(ADDRESSES_MAX);
-    chosen
-        .map(|instance| Address {
-            address: instance.caller_address,
-            data_centre: instance.data_centre.clone(),
-        })
-        .collect()
-}
--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Weak;
 
+use crate::addresses::Address;
+use crate::addresses::ClusterAddresses;
 use crate::context::Context;
 use crate::control::ControlMachine;
 use crate::control::SharedControlState;
@@ -18,8 +20,7 @@
 use crate::ids::GroupId;
 use crate::instance::RunError;
 use crate::instance::Shared;
-use crate::instance::adapters::LogLeadership;
-use crate::instance::adapters::Registered;
+use crate::instance::adapters::RegisteredPeers;
 use crate::instance::context;
 use crate::instance::serve::bind;
 use crate::instance::serve::serve;
@@ -66,19 +67,13 @@
     let control = leases::start(cx.clone(), transport.clone(), log.clone(), registration, store)
         .map_err(|cause| RunError::Control { cause })?;
     tokio::spawn(learn_addresses(Arc::downgrade(&control), transport.clone()));
-    let registered = Arc::new(Registered {
-        control: control.clone(),
-        name: cx.instance.clone(),
-        data_centre: cx.data_centre.clone(),
-        addresses_ttl: settings.instance.addresses_ttl,
-    });
+    let peers = Arc::new(RegisteredPeers { control: control.clone(), name: cx.instance.clone() });
     let directory = Arc::new(Directory::default());
-    let _gossip =
-        Gossip::start(cx.clone(), directory.clone(), transport.clone(), registered.clone());
+    let _gossip = Gossip::start(cx.clone(), directory.clone(), transport.clone(), peers.clone());
     let dispatcher = ScheduledDispatcher::start(
         cx.clone(),
         directory.clone(),
-        registered.clone(),
+        peers,
         DispatchSettings::default(),
     );
     let programs = Programs::start(
@@ -90,6 +85,7 @@
         dispatcher,
     );
     let shared = Arc::new(Shared {
+        addresses: addresses(&settings, control.clone(), caller_address),
         cx,
         settings,
         caller_address,
@@ -98,7 +94,6 @@
         directory,
         programs,
         partitions: control.clone(),
-        addresses: registered,
         stage: Arc::default(),
     });
     serve(server, shared, || control.leave()).await;
@@ -160,9 +155,8 @@
     let options = log_options(settings, folder, state.clone())?;
     let node =
         LogNode::start(cx.clone(), transport, options).map_err(|cause| RunError::Log { cause })?;
-    let leadership = LogLeadership::of(node.clone()).map(Arc::new);
-    let store = leadership.map(|leadership| StoreSide { state, leadership });
-    Ok(LogSide { log: node.clone(), node: Some(node), store })
+    let store = StoreSide { state, leadership: node.clone() };
+    Ok(LogSide { log: node.clone(), node: Some(node), store: Some(store) })
 }
 
 fn log_options(
@@ -194,10 +188,21 @@
         caller_address,
         peer_address,
         voters: settings.cluster.voters.clone(),
+        freshness_limit: settings.cluster.freshness_limit,
         data: settings.data.clone(),
     }
 }
 
+fn addresses(
+    settings: &Settings,
+    control: Arc<ControlClient>,
+    caller_address: SocketAddr,
+) -> Arc<ClusterAddresses> {
+    let instance = &settings.instance;
+    let own = Address { address: caller_address, data_centre: instance.data_centre.clone() };
+    Arc::new(ClusterAddresses::new(control, instance.name.clone(), own, instance.addresses_ttl))
+}
+
 /// Tells the transport where the registered instances are.
 async fn learn_addresses(control: Weak<ControlClient>, transport: Arc<QuicTransport>) {
     while let Some(control) = control.upgrade() {
