feat(leases): keep a partition at its home while its calls run

Cause: a planned move would take a partition from under a running call, whose outcome could then not be committed: a shutdown would cut requests. Change: a home answers a release with the partitions that are too busy to move; the leader asks for them again on its next tick.

--- a/coriandergw/src/leases/client.rs
+++ b/coriandergw/src/leases/client.rs
@@ -38,6 +38,7 @@
 use crate::ids::PartitionId;
 use crate::ids::Revision;
 use crate::leases::ANSWER_TIMEOUT;
+use crate::leases::HandoverGate;
 use crate::leases::Home;
 use crate::leases::Partitions;
 use crate::leases::RENEWAL_INTERVAL;
@@ -116,6 +117,7 @@
     /// A leader that did not answer; the voters are asked before it is asked again.
     silent: Mutex<Option<InstanceName>>,
     local: OnceLock<Arc<ControlHandler>>,
+    gate: OnceLock<Arc<dyn HandoverGate>>,
     wake: Notify,
     applied: Notify,
     tasks: Mutex<Vec<JoinHandle<()>>>,
@@ -145,6 +147,7 @@
             hint: Mutex::default(),
             silent: Mutex::default(),
             local: OnceLock::new(),
+            gate: OnceLock::new(),
             wake: Notify::new(),
             applied: Notify::new(),
             tasks: Mutex::default(),
@@ -487,11 +490,28 @@
         self.relay.add(index, renewal)?.await.ok()
     }
 
-    /// Takes no more work for partitions that are to move. Returns false for a former leader.
-    pub(super) fn on_release(&self, release: &Release) -> bool {
+    /// Sets what may keep a partition here while its calls run. Set once, before the first move.
+    pub fn set_handover_gate(&self, gate: Arc<dyn HandoverGate>) {
+        let _ = self.gate.set(gate);
+    }
+
+    /// Takes no more work for partitions that are to move and returns those that are too busy to.
+    ///
+    /// A former leader gets nothing.
+    pub(super) fn on_release(&self, release: &Release) -> Option<Vec<PartitionId>> {
         let ids = release.partitions.iter().filter_map(|raw| u16::try_from(*raw).ok());
         let partitions: Vec<_> = ids.filter(|id| *id < PARTITION_COUNT).map(PartitionId).collect();
-        self.holder.lock().expect("not poisoned").release(release.fencing, &partitions)
+        let released =
+            self.holder.lock().expect("not poisoned").release(release.fencing, &partitions);
+        if !released {
+            return None;
+        }
+        // Work that came before the release is seen here; work that comes after it is refused.
+        let is_busy =
+            |partition: &PartitionId| self.gate.get().is_some_and(|gate| gate.is_busy(*partition));
+        let busy: Vec<_> = partitions.into_iter().filter(is_busy).collect();
+        self.holder.lock().expect("not poisoned").keep(&busy);
+        Some(busy)
     }
 
     async fn await_applied(&self, revision: Revision) {
--- a/coriandergw/src/leases/generated.rs
+++ b/coriandergw/src/leases/generated.rs
@@ -107,8 +107,12 @@
     #[prost(uint32, repeated, tag = "2")]
     pub partitions: ::prost::alloc::vec::Vec<u32>,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Released {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Released {
+    /// Partitions with running calls; their home keeps them for now.
+    #[prost(uint32, repeated, tag = "1")]
+    pub busy: ::prost::alloc::vec::Vec<u32>,
+}
 /// Tells that there is a newer revision.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Poke {}
--- a/coriandergw/src/leases/handler.rs
+++ b/coriandergw/src/leases/handler.rs
@@ -53,8 +53,11 @@
             Kind::WhoLeads(_) => Ok(encode_answer(&self.who_leads())),
             Kind::Fetch(fetch) => Ok(encode_answer(&self.fetch(&fetch))),
             Kind::Release(release) => match self.client.on_release(&release) {
-                true => Ok(encode_answer(&Released {})),
-                false => Err(not_leading()),
+                Some(busy) => {
+                    let busy = busy.into_iter().map(|partition| partition.0.into()).collect();
+                    Ok(encode_answer(&Released { busy }))
+                }
+                None => Err(not_leading()),
             },
             Kind::Poke(_) => {
                 self.client.wake();
--- a/coriandergw/src/leases/holder.rs
+++ b/coriandergw/src/leases/holder.rs
@@ -190,6 +190,13 @@
         true
     }
 
+    /// Takes work again for partitions that were released and cannot move yet.
+    pub(super) fn keep(&mut self, partitions: &[PartitionId]) {
+        for partition in partitions {
+            self.released.remove(partition);
+        }
+    }
+
     /// Returns this instance as registered, where the copy has it in its present incarnation.
     pub(super) fn own(&self) -> Option<&Instance> {
         let own = self.published().instances().get(&self.name)?;
--- a/coriandergw/src/leases/leader.rs
+++ b/coriandergw/src/leases/leader.rs
@@ -32,10 +32,12 @@
 use crate::leases::generated::Poke;
 use crate::leases::generated::RelayRenewal;
 use crate::leases::generated::Release;
+use crate::leases::generated::Released;
 use crate::leases::generated::Renewal;
 use crate::leases::generated::StatusAnswer;
 use crate::leases::generated::request::Kind;
 use crate::leases::lease_table::LeaseTable;
+use crate::leases::messages;
 use crate::leases::messages::encode_request;
 use crate::leases::plan::ByInstance;
 use crate::leases::plan::Plan;
@@ -332,9 +334,18 @@
             encode_request(Kind::Release(Release { fencing: fencing.0, partitions: raw }));
         let kind = transport::Kind::Control;
         let answer = self.transport.call(&name, kind, request, ANSWER_TIMEOUT).await;
-        if answer.is_ok() {
-            self.with_tenure(|tenure, _| tenure.released.extend(pairs));
-        }
+        let answer =
+            answer.ok().and_then(|answer| messages::decode_answer::<Released>(answer).ok());
+        let Some(answer) = answer else {
+            return;
+        };
+        let is_busy =
+            |(_, partition): &(u32, PartitionId)| answer.busy.contains(&partition.0.into());
+        let (busy, released): (Vec<_>, Vec<_>) = pairs.into_iter().partition(is_busy);
+        self.with_tenure(|tenure, _| {
+            tenure.released.extend(released);
+            tenure.asked.retain(|pair| !busy.contains(pair));
+        });
     }
 
     /// Tells the instances that renew directly about a newer revision.
--- a/coriandergw/src/leases/mod.rs
+++ b/coriandergw/src/leases/mod.rs
@@ -64,6 +64,12 @@
     pub epoch: Epoch,
 }
 
+/// Tells whether a partition can move to another home.
+pub trait HandoverGate: Send + Sync {
+    /// Returns whether calls of the partition's programs are running here.
+    fn is_busy(&self, partition: PartitionId) -> bool;
+}
+
 /// Tells which instance is the home of a partition.
 pub trait Partitions: Send + Sync {
     /// Returns the home of the partition, where there is one.
