--- /dev/null
+++ b/coriandergw/src/callers/forward.rs
@@ -0,0 +1,126 @@
+//! Forwards requests to the home of their program, at most once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::http::HeaderName;
+use axum::http::HeaderValue;
+use axum::http::StatusCode;
+use axum::http::Uri;
+use axum::http::header;
+use axum::middleware::Next;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use crate::ids::ProgramId;
+use crate::instance::Shared;
+use crate::leases::Home;
+use crate::programs::Location;
+use crate::programs::no_home;
+use crate::result_code::Refusal;
+use crate::result_code::ResultCode;
+
+/// Marks a forwarded request; its value is the home's epoch as the forwarder knew it.
+pub const FORWARDED: HeaderName = HeaderName::from_static("cgw-forwarded");
+
+/// How long connecting to another instance may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// When a caller should come back after its home was lost in the middle of a request.
+const LOST_RETRY: Duration = Duration::from_millis(500);
+
+/// Sends requests to other instances; keeps connections open between them.
+#[derive(Clone)]
+pub(super) struct Forwarder {
+    http: Client<HttpConnector, Body>,
+}
+
+impl Default for Forwarder {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        Self { http: Client::builder(TokioExecutor::new()).build(connector) }
+    }
+}
+
+/// Serves a request here or forwards it to where its program is served.
+pub(super) async fn serve_or_forward(
+    State((shared, forwarder)): State<(Arc<Shared>, Forwarder)>,
+    req: Request,
+    next: Next,
+) -> Response {
+    let location = match program_of(req.uri()) {
+        Some(id) => shared.programs.locate(&id),
+        None => shared.programs.locate_new(),
+    };
+    let home = match location {
+        Location::Here => return next.run(req).await,
+        Location::Nowhere => {
+            return no_home("the program has no home at the moment").into_response();
+        }
+        Location::Elsewhere(home) => home,
+    };
+    if req.headers().contains_key(FORWARDED) {
+        return no_home("the program's home has moved").into_response();
+    }
+    if shared.settings.caller_keys.is_some() {
+        return redirect(&home, req.uri());
+    }
+    forwarder.forward(&home, req).await
+}
+
+/// Returns the program that a path names.
+fn program_of(uri: &Uri) -> Option<ProgramId> {
+    let rest = uri.path().strip_prefix("/v1/programs/")?;
+    ProgramId::try_from(rest.split('/').next()?).ok()
+}
+
+/// Sends the caller on by itself where callers speak TLS, whose names are its own to check.
+fn redirect(home: &Home, uri: &Uri) -> Response {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    let location = format!("https://{}{path}", home.address);
+    let refusal = no_home(format!("the program's home is {}", home.address));
+    let mut res = refusal.into_response();
+    *res.status_mut() = StatusCode::TEMPORARY_REDIRECT;
+    if let Ok(location) = HeaderValue::from_str(&location) {
+        res.headers_mut().insert(header::LOCATION, location);
+    }
+    res
+}
+
+impl Forwarder {
+    async fn forward(&self, home: &Home, mut req: Request) -> Response {
+        let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
+        let Some(uri) = uri_at(home.address, path) else {
+            return no_home("the program's home has no usable address").into_response();
+        };
+        *req.uri_mut() = uri;
+        let headers = req.headers_mut();
+        headers.remove(header::HOST);
+        headers.remove(header::CONNECTION);
+        headers.insert(FORWARDED, HeaderValue::from(home.epoch.0));
+        match self.http.request(req).await {
+            Ok(res) => res.map(Body::new),
+            Err(cause) if cause.is_connect() => {
+                no_home(format!("the program's home cannot be reached: {cause}")).into_response()
+            }
+            Err(cause) => {
+                let message = format!("the program's home was lost: {cause}; resend the request");
+                let refusal = Refusal::may_have_run(ResultCode::NoHome, message);
+                refusal.retry_after(LOST_RETRY).into_response()
+            }
+        }
+    }
+}
+
+fn uri_at(address: SocketAddr, path: &str) -> Option<Uri> {
+    Uri::builder().scheme("http").authority(address.to_string()).path_and_query(path).build().ok()
+}
--- a/coriandergw/src/dispatch/scheduled.rs
+++ b/coriandergw/src/dispatch/scheduled.rs
@@ -322,6 +322,9 @@
             }
             Err(cause) => {
                 self.record_failure(call, &endpoint, &cause);
+                if matches!(cause, SendError::NotSent { .. }) {
+                    observer.not_sent(&endpoint).await;
+                }
                 let may_repeat = may_repeat(call, &cause) && !progress.text_passed_on();
                 Attempt::Failed { endpoint, cause, may_repeat }
             }
--- a/coriandergw/src/instance/mod.rs
+++ b/coriandergw/src/instance/mod.rs
@@ -68,7 +68,7 @@
 /// Builds all HTTP routes of an instance.
 pub fn router(shared: Arc<Shared>) -> Router {
     Router::new()
-        .merge(callers::routes())
+        .merge(callers::routes(shared.clone()))
         .merge(operators::routes())
         .merge(events::routes::routes())
         .fallback(|uri: Uri| async move {
--- a/coriandergw/src/programs/home.rs
+++ b/coriandergw/src/programs/home.rs
@@ -22,6 +22,7 @@
 use crate::ids::CallId;
 use crate::ids::EntryName;
 use crate::ids::Epoch;
+use crate::ids::PARTITION_COUNT;
 use crate::ids::PartitionId;
 use crate::ids::ProgramId;
 use crate::leases::Home as HomeAddress;
@@ -142,6 +143,21 @@
         }
     }
 
+    /// Returns where a new program can be created.
+    pub fn locate_new(&self) -> Location {
+        if self.holds_any() {
+            return Location::Here;
+        }
+        let homes =
+            (0..PARTITION_COUNT).filter_map(|number| self.partitions.home(PartitionId(number)));
+        let others = homes.filter(|home| home.instance != self.cx.instance);
+        let mut others: Vec<HomeAddress> = others.collect();
+        match others.len() {
+            0 => Location::Nowhere,
+            count => Location::Elsewhere(others.swap_remove(rand::random_range(0..count))),
+        }
+    }
+
     /// Returns the history of a program.
     ///
     /// # Errors
--- a/coriandergw/src/programs/run.rs
+++ b/coriandergw/src/programs/run.rs
@@ -312,6 +312,9 @@
     }
 
     async fn not_sent(&self, _endpoint: &EndpointName) {
+        if self.work.request.is_idempotent() && self.reservation.tokens == 0 {
+            return;
+        }
         let call = self.work.call.clone();
         let build = move |_: &Tree| Ok((What::NotSent { call }, ()));
         // If the home is lost, the next attempt is refused in any case.
