--- /dev/null
+++ b/coriandergw/src/addresses/cluster.rs
@@ -0,0 +1,56 @@
+//! The addresses of the instances of a cluster.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::addresses::Address;
+use crate::addresses::AddressAnswer;
+use crate::addresses::AddressBook;
+use crate::addresses::caller_seed;
+use crate::addresses::choose_addresses;
+use crate::control::Instance;
+use crate::control::InstanceState;
+use crate::ids::InstanceName;
+use crate::leases::ClusterStatus;
+
+/// The addresses of the registered instances that are alive, as this instance knows them.
+pub struct ClusterAddresses {
+    cluster: Arc<dyn ClusterStatus>,
+    name: InstanceName,
+    own: Address,
+    ttl: Duration,
+}
+
+impl ClusterAddresses {
+    /// Creates the book of the instance `name`, which callers reach at `own`.
+    pub fn new(
+        cluster: Arc<dyn ClusterStatus>,
+        name: InstanceName,
+        own: Address,
+        ttl: Duration,
+    ) -> Self {
+        Self { cluster, name, own, ttl }
+    }
+}
+
+impl AddressBook for ClusterAddresses {
+    fn answer(&self, caller: IpAddr) -> AddressAnswer {
+        let instances = self.cluster.instances();
+        let instances = instances.iter().map(Arc::as_ref);
+        let near = &self.own.data_centre;
+        let mut answer = choose_addresses(instances, near, caller_seed(caller), self.ttl);
+        if answer.addresses.is_empty() {
+            // Before the first configuration arrives, no other instance is known.
+            answer.addresses.push(self.own.clone());
+        }
+        answer
+    }
+
+    fn has_others(&self) -> bool {
+        let is_other = |instance: &Arc<Instance>| {
+            instance.state == InstanceState::Alive && instance.name != self.name
+        };
+        self.cluster.instances().iter().any(is_other)
+    }
+}
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -54,6 +54,10 @@
     DrainFinished = 103, Info;
     /// The drain limit passed with requests still running.
     DrainLimitReached = 104, Warning;
+    /// Other keys are in use between instances.
+    KeysReloaded = 105, Info;
+    /// New keys could not be used; the old ones stay in use.
+    KeysRefused = 106, Error;
     /// The instance became the control leader and took a fencing number.
     ControlTaken = 230, Info;
     /// The instance is no longer the control leader.
@@ -76,6 +80,8 @@
     ConfirmationRegained = 239, Info;
     /// The file of the applied revision could not be written.
     RevisionFileFailed = 240, Error;
+    /// A dead instance without partitions was removed.
+    InstanceForgotten = 241, Info;
     /// The instance became the leader of a log group.
     LogLeaderElected = 200, Info;
     /// The instance stopped leading a log group.
@@ -124,4 +130,8 @@
     EndpointSilent = 402, Warning;
     /// An attempt of a call failed at its endpoint.
     AttemptFailed = 403, Warning;
+    /// An engine confirmed an order.
+    OrderConfirmed = 404, Debug;
+    /// An order to an engine was not confirmed; it is repeated while it is due.
+    OrderFailed = 405, Warning;
 }
--- a/coriandergw/src/instance/error.rs
+++ b/coriandergw/src/instance/error.rs
@@ -7,6 +7,7 @@
 use derive_more::Error;
 
 use crate::http_server::CallerKeyError;
+use crate::leases;
 use crate::log_groups::node::LogStartError;
 use crate::result_code::ResultCode;
 use crate::transport::tls::KeyError;
@@ -52,6 +53,12 @@
         /// Why not.
         cause: LogStartError,
     },
+    /// The control features could not start.
+    #[display("{cause}")]
+    Control {
+        /// Why not.
+        cause: leases::StartError,
+    },
     /// The metrics could not be set up.
     #[display("{} metrics: {cause}", ResultCode::Internal)]
     Metrics {
