--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod auditor;
 pub mod bench;
+pub mod bench_log;
 pub mod caller;
 pub mod cluster;
 pub mod fakes;
