--- a/coriandergw/src/dispatch/scheduled/tests.rs
+++ b/coriandergw/src/dispatch/scheduled/tests.rs
@@ -9,6 +9,7 @@
 use axum::http::Uri;
 use axum::response::IntoResponse;
 use axum::response::Response;
+use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
 
