--- a/coriandergw/src/catalogue/store.rs
+++ b/coriandergw/src/catalogue/store.rs
@@ -10,11 +10,15 @@
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::control::ControlState;
+use crate::control::Instance;
 use crate::control::change_command;
 use crate::control::decode_change_answer;
 use crate::ids::ChangeId;
 use crate::ids::EntryName;
 use crate::ids::Revision;
+use crate::leases::ClusterStatus;
+use crate::leases::HistoryItem;
+use crate::leases::StatusReport;
 use crate::result_code::Refusal;
 
 /// What a change does to an entry.
@@ -106,3 +110,19 @@
         self.state.read().expect("not poisoned").published().revision()
     }
 }
+
+#[async_trait]
+impl ClusterStatus for MemoryCatalogue {
+    async fn status(&self) -> StatusReport {
+        StatusReport::local(self.state.read().expect("not poisoned").published())
+    }
+
+    async fn history(&self, entry: &EntryName) -> Result<Vec<HistoryItem>, Refusal> {
+        let state = self.state.read().expect("not poisoned");
+        Ok(state.history(entry).iter().map(HistoryItem::from).collect())
+    }
+
+    fn instances(&self) -> Vec<Arc<Instance>> {
+        Vec::new()
+    }
+}
--- a/coriandergw/src/control/state.rs
+++ b/coriandergw/src/control/state.rs
@@ -165,11 +165,7 @@
                 "entry {name} is at revision {current} by change {winner}, not at {}",
                 change.against
             );
-            let code = match change.against {
-                0 => ResultCode::RevisionRequired,
-                _ => ResultCode::RevisionConflict,
-            };
-            return Err(Refusal::not_run(code, message));
+            return Err(Refusal::not_run(ResultCode::RevisionConflict, message));
         }
         if current == 0 && change.entry_json.is_empty() {
             let message = format!("no entry is named {name}");
--- a/coriandergw/src/instance/mod.rs
+++ b/coriandergw/src/instance/mod.rs
@@ -15,6 +15,7 @@
 use crate::endpoints::directory::Directory;
 use crate::events;
 use crate::events::Recorder;
+use crate::leases::ClusterStatus;
 use crate::leases::Partitions;
 use crate::metrics::Metrics;
 use crate::operators;
@@ -46,6 +47,8 @@
     pub catalogue: Arc<dyn CatalogueView>,
     /// Commits changes to the catalogue.
     pub catalogue_writer: Arc<dyn CatalogueWriter>,
+    /// Tells operators about the cluster.
+    pub cluster: Arc<dyn ClusterStatus>,
     /// The endpoints known here.
     pub directory: Arc<Directory>,
     /// The programs whose home is here.
--- a/coriandergw/src/leases/leader.rs
+++ b/coriandergw/src/leases/leader.rs
@@ -358,12 +358,13 @@
         self.with_tenure(|tenure, now| {
             let state = self.state.read().expect("not poisoned");
             let instances = state.published().instances().values();
+            let newest = state.published().revision();
             StatusAnswer {
                 leader: self.cx.instance.to_string(),
                 term: tenure.term,
                 fencing: tenure.fencing,
-                revision: state.published().revision().0,
-                instances: instances.map(|instance| lag(tenure, instance, now)).collect(),
+                revision: newest.0,
+                instances: instances.map(|instance| lag(tenure, instance, newest, now)).collect(),
             }
         })
     }
@@ -492,13 +493,15 @@
     Move { holder: *holder, partitions }
 }
 
-fn lag(tenure: &Tenure, instance: &Instance, now: Timestamp) -> InstanceLag {
+fn lag(tenure: &Tenure, instance: &Instance, newest: Revision, now: Timestamp) -> InstanceLag {
     let lease = tenure.leases.record(&instance.name, instance.incarnation);
     let millis = |at: Timestamp| now.since(at).as_millis() as u64;
     InstanceLag {
         name: instance.name.to_string(),
         revision: lease.map_or(0, |lease| lease.revision.0),
-        behind_ms: lease.and_then(|lease| lease.behind_since).map_or(0, |at| millis(at).max(1)),
+        behind_ms: lease
+            .and_then(|lease| lease.behind_at(newest))
+            .map_or(0, |at| millis(at).max(1)),
         renewed_ms_ago: lease.and_then(|lease| lease.renewed_at).map_or(u64::MAX, millis),
     }
 }
--- a/coriandergw/src/leases/lease_table.rs
+++ b/coriandergw/src/leases/lease_table.rs
@@ -24,11 +24,20 @@
     /// The applied revision as last reported.
     pub(super) revision: Revision,
     /// Since when the instance has been behind the leader, if it is.
-    pub(super) behind_since: Option<Timestamp>,
+    behind_since: Option<Timestamp>,
     /// Whether the instance asked to leave.
     pub(super) leaving: bool,
 }
 
+impl LeaseRecord {
+    /// Returns since when the instance has been behind `newest`, if it is. An instance that has
+    /// not renewed since counts as behind from its last renewal.
+    pub(super) fn behind_at(&self, newest: Revision) -> Option<Timestamp> {
+        let since = self.behind_since.or(self.renewed_at);
+        since.filter(|_| self.revision < newest)
+    }
+}
+
 /// The leases of all instances, by incarnation.
 #[derive(Debug)]
 pub(super) struct LeaseTable {
--- a/coriandergw/src/leases/status.rs
+++ b/coriandergw/src/leases/status.rs
@@ -33,6 +33,13 @@
     pub instances: Vec<InstanceStatus>,
 }
 
+impl StatusReport {
+    /// Returns what an instance knows without asking the control leader.
+    pub fn local(published: &Published) -> Self {
+        report(published, None)
+    }
+}
+
 /// One instance in a [`StatusReport`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize)]
