--- a/coriandergw/src/instance/mod.rs
+++ b/coriandergw/src/instance/mod.rs
@@ -24,6 +24,7 @@
 use crate::result_code::ResultCode;
 use crate::settings::Settings;
 
+mod adapters;
 mod cluster;
 mod dev;
 mod drain;
--- a/coriandergw/src/programs/budget.rs
+++ b/coriandergw/src/programs/budget.rs
@@ -50,11 +50,6 @@
         self.total.minus(self.spent).minus(self.reserved).minus(self.lent)
     }
 
-    /// Returns what calls under way hold.
-    pub fn reserved(&self) -> Amount {
-        self.reserved
-    }
-
     /// Returns the whole budget.
     pub fn total(&self) -> Amount {
         self.total
