--- a/coriandergw/src/addresses/mod.rs
+++ b/coriandergw/src/addresses/mod.rs
@@ -9,12 +9,10 @@
 use crate::ids::DataCentre;
 
 mod choice;
-mod cluster;
 
 pub use choice::ADDRESSES_MAX;
 pub use choice::caller_seed;
 pub use choice::choose_addresses;
-pub use cluster::ClusterAddresses;
 
 /// One address of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/coriandergw/src/instance/adapters.rs
+++ b/coriandergw/src/instance/adapters.rs
@@ -1,17 +1,15 @@
 //! Connects features that do not know each other.
 
-use std::hash::BuildHasher;
-use std::hash::BuildHasherDefault;
-use std::hash::DefaultHasher;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch;
 
-use crate::addresses::Address;
 use crate::addresses::AddressAnswer;
 use crate::addresses::AddressBook;
+use crate::addresses::caller_seed;
+use crate::addresses::choose_addresses;
 use crate::clock::Timestamp;
 use crate::control::Instance;
 use crate::control::InstanceState;
@@ -25,9 +23,6 @@
 use crate::log_groups::Leadership;
 use crate::log_groups::node::LogNode;
 
-/// The most addresses that a caller is told.
-const ADDRESSES_MAX: usize = 5;
-
 /// Tells the leases whether this store instance leads the control group.
 pub(super) struct LogLeadership {
     node: Arc<LogNode>,
@@ -84,31 +79,11 @@
 impl AddressBook for Registered {
     fn answer(&self, caller: IpAddr) -> AddressAnswer {
         let instances = self.taking_work();
-        let seed = BuildHasherDefault::<DefaultHasher>::default().hash_one(caller);
-        AddressAnswer {
-            addresses: choose(&instances, &self.data_centre, seed),
-            ttl_ms: self.addresses_ttl.as_millis() as u64,
-        }
+        let instances = instances.iter().map(Arc::as_ref);
+        choose_addresses(instances, &self.data_centre, caller_seed(caller), self.addresses_ttl)
     }
 
     fn has_others(&self) -> bool {
         self.taking_work().iter().any(|instance| instance.name != self.name)
     }
 }
-
-/// Orders addresses: this data centre first, each part begun at a place given by the seed.
-fn choose(instances: &[Arc<Instance>], near: &DataCentre, seed: u64) -> Vec<Address> {
-    let (mut here, mut elsewhere): (Vec<_>, Vec<_>) =
-        instances.iter().partition(|instance| instance.data_centre == *near);
-    for part in [&mut here, &mut elsewhere] {
-        let length = part.len().max(1) as u64;
-        part.rotate_left((seed % length) as usize);
-    }
-    let chosen = here.into_iter().chain(elsewhere).take(ADDRESSES_MAX);
-    chosen
-        .map(|instance| Address {
-            address: instance.caller_address,
-            data_centre: instance.data_centre.clone(),
-        })
-        .collect()
-}
--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -95,6 +95,7 @@
         caller_address,
         catalogue: control.clone(),
         catalogue_writer: control.clone(),
+        cluster: control.clone(),
         directory,
         programs,
         partitions: control.clone(),
@@ -194,6 +195,7 @@
         caller_address,
         peer_address,
         voters: settings.cluster.voters.clone(),
+        freshness_limit: settings.cluster.freshness_limit,
         data: settings.data.clone(),
     }
 }
--- a/coriandergw/src/leases/leader.rs
+++ b/coriandergw/src/leases/leader.rs
@@ -42,7 +42,6 @@
 use crate::leases::plan::PlanInput;
 use crate::leases::plan::make_plan;
 use crate::log_groups::ReplicatedLog;
-use crate::log_groups::node::LogNode;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 use crate::transport;
@@ -62,15 +61,6 @@
     fn term(&self, now: Timestamp) -> Option<u64>;
 }
 
-impl Leadership for LogNode {
-    fn term(&self, now: Timestamp) -> Option<u64> {
-        let leadership = self.leadership(CONTROL_GROUP)?.borrow().clone();
-        // The lease ends before another voter can lead, also where this process was stopped.
-        let leads = leadership.is_leader && now < self.lease_until(CONTROL_GROUP);
-        leads.then_some(leadership.term)
-    }
-}
-
 /// One tenure as the control leader.
 struct Tenure {
     term: u64,
