--- a/coriandergw/src/leases/leader.rs
+++ b/coriandergw/src/leases/leader.rs
@@ -42,6 +42,7 @@
 use crate::leases::plan::PlanInput;
 use crate::leases::plan::make_plan;
 use crate::log_groups::ReplicatedLog;
+use crate::log_groups::node::LogNode;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 use crate::transport;
@@ -61,6 +62,15 @@
     fn term(&self, now: Timestamp) -> Option<u64>;
 }
 
+impl Leadership for LogNode {
+    fn term(&self, now: Timestamp) -> Option<u64> {
+        let leadership = self.leadership(CONTROL_GROUP)?.borrow().clone();
+        // The lease ends before another voter can lead, also where this process was stopped.
+        let leads = leadership.is_leader && now < self.lease_until(CONTROL_GROUP);
+        leads.then_some(leadership.term)
+    }
+}
+
 /// One tenure as the control leader.
 struct Tenure {
     term: u64,
@@ -486,12 +496,11 @@
 fn lag(tenure: &Tenure, instance: &Instance, newest: Revision, now: Timestamp) -> InstanceLag {
     let lease = tenure.leases.record(&instance.name, instance.incarnation);
     let millis = |at: Timestamp| now.since(at).as_millis() as u64;
+    let behind_since = lease.and_then(|lease| lease.behind_at(newest));
     InstanceLag {
         name: instance.name.to_string(),
         revision: lease.map_or(0, |lease| lease.revision.0),
-        behind_ms: lease
-            .and_then(|lease| lease.behind_at(newest))
-            .map_or(0, |at| millis(at).max(1)),
+        behind_ms: behind_since.map_or(0, |at| millis(at).max(1)),
         renewed_ms_ago: lease.and_then(|lease| lease.renewed_at).map_or(u64::MAX, millis),
     }
 }
