--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -91,6 +91,7 @@
         caller_address,
         catalogue: control.clone(),
         catalogue_writer: control.clone(),
+        cluster: control.clone(),
         directory,
         programs,
         partitions: control.clone(),
