--- a/coriandergw/src/dispatch/scheduled.rs
+++ b/coriandergw/src/dispatch/scheduled.rs
@@ -69,6 +69,8 @@
     pub queue: QueueSettings,
     /// The choice between endpoints.
     pub placer: Arc<dyn Placer>,
+    /// Whether engines are told how urgent a call is.
+    pub engine_priorities: bool,
     /// How often engines are asked for the events of their caches.
     pub cache_poll_interval: Duration,
     /// Seeds the random choices.
@@ -79,7 +81,8 @@
     fn default() -> Self {
         Self {
             queue: QueueSettings::default(),
-            placer: Arc::new(ExpectedFinish),
+            placer: Arc::new(ExpectedFinish::default()),
+            engine_priorities: true,
             cache_poll_interval: Duration::from_millis(500),
             seed: rand::random(),
         }
@@ -96,6 +99,7 @@
     pub(super) directory: Arc<Directory>,
     pub(super) client: EndpointClient,
     peers: Arc<dyn Peers>,
+    engine_priorities: bool,
     releases: Arc<Releases>,
     pub(super) state: Mutex<State>,
 }
@@ -126,6 +130,7 @@
             directory,
             client,
             peers,
+            engine_priorities: settings.engine_priorities,
             state: Mutex::new(State { scheduler, waiters: HashMap::new() }),
         });
         tokio::spawn(tick_forever(Arc::downgrade(&inner)));
@@ -344,7 +349,10 @@
     ) -> Result<EndpointAnswer, SendError> {
         if call.kind == CallKind::Model {
             self.releases.record(&call.program, &endpoint.name);
-            let priority = engine_priority(call.entry.class, call.attained_tokens);
+            let priority = match self.engine_priorities {
+                true => engine_priority(call.entry.class, call.attained_tokens),
+                false => 0,
+            };
             let options = ModelOptions::new(priority, cache_salt(call));
             return self.client.complete(endpoint, call, &options, sink, progress).await;
         }
--- a/coriandergw/src/placement/expected.rs
+++ b/coriandergw/src/placement/expected.rs
@@ -5,7 +5,7 @@
 use crate::ids::EndpointName;
 use crate::placement::Rates;
 
-/// How much a computed prompt token counts beyond its own time, because it delays other calls.
+/// How often a computed prompt token counts, because computing it delays other calls too.
 const RECOMPUTE_WEIGHT: f64 = 1.5;
 
 /// The least weight by which an expected finish is divided.
@@ -64,9 +64,9 @@
 }
 
 /// Returns how long a call is expected to take at a candidate from now on.
-pub fn expected_finish(need: Need, candidate: &Candidate) -> Duration {
+pub fn expected_finish(need: Need, candidate: &Candidate, recompute_weight: f64) -> Duration {
     let uncached = need.prompt_tokens.saturating_sub(candidate.cached_tokens) as f64;
-    let prefill = uncached * candidate.rates.prefill_seconds_per_token * RECOMPUTE_WEIGHT;
+    let prefill = uncached * candidate.rates.prefill_seconds_per_token * recompute_weight;
     let decode = need.answer_tokens as f64 * candidate.rates.decode_seconds_per_token;
     let service = prefill + decode + candidate.rates.overhead_seconds;
     let total = candidate.wait.as_secs_f64() + candidate.transfer.as_secs_f64() + service;
@@ -74,12 +74,22 @@
 }
 
 /// Chooses the candidate with the earliest expected finish.
-#[derive(Debug, Default)]
-pub struct ExpectedFinish;
+#[derive(Debug)]
+pub struct ExpectedFinish {
+    /// How often a computed prompt token counts.
+    pub recompute_weight: f64,
+}
+
+impl Default for ExpectedFinish {
+    fn default() -> Self {
+        Self { recompute_weight: RECOMPUTE_WEIGHT }
+    }
+}
 
 impl Placer for ExpectedFinish {
     fn place(&self, need: Need, candidates: &[Candidate]) -> Verdict {
-        let finish = |candidate: &Candidate| expected_finish(need, candidate);
+        let finish =
+            |candidate: &Candidate| expected_finish(need, candidate, self.recompute_weight);
         let best = candidates
             .iter()
             .enumerate()
--- a/coriandergw/src/placement/tests.rs
+++ b/coriandergw/src/placement/tests.rs
@@ -36,7 +36,8 @@
         cached_tokens: 4_000,
         ..candidate("holder")
     };
-    let place = |wait_ms| ExpectedFinish.place(NEED, &[candidate("idle"), holder(wait_ms)]);
+    let place =
+        |wait_ms| ExpectedFinish::default().place(NEED, &[candidate("idle"), holder(wait_ms)]);
     assert_eq!(place(0), Verdict::Send(1));
     assert_eq!(place(500), Verdict::WaitFor(1));
     assert_eq!(place(5_000), Verdict::Send(0));
@@ -48,9 +49,9 @@
     let slow_rates = Rates { decode_seconds_per_token: 0.2, ..Rates::default() };
     let slow = Candidate { rates: slow_rates, ..candidate("slow") };
     let well = candidate("well");
-    assert_eq!(ExpectedFinish.place(NEED, &[sick, slow, well]), Verdict::Send(2));
+    assert_eq!(ExpectedFinish::default().place(NEED, &[sick, slow, well]), Verdict::Send(2));
     let out = Candidate { weight: 0.0, ..candidate("out") };
-    assert_eq!(ExpectedFinish.place(NEED, &[out]), Verdict::NoRoom);
+    assert_eq!(ExpectedFinish::default().place(NEED, &[out]), Verdict::NoRoom);
 }
 
 #[test]
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod auditor;
 pub mod caller;
 pub mod cluster;
+pub mod experiment;
 pub mod fakes;
 pub mod generate;
 pub mod http;
