--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bench_log;
 pub mod caller;
 pub mod cluster;
+pub mod experiment;
 pub mod fakes;
 pub mod generate;
 pub mod http;
