feat(programs): tell which partitions are busy; wait for a home that is moving

Cause: a release between a request's look-up and its work would cut it, and a planned move refused the requests that came while it was under way. Change: requests count in their partition from before the look-up; a request waits up to a second for the new home.

--- a/coriandergw/src/callers/forward.rs
+++ b/coriandergw/src/callers/forward.rs
@@ -23,6 +23,7 @@
 use crate::instance::Shared;
 use crate::leases::Home;
 use crate::programs::Location;
+use crate::programs::Programs;
 use crate::programs::no_home;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
@@ -36,6 +37,12 @@
 /// When a caller should come back after its home was lost in the middle of a request.
 const LOST_RETRY: Duration = Duration::from_millis(500);
 
+/// How often a request looks again for a home that is moving.
+const MOVE_WAIT_POLLS: u32 = 50;
+
+/// The time between two looks.
+const MOVE_WAIT_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Sends requests to other instances; keeps connections open between them.
 #[derive(Clone)]
 pub(super) struct Forwarder {
@@ -57,26 +64,42 @@
     req: Request,
     next: Next,
 ) -> Response {
-    let location = match program_of(req.uri()) {
-        Some(id) => shared.programs.locate(&id),
-        None => shared.programs.locate_new(),
-    };
-    let home = match location {
+    let program = program_of(req.uri());
+    let _entering = program.as_ref().map(|id| shared.programs.enter(id.partition()));
+    let is_forwarded = req.headers().contains_key(FORWARDED);
+    let home = match locate(&shared.programs, program.as_ref(), is_forwarded).await {
         Location::Here => return next.run(req).await,
         Location::Nowhere => {
             return no_home("the program has no home at the moment").into_response();
         }
+        Location::Elsewhere(_) if is_forwarded => {
+            return no_home("the program's home has moved").into_response();
+        }
         Location::Elsewhere(home) => home,
     };
-    if req.headers().contains_key(FORWARDED) {
-        return no_home("the program's home has moved").into_response();
-    }
     if shared.settings.caller_keys.is_some() {
         return redirect(&home, req.uri());
     }
     forwarder.forward(&home, req).await
 }
 
+/// Finds where a request is served; waits a little for a home that is moving.
+async fn locate(programs: &Programs, id: Option<&ProgramId>, is_forwarded: bool) -> Location {
+    let find = || match id {
+        Some(id) => programs.locate(id),
+        None => programs.locate_new(),
+    };
+    for _ in 0..MOVE_WAIT_POLLS {
+        match find() {
+            Location::Here => return Location::Here,
+            Location::Elsewhere(home) if !is_forwarded => return Location::Elsewhere(home),
+            // The new home may not know yet that it is the home.
+            _ => tokio::time::sleep(MOVE_WAIT_INTERVAL).await,
+        }
+    }
+    find()
+}
+
 /// Returns the program that a path names.
 fn program_of(uri: &Uri) -> Option<ProgramId> {
     let rest = uri.path().strip_prefix("/v1/programs/")?;
--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -84,6 +84,7 @@
         settings.cluster.journal_groups,
         dispatcher,
     );
+    control.set_handover_gate(programs.clone());
     let shared = Arc::new(Shared {
         addresses: addresses(&settings, control.clone(), caller_address),
         cx,
--- a/coriandergw/src/programs/create.rs
+++ b/coriandergw/src/programs/create.rs
@@ -53,6 +53,7 @@
         let entry = self.entry(&req.entry)?;
         let budget = checked_budget(&req.budget, &entry)?;
         let id = self.new_root()?;
+        let _entering = self.enter(id.partition());
         let home = self.home(id.partition()).await?;
         let wall = self.cx.clock.wall();
         let deadline = req.deadline_ms.map(|ms| WallTime(wall.0.saturating_add(ms)));
--- /dev/null
+++ b/coriandergw/src/programs/handover.rs
@@ -0,0 +1,59 @@
+//! Tells when a partition may move to another home without cutting a request.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use crate::ids::PartitionId;
+use crate::leases::HandoverGate;
+use crate::programs::Programs;
+
+/// Counts the requests that are being taken in, by partition.
+#[derive(Debug, Default)]
+pub(super) struct Entering {
+    counts: Mutex<BTreeMap<PartitionId, usize>>,
+}
+
+/// Keeps a partition here while a request is taken in.
+#[derive(Debug)]
+pub struct EnteringGuard<'a> {
+    entering: &'a Entering,
+    partition: PartitionId,
+}
+
+impl Drop for EnteringGuard<'_> {
+    fn drop(&mut self) {
+        let mut counts = self.entering.counts.lock().expect("not poisoned");
+        if let Some(count) = counts.get_mut(&self.partition) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.partition);
+            }
+        }
+    }
+}
+
+impl Programs {
+    /// Keeps a partition here until the guard is dropped, if it still is here.
+    ///
+    /// To be called before the partition's home is looked up: a release that comes between the two
+    /// finds the partition busy.
+    pub fn enter(&self, partition: PartitionId) -> EnteringGuard<'_> {
+        *self.entering.counts.lock().expect("not poisoned").entry(partition).or_default() += 1;
+        EnteringGuard { entering: &self.entering, partition }
+    }
+
+    fn has_live_calls(&self, partition: PartitionId) -> bool {
+        let home = self.homes.lock().expect("not poisoned").get(&partition).cloned();
+        home.is_some_and(|home| {
+            let trees = home.trees.lock().expect("not poisoned");
+            trees.values().any(|tree| !tree.live.lock().expect("not poisoned").is_empty())
+        })
+    }
+}
+
+impl HandoverGate for Programs {
+    fn is_busy(&self, partition: PartitionId) -> bool {
+        self.entering.counts.lock().expect("not poisoned").contains_key(&partition)
+            || self.has_live_calls(partition)
+    }
+}
--- a/coriandergw/src/programs/home.rs
+++ b/coriandergw/src/programs/home.rs
@@ -30,6 +30,7 @@
 use crate::log_groups::ReplicatedLog;
 use crate::programs::accept::LiveCall;
 use crate::programs::digest;
+use crate::programs::handover::Entering;
 use crate::programs::journal::Journal;
 use crate::programs::journal::Journals;
 use crate::programs::state::Program;
@@ -51,6 +52,7 @@
     pub(super) homes: Mutex<BTreeMap<PartitionId, Arc<Home>>>,
     pub(super) draining: CancellationToken,
     pub(super) running: watch::Sender<usize>,
+    pub(super) entering: Entering,
 }
 
 /// One partition at its home, under one epoch.
@@ -114,6 +116,7 @@
             homes: Mutex::default(),
             draining: CancellationToken::new(),
             running: watch::Sender::new(0),
+            entering: Entering::default(),
         });
         tokio::spawn(Self::sweep_forever(Arc::downgrade(&programs)));
         programs
--- a/coriandergw/src/programs/mod.rs
+++ b/coriandergw/src/programs/mod.rs
@@ -10,6 +10,7 @@
 mod end;
 #[allow(missing_docs, clippy::all)]
 mod generated;
+mod handover;
 mod home;
 mod journal;
 mod journal_state;
