--- a/coriandergw/src/dispatch/mod.rs
+++ b/coriandergw/src/dispatch/mod.rs
@@ -17,10 +17,10 @@
 mod cache_feeds;
 pub mod direct;
 mod endpoint_state;
-mod facts;
+pub mod facts;
 mod releases;
 pub mod scheduled;
-mod scheduler;
+pub mod scheduler;
 
 /// Says what kind of endpoint a call is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/coriandergw/src/dispatch/scheduler.rs
+++ b/coriandergw/src/dispatch/scheduler.rs
@@ -387,6 +387,7 @@
             endpoint: name.clone(),
             has_room: load < room,
             load,
+            capacity: known.announcement.capacity,
             wait: Duration::ZERO,
             cached_tokens: 0,
             rates,
--- a/coriandergw/src/placement/expected.rs
+++ b/coriandergw/src/placement/expected.rs
@@ -6,7 +6,10 @@
 use crate::placement::Rates;
 
 /// How often a computed prompt token counts, because computing it delays other calls too.
-const RECOMPUTE_WEIGHT: f64 = 1.5;
+const RECOMPUTE_WEIGHT: f64 = 4.0;
+
+/// How much longer a call takes at a full endpoint than at an idle one, as a part of its time.
+const LOAD_SLOWDOWN: f64 = 1.0;
 
 /// The least weight by which an expected finish is divided.
 const WEIGHT_MIN: f64 = 0.05;
@@ -29,6 +32,8 @@
     pub has_room: bool,
     /// The calls that are known to be there.
     pub load: u32,
+    /// The calls that it works on at once.
+    pub capacity: u32,
     /// The time until it is expected to have room.
     pub wait: Duration,
     /// The tokens of the prompt that its cache is expected to hold.
@@ -63,33 +68,40 @@
     }
 }
 
-/// Returns how long a call is expected to take at a candidate from now on.
-pub fn expected_finish(need: Need, candidate: &Candidate, recompute_weight: f64) -> Duration {
-    let uncached = need.prompt_tokens.saturating_sub(candidate.cached_tokens) as f64;
-    let prefill = uncached * candidate.rates.prefill_seconds_per_token * recompute_weight;
-    let decode = need.answer_tokens as f64 * candidate.rates.decode_seconds_per_token;
-    let service = prefill + decode + candidate.rates.overhead_seconds;
-    let total = candidate.wait.as_secs_f64() + candidate.transfer.as_secs_f64() + service;
-    Duration::try_from_secs_f64(total / candidate.weight.max(WEIGHT_MIN)).unwrap_or(Duration::MAX)
-}
-
 /// Chooses the candidate with the earliest expected finish.
 #[derive(Debug)]
 pub struct ExpectedFinish {
     /// How often a computed prompt token counts.
     pub recompute_weight: f64,
+    /// How much longer a call takes at a full endpoint, as a part of its time.
+    pub load_slowdown: f64,
 }
 
 impl Default for ExpectedFinish {
     fn default() -> Self {
-        Self { recompute_weight: RECOMPUTE_WEIGHT }
+        Self { recompute_weight: RECOMPUTE_WEIGHT, load_slowdown: LOAD_SLOWDOWN }
+    }
+}
+
+impl ExpectedFinish {
+    /// Returns how long a call is expected to take at a candidate from now on.
+    pub fn estimate(&self, need: Need, candidate: &Candidate) -> Duration {
+        let rates = &candidate.rates;
+        let uncached = need.prompt_tokens.saturating_sub(candidate.cached_tokens) as f64;
+        let prefill = uncached * rates.prefill_seconds_per_token * self.recompute_weight;
+        let decode = need.answer_tokens as f64 * rates.decode_seconds_per_token;
+        let load = f64::from(candidate.load) / f64::from(candidate.capacity.max(1));
+        let slowdown = 1.0 + self.load_slowdown * load.min(1.0);
+        let service = (prefill + decode + rates.overhead_seconds) * slowdown;
+        let total = candidate.wait.as_secs_f64() + candidate.transfer.as_secs_f64() + service;
+        let weight = candidate.weight.max(WEIGHT_MIN);
+        Duration::try_from_secs_f64(total / weight).unwrap_or(Duration::MAX)
     }
 }
 
 impl Placer for ExpectedFinish {
     fn place(&self, need: Need, candidates: &[Candidate]) -> Verdict {
-        let finish =
-            |candidate: &Candidate| expected_finish(need, candidate, self.recompute_weight);
+        let finish = |candidate: &Candidate| self.estimate(need, candidate);
         let best = candidates
             .iter()
             .enumerate()
--- a/coriandergw/src/placement/mod.rs
+++ b/coriandergw/src/placement/mod.rs
@@ -13,7 +13,6 @@
 pub use expected::Need;
 pub use expected::Placer;
 pub use expected::Verdict;
-pub use expected::expected_finish;
 pub use prefixes::CacheChange;
 pub use prefixes::CacheEvent;
 pub use prefixes::PrefixBook;
--- a/coriandergw/src/placement/tests.rs
+++ b/coriandergw/src/placement/tests.rs
@@ -20,6 +20,7 @@
         endpoint: name(endpoint),
         has_room: true,
         load: 0,
+        capacity: 4,
         wait: Duration::ZERO,
         cached_tokens: 0,
         rates: Rates::default(),
@@ -49,6 +50,9 @@
     let slow_rates = Rates { decode_seconds_per_token: 0.2, ..Rates::default() };
     let slow = Candidate { rates: slow_rates, ..candidate("slow") };
     let well = candidate("well");
+    let busy = Candidate { load: 3, ..candidate("busy") };
+    let pair = [busy, well.clone()];
+    assert_eq!(ExpectedFinish::default().place(NEED, &pair), Verdict::Send(1));
     assert_eq!(ExpectedFinish::default().place(NEED, &[sick, slow, well]), Verdict::Send(2));
     let out = Candidate { weight: 0.0, ..candidate("out") };
     assert_eq!(ExpectedFinish::default().place(NEED, &[out]), Verdict::NoRoom);
--- a/testkit/src/experiment/policy.rs
+++ b/testkit/src/experiment/policy.rs
@@ -41,12 +41,16 @@
     NoPriorities,
     /// A computed token counts once.
     NoRecomputeWeight,
-    /// A computed token counts four times.
+    /// A computed token counts eight times.
     HighRecomputeWeight,
     /// Cache events are not read.
     NoCacheEvents,
     /// New programs wait no longer than those under way.
     NoNewDelay,
+    /// The load of an engine only breaks ties.
+    NoLoadSlowdown,
+    /// The load of an engine counts three times as much.
+    HighLoadSlowdown,
 }
 
 impl Policy {
@@ -65,6 +69,8 @@
         Policy::HighRecomputeWeight,
         Policy::NoCacheEvents,
         Policy::NoNewDelay,
+        Policy::NoLoadSlowdown,
+        Policy::HighLoadSlowdown,
     ];
 
     /// Returns the name on the command line and in rows.
@@ -83,6 +89,8 @@
             Policy::HighRecomputeWeight => "high_recompute_weight",
             Policy::NoCacheEvents => "no_cache_events",
             Policy::NoNewDelay => "no_new_delay",
+            Policy::NoLoadSlowdown => "no_load_slowdown",
+            Policy::HighLoadSlowdown => "high_load_slowdown",
         }
     }
 
@@ -92,7 +100,7 @@
     }
 
     fn placer(self) -> Arc<dyn Placer> {
-        let weighing = |recompute_weight| Arc::new(ExpectedFinish { recompute_weight });
+        let usual = ExpectedFinish::default();
         match self {
             Policy::RoundRobin => Arc::<RoundRobin>::default(),
             Policy::LeastLoaded => Arc::new(LeastLoaded),
@@ -100,9 +108,15 @@
             Policy::PrefixOnly => Arc::new(PrefixOnly),
             Policy::NoPrefixes => Arc::<WithoutPrefixes>::default(),
             Policy::NoWaiting => Arc::<WithoutWaiting>::default(),
-            Policy::NoRecomputeWeight => weighing(1.0),
-            Policy::HighRecomputeWeight => weighing(4.0),
-            _ => Arc::<ExpectedFinish>::default(),
+            Policy::NoRecomputeWeight => {
+                Arc::new(ExpectedFinish { recompute_weight: 1.0, ..usual })
+            }
+            Policy::HighRecomputeWeight => {
+                Arc::new(ExpectedFinish { recompute_weight: 8.0, ..usual })
+            }
+            Policy::NoLoadSlowdown => Arc::new(ExpectedFinish { load_slowdown: 0.0, ..usual }),
+            Policy::HighLoadSlowdown => Arc::new(ExpectedFinish { load_slowdown: 3.0, ..usual }),
+            _ => Arc::new(usual),
         }
     }
 
--- a/testkit/src/experiment/programs.rs
+++ b/testkit/src/experiment/programs.rs
@@ -54,10 +54,6 @@
     for program in running {
         finished.extend(program.await);
     }
-    let recomputed = site.recomputed();
-    for one in &mut finished {
-        one.recomputed_tokens = recomputed.get(&one.program).copied().unwrap_or(0);
-    }
     finished
 }
 
@@ -95,6 +91,7 @@
         let begun = Instant::now();
         let mut paused = Duration::ZERO;
         let mut refused = 0;
+        let mut recomputed_tokens = 0;
         for step in &program.steps {
             if let Step::Pause(pause) = step {
                 tokio::time::sleep(pause.mul_f64(time_scale)).await;
@@ -102,7 +99,7 @@
                 continue;
             }
             let call = self.ready(step);
-            let input = call.input.clone();
+            let (input, history_tokens) = (call.input.clone(), call.history_tokens);
             let outcome = dispatcher.run(call, &SendsAll, None).await;
             let DispatchOutcome::Done { output, usage, .. } = outcome else {
                 refused = 1;
@@ -110,17 +107,18 @@
             };
             self.attained_tokens += usage.total();
             if matches!(step, Step::Model { .. }) {
+                // The whole history was computed before, by the calls that it consists of.
+                recomputed_tokens += history_tokens.saturating_sub(usage.cached_tokens);
                 self.remember("user", &input);
                 self.remember("assistant", &output);
             }
         }
         dispatcher.program_ended(&self.id);
         Finished {
-            program: self.id.to_string(),
             class: program.class,
             latency: (begun.elapsed() - paused).div_f64(time_scale),
             refused,
-            recomputed_tokens: 0,
+            recomputed_tokens,
         }
     }
 
--- a/testkit/src/experiment/rows.rs
+++ b/testkit/src/experiment/rows.rs
@@ -8,15 +8,13 @@
 /// What became of one program; times are the engines' own.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Finished {
-    /// The program.
-    pub program: String,
     /// Its class.
     pub class: Class,
     /// The time from its start to its end without its caller's pauses.
     pub latency: Duration,
     /// The refusals; a refused program does not count in the latencies.
     pub refused: u64,
-    /// Prompt tokens that an engine had cached before and computed again.
+    /// Prompt tokens that were computed for this program before and computed again.
     pub recomputed_tokens: u64,
 }
 
--- a/testkit/src/experiment/site.rs
+++ b/testkit/src/experiment/site.rs
@@ -1,6 +1,5 @@
 //! Engines, services and dispatchers of one run.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,7 +49,7 @@
 pub struct Site {
     /// The dispatchers of the instances.
     pub dispatchers: Vec<Arc<ScheduledDispatcher>>,
-    engines: Vec<Engine>,
+    _engines: Vec<Engine>,
     _services: Vec<Service>,
     renewals: JoinHandle<()>,
 }
@@ -100,16 +99,7 @@
                 renew(&sources, &directories, renewing.as_ref());
             }
         });
-        Ok(Self { dispatchers, engines, _services: services, renewals })
-    }
-
-    /// Returns the recomputed prompt tokens by program.
-    pub fn recomputed(&self) -> BTreeMap<String, u64> {
-        let mut recomputed = BTreeMap::new();
-        for record in self.engines.iter().flat_map(Engine::records) {
-            *recomputed.entry(record.call.program).or_default() += record.recomputed_tokens;
-        }
-        recomputed
+        Ok(Self { dispatchers, _engines: engines, _services: services, renewals })
     }
 }
 
