--- a/coriandergw/src/log_groups/core/mod.rs
+++ b/coriandergw/src/log_groups/core/mod.rs
@@ -31,6 +31,7 @@
 pub use replica::Batch;
 pub use replica::Core;
 pub use replica::Entry;
+pub use replica::MessageLimits;
 pub use replica::Payload;
 pub use replica::ProposeFault;
 pub use replica::Record;
@@ -39,3 +40,8 @@
 pub use timing::HEARTBEAT_INTERVAL;
 pub use timing::LEASE;
 pub use timing::PROMISE;
+
+#[cfg(test)]
+mod simulation;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/coriandergw/src/programs/tests/limits.rs
@@ -0,0 +1,144 @@
+//! Programs end at their limits and release what they hold.
+
+use std::sync::atomic::Ordering;
+
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::dispatch::CallKind;
+use crate::programs::ChildRequest;
+use crate::programs::limits::REPETITION_LIMIT;
+use crate::programs::tests::world::Step;
+use crate::programs::tests::world::World;
+use crate::programs::tests::world::call;
+use crate::programs::tests::world::eventually;
+use crate::programs::tests::world::model;
+use crate::result_code::ResultCode;
+
+#[tokio::test]
+async fn programs_end_at_their_idle_and_wall_limits() {
+    let cases = [
+        (json!({"idle_ms": 60_000}), ResultCode::ProgramEnded),
+        (json!({"wall_ms": 60_000}), ResultCode::WallTimeLimit),
+    ];
+    for (limits, code) in cases {
+        let world = World::with_limits(limits);
+        let home = world.home(1);
+        let program = home.create(10_000, 5).await;
+        home.call(&program, model("a")).await.unwrap();
+        home.programs.sweep_programs().await;
+        home.call(&program, model("b")).await.unwrap();
+        world.clock.ahead_ms.store(60_000, Ordering::Relaxed);
+        home.programs.sweep_programs().await;
+        let refusal = home.call(&program, model("c")).await.unwrap_err();
+        assert_eq!((refusal.code, refusal.not_run), (code, true));
+        assert_eq!(home.history(&program).await, ["a", "b"]);
+        assert!(home.dispatcher.ended.lock().unwrap().contains_key(&program.program));
+    }
+}
+
+#[tokio::test]
+async fn an_ended_program_is_forgotten_after_its_retention() {
+    let world = World::default();
+    let home = world.home(1);
+    let program = home.create(10_000, 5).await;
+    home.programs.end(&program.program, &program.secret).await.unwrap();
+    home.programs.sweep_programs().await;
+    home.history(&program).await;
+    world.clock.ahead_ms.store(60 * 60 * 1_000, Ordering::Relaxed);
+    home.programs.sweep_programs().await;
+    for home in [home, world.home(2)] {
+        let read = home.programs.history(&program.program, &program.secret).await;
+        assert_eq!(read.unwrap_err().code, ResultCode::UnknownProgram);
+    }
+}
+
+#[tokio::test]
+async fn turns_and_repetition_are_limited() {
+    let world = World::with_limits(json!({"turns": 2}));
+    let home = world.home(1);
+    let program = home.create(10_000, 50).await;
+    home.call(&program, model("a")).await.unwrap();
+    home.call(&program, model("b")).await.unwrap();
+    let refusal = home.call(&program, model("c")).await.unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::TurnLimit, true));
+}
+
+#[test]
+fn only_equal_turns_with_equal_answers_count_as_repetition() {
+    use crate::dispatch::Usage;
+    use crate::programs::limits::check_turns;
+    use crate::programs::record::Completion;
+    use crate::programs::state::Program;
+    use crate::programs::turn::Turn;
+
+    let limits = crate::catalogue::Limits::default();
+    let asked = call("again", CallKind::Tool, true);
+    let answered = |output: &str| {
+        let (output, usage) = (output.into(), Usage::default());
+        let completion = Completion { output, usage, endpoint: None, prompt_turns: 0 };
+        std::sync::Arc::new(Turn::new(asked.clone().into(), completion.into()))
+    };
+    let mut program = Program::for_test();
+    program.history = vec![answered("1"); REPETITION_LIMIT - 1];
+    assert!(check_turns(&program, &limits, &asked).is_ok());
+    program.history.push(answered("2"));
+    assert!(check_turns(&program, &limits, &asked).is_ok());
+    program.history = vec![answered("1"); REPETITION_LIMIT];
+    let refusal = check_turns(&program, &limits, &asked).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::RepetitionLimit);
+    assert!(check_turns(&program, &limits, &call("else", CallKind::Tool, true)).is_ok());
+}
+
+#[tokio::test]
+async fn the_end_of_a_program_ends_its_family_and_is_released_again_after_a_takeover() {
+    let world = World::default();
+    let home = world.home(1);
+    let parent = home.create(10_000, 5).await;
+    let req = ChildRequest::default();
+    let child = home.programs.create_child(&parent.program, &parent.secret, req).await.unwrap();
+    home.gate.close_at(Step::Ran);
+    let (caller, at) = (home.clone(), child.clone());
+    let running = tokio::spawn(async move { caller.call(&at, model("a")).await });
+    home.gate.reached.notified().await;
+    home.programs.end(&parent.program, &parent.secret).await.unwrap();
+    let refusal = running.await.unwrap().unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::Cancelled, false));
+    let is_released = |home: &crate::programs::tests::world::TestHome| {
+        let ended = home.dispatcher.ended.lock().unwrap();
+        ended.contains_key(&parent.program) && ended.contains_key(&child.program)
+    };
+    eventually("both are released", || is_released(&home)).await;
+    let next = world.home(2);
+    eventually("both are released again", || is_released(&next)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_streaming_caller_that_goes_away_cancels_a_model_call_alone() {
+    for (kind, cancels) in [(CallKind::Model, true), (CallKind::Tool, false)] {
+        let world = World::default();
+        let home = world.home(1);
+        let program = home.create(10_000, 5).await;
+        home.gate.close_at(Step::Ran);
+        let (sink, _texts) = mpsc::channel(4);
+        let req = call("a", kind, false);
+        let (caller, at, sent) = (home.clone(), program.clone(), req.clone());
+        let streaming = tokio::spawn(async move {
+            caller.programs.call(&at.program, &at.secret, sent, Some(sink)).await
+        });
+        home.gate.reached.notified().await;
+        streaming.abort();
+        assert!(streaming.await.is_err());
+        if cancels {
+            eventually("the call is cancelled", || home.programs.running() == 0).await;
+        } else {
+            tokio::time::sleep(std::time::Duration::from_secs(60)).await;
+            assert_eq!(home.programs.running(), 1);
+        }
+        home.gate.open();
+        home.call(&program, req).await.unwrap();
+        let runs = if cancels { 2 } else { 1 };
+        assert_eq!(world.runs_of(&program.program, "a"), runs);
+        assert_eq!(home.history(&program).await, ["a"]);
+    }
+}
