--- a/coriandergw/src/dispatch/scheduled.rs
+++ b/coriandergw/src/dispatch/scheduled.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use serde_json::Value;
 use tokio::sync::oneshot;
 
 use crate::admission::backoff;
@@ -16,7 +15,7 @@
 use crate::dispatch::DispatchObserver;
 use crate::dispatch::DispatchOutcome;
 use crate::dispatch::Dispatcher;
-use crate::dispatch::LookUp;
+use crate::dispatch::LookedUp;
 use crate::dispatch::ReadyCall;
 use crate::dispatch::TokenSink;
 use crate::dispatch::cache_feeds;
@@ -39,10 +38,8 @@
 use crate::endpoints::outcomes::Outcome;
 use crate::events::EventNumber;
 use crate::events::Subject;
-use crate::ids::CallId;
 use crate::ids::EndpointName;
 use crate::ids::ProgramId;
-use crate::ids::TargetName;
 use crate::placement::ExpectedFinish;
 use crate::placement::Placer;
 use crate::queueing::QueueSettings;
@@ -69,6 +66,10 @@
     pub queue: QueueSettings,
     /// The choice between endpoints.
     pub placer: Arc<dyn Placer>,
+    /// Whether engines are told how urgent a call is.
+    pub engine_priorities: bool,
+    /// How often engines are asked for the events of their caches.
+    pub cache_poll_interval: Duration,
     /// Seeds the random choices.
     pub seed: u64,
 }
@@ -77,7 +78,9 @@
     fn default() -> Self {
         Self {
             queue: QueueSettings::default(),
-            placer: Arc::new(ExpectedFinish),
+            placer: Arc::new(ExpectedFinish::default()),
+            engine_priorities: true,
+            cache_poll_interval: Duration::from_millis(500),
             seed: rand::random(),
         }
     }
@@ -93,6 +96,7 @@
     pub(super) directory: Arc<Directory>,
     pub(super) client: EndpointClient,
     peers: Arc<dyn Peers>,
+    engine_priorities: bool,
     releases: Arc<Releases>,
     pub(super) state: Mutex<State>,
 }
@@ -123,10 +127,12 @@
             directory,
             client,
             peers,
+            engine_priorities: settings.engine_priorities,
             state: Mutex::new(State { scheduler, waiters: HashMap::new() }),
         });
         tokio::spawn(tick_forever(Arc::downgrade(&inner)));
-        tokio::spawn(cache_feeds::poll_forever(Arc::downgrade(&inner)));
+        let interval = settings.cache_poll_interval;
+        tokio::spawn(cache_feeds::poll_forever(Arc::downgrade(&inner), interval));
         Arc::new(Self { inner })
     }
 }
@@ -325,6 +331,9 @@
             }
             Err(cause) => {
                 self.record_failure(call, &endpoint, &cause);
+                if matches!(cause, SendError::NotSent { .. }) {
+                    observer.not_sent(&endpoint).await;
+                }
                 let may_repeat = may_repeat(call, &cause) && !progress.text_passed_on();
                 Attempt::Failed { endpoint, cause, may_repeat }
             }
@@ -340,7 +349,10 @@
     ) -> Result<EndpointAnswer, SendError> {
         if call.kind == CallKind::Model {
             self.releases.record(&call.program, &endpoint.name);
-            let priority = engine_priority(call.entry.class, call.attained_tokens);
+            let priority = match self.engine_priorities {
+                true => engine_priority(call.entry.class, call.attained_tokens),
+                false => 0,
+            };
             let options = ModelOptions::new(priority, cache_salt(call));
             return self.client.complete(endpoint, call, &options, sink, progress).await;
         }
@@ -361,15 +373,15 @@
         self.cx.events.record(EventNumber::AttemptFailed, subject, cause.to_string());
     }
 
-    async fn look_up_at(&self, endpoint: &Announcement, path: &str) -> LookUp {
+    async fn look_up_at(&self, endpoint: &Announcement, path: &str) -> Option<LookedUp> {
         let asked = self.client.get_json(endpoint, path);
-        let Ok(Ok(answer)) = tokio::time::timeout(LOOK_UP_TIMEOUT, asked).await else {
-            return LookUp::Unknown;
-        };
-        match answer.get("ran").and_then(Value::as_bool) {
-            Some(true) => LookUp::Ran(answer.get("output").cloned().unwrap_or_default()),
-            Some(false) => LookUp::NotRan,
-            None => LookUp::Unknown,
+        let answer = tokio::time::timeout(LOOK_UP_TIMEOUT, asked).await.ok()?.ok()?;
+        match answer.get("ran")?.as_bool()? {
+            true => {
+                let output = answer.get("output").cloned().unwrap_or_default();
+                Some(LookedUp::Ran { output })
+            }
+            false => Some(LookedUp::NotRan),
         }
     }
 }
@@ -434,42 +446,13 @@
         self.inner.releases.release(program);
     }
 
-    async fn look_up(
-        &self,
-        kind: CallKind,
-        target: &TargetName,
-        program: &ProgramId,
-        call: &CallId,
-    ) -> LookUp {
-        let path = format!("/calls/{program}/{call}");
-        let now = self.inner.cx.clock.now();
-        let serving = self.inner.directory.all(now).into_iter().filter(|known| {
-            known.announcement.kind == kind && known.announcement.targets.contains(target)
-        });
-        let mut answers = Vec::new();
-        for known in serving {
-            answers.push(match known.announcement.outcome_lookup {
-                true => self.inner.look_up_at(&known.announcement, &path).await,
-                false => LookUp::Unknown,
-            });
-        }
-        combine(answers)
-    }
-}
-
-/// Combines what the endpoints of a target know of a call.
-///
-/// One that ran it settles the matter. That it did not run is certain only if there is a single
-/// endpoint, or else one that is not asked or has gone may have run it.
-fn combine(answers: Vec<LookUp>) -> LookUp {
-    let single = answers.len() == 1;
-    let mut answers = answers.into_iter();
-    match answers.find(|answer| !matches!(answer, LookUp::Unknown)) {
-        Some(LookUp::NotRan) if !single => {
-            answers.find(|answer| matches!(answer, LookUp::Ran(_))).unwrap_or(LookUp::Unknown)
+    async fn look_up(&self, endpoint: &EndpointName, call: &ReadyCall) -> Option<LookedUp> {
+        let known = self.inner.directory.find(endpoint, self.inner.cx.clock.now())?;
+        if !known.announcement.outcome_lookup {
+            return None;
         }
-        Some(answer) => answer,
-        None => LookUp::Unknown,
+        let path = format!("/calls/{}/{}", call.program, call.call);
+        self.inner.look_up_at(&known.announcement, &path).await
     }
 }
 
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -54,6 +54,10 @@
     DrainFinished = 103, Info;
     /// The drain limit passed with requests still running.
     DrainLimitReached = 104, Warning;
+    /// Other keys are in use between instances.
+    KeysReloaded = 105, Info;
+    /// New keys could not be used; the old ones stay in use.
+    KeysRefused = 106, Error;
     /// The instance became the control leader and took a fencing number.
     ControlTaken = 230, Info;
     /// The instance is no longer the control leader.
@@ -76,6 +80,8 @@
     ConfirmationRegained = 239, Info;
     /// The file of the applied revision could not be written.
     RevisionFileFailed = 240, Error;
+    /// A dead instance without partitions was removed.
+    InstanceForgotten = 241, Info;
     /// The instance became the leader of a log group.
     LogLeaderElected = 200, Info;
     /// The instance stopped leading a log group.
@@ -104,6 +110,18 @@
     CallEnded = 303, Debug;
     /// A program ended.
     ProgramEnded = 304, Debug;
+    /// An endpoint reported more use than was reserved for the call.
+    ReservationExceeded = 305, Warning;
+    /// The outcome of a call that must not be repeated was lost.
+    OutcomeLost = 306, Warning;
+    /// An answer came too late to be recorded and was dropped.
+    AnswerDropped = 307, Warning;
+    /// A partition with programs was taken over.
+    PartitionTaken = 308, Info;
+    /// A partition was dropped.
+    PartitionDropped = 309, Info;
+    /// An ended program was forgotten after its retention.
+    ProgramForgotten = 310, Debug;
     /// An endpoint announced itself.
     EndpointAnnounced = 400, Info;
     /// An endpoint is leaving.
@@ -112,4 +130,8 @@
     EndpointSilent = 402, Warning;
     /// An attempt of a call failed at its endpoint.
     AttemptFailed = 403, Warning;
+    /// An engine confirmed an order.
+    OrderConfirmed = 404, Debug;
+    /// An order to an engine was not confirmed; it is repeated while it is due.
+    OrderFailed = 405, Warning;
 }
--- a/coriandergw/src/placement/tests.rs
+++ b/coriandergw/src/placement/tests.rs
@@ -20,6 +20,7 @@
         endpoint: name(endpoint),
         has_room: true,
         load: 0,
+        capacity: 4,
         wait: Duration::ZERO,
         cached_tokens: 0,
         rates: Rates::default(),
@@ -36,7 +37,8 @@
         cached_tokens: 4_000,
         ..candidate("holder")
     };
-    let place = |wait_ms| ExpectedFinish.place(NEED, &[candidate("idle"), holder(wait_ms)]);
+    let place =
+        |wait_ms| ExpectedFinish::default().place(NEED, &[candidate("idle"), holder(wait_ms)]);
     assert_eq!(place(0), Verdict::Send(1));
     assert_eq!(place(500), Verdict::WaitFor(1));
     assert_eq!(place(5_000), Verdict::Send(0));
@@ -48,9 +50,12 @@
     let slow_rates = Rates { decode_seconds_per_token: 0.2, ..Rates::default() };
     let slow = Candidate { rates: slow_rates, ..candidate("slow") };
     let well = candidate("well");
-    assert_eq!(ExpectedFinish.place(NEED, &[sick, slow, well]), Verdict::Send(2));
+    let busy = Candidate { load: 3, ..candidate("busy") };
+    let pair = [busy, well.clone()];
+    assert_eq!(ExpectedFinish::default().place(NEED, &pair), Verdict::Send(1));
+    assert_eq!(ExpectedFinish::default().place(NEED, &[sick, slow, well]), Verdict::Send(2));
     let out = Candidate { weight: 0.0, ..candidate("out") };
-    assert_eq!(ExpectedFinish.place(NEED, &[out]), Verdict::NoRoom);
+    assert_eq!(ExpectedFinish::default().place(NEED, &[out]), Verdict::NoRoom);
 }
 
 #[test]
@@ -95,9 +100,11 @@
     let mut book = PrefixBook::default();
     book.record(key("p"), &name("a"), 1_000, at(1));
     book.record(key("p"), &name("b"), 1_000, at(1));
-    assert_eq!(book.apply(&name("a"), &[], 5, at(10)), 0);
-    book.record(key("q"), &name("a"), 1_000, at(11));
-    assert_eq!(book.apply(&name("a"), &[evicted(7, "other", 1)], 8, at(20)), 1);
+    assert_eq!(book.apply(&name("a"), &[evicted(5, "other", 1)], 5, at(10)), 0);
+    book.record(key("q"), &name("a"), 1_000, at(16));
+    assert_eq!(book.apply(&name("a"), &[evicted(6, "other", 1)], 6, at(15)), 0);
+    assert_eq!(book.cached_tokens(&key("p"), &name("a")), 1_000);
+    assert_eq!(book.apply(&name("a"), &[evicted(8, "other", 1)], 8, at(20)), 1);
     assert_eq!(book.cached_tokens(&key("p"), &name("a")), 500);
     assert_eq!(book.cached_tokens(&key("p"), &name("b")), 1_000);
     assert_eq!(book.cached_tokens(&key("q"), &name("a")), 1_000);
--- /dev/null
+++ b/coriandergw/src/programs/tests/budget.rs
@@ -0,0 +1,135 @@
+//! Budgets hold, whatever fails.
+
+use proptest::prelude::*;
+use serde_json::json;
+
+use crate::programs::ChildRequest;
+use crate::programs::budget::Amount;
+use crate::programs::budget::Ledger;
+use crate::programs::tests::world::Step;
+use crate::programs::tests::world::World;
+use crate::programs::tests::world::eventually;
+use crate::programs::tests::world::model;
+use crate::result_code::ResultCode;
+
+proptest! {
+    #[test]
+    fn spending_and_reservations_never_pass_the_budget(
+        total in 0u64..1_000,
+        steps in prop::collection::vec((0u8..4, 0u64..400, 0u64..400), 0..60),
+    ) {
+        let mut ledger = Ledger::new(Amount { tokens: total, calls: 50 });
+        let (mut reserved, mut lent) = (Vec::new(), Vec::new());
+        let mut outstanding = 0u64;
+        for (step, amount, used) in steps {
+            let asked = Amount { tokens: amount, calls: 1 };
+            match step {
+                0 if ledger.reserve(asked) => { reserved.push(asked); outstanding += amount; }
+                1 if ledger.lend(asked) => { lent.push(asked); outstanding += amount; }
+                2 => if let Some(held) = reserved.pop() {
+                    let used = Amount { tokens: used.min(held.tokens), calls: 1 };
+                    ledger.settle(held, used);
+                    outstanding -= held.tokens - used.tokens;
+                },
+                3 => if let Some(loan) = lent.pop() {
+                    let rest = Amount { tokens: used.min(loan.tokens), calls: 0 };
+                    ledger.take_back(loan, rest);
+                    outstanding -= rest.tokens;
+                },
+                _ => {}
+            }
+            prop_assert!(outstanding <= total);
+            prop_assert_eq!(ledger.remaining().tokens, total - outstanding);
+        }
+    }
+}
+
+#[tokio::test]
+async fn calls_are_refused_once_the_budget_is_used_up() {
+    let world = World::default();
+    let home = world.home(1);
+    let program = home.create(300, 100).await;
+    let mut code = None;
+    for turn in 0..100 {
+        if let Err(refusal) = home.call(&program, model(&format!("c{turn}"))).await {
+            assert!(refusal.not_run);
+            code = Some(refusal.code);
+            break;
+        }
+    }
+    assert_eq!(code, Some(ResultCode::BudgetExhausted));
+    assert!(world.runs.lock().unwrap().len() > 1);
+    assert!(world.tokens_of(&program.program) <= 300);
+}
+
+#[tokio::test]
+async fn an_attempt_of_a_lost_home_stays_charged() {
+    let world = World::default();
+    let former = world.home(1);
+    let program = former.create(100, 5).await;
+    former.gate.close_at(Step::Ran);
+    let (caller, at) = (former.clone(), program.clone());
+    let req: crate::programs::CallRequest = serde_json::from_value(json!({
+        "call_id": "a", "kind": "model", "target": "t", "input": {"prompt": "a", "max_tokens": 60},
+    }))
+    .unwrap();
+    let sent = req.clone();
+    tokio::spawn(async move { caller.call(&at, sent).await });
+    former.gate.reached.notified().await;
+    let refusal = world.home(2).call(&program, req).await.unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::BudgetExhausted, false));
+    assert_eq!(world.runs_of(&program.program, "a"), 1);
+}
+
+#[tokio::test]
+async fn calls_side_by_side_wait_for_a_budget_that_others_hold() {
+    let world = World::default();
+    let home = world.home(1);
+    let program = home.create(400, 10).await;
+    home.gate.close_at(Step::Arrived);
+    let calls: Vec<_> = (0..4)
+        .map(|index| {
+            let (home, program) = (home.clone(), program.clone());
+            let req = json!({
+                "call_id": format!("c{index}"), "kind": "model", "target": "t",
+                "input": {"prompt": "x", "max_tokens": 250},
+            });
+            let req = serde_json::from_value(req).unwrap();
+            tokio::spawn(async move { home.call(&program, req).await })
+        })
+        .collect();
+    home.gate.reached.notified().await;
+    eventually("all calls are accepted", || home.programs.running() == 4).await;
+    assert_eq!(world.runs.lock().unwrap().len(), 0);
+    home.gate.open();
+    let mut done = 0;
+    for call in calls {
+        done += usize::from(call.await.unwrap().is_ok());
+    }
+    assert!(done >= 1, "the first call had the budget");
+    assert_eq!(world.runs.lock().unwrap().len(), done);
+    assert!(world.tokens_of(&program.program) <= 400);
+}
+
+#[tokio::test]
+async fn a_sub_agent_draws_on_its_parent_and_returns_the_rest() {
+    let world = World::default();
+    let home = world.home(1);
+    let parent = home.create(1_000, 10).await;
+    let ask = |tokens: u64| -> ChildRequest {
+        serde_json::from_value(json!({"budget": {"tokens": tokens, "calls": 4}})).unwrap()
+    };
+    let create = async |tokens: u64| {
+        home.programs.create_child(&parent.program, &parent.secret, ask(tokens)).await
+    };
+    let child = create(900).await.unwrap();
+    let refusal = create(200).await.unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::BudgetExhausted, true));
+    home.call(&child, model("a")).await.unwrap();
+    home.programs.end(&child.program, &child.secret).await.unwrap();
+    let used = world.tokens_of(&child.program);
+    assert_eq!(create(1_001 - used).await.unwrap_err().code, ResultCode::BudgetExhausted);
+    create(1_000 - used).await.unwrap();
+    let refusal = home.call(&child, model("b")).await.unwrap_err();
+    assert_eq!(refusal.code, ResultCode::ProgramEnded);
+}
--- /dev/null
+++ b/coriandergw/src/programs/tests/mod.rs
@@ -0,0 +1,10 @@
+//! Tests of programs with fakes at the borders.
+
+mod audit;
+mod budget;
+mod crash;
+mod journal;
+mod limits;
+mod requests;
+mod rival;
+mod world;
--- /dev/null
+++ b/coriandergw/src/programs/tests/rival.rs
@@ -0,0 +1,121 @@
+//! Two homes of one partition at once.
+
+use crate::dispatch::CallKind;
+use crate::programs::tests::world::Step;
+use crate::programs::tests::world::World;
+use crate::programs::tests::world::call;
+use crate::programs::tests::world::eventually;
+use crate::programs::tests::world::model;
+use crate::result_code::ResultCode;
+
+#[tokio::test]
+async fn an_answer_that_reaches_a_former_home_is_dropped() {
+    let world = World::default();
+    let former = world.home(1);
+    let program = former.create(10_000, 5).await;
+    former.gate.close_at(Step::Ran);
+    let (caller, at) = (former.clone(), program.clone());
+    let late = tokio::spawn(async move { caller.call(&at, model("a")).await });
+    former.gate.reached.notified().await;
+
+    let home = world.home(2);
+    home.call(&program, model("a")).await.unwrap();
+    home.call(&program, model("b")).await.unwrap();
+    former.gate.open();
+
+    let refusal = late.await.unwrap().unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::NoHome, false));
+    assert_eq!(home.history(&program).await, ["a", "b"]);
+    assert_eq!(world.home(3).history(&program).await, ["a", "b"]);
+}
+
+#[tokio::test]
+async fn a_former_home_sends_nothing_that_must_not_repeat() {
+    let world = World::default();
+    let former = world.home(1);
+    let program = former.create(10_000, 5).await;
+    former.call(&program, model("a")).await.unwrap();
+    let home = world.home(2);
+    home.call(&program, model("b")).await.unwrap();
+
+    let refusal = former.call(&program, call("x", CallKind::Tool, false)).await.unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::NoHome, true));
+    assert_eq!(world.runs_of(&program.program, "x"), 0);
+    assert_eq!(home.history(&program).await, ["a", "b"]);
+}
+
+#[tokio::test]
+async fn a_call_waiting_for_its_intent_is_not_sent_after_a_takeover() {
+    let world = World::default();
+    let former = world.home(1);
+    let program = former.create(10_000, 5).await;
+    former.gate.close_at(Step::BeforeIntent);
+    let (caller, at) = (former.clone(), program.clone());
+    let req = call("x", CallKind::Tool, false);
+    let sent = req.clone();
+    let late = tokio::spawn(async move { caller.call(&at, sent).await });
+    former.gate.reached.notified().await;
+
+    let home = world.home(2);
+    home.call(&program, req).await.unwrap();
+    former.gate.open();
+    assert!(!late.await.unwrap().unwrap_err().not_run, "the new home ran the call");
+    assert_eq!(world.runs_of(&program.program, "x"), 1);
+}
+
+#[tokio::test]
+async fn a_home_without_a_lease_refuses() {
+    let world = World::default();
+    let home = world.home(1);
+    let program = home.create(10_000, 5).await;
+    home.partitions.lose();
+    let refusal = home.call(&program, model("a")).await.unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::NoHome, true));
+    assert!(refusal.retry_after.is_some());
+    assert!(world.runs.lock().unwrap().is_empty());
+}
+
+#[tokio::test]
+async fn a_resend_joins_the_running_call() {
+    let world = World::default();
+    let home = world.home(1);
+    let program = home.create(10_000, 5).await;
+    home.gate.close_at(Step::Ran);
+    let send = || {
+        let (home, program) = (home.clone(), program.clone());
+        tokio::spawn(async move { home.call(&program, model("a")).await })
+    };
+    let first = send();
+    home.gate.reached.notified().await;
+    let second = send();
+    eventually("the first call runs", || home.programs.running() == 1).await;
+    home.gate.open();
+    assert_eq!(first.await.unwrap().unwrap(), second.await.unwrap().unwrap());
+    assert_eq!(world.runs_of(&program.program, "a"), 1);
+}
+
+#[tokio::test]
+async fn a_drain_waits_for_running_calls_and_refuses_new_programs() {
+    let world = World::default();
+    let home = world.home(1);
+    let program = home.create(10_000, 5).await;
+    home.gate.close_at(Step::Ran);
+    let (caller, at) = (home.clone(), program.clone());
+    let running = tokio::spawn(async move { caller.call(&at, model("a")).await });
+    home.gate.reached.notified().await;
+    let drain = tokio::spawn({
+        let programs = home.programs.clone();
+        async move { programs.drain().await }
+    });
+    let req = || serde_json::from_str(r#"{"entry":"e"}"#).unwrap();
+    let mut refused = None;
+    while refused.is_none() {
+        refused = home.programs.create(req()).await.err();
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(refused.map(|refusal| refusal.code), Some(ResultCode::Draining));
+    assert!(!drain.is_finished());
+    home.gate.open();
+    running.await.unwrap().unwrap();
+    drain.await.unwrap();
+}
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -1,9 +1,11 @@
 //! Fakes at the interfaces, a fault-injecting proxy and measurements. Not shipped.
 
 pub mod auditor;
+pub mod bench;
 pub mod bench_log;
 pub mod caller;
 pub mod cluster;
+pub mod experiment;
 pub mod fakes;
 pub mod generate;
 pub mod http;
