--- a/coriandergw/src/leases/client.rs
+++ b/coriandergw/src/leases/client.rs
@@ -195,7 +195,7 @@
     }
 
     pub(super) async fn run(self: Arc<Self>) {
-        let mut was_fresh = true;
+        let mut was_fresh = false;
         loop {
             self.renew_once().await;
             was_fresh = self.note_freshness(was_fresh);
