--- a/coriandergw/src/programs/home.rs
+++ b/coriandergw/src/programs/home.rs
@@ -22,6 +22,7 @@
 use crate::ids::CallId;
 use crate::ids::EntryName;
 use crate::ids::Epoch;
+use crate::ids::PARTITION_COUNT;
 use crate::ids::PartitionId;
 use crate::ids::ProgramId;
 use crate::leases::Home as HomeAddress;
@@ -29,6 +30,7 @@
 use crate::log_groups::ReplicatedLog;
 use crate::programs::accept::LiveCall;
 use crate::programs::digest;
+use crate::programs::handover::Entering;
 use crate::programs::journal::Journal;
 use crate::programs::journal::Journals;
 use crate::programs::state::Program;
@@ -50,6 +52,7 @@
     pub(super) homes: Mutex<BTreeMap<PartitionId, Arc<Home>>>,
     pub(super) draining: CancellationToken,
     pub(super) running: watch::Sender<usize>,
+    pub(super) entering: Entering,
 }
 
 /// One partition at its home, under one epoch.
@@ -113,6 +116,7 @@
             homes: Mutex::default(),
             draining: CancellationToken::new(),
             running: watch::Sender::new(0),
+            entering: Entering::default(),
         });
         tokio::spawn(Self::sweep_forever(Arc::downgrade(&programs)));
         programs
@@ -142,6 +146,21 @@
         }
     }
 
+    /// Returns where a new program can be created.
+    pub fn locate_new(&self) -> Location {
+        if self.holds_any() {
+            return Location::Here;
+        }
+        let homes =
+            (0..PARTITION_COUNT).filter_map(|number| self.partitions.home(PartitionId(number)));
+        let others = homes.filter(|home| home.instance != self.cx.instance);
+        let mut others: Vec<HomeAddress> = others.collect();
+        match others.len() {
+            0 => Location::Nowhere,
+            count => Location::Elsewhere(others.swap_remove(rand::random_range(0..count))),
+        }
+    }
+
     /// Returns the history of a program.
     ///
     /// # Errors
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -2,8 +2,10 @@
 
 pub mod auditor;
 pub mod bench;
+pub mod bench_log;
 pub mod caller;
 pub mod cluster;
+pub mod experiment;
 pub mod fakes;
 pub mod generate;
 pub mod http;
