--- a/coriandergw/src/programs/create.rs
+++ b/coriandergw/src/programs/create.rs
@@ -23,6 +23,7 @@
 use crate::programs::request::ChildRequest;
 use crate::programs::request::ProgramRequest;
 use crate::programs::state::Program;
+use crate::programs::state::Tree;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 
@@ -68,17 +69,28 @@
             deadline,
         };
         let place = Place { home, tree: Arc::new(LiveTree::default()), program: id.clone() };
-        let what = What::Created(creation);
-        let created = self.append(&place, Persistence::GiveUp, |_| Ok((what, ()))).await;
-        // No call of the program can exist before its identifier is known.
-        created.map_err(|refusal| Refusal { not_run: true, ..refusal })?;
-        let mut trees = place.home.trees.lock().expect("not poisoned");
-        trees.insert(id.clone(), place.tree.clone());
-        drop(trees);
+        self.append_creation(&place, creation).await?;
         self.record_created(&place, &entry);
         Ok(CreatedProgram { program: id, secret })
     }
 
+    async fn append_creation(
+        self: &Arc<Self>,
+        place: &Place,
+        creation: Creation,
+    ) -> Result<(), Refusal> {
+        // Known before it is written, so that its limits hold also if the caller goes away.
+        let tree = place.tree.clone();
+        place.home.trees.lock().expect("not poisoned").insert(place.program.clone(), tree);
+        let what = What::Created(creation);
+        let created = self.append(place, Persistence::GiveUp, |_| Ok((what, ()))).await;
+        created.map_err(|refusal| {
+            place.home.trees.lock().expect("not poisoned").remove(&place.program);
+            // No call of the program can exist before its identifier is known.
+            Refusal { not_run: true, ..refusal }
+        })
+    }
+
     /// Creates a sub-agent of a program.
     ///
     /// # Errors
@@ -96,7 +108,7 @@
         let secret_digest = digest(&secret);
         let place = Place { program: id.clone(), ..place };
         let parent = parent.clone();
-        let build = move |tree: &crate::programs::state::Tree| {
+        let build = move |tree: &Tree| {
             let parent = program_of(tree, &parent)?;
             check_running(parent)?;
             let creation = child_creation(parent, &req, secret_digest)?;
--- a/coriandergw/src/programs/run.rs
+++ b/coriandergw/src/programs/run.rs
@@ -117,11 +117,11 @@
         };
         let attempts = AtomicU32::new(0);
         let observer = Observer { programs: self, work, reservation, attempts };
-        let running = self.dispatcher.run(ready.clone(), &observer, sink);
-        if !ready.idempotent {
+        let running = self.dispatcher.run(ready, &observer, sink);
+        if !work.request.is_idempotent() {
             // What must not be repeated is not cut off once it may have been sent.
             let outcome = running.await;
-            return self.settle(work, &ready, reservation, outcome).await;
+            return self.settle(work, reservation, outcome).await;
         }
         let outcome = tokio::select! {
             outcome = running => Some(outcome),
@@ -129,7 +129,7 @@
         };
         let sent = observer.attempts.load(Ordering::Acquire) > 0;
         match outcome {
-            Some(outcome) => self.settle(work, &ready, reservation, outcome).await,
+            Some(outcome) => self.settle(work, reservation, outcome).await,
             None => self.withdraw(work, cancelled(sent), sent).await,
         }
     }
@@ -190,7 +190,7 @@
             input: request.input.clone(),
             max_tokens: reservation.max_tokens,
             deadline: program.deadline.map(|deadline| to_timestamp(deadline, wall, now)),
-            attained_tokens: state.attained_tokens(),
+            attained_tokens: state.attained_tokens,
             under_way: !program.history.is_empty(),
         })
     }
--- a/coriandergw/src/programs/settle.rs
+++ b/coriandergw/src/programs/settle.rs
@@ -5,7 +5,6 @@
 
 use crate::dispatch::DispatchOutcome;
 use crate::dispatch::LookedUp;
-use crate::dispatch::ReadyCall;
 use crate::dispatch::Usage;
 use crate::events::EventNumber;
 use crate::ids::EndpointName;
@@ -38,7 +37,6 @@
     pub(super) async fn settle(
         self: &Arc<Self>,
         work: &Work,
-        ready: &ReadyCall,
         reservation: Reservation,
         outcome: DispatchOutcome,
     ) -> CallAnswer {
@@ -58,7 +56,7 @@
             DispatchOutcome::NotRun(refusal) | DispatchOutcome::Failed(refusal) => {
                 self.record_failed(work, refusal).await
             }
-            DispatchOutcome::Unknown(refusal) => self.record_unknown(work, ready, refusal).await,
+            DispatchOutcome::Unknown(refusal) => self.record_unknown(work, refusal).await,
         }
     }
 
@@ -87,19 +85,11 @@
     ) -> CallAnswer {
         let message = format!("the home was lost while the call ran at {endpoint}");
         let refusal = Refusal::may_have_run(ResultCode::OutcomeUnknown, message);
-        match self.ready_call(work, Reservation::default()) {
-            Ok(ready) => self.record_unknown(work, &ready, refusal).await,
-            Err(_) => self.record_failed(work, refusal).await,
-        }
+        self.record_unknown(work, refusal).await
     }
 
-    async fn record_unknown(
-        self: &Arc<Self>,
-        work: &Work,
-        ready: &ReadyCall,
-        refusal: Refusal,
-    ) -> CallAnswer {
-        match self.look_up(work, ready).await {
+    async fn record_unknown(self: &Arc<Self>, work: &Work, refusal: Refusal) -> CallAnswer {
+        match self.look_up(work).await {
             Some(completion) => self.record_done(work, completion).await,
             None => {
                 let subject = self.subject(&work.place, Some(&work.call));
@@ -112,13 +102,14 @@
     /// Asks the endpoint whether it ran the call.
     ///
     /// That it has not run proves nothing: the request may still be on its way.
-    async fn look_up(&self, work: &Work, ready: &ReadyCall) -> Option<Completion> {
+    async fn look_up(&self, work: &Work) -> Option<Completion> {
+        let ready = self.ready_call(work, Reservation::default()).ok()?;
         let endpoint = work
             .place
             .read(|program| Ok(program.calls.get(&work.call).and_then(|call| call.intent.clone())));
         let endpoint = endpoint.ok().flatten()?;
         for _ in 0..LOOK_UP_TRIES {
-            if let LookedUp::Ran { output } = self.dispatcher.look_up(&endpoint, ready).await? {
+            if let LookedUp::Ran { output } = self.dispatcher.look_up(&endpoint, &ready).await? {
                 return Some(Completion {
                     output: output.to_string().into(),
                     usage: Usage::default(),
--- a/coriandergw/src/programs/state.rs
+++ b/coriandergw/src/programs/state.rs
@@ -30,6 +30,8 @@
     pub next_sequence: u64,
     /// The programs.
     pub programs: BTreeMap<ProgramId, Program>,
+    /// The tokens that all programs of the tree were served.
+    pub attained_tokens: u64,
 }
 
 /// One program.
@@ -55,6 +57,8 @@
     pub ledger: Ledger,
     /// Its history, oldest first.
     pub history: Vec<Arc<Turn>>,
+    /// The bytes of text that its own turns added to the history.
+    pub history_bytes: usize,
     /// Its calls.
     pub calls: BTreeMap<CallId, Call>,
     /// When and why it ended.
@@ -114,6 +118,7 @@
             deadline: creation.deadline,
             ledger: Ledger::new(creation.budget),
             history,
+            history_bytes: 0,
             calls: BTreeMap::new(),
             ended: None,
         }
@@ -153,6 +158,9 @@
         let missing = || RecordError::new(format!("there is no program {program}"));
         let program = self.programs.get_mut(&program).ok_or_else(missing)?;
         program.active_at = at;
+        if let What::Done { completion, .. } = &what {
+            self.attained_tokens += completion.usage.total();
+        }
         apply_to_call(program, epoch, what)
     }
 
@@ -212,15 +220,6 @@
         }
         family
     }
-
-    /// Returns the tokens that all programs of the tree were served.
-    pub fn attained_tokens(&self) -> u64 {
-        let usage = |call: &Call| match &call.result {
-            Some(CallResult::Done(completion)) => completion.usage.total(),
-            _ => 0,
-        };
-        self.programs.values().flat_map(|program| program.calls.values()).map(usage).sum()
-    }
 }
 
 fn apply_to_call(program: &mut Program, epoch: Epoch, what: What) -> Result<(), RecordError> {
@@ -295,6 +294,7 @@
     call.result = Some(CallResult::Done(completion.clone()));
     let turn = Turn::new(call.request.clone(), completion);
     program.ledger.settle(held, Amount { tokens, calls: 1 });
+    program.history_bytes += turn.text_bytes();
     program.history.push(Arc::new(turn));
     Ok(())
 }
--- a/coriandergw/src/programs/sweep.rs
+++ b/coriandergw/src/programs/sweep.rs
@@ -153,8 +153,7 @@
             self.programs += 1;
             self.ended += i64::from(program.ended.is_some());
             self.turns += program.history.len() as i64;
-            let bytes: usize = program.history.iter().map(|turn| turn.text_bytes()).sum();
-            self.history_bytes += bytes as i64;
+            self.history_bytes += program.history_bytes as i64;
         }
     }
 }
@@ -165,5 +164,6 @@
     let is_old = |ended_at: WallTime| now.0.saturating_sub(ended_at.0) >= retention_ms;
     let has_live = !place.tree.live.lock().expect("not poisoned").is_empty();
     !has_live
+        && !state.programs.is_empty()
         && state.programs.values().all(|program| program.ended.is_some_and(|(at, _)| is_old(at)))
 }
