--- a/coriandergw/src/dispatch/scheduler.rs
+++ b/coriandergw/src/dispatch/scheduler.rs
@@ -563,3 +563,6 @@
         answer_tokens: facts.max_tokens.min(answer_tokens.max(1.0) as u64),
     }
 }
+
+#[cfg(test)]
+mod tests;
