feat(operators): replace a store instance that is lost for good

Cause: the log could replace a voter and operators could not ask for it, so that a lost store instance could never be repaired. Checked: clippy; the log's own test replaces a voter and then loses a second store instance. The command itself is tried next with real processes.

--- a/coriandergw/src/callers/tests.rs
+++ b/coriandergw/src/callers/tests.rs
@@ -120,6 +120,7 @@
             directory,
             programs,
             partitions: partitions.clone(),
+            voters: None,
             stage: Arc::default(),
         });
         let service =
--- a/coriandergw/src/cli/client.rs
+++ b/coriandergw/src/cli/client.rs
@@ -1,5 +1,6 @@
 //! Asks instances over HTTP on behalf of an operator.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -101,3 +102,18 @@
         }
     }
 }
+
+/// Returns the addresses of all registered instances, or the given one if none is known.
+pub(super) async fn instance_addresses(
+    client: &OperatorClient,
+    address: &str,
+) -> Result<BTreeSet<String>, RequestError> {
+    let status = client.get(address, "/v1/status").await?;
+    let instances = status.body["instances"].as_array().cloned().unwrap_or_default();
+    let told = instances.iter().filter_map(|row| row["address"].as_str()).map(str::to_owned);
+    let mut addresses: BTreeSet<String> = told.collect();
+    if addresses.is_empty() {
+        addresses.insert(address.to_owned());
+    }
+    Ok(addresses)
+}
--- a/coriandergw/src/cli/mod.rs
+++ b/coriandergw/src/cli/mod.rs
@@ -15,6 +15,7 @@
 mod status;
 mod timeline;
 mod version;
+mod voters;
 
 /// The exit code of a command that failed while it ran.
 pub const EXIT_FAILED: u8 = 1;
@@ -33,6 +34,7 @@
   coriandergw entry show default
   coriandergw entry set drafting entry.json
   coriandergw status --json
+  coriandergw voters e3 e5
   coriandergw timeline --program p-… --svg timeline.svg
 
 Exit codes: 0 done, 1 failed, 2 invalid command line or settings, 3 another change came first.";
@@ -61,6 +63,8 @@
     Status(status::Arguments),
     #[options(help = "show the events of all instances in causal order")]
     Timeline(timeline::Arguments),
+    #[options(help = "replace a store instance that is lost for good")]
+    Voters(voters::Arguments),
     #[options(help = "print the version")]
     Version(version::Arguments),
 }
@@ -76,6 +80,7 @@
         Some(Command::Entry(arguments)) => entry::entry(&arguments),
         Some(Command::Status(arguments)) => status::status(&arguments),
         Some(Command::Timeline(arguments)) => timeline::timeline(&arguments),
+        Some(Command::Voters(arguments)) => voters::voters(&arguments),
         Some(Command::Version(_)) => version::version(),
         None => {
             println!("Usage: coriandergw COMMAND\n\n{}", Arguments::usage());
--- a/coriandergw/src/cli/timeline.rs
+++ b/coriandergw/src/cli/timeline.rs
@@ -1,6 +1,5 @@
 //! `coriandergw timeline`
 
-use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -12,6 +11,7 @@
 use crate::cli::EXIT_INVALID;
 use crate::cli::client::OperatorClient;
 use crate::cli::client::RequestError;
+use crate::cli::client::instance_addresses;
 use crate::cli::entry::pretty;
 use crate::cli::fail;
 use crate::cli::run::block_on;
@@ -84,20 +84,6 @@
     Ok((events, unreached))
 }
 
-async fn instance_addresses(
-    client: &OperatorClient,
-    address: &str,
-) -> Result<BTreeSet<String>, RequestError> {
-    let status = client.get(address, "/v1/status").await?;
-    let instances = status.body["instances"].as_array().cloned().unwrap_or_default();
-    let told = instances.iter().filter_map(|row| row["address"].as_str()).map(str::to_owned);
-    let mut addresses: BTreeSet<String> = told.collect();
-    if addresses.is_empty() {
-        addresses.insert(address.to_owned());
-    }
-    Ok(addresses)
-}
-
 fn query_path(arguments: &Arguments) -> String {
     let mut parts = Vec::new();
     parts.extend(arguments.program.as_ref().map(|program| format!("program={program}")));
--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -35,6 +35,7 @@
 use crate::log_groups::node::LogNode;
 use crate::log_groups::node::LogOptions;
 use crate::log_groups::node::SNAPSHOT_EVERY_ENTRIES;
+use crate::log_groups::voters::Voters;
 use crate::programs::JournalState;
 use crate::programs::Programs;
 use crate::settings::Settings;
@@ -96,6 +97,7 @@
         directory,
         programs,
         partitions: control.clone(),
+        voters: node.clone().map(|node| node as Arc<dyn Voters>),
         stage: Arc::default(),
     });
     serve(server, shared, || control.leave()).await;
--- a/coriandergw/src/instance/dev.rs
+++ b/coriandergw/src/instance/dev.rs
@@ -72,6 +72,7 @@
         directory,
         programs,
         partitions,
+        voters: None,
         stage: Arc::default(),
     });
     serve(server, shared, || {}).await;
--- a/coriandergw/src/instance/mod.rs
+++ b/coriandergw/src/instance/mod.rs
@@ -17,6 +17,7 @@
 use crate::events::Recorder;
 use crate::leases::ClusterStatus;
 use crate::leases::Partitions;
+use crate::log_groups::voters::Voters;
 use crate::metrics::Metrics;
 use crate::operators;
 use crate::programs::Programs;
@@ -58,6 +59,8 @@
     pub partitions: Arc<dyn Partitions>,
     /// The addresses that callers are told.
     pub addresses: Arc<dyn AddressBook>,
+    /// Changes the voters of the log; on store instances only.
+    pub voters: Option<Arc<dyn Voters>>,
     /// How far the instance is from its start to its stop.
     pub stage: Arc<Stage>,
 }
--- a/coriandergw/src/log_groups/mod.rs
+++ b/coriandergw/src/log_groups/mod.rs
@@ -17,6 +17,7 @@
 pub mod local;
 pub mod node;
 mod propose;
+pub mod voters;
 pub mod wire;
 
 /// Says why a command has no answer.
--- a/coriandergw/src/log_groups/node.rs
+++ b/coriandergw/src/log_groups/node.rs
@@ -170,6 +170,11 @@
         })
     }
 
+    /// Returns the groups that this instance takes part in.
+    pub fn groups(&self) -> Vec<GroupId> {
+        self.views.keys().copied().collect()
+    }
+
     /// Starts to replace a voter of a group; to be called on the group's leader.
     ///
     /// # Errors
--- a/coriandergw/src/operators/mod.rs
+++ b/coriandergw/src/operators/mod.rs
@@ -20,11 +20,13 @@
 use crate::result_code::ResultCode;
 
 mod entries;
+mod voters;
 
 /// Builds the routes of operators.
 pub fn routes() -> Router<Arc<Shared>> {
     Router::new()
         .merge(entries::routes())
+        .merge(voters::routes())
         .route("/v1/status", get(status))
         .route("/healthz", get(|| async { "alive\n" }))
         .route("/readyz", get(ready))
--- a/coriandergw/src/operators/tests.rs
+++ b/coriandergw/src/operators/tests.rs
@@ -76,6 +76,7 @@
             programs,
             partitions,
             addresses: Arc::new(OneAddress::new(address, data_centre, ttl)),
+            voters: None,
             stage: Arc::default(),
         };
         Self { routes: router(Arc::new(shared)) }
