test(log_groups): see that a leader without a quorum steps down

Cause: a trial fault, a leader that never steps down by itself, was not found by any test.

Change: the test of a leader cut off waits for it to step down while it is still cut off.

--- a/coriandergw/src/log_groups/tests.rs
+++ b/coriandergw/src/log_groups/tests.rs
@@ -57,6 +57,7 @@
     let new = cluster.leader(Some(old)).await;
     let old_lease = cluster.members[old].node().lease_until(CONTROL_GROUP);
     assert!(cluster.now() >= old_lease, "two leases at once");
+    wait_for("the old leader to step down", || !cluster.members[old].is_leader()).await;
     let fate = cluster.members[old].node().propose(CONTROL_GROUP, Bytes::from("late")).await;
     assert!(fate.is_err(), "a leader without a quorum answered {fate:?}");
     cluster.propose(new, 3).await;
