test(leases): drive the holder and a new leader's lease table by time alone

Two trial faults passed the cluster tests: a release that marks nothing, and a new leader that does not wait for earlier incarnations. The paused runtime spreads a move faster than the tests look. The new tests call the deciding parts directly.

--- a/coriandergw/src/leases/tests.rs
+++ b/coriandergw/src/leases/tests.rs
@@ -42,6 +42,7 @@
 
 mod cuts;
 mod distribution;
+mod holding;
 mod moves;
 mod planning;
 
