--- a/coriandergw/src/programs/tests/budget.rs
+++ b/coriandergw/src/programs/tests/budget.rs
@@ -3,9 +3,20 @@
 use proptest::prelude::*;
 use serde_json::json;
 
+use crate::clock::WallTime;
+use crate::dispatch::Usage;
+use crate::ids::CallId;
+use crate::ids::Epoch;
+use crate::ids::ProgramId;
 use crate::programs::ChildRequest;
 use crate::programs::budget::Amount;
 use crate::programs::budget::Ledger;
+use crate::programs::record::Completion;
+use crate::programs::record::Creation;
+use crate::programs::record::Failure;
+use crate::programs::record::Record;
+use crate::programs::record::What;
+use crate::programs::state::Tree;
 use crate::programs::tests::world::Step;
 use crate::programs::tests::world::World;
 use crate::programs::tests::world::eventually;
@@ -133,3 +144,56 @@
     let refusal = home.call(&child, model("b")).await.unwrap_err();
     assert_eq!(refusal.code, ResultCode::ProgramEnded);
 }
+
+/// Returns what is left of 1,000 tokens and 10 calls after a call that reserved 100 tokens.
+fn left_after(steps: Vec<What>) -> Amount {
+    let creation = Creation {
+        entry: "e".try_into().unwrap(),
+        owner: "o".try_into().unwrap(),
+        secret_digest: [0; 32],
+        budget: Amount { tokens: 1_000, calls: 10 },
+        parent: None,
+        inherit_history: false,
+        deadline: None,
+    };
+    let accepted = What::Accepted { request: model("a").into(), reserved: Some(100) };
+    let program = ProgramId::try_from("p-1").unwrap();
+    let mut tree = Tree::default();
+    for what in [What::Created(creation), accepted].into_iter().chain(steps) {
+        let record = Record { at: WallTime(0), program: program.clone(), what };
+        tree.apply(Epoch(1), record).unwrap();
+    }
+    tree.programs[&program].ledger.remaining()
+}
+
+#[test]
+fn each_way_to_end_a_call_charges_what_it_may_have_used() {
+    let call = || CallId::try_from("a").unwrap();
+    let again = || What::Reserved { call: call(), tokens: 100 };
+    let not_sent = || What::NotSent { call: call() };
+    let withdrawn = |sent| What::Withdrawn { call: call(), sent };
+    let done = || {
+        let usage = Usage { prompt_tokens: 7, cached_tokens: 0, completion_tokens: 3 };
+        let completion = Completion { output: "1".into(), usage, endpoint: None, prompt_turns: 0 };
+        What::Done { call: call(), completion }
+    };
+    let failed = || {
+        let failure = Failure { code: ResultCode::EndpointFailed, message: String::new() };
+        What::Failed { call: call(), failure }
+    };
+    let cases = [
+        (vec![], 900, 9),
+        (vec![done()], 990, 9),
+        (vec![again(), done()], 890, 9),
+        (vec![not_sent(), again(), done()], 990, 9),
+        (vec![failed()], 900, 9),
+        (vec![withdrawn(false)], 1_000, 10),
+        (vec![withdrawn(true)], 900, 9),
+        (vec![again(), withdrawn(false)], 900, 9),
+        (vec![again(), withdrawn(true)], 800, 9),
+    ];
+    for (steps, tokens, calls) in cases {
+        let label = format!("{steps:?}");
+        assert_eq!(left_after(steps), Amount { tokens, calls }, "{label}");
+    }
+}
--- a/coriandergw/src/programs/tests/limits.rs
+++ b/coriandergw/src/programs/tests/limits.rs
@@ -142,3 +142,22 @@
         assert_eq!(home.history(&program).await, ["a"]);
     }
 }
+
+#[tokio::test]
+async fn the_end_of_a_program_does_not_cut_a_call_that_must_not_be_repeated() {
+    let world = World::default();
+    let home = world.home(1);
+    let program = home.create(10_000, 5).await;
+    home.gate.close_at(Step::Ran);
+    let (caller, at) = (home.clone(), program.clone());
+    let req = call("a", CallKind::Service, false);
+    let running = tokio::spawn(async move { caller.call(&at, req).await });
+    home.gate.reached.notified().await;
+    home.programs.end(&program.program, &program.secret).await.unwrap();
+    tokio::task::yield_now().await;
+    assert!(home.dispatcher.ended.lock().unwrap().is_empty(), "released under a running call");
+    home.gate.open();
+    running.await.unwrap().unwrap();
+    assert_eq!(home.history(&program).await, ["a"]);
+    eventually("it is released", || !home.dispatcher.ended.lock().unwrap().is_empty()).await;
+}
