--- a/coriandergw/src/callers/tests.rs
+++ b/coriandergw/src/callers/tests.rs
@@ -20,6 +20,7 @@
 use crate::catalogue::Entry;
 use crate::catalogue::MemoryCatalogue;
 use crate::catalogue::RawEntry;
+use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::clock::Timestamp;
 use crate::context::Context;
@@ -68,6 +69,7 @@
 
 struct Instance {
     address: SocketAddr,
+    directory: Arc<Directory>,
     partitions: Arc<OneHome>,
 }
 
@@ -117,7 +119,7 @@
             catalogue: catalogue.clone(),
             catalogue_writer: catalogue.clone(),
             cluster: catalogue,
-            directory,
+            directory: directory.clone(),
             programs,
             partitions: partitions.clone(),
             stage: Arc::default(),
@@ -125,7 +127,7 @@
         let service =
             crate::instance::router(shared).into_make_service_with_connect_info::<SocketAddr>();
         tokio::spawn(async move { axum::serve(listener, service).await });
-        Self { address, partitions }
+        Self { address, directory, partitions }
     }
 
     /// Tells this instance where all programs are served.
@@ -284,3 +286,35 @@
     assert_eq!((status, &body["code"]), (503, &json!("CG-2003")));
     assert_eq!(body["not_run"], false);
 }
+
+#[tokio::test]
+async fn a_stream_ends_with_the_answer_and_an_early_refusal_has_its_status() {
+    let instance = Instance::alone(false).await;
+    let mut connection = instance.connect().await;
+    let (path, secret) = connection.create().await;
+    let data_centre = "dc".try_into().unwrap();
+    for announcement in crate::dev::start_endpoints(&data_centre).await.unwrap() {
+        instance.directory.announce(announcement, SystemClock::default().now());
+    }
+    let stream = async |connection: &mut Connection, key: &str| {
+        let call = r#"{"call_id":"x","kind":"model","target":"dev-model","input":"a b"}"#;
+        let req = Request::post(format!("{path}/calls"))
+            .header("host", "test")
+            .header("accept", "text/event-stream")
+            .header("authorization", format!("Bearer {key}"))
+            .body(HttpBody::from(call))
+            .unwrap();
+        connection.sender.ready().await.unwrap();
+        let res = connection.sender.send_request(req).await.unwrap();
+        let status = res.status().as_u16();
+        let body = res.into_body().collect().await.unwrap().to_bytes();
+        (status, String::from_utf8(body.to_vec()).unwrap())
+    };
+    assert_eq!(stream(&mut connection, "wrong").await.0, 403);
+    let (status, events) = stream(&mut connection, &secret).await;
+    assert_eq!(status, 200, "{events}");
+    let kinds: Vec<&str> = events.lines().filter_map(|line| line.strip_prefix("event: ")).collect();
+    assert_eq!(kinds.split_last(), Some((&"answer", &["token"; 5][..])), "{events}");
+    let (_, resent) = stream(&mut connection, &secret).await;
+    assert!(events.ends_with(&resent), "{resent}");
+}
--- a/coriandergw/src/programs/accept.rs
+++ b/coriandergw/src/programs/accept.rs
@@ -24,6 +24,7 @@
 use crate::programs::home::RunningGuard;
 use crate::programs::home::home_lost;
 use crate::programs::home::program_of;
+use crate::programs::limits::check_journal;
 use crate::programs::limits::check_predecessors;
 use crate::programs::limits::check_running;
 use crate::programs::limits::check_turns;
@@ -139,6 +140,7 @@
         let epoch = place.home.epoch;
         let build = move |tree: &Tree| {
             let program = program_of(tree, &id)?;
+            check_journal(tree)?;
             let reservation = check_new(program, &entry, &req, epoch)?;
             let reserved = reservation.map(|reservation| reservation.tokens);
             Ok((What::Accepted { request: Arc::new(req), reserved }, reservation))
--- a/coriandergw/src/programs/create.rs
+++ b/coriandergw/src/programs/create.rs
@@ -16,6 +16,7 @@
 use crate::programs::home::Programs;
 use crate::programs::home::no_home;
 use crate::programs::home::program_of;
+use crate::programs::limits::check_journal;
 use crate::programs::limits::check_running;
 use crate::programs::record::Creation;
 use crate::programs::record::What;
@@ -110,6 +111,7 @@
         let parent = parent.clone();
         let build = move |tree: &Tree| {
             let parent = program_of(tree, &parent)?;
+            check_journal(tree)?;
             check_running(parent)?;
             let creation = child_creation(parent, &req, secret_digest)?;
             Ok((What::Created(creation), ()))
--- a/coriandergw/src/programs/limits.rs
+++ b/coriandergw/src/programs/limits.rs
@@ -5,6 +5,7 @@
 use crate::programs::record::EndReason;
 use crate::programs::request::CallRequest;
 use crate::programs::state::Program;
+use crate::programs::state::Tree;
 use crate::programs::turn::Turn;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
@@ -12,6 +13,18 @@
 /// The equal turns with equal answers in a row after which one more is refused.
 pub const REPETITION_LIMIT: usize = 32;
 
+/// The records of a tree's journal after which it takes no more calls.
+pub const TREE_RECORDS_MAX: u64 = 32_768;
+
+/// Refuses calls of a tree whose journal is full, as calls that are refused and resent fill it too.
+pub fn check_journal(tree: &Tree) -> Result<(), Refusal> {
+    if tree.next_sequence >= TREE_RECORDS_MAX {
+        let message = "the program and its sub-agents have filled their journal";
+        return Err(Refusal::not_run(ResultCode::TurnLimit, message));
+    }
+    Ok(())
+}
+
 /// Refuses what is asked of a program that has ended.
 pub fn check_running(program: &Program) -> Result<(), Refusal> {
     let Some((_, reason)) = program.ended else {
--- a/coriandergw/src/programs/tests/limits.rs
+++ b/coriandergw/src/programs/tests/limits.rs
@@ -8,6 +8,7 @@
 use crate::dispatch::CallKind;
 use crate::programs::ChildRequest;
 use crate::programs::limits::REPETITION_LIMIT;
+use crate::programs::limits::TREE_RECORDS_MAX;
 use crate::programs::tests::world::Step;
 use crate::programs::tests::world::World;
 use crate::programs::tests::world::call;
@@ -161,3 +162,16 @@
     assert_eq!(home.history(&program).await, ["a"]);
     eventually("it is released", || !home.dispatcher.ended.lock().unwrap().is_empty()).await;
 }
+
+#[tokio::test]
+async fn a_full_journal_takes_no_more_calls() {
+    let world = World::default();
+    let home = world.home(1);
+    let program = home.create(10_000, 5).await;
+    home.call(&program, model("a")).await.unwrap();
+    let place = home.programs.open(&program.program, &program.secret).await.unwrap();
+    place.tree.state.lock().unwrap().next_sequence = TREE_RECORDS_MAX;
+    let refusal = home.call(&program, model("b")).await.unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::TurnLimit, true));
+    home.call(&program, model("a")).await.expect("the stored answer is still told");
+}
