--- a/coriandergw/src/dispatch/scheduled.rs
+++ b/coriandergw/src/dispatch/scheduled.rs
@@ -23,6 +23,8 @@
 use crate::dispatch::facts::CallFacts;
 use crate::dispatch::facts::QueueKey;
 use crate::dispatch::releases::Releases;
+use crate::dispatch::scheduled::place::Entered;
+use crate::dispatch::scheduled::place::Place;
 use crate::dispatch::scheduler::Assignment;
 use crate::dispatch::scheduler::Finish;
 use crate::dispatch::scheduler::Scheduler;
@@ -47,6 +49,8 @@
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 
+mod place;
+
 /// How often waiting calls are looked at without a cause.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -186,54 +190,6 @@
     }
 }
 
-/// A call that counts against its entry until it is dropped.
-struct Entered {
-    inner: Arc<Inner>,
-    facts: CallFacts,
-}
-
-impl Drop for Entered {
-    fn drop(&mut self) {
-        let mut state = self.inner.state.lock().expect("not poisoned");
-        state.scheduler.leave(&self.facts.entry.name);
-    }
-}
-
-/// A place in the queue or at an endpoint; given back when it is dropped.
-struct Place {
-    inner: Arc<Inner>,
-    key: QueueKey,
-    ticket: Option<u64>,
-}
-
-impl Place {
-    /// Ends the call at its endpoint and lets the next one go there.
-    fn finish(mut self, endpoint: &EndpointName, finish: Finish) {
-        let Some(ticket) = self.ticket.take() else {
-            return;
-        };
-        let Inner { cx, directory, .. } = self.inner.as_ref();
-        let mut state = self.inner.state.lock().expect("not poisoned");
-        let prefix_use = state.scheduler.finish(ticket, finish, directory, cx.clock.now());
-        cx.metrics.prefix_tokens_reused.inc_by(prefix_use.reused);
-        cx.metrics.prefix_tokens_recomputed.inc_by(prefix_use.recomputed);
-        self.inner.assign(&mut state, &self.key, Some(endpoint));
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let Some(ticket) = self.ticket.take() else {
-            return;
-        };
-        let mut state = self.inner.state.lock().expect("not poisoned");
-        state.waiters.remove(&ticket);
-        if let Some(key) = state.scheduler.cancel(ticket, self.inner.cx.clock.now()) {
-            self.inner.assign(&mut state, &key, None);
-        }
-    }
-}
-
 /// How one attempt of a call ended.
 enum Attempt {
     Done(DispatchOutcome),
@@ -447,7 +403,7 @@
     }
 
     async fn look_up(&self, endpoint: &EndpointName, call: &ReadyCall) -> Option<LookedUp> {
-        let known = self.inner.directory.find(endpoint, self.inner.cx.clock.now())?;
+        let known = self.inner.directory.last_known(endpoint)?;
         if !known.announcement.outcome_lookup {
             return None;
         }
--- a/coriandergw/src/dispatch/scheduler.rs
+++ b/coriandergw/src/dispatch/scheduler.rs
@@ -7,9 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
 use rand::SeedableRng;
-use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 
 use crate::admission::Arrival;
@@ -19,11 +17,11 @@
 use crate::admission::admit;
 use crate::admission::share_of;
 use crate::clock::Timestamp;
-use crate::dispatch::CallKind;
 use crate::dispatch::Usage;
 use crate::dispatch::endpoint_state::EndpointState;
 use crate::dispatch::facts::CallFacts;
 use crate::dispatch::facts::QueueKey;
+use crate::dispatch::scheduler::candidates::turnaround;
 use crate::endpoints::directory::Directory;
 use crate::endpoints::directory::KnownEndpoint;
 use crate::endpoints::outcomes::HealthBook;
@@ -32,7 +30,6 @@
 use crate::ids::EndpointName;
 use crate::ids::EntryName;
 use crate::ids::ProgramId;
-use crate::placement::Candidate;
 use crate::placement::Need;
 use crate::placement::Placer;
 use crate::placement::PrefixBook;
@@ -46,17 +43,8 @@
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 
-/// Groups up to this size are looked at as a whole.
-const WHOLE_GROUP_MAX: usize = 12;
-
-/// The endpoints that are drawn at random from a larger group.
-const RANDOM_CANDIDATES: usize = 4;
-
-/// The endpoints that are tried at random to find one with room.
-const PROBES_MAX: usize = 12;
-
-/// The time for the way to an endpoint of another data centre and back.
-const FAR_TRANSFER: Duration = Duration::from_millis(2);
+mod candidates;
+mod learning;
 
 /// When a caller should come back if no endpoint serves its target.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(500);
@@ -64,9 +52,6 @@
 /// When a caller should come back if its entry's limit is reached.
 const LIMIT_RETRY: Duration = Duration::from_millis(250);
 
-/// How much one answer's length counts against what was learned before.
-const ANSWER_SAMPLE_WEIGHT: f64 = 0.05;
-
 /// The answer length that is assumed until answers are seen, in tokens.
 const ANSWER_TOKENS: f64 = 128.0;
 
@@ -336,99 +321,6 @@
         state
     }
 
-    /// Returns the endpoints that every call of a queue is offered, with their load.
-    fn sample(
-        &mut self,
-        key: &QueueKey,
-        freed: Option<&EndpointName>,
-        directory: &Directory,
-        now: Timestamp,
-    ) -> Vec<Candidate> {
-        let group = directory.group(key.0, &key.1);
-        if group.len() <= WHOLE_GROUP_MAX || self.settings.placer.wants_all() {
-            let found = group.iter().filter_map(|name| self.candidate(name, directory, now));
-            let mut found: Vec<Candidate> = found.collect();
-            // Ties go to the first one, which must not be the same on all instances.
-            found.shuffle(&mut self.rng);
-            return found;
-        }
-        let mut found: Vec<Candidate> = Vec::new();
-        if let Some(name) = freed.filter(|name| group.contains(name)) {
-            found.extend(self.candidate(name, directory, now));
-        }
-        for _ in 0..PROBES_MAX {
-            let name = &group[self.rng.random_range(0..group.len())];
-            let is_new = found.iter().all(|candidate| candidate.endpoint != *name);
-            let candidate = self.candidate(name, directory, now).filter(|c| is_new && c.has_room);
-            found.extend(candidate);
-            if found.len() > RANDOM_CANDIDATES {
-                break;
-            }
-        }
-        found
-    }
-
-    fn candidate(
-        &self,
-        name: &EndpointName,
-        directory: &Directory,
-        now: Timestamp,
-    ) -> Option<Candidate> {
-        let known = directory.find(name, now)?;
-        let rates = self.rates.rates(name);
-        let state = self.endpoints.get(name);
-        let fresh = EndpointState::new(known.announcement.capacity);
-        let state = state.unwrap_or(&fresh);
-        let load = state.load(&known, now);
-        let room = state.limit.get().min(known.announcement.capacity);
-        let far = known.announcement.data_centre != self.settings.data_centre;
-        let suspicion = state.suspicion(rates.service_seconds, now);
-        let mut candidate = Candidate {
-            endpoint: name.clone(),
-            has_room: load < room,
-            load,
-            capacity: known.announcement.capacity,
-            wait: Duration::ZERO,
-            cached_tokens: 0,
-            rates,
-            transfer: if far { FAR_TRANSFER } else { Duration::ZERO },
-            weight: self.health.weight(name, now) * suspicion,
-        };
-        if !candidate.has_room {
-            candidate.wait = turnaround(&candidate);
-        }
-        Some(candidate)
-    }
-
-    /// Adds the holders of a call's prefixes to the sample and fills in what is cached where.
-    fn candidates(
-        &self,
-        facts: &CallFacts,
-        sample: &[Candidate],
-        directory: &Directory,
-        now: Timestamp,
-    ) -> Vec<Candidate> {
-        let mut candidates = sample.to_vec();
-        for (prefix, bound) in &facts.prefixes {
-            for (holder, tokens) in self.prefixes.holders(prefix) {
-                let known = candidates.iter().position(|one| one.endpoint == *holder);
-                let index = known.or_else(|| {
-                    let found = directory.find(holder, now)?;
-                    let serves = found.announcement.targets.contains(&facts.queue.1);
-                    let candidate = self.candidate(holder, directory, now).filter(|_| serves)?;
-                    candidates.push(candidate);
-                    Some(candidates.len() - 1)
-                });
-                if let Some(candidate) = index.and_then(|index| candidates.get_mut(index)) {
-                    candidate.cached_tokens = candidate.cached_tokens.max(tokens.min(*bound));
-                }
-            }
-        }
-        let others = candidates.iter().filter(|one| !facts.excluded.contains(&one.endpoint));
-        let others: Vec<Candidate> = others.cloned().collect();
-        if others.is_empty() { candidates } else { others }
-    }
-
     /// Ends an assigned call and learns from it.
     pub fn finish(
         &mut self,
@@ -467,52 +359,6 @@
         }
     }
 
-    fn learn(
-        &mut self,
-        facts: &CallFacts,
-        endpoint: &EndpointName,
-        sample: Sample,
-        now: Timestamp,
-    ) {
-        let rates = self.rates.mean();
-        let expected = sample.uncached_tokens as f64 * rates.prefill_seconds_per_token
-            + sample.answer_tokens as f64 * rates.decode_seconds_per_token
-            + rates.overhead_seconds;
-        if let Some(state) = self.endpoints.get_mut(endpoint) {
-            let ratio = sample.total.as_secs_f64() / expected.max(f64::MIN_POSITIVE);
-            state.limit.observe(ratio, state.in_flight(), sample.total, now);
-        }
-        self.rates.learn(endpoint, sample);
-        if let Some(target) = self.targets.get_mut(&facts.queue) {
-            let difference = sample.answer_tokens as f64 - target.answer_tokens;
-            target.answer_tokens += ANSWER_SAMPLE_WEIGHT * difference;
-        }
-    }
-
-    fn learn_prefix(
-        &mut self,
-        facts: &CallFacts,
-        endpoint: &EndpointName,
-        usage: Usage,
-        now: Timestamp,
-    ) -> PrefixUse {
-        if facts.queue.0 != CallKind::Model {
-            return PrefixUse::default();
-        }
-        let key = facts.own_prefix();
-        let reusable = self.prefixes.computed_tokens(&key).min(facts.history_tokens);
-        for (prefix, bound) in &facts.prefixes {
-            if *prefix != key {
-                self.prefixes.record(prefix.clone(), endpoint, *bound, now);
-            }
-        }
-        self.prefixes.record(key, endpoint, usage.total(), now);
-        PrefixUse {
-            reused: usage.cached_tokens,
-            recomputed: reusable.saturating_sub(usage.cached_tokens),
-        }
-    }
-
     /// Returns the queues in which calls wait.
     pub fn waiting_queues(&self) -> Vec<QueueKey> {
         let waiting = self.targets.iter().filter(|(_, target)| !target.queue.is_empty());
@@ -551,12 +397,6 @@
     }
 }
 
-/// Returns how often a candidate that is full is expected to end a call.
-fn turnaround(candidate: &Candidate) -> Duration {
-    let seconds = candidate.rates.service_seconds / f64::from(candidate.load.max(1));
-    Duration::try_from_secs_f64(seconds).unwrap_or_default()
-}
-
 fn need_of(facts: &CallFacts, answer_tokens: f64) -> Need {
     Need {
         prompt_tokens: facts.prompt_tokens,
--- a/coriandergw/src/dispatch/scheduler/tests.rs
+++ b/coriandergw/src/dispatch/scheduler/tests.rs
@@ -4,11 +4,14 @@
 
 use serde_json::json;
 
+use super::candidates::WHOLE_GROUP_MAX;
 use super::*;
 use crate::catalogue::Entry;
 use crate::catalogue::RawEntry;
+use crate::dispatch::CallKind;
 use crate::endpoints::Announcement;
 use crate::endpoints::LoadReport;
+use crate::placement::Candidate;
 use crate::placement::ExpectedFinish;
 
 /// The calls that each engine works on at once.
