--- a/coriandergw/src/dispatch/scheduled.rs
+++ b/coriandergw/src/dispatch/scheduled.rs
@@ -51,9 +51,6 @@
 
 mod place;
 
-/// How often waiting calls are looked at without a cause.
-const TICK: Duration = Duration::from_millis(50);
-
 /// The attempts of one call at most.
 const ATTEMPTS_MAX: u32 = 3;
 
@@ -72,6 +69,8 @@
     pub placer: Arc<dyn Placer>,
     /// Whether engines are told how urgent a call is.
     pub engine_priorities: bool,
+    /// How often waiting calls are looked at without a cause.
+    pub tick: Duration,
     /// How often engines are asked for the events of their caches.
     pub cache_poll_interval: Duration,
     /// Seeds the random choices.
@@ -84,6 +83,7 @@
             queue: QueueSettings::default(),
             placer: Arc::new(ExpectedFinish::default()),
             engine_priorities: true,
+            tick: Duration::from_millis(50),
             cache_poll_interval: Duration::from_millis(500),
             seed: rand::random(),
         }
@@ -134,16 +134,16 @@
             engine_priorities: settings.engine_priorities,
             state: Mutex::new(State { scheduler, waiters: HashMap::new() }),
         });
-        tokio::spawn(tick_forever(Arc::downgrade(&inner)));
+        tokio::spawn(tick_forever(Arc::downgrade(&inner), settings.tick));
         let interval = settings.cache_poll_interval;
         tokio::spawn(cache_feeds::poll_forever(Arc::downgrade(&inner), interval));
         Arc::new(Self { inner })
     }
 }
 
-async fn tick_forever(inner: Weak<Inner>) {
+async fn tick_forever(inner: Weak<Inner>, tick: Duration) {
     loop {
-        tokio::time::sleep(TICK).await;
+        tokio::time::sleep(tick).await;
         let Some(inner) = inner.upgrade() else {
             return;
         };
--- a/testkit/src/experiment/policy.rs
+++ b/testkit/src/experiment/policy.rs
@@ -18,6 +18,9 @@
 /// How often engines are asked for cache events, in their own time.
 const CACHE_POLL: Duration = Duration::from_millis(500);
 
+/// How often waiting calls are looked at, in the engines' time.
+const TICK: Duration = Duration::from_millis(50);
+
 /// A way to decide.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Policy {
@@ -142,6 +145,7 @@
             },
             placer: self.placer(),
             engine_priorities: !baseline && self != Policy::NoPriorities,
+            tick: TICK.mul_f64(time_scale),
             cache_poll_interval: match self {
                 Policy::NoCacheEvents => never,
                 _ => CACHE_POLL.mul_f64(time_scale),
--- a/testkit/src/experiment/site.rs
+++ b/testkit/src/experiment/site.rs
@@ -93,9 +93,10 @@
         });
         let dispatchers = dispatchers.collect();
         let renewing = clock.clone();
+        let interval = RENEWAL_INTERVAL.mul_f64(options.time_scale);
         let renewals = tokio::spawn(async move {
             loop {
-                tokio::time::sleep(RENEWAL_INTERVAL / 2).await;
+                tokio::time::sleep(interval).await;
                 renew(&sources, &directories, renewing.as_ref());
             }
         });
