feat(cgw-bench): run the experiment as a command; show codes of untrue refusals

Change: 'cgw-bench experiment' takes its arguments; each probe has its own program; the auditor names the code of a refusal that was not true.

--- a/testkit/src/auditor/mod.rs
+++ b/testkit/src/auditor/mod.rs
@@ -88,12 +88,14 @@
         tokens: u64,
     },
     /// A call was said not to have run, and ran.
-    #[display("{program}/{call} was said not to have run, and ran")]
+    #[display("{program}/{call} was said not to have run ({code}), and ran")]
     UntrueNotRun {
         /// The program.
         program: String,
         /// The call.
         call: String,
+        /// The numbered code of the refusal.
+        code: String,
     },
 }
 
@@ -229,9 +231,9 @@
 }
 
 fn check_not_run(attempt: &Attempt, all: &[Attempt], runs: &[Run]) -> Option<Violation> {
-    if !matches!(attempt.outcome, Outcome::Refused { not_run: true, .. }) {
+    let Outcome::Refused { code, not_run: true } = &attempt.outcome else {
         return None;
-    }
+    };
     let same = |other: &&Attempt| {
         other.program == attempt.program
             && other.call() == attempt.call()
@@ -244,6 +246,7 @@
     ran.then(|| Violation::UntrueNotRun {
         program: attempt.program.clone(),
         call: attempt.call().to_owned(),
+        code: code.clone(),
     })
 }
 
--- a/testkit/src/bin/cgw-bench/commands.rs
+++ b/testkit/src/bin/cgw-bench/commands.rs
@@ -11,6 +11,9 @@
 use testkit::bench::load::LoadOptions;
 use testkit::bench::shapes::Shape;
 use testkit::bench::shapes::Targets;
+use testkit::experiment;
+use testkit::experiment::Deployment;
+use testkit::experiment::policy::Policy;
 use testkit::fakes::announcer::Announcer;
 use testkit::fakes::engine::Engine;
 use testkit::fakes::engine::EngineOptions;
@@ -206,21 +209,36 @@
     help: bool,
     #[options(help = "association or consortium", default = "association")]
     deployment: String,
-    #[options(help = "policies, separated by commas")]
+    #[options(help = "policies, separated by commas; all without it")]
     policies: Option<String>,
-    #[options(help = "how many seeds", default = "3")]
-    seeds: u64,
-    #[options(help = "the first seed", default = "1")]
-    seed: u64,
-    #[options(help = "a shorter run")]
+    #[options(help = "how many seeds each policy runs with")]
+    seeds: Option<u64>,
+    #[options(help = "the part of the capacity that is asked for")]
+    load: Option<f64>,
+    #[options(help = "fewer seeds and shorter runs")]
     quick: bool,
-    #[options(help = "print JSON")]
+    #[options(help = "print JSON; the rows are always JSON")]
     json: bool,
 }
 
+fn experiment_options(arguments: &ExperimentArguments) -> Result<experiment::Options, String> {
+    let deployment = Deployment::find(&arguments.deployment)
+        .ok_or_else(|| format!("no deployment is called {}", arguments.deployment))?;
+    let mut options = experiment::Options::new(deployment, arguments.quick);
+    if let Some(names) = &arguments.policies {
+        let find = |name| Policy::find(name).ok_or_else(|| format!("no policy is called {name}"));
+        options.policies = names.split(',').map(find).collect::<Result<_, _>>()?;
+    }
+    options.seeds = arguments.seeds.unwrap_or(options.seeds);
+    options.load = arguments.load.unwrap_or(options.load);
+    Ok(options)
+}
+
 /// Compares policies.
-pub fn experiment(arguments: &ExperimentArguments) -> Result<(), String> {
-    Err(format!("the experiment on {} is not there yet", arguments.deployment))
+pub async fn experiment(arguments: ExperimentArguments) -> Result<(), String> {
+    let result = experiment::run(experiment_options(&arguments)?).await.map_err(failed)?;
+    println!("{result}");
+    Ok(())
 }
 
 /// The arguments of `soak`.
--- a/testkit/src/bin/cgw-bench/main.rs
+++ b/testkit/src/bin/cgw-bench/main.rs
@@ -67,7 +67,7 @@
         Command::Fakes(arguments) => commands::fakes(arguments).await,
         Command::Proxy(arguments) => commands::proxy(arguments).await,
         Command::Load(arguments) => commands::load(arguments).await,
-        Command::Experiment(arguments) => commands::experiment(&arguments),
+        Command::Experiment(arguments) => commands::experiment(arguments).await,
         Command::Soak(arguments) => commands::soak(arguments).await,
         Command::Capacity(arguments) => commands::capacity(arguments).await,
     }
--- a/testkit/src/scene.rs
+++ b/testkit/src/scene.rs
@@ -161,18 +161,17 @@
     async fn endpoints_are_known(&self) {
         for instance in self.cluster.running() {
             let probe = Caller::new(vec![self.cluster.address(&instance)]);
-            let program = probe.create(ENTRY, json!({"calls": 900})).await;
-            let tries = AtomicU64::new(0);
             for (kind, target) in [("model", MODEL), ("tool", TOOL), ("service", SERVICE)] {
                 let what = format!("a {kind} call runs at {instance}");
                 wait::find(&what, || async {
-                    let id = format!("probe-{}", tries.fetch_add(1, Ordering::SeqCst));
-                    let outcome = probe.call_once(&program, &call(&id, kind, target, &[])).await;
+                    let program = probe.create(ENTRY, json!({})).await;
+                    let request = call("probe", kind, target, &[]);
+                    let outcome = probe.call_once(&program, &request).await;
+                    probe.end(&program).await;
                     matches!(outcome, Outcome::Done(_)).then_some(())
                 })
                 .await;
             }
-            probe.end(&program).await;
         }
     }
 
