feat(operators): show when the certificate of the asked instance expires

Cause: an expired certificate would be noticed when instances part. Change: GET /v1/status names the asked instance and its certificate's expiry.

--- a/coriandergw/src/callers/tests.rs
+++ b/coriandergw/src/callers/tests.rs
@@ -123,6 +123,7 @@
             programs,
             partitions: partitions.clone(),
             voters: None,
+            transport: None,
             stage: Arc::default(),
         });
         let service =
--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -98,6 +98,7 @@
         programs,
         partitions: control.clone(),
         voters: node.clone().map(|node| node as Arc<dyn Voters>),
+        transport: Some(transport.clone()),
         stage: Arc::default(),
     });
     serve(server, shared, || control.leave()).await;
--- a/coriandergw/src/instance/dev.rs
+++ b/coriandergw/src/instance/dev.rs
@@ -73,6 +73,7 @@
         programs,
         partitions,
         voters: None,
+        transport: None,
         stage: Arc::default(),
     });
     serve(server, shared, || {}).await;
--- a/coriandergw/src/instance/mod.rs
+++ b/coriandergw/src/instance/mod.rs
@@ -24,6 +24,7 @@
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 use crate::settings::Settings;
+use crate::transport::quic::QuicTransport;
 
 mod adapters;
 mod cluster;
@@ -61,6 +62,8 @@
     pub addresses: Arc<dyn AddressBook>,
     /// Changes the voters of the log; on store instances only.
     pub voters: Option<Arc<dyn Voters>>,
+    /// The transport between instances; none where there are no others.
+    pub transport: Option<Arc<QuicTransport>>,
     /// How far the instance is from its start to its stop.
     pub stage: Arc<Stage>,
 }
--- a/coriandergw/src/operators/mod.rs
+++ b/coriandergw/src/operators/mod.rs
@@ -10,10 +10,12 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
+use serde::Serialize;
 use sha2::Digest;
 use sha2::Sha256;
 
 use crate::callers::bearer;
+use crate::ids::InstanceName;
 use crate::instance::Shared;
 use crate::leases::StatusReport;
 use crate::result_code::Refusal;
@@ -22,6 +24,19 @@
 mod entries;
 mod voters;
 
+/// The state of the cluster, with what only the asked instance knows.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct Status {
+    /// The instance that was asked.
+    instance: InstanceName,
+    /// When its certificate expires, in seconds since the Unix epoch.
+    certificate_expires_at_s: Option<i64>,
+    /// The state of the cluster.
+    #[serde(flatten)]
+    cluster: StatusReport,
+}
+
 /// Builds the routes of operators.
 pub fn routes() -> Router<Arc<Shared>> {
     Router::new()
@@ -36,9 +51,14 @@
 async fn status(
     State(shared): State<Arc<Shared>>,
     headers: HeaderMap,
-) -> Result<Json<StatusReport>, Refusal> {
+) -> Result<Json<Status>, Refusal> {
     check_operator(&shared, &headers)?;
-    Ok(Json(shared.cluster.status().await))
+    let transport = shared.transport.as_ref();
+    Ok(Json(Status {
+        instance: shared.cx.instance.clone(),
+        certificate_expires_at_s: transport.and_then(|t| t.certificate_expires_at_s()),
+        cluster: shared.cluster.status().await,
+    }))
 }
 
 async fn ready(State(shared): State<Arc<Shared>>) -> Response {
--- a/coriandergw/src/operators/tests.rs
+++ b/coriandergw/src/operators/tests.rs
@@ -77,6 +77,7 @@
             partitions,
             addresses: Arc::new(OneAddress::new(address, data_centre, ttl)),
             voters: None,
+            transport: None,
             stage: Arc::default(),
         };
         Self { routes: router(Arc::new(shared)) }
