--- a/coriandergw/src/programs/append.rs
+++ b/coriandergw/src/programs/append.rs
@@ -28,6 +28,9 @@
 /// When a caller should come back if the journal has no quorum.
 const NO_QUORUM_RETRY: Duration = Duration::from_millis(500);
 
+/// The largest record, in bytes; numbers of a request may be longer there than in its body.
+const RECORD_MAX_BYTES: usize = 7 * 512 * 1024;
+
 /// Says whether a record may be given up while the journal does not take it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Persistence {
@@ -76,6 +79,10 @@
         let Place { home, tree, program } = place;
         let sequence = tree.state.lock().expect("not poisoned").next_sequence;
         let bytes = Bytes::from(record.encode());
+        if bytes.len() > RECORD_MAX_BYTES {
+            let message = format!("a journal record has at most {RECORD_MAX_BYTES} bytes");
+            return Err(Refusal::not_run(ResultCode::BodyTooLarge, message));
+        }
         self.propose(home, program.root(), sequence, bytes, persistence).await?;
         let applied = tree.state.lock().expect("not poisoned").apply(home.epoch, record);
         tree.changed.notify_waiters();
--- a/coriandergw/src/programs/tests/requests.rs
+++ b/coriandergw/src/programs/tests/requests.rs
@@ -24,20 +24,23 @@
 
 #[tokio::test]
 async fn bad_calls_are_refused_and_leave_nothing() {
-    let cases: [(Value, ResultCode); 6] = [
+    let long_numbers = json!({"call_id": "x", "input": vec![1e15; 250_000]});
+    let cases: [(Value, ResultCode); 7] = [
         (json!({"call_id": "a", "input": "other"}), ResultCode::CallIdReused),
         (json!({"call_id": "x", "after": ["y"]}), ResultCode::UnknownPredecessor),
         (json!({"call_id": "x", "after": ["x"]}), ResultCode::DependencyCycle),
         (json!({"call_id": "x", "input": {"max_tokens": 1_000_000}}), ResultCode::BudgetExhausted),
         (json!({"call_id": "x", "input": {"messages": 7}}), ResultCode::MalformedRequest),
         (json!({"call_id": "x", "input": "x".repeat(20_000)}), ResultCode::BudgetExhausted),
+        (long_numbers, ResultCode::BodyTooLarge),
     ];
     for (mut req, code) in cases {
         let world = World::default();
         let home = world.home(1);
         let program = home.create(10_000, 5).await;
         home.call(&program, model("a")).await.unwrap();
-        req["kind"] = json!("model");
+        let is_list = req["input"].is_array();
+        req["kind"] = json!(if is_list { "tool" } else { "model" });
         req["target"] = json!("t");
         let parsed: CallRequest = serde_json::from_value(req.clone()).unwrap();
         let refusal = home.call(&program, parsed).await.unwrap_err();
