fix(callers): do not tell a resent call that it has not run; refuse programs while out of date

Cause: with the program's home dead, an instance answered a resent call with `not_run` true although the first sending had run: only the home knows. An instance without a confirmed configuration passed new programs on instead of refusing them.

--- a/coriandergw/src/callers/body.rs
+++ b/coriandergw/src/callers/body.rs
@@ -21,9 +21,14 @@
 
 impl IntoResponse for Refusal {
     fn into_response(self) -> Response {
-        let status = StatusCode::from_u16(self.code.http_status())
-            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        (status, Json(refusal_body(&self))).into_response()
+        (self.status(), Json(refusal_body(&self))).into_response()
+    }
+}
+
+impl Refusal {
+    /// Returns the HTTP status that goes with the code.
+    pub(super) fn status(&self) -> StatusCode {
+        StatusCode::from_u16(self.code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
     }
 }
 
--- a/coriandergw/src/callers/forward.rs
+++ b/coriandergw/src/callers/forward.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::Json;
 use axum::body::Body;
+use axum::extract::ConnectInfo;
 use axum::extract::Request;
 use axum::extract::State;
 use axum::http::HeaderName;
@@ -18,7 +20,9 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use serde_json::json;
 
+use crate::callers::body::refusal_body;
 use crate::ids::ProgramId;
 use crate::instance::Shared;
 use crate::leases::Home;
@@ -65,24 +69,57 @@
     next: Next,
 ) -> Response {
     let program = program_of(req.uri());
+    if program.is_none()
+        && let Err(refusal) = shared.programs.check_admits()
+    {
+        return refuse_program(&shared, &req, &refusal);
+    }
+    let adds_call = adds_call(req.uri());
+    match serve_or_forward_admitted(&shared, &forwarder, program, req, next).await {
+        Ok(res) => res,
+        Err(refusal) if adds_call => refusal.may_be_resent().into_response(),
+        Err(refusal) => refusal.into_response(),
+    }
+}
+
+async fn serve_or_forward_admitted(
+    shared: &Arc<Shared>,
+    forwarder: &Forwarder,
+    program: Option<ProgramId>,
+    req: Request,
+    next: Next,
+) -> Result<Response, Refusal> {
     let _entering = program.as_ref().map(|id| shared.programs.enter(id.partition()));
     let is_forwarded = req.headers().contains_key(FORWARDED);
     let home = match locate(&shared.programs, program.as_ref(), is_forwarded).await {
-        Location::Here => return next.run(req).await,
-        Location::Nowhere => {
-            return no_home("the program has no home at the moment").into_response();
-        }
+        Location::Here => return Ok(next.run(req).await),
+        Location::Nowhere => return Err(no_home("the program has no home at the moment")),
         Location::Elsewhere(_) if is_forwarded => {
-            return no_home("the program's home has moved").into_response();
+            return Err(no_home("the program's home has moved"));
         }
         Location::Elsewhere(home) => home,
     };
     if shared.settings.caller_keys.is_some() {
-        return redirect(&home, req.uri());
+        return Ok(redirect(&home, req.uri()));
     }
     forwarder.forward(&home, req).await
 }
 
+/// Refuses a new program and names the instances that may take it.
+fn refuse_program(shared: &Shared, req: &Request, refusal: &Refusal) -> Response {
+    let caller = req.extensions().get::<ConnectInfo<SocketAddr>>();
+    let caller = caller.map_or(shared.caller_address, |ConnectInfo(caller)| *caller);
+    let mut answer = shared.addresses.answer(caller.ip());
+    answer.addresses.retain(|known| known.address != shared.caller_address);
+    let mut body = refusal_body(refusal);
+    body["addresses"] = json!(answer.addresses);
+    (refusal.status(), Json(body)).into_response()
+}
+
+fn adds_call(uri: &Uri) -> bool {
+    uri.path().ends_with("/calls")
+}
+
 /// Finds where a request is served; waits a little for a home that is moving.
 async fn locate(programs: &Programs, id: Option<&ProgramId>, is_forwarded: bool) -> Location {
     let find = || match id {
@@ -120,10 +157,10 @@
 }
 
 impl Forwarder {
-    async fn forward(&self, home: &Home, mut req: Request) -> Response {
+    async fn forward(&self, home: &Home, mut req: Request) -> Result<Response, Refusal> {
         let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
         let Some(uri) = uri_at(home.address, path) else {
-            return no_home("the program's home has no usable address").into_response();
+            return Err(no_home("the program's home has no usable address"));
         };
         *req.uri_mut() = uri;
         let headers = req.headers_mut();
@@ -131,14 +168,14 @@
         headers.remove(header::CONNECTION);
         headers.insert(FORWARDED, HeaderValue::from(home.epoch.0));
         match self.http.request(req).await {
-            Ok(res) => res.map(Body::new),
+            Ok(res) => Ok(res.map(Body::new)),
             Err(cause) if cause.is_connect() => {
-                no_home(format!("the program's home cannot be reached: {cause}")).into_response()
+                Err(no_home(format!("the program's home cannot be reached: {cause}")))
             }
             Err(cause) => {
                 let message = format!("the program's home was lost: {cause}; resend the request");
                 let refusal = Refusal::may_have_run(ResultCode::NoHome, message);
-                refusal.retry_after(LOST_RETRY).into_response()
+                Err(refusal.retry_after(LOST_RETRY))
             }
         }
     }
--- a/coriandergw/src/programs/accept.rs
+++ b/coriandergw/src/programs/accept.rs
@@ -91,7 +91,10 @@
         req: CallRequest,
         sink: Option<TokenSink>,
     ) -> CallAnswer {
-        let place = self.open(id, secret).await?;
+        let place = self.open(id, secret).await.map_err(|refusal| match refusal.code {
+            ResultCode::NoHome => refusal.may_be_resent(),
+            _ => refusal,
+        })?;
         check_input(&req)?;
         let call = req.call_id.clone();
         let streams = sink.is_some() && req.kind == CallKind::Model;
--- a/coriandergw/src/programs/create.rs
+++ b/coriandergw/src/programs/create.rs
@@ -122,7 +122,11 @@
         Ok(CreatedProgram { program: id, secret })
     }
 
-    fn check_admits(&self) -> Result<(), Refusal> {
+    /// Refuses new programs while the instance drains or cannot confirm its configuration.
+    ///
+    /// # Errors
+    /// Refuses with [`ResultCode::Draining`] or [`ResultCode::StaleConfiguration`].
+    pub fn check_admits(&self) -> Result<(), Refusal> {
         if self.draining.is_cancelled() {
             let refusal = Refusal::not_run(ResultCode::Draining, "the instance is shutting down");
             return Err(refusal.retry_after(REFUSED_RETRY));
--- a/coriandergw/src/result_code.rs
+++ b/coriandergw/src/result_code.rs
@@ -178,6 +178,15 @@
         Self { code, not_run: false, message: message.into(), retry_after: None }
     }
 
+    /// Turns the refusal of a call into one that leaves open whether the call ran.
+    ///
+    /// The same call may have been sent before, and only its program's home could tell.
+    pub fn may_be_resent(mut self) -> Self {
+        self.not_run = false;
+        self.message.push_str("; resend the call under the same call id");
+        self
+    }
+
     /// Adds the time after which a new attempt makes sense.
     pub fn retry_after(mut self, delay: Duration) -> Self {
         self.retry_after = Some(delay);
