test(testkit): cut an instance's forwards too when it is cut off

Cause: the cut-off instance still reached the others at the addresses of callers, so the test saw new programs accepted and blamed the wrong part. Change: the other instances' addresses for callers are cut during that check.

--- a/testkit/tests/promises_fail.rs
+++ b/testkit/tests/promises_fail.rs
@@ -11,6 +11,8 @@
 use testkit::fakes::service::Behaviour;
 use testkit::operator::EntryChange;
 use testkit::operator::accepted_revision;
+use testkit::proxy::Faults;
+use testkit::proxy::Proxy;
 use testkit::scene::ENTRY;
 use testkit::scene::MODEL;
 use testkit::scene::SERVICE;
@@ -108,7 +110,11 @@
         let alone = scene.operator.put(cut_off, &racing(&scene, revision, 7)).await;
         let accepted = alone.ok().and_then(|answer| accepted_revision(&answer));
         assert_eq!(accepted, None, "{instance} accepts nothing alone");
+        // Instances forward to each other at the addresses of callers, so those are cut as well.
+        let fronts = || others.iter().map(|other| scene.cluster.front(other));
+        fronts().for_each(|front| front.set_both(Faults::blocked()));
         refuses_new_programs(&scene, instance).await;
+        fronts().for_each(Proxy::heal);
         scene.cluster.rejoin(instance);
         wait::find("the instance catches up", || async {
             scene.operator.revision(cut_off, ENTRY).await.filter(|found| *found >= revision)
@@ -138,7 +144,6 @@
     let url = format!("http://{}/v1/programs", scene.cluster.address(instance));
     wait::find("an instance without a current configuration takes no program", || async {
         let answer = testkit::http::post(&url, &json!({"entry": ENTRY})).await.ok()?;
-        println!("{instance} answers {} {}", answer.status, answer.json());
         (answer.status != 201 && answer.json()["not_run"] == true).then_some(())
     })
     .await;
