fix(testkit): give each attempt against another revision a change id of its own

Cause: `a_control_instance_is_cut_off_silently` failed once in a fresh clone ("waited 60s in vain: the others accept a change") while the instances' logs showed a working leader. Change: an attempt against another revision has its own id; a repeat against the same one is a resend. Nothing else of the tests changes.

--- a/testkit/src/operator.rs
+++ b/testkit/src/operator.rs
@@ -59,6 +59,27 @@
         let answer = self.read(from, entry).await.ok()?;
         answer.json()["revision"].as_u64().filter(|_| answer.status == 200)
     }
+
+    /// Changes an entry against the revision that the instance shows, and returns the new one.
+    ///
+    /// An attempt against another revision is another change, so it has an id of its own; a repeat
+    /// against the same revision is a resend.
+    pub async fn try_change(
+        &self,
+        to: SocketAddr,
+        entry: &str,
+        body: &Value,
+        id: &str,
+    ) -> Option<u64> {
+        let against = self.revision(to, entry).await.unwrap_or(0);
+        let change = EntryChange {
+            entry: entry.to_owned(),
+            body: body.clone(),
+            against,
+            id: format!("{id}-{against}"),
+        };
+        accepted_revision(&self.put(to, &change).await.ok()?)
+    }
 }
 
 /// Returns the revision that an answer to a change names.
--- a/testkit/src/scene.rs
+++ b/testkit/src/scene.rs
@@ -22,9 +22,7 @@
 use crate::fakes::engine::EngineOptions;
 use crate::fakes::service::Service;
 use crate::fakes::service::ServiceOptions;
-use crate::operator::EntryChange;
 use crate::operator::Operator;
-use crate::operator::accepted_revision;
 use crate::wait;
 
 /// The entry of the first owner.
@@ -159,10 +157,7 @@
         wait::find(&format!("a change of {name} is accepted"), || async {
             let index = turn.fetch_add(1, Ordering::SeqCst) as usize % running.len();
             let address = self.cluster.address(&running[index]);
-            let against = self.operator.revision(address, name).await.unwrap_or(0);
-            let (entry, body, id) = (name.to_owned(), body.clone(), id.clone());
-            let change = EntryChange { entry, body, against, id };
-            accepted_revision(&self.operator.put(address, &change).await.ok()?)
+            self.operator.try_change(address, name, &body, &id).await
         })
         .await
     }
--- a/testkit/tests/promises_fail.rs
+++ b/testkit/tests/promises_fail.rs
@@ -130,10 +130,7 @@
     let turns = 200 + id.len();
     let body = entry("owner-a", json!({"turns": turns, "tool_ms": 1_000 + id.len()}));
     let revision = wait::find("the others accept a change", || async {
-        let against = scene.operator.revision(address, ENTRY).await?;
-        let change =
-            EntryChange { entry: ENTRY.to_owned(), body: body.clone(), against, id: id.clone() };
-        accepted_revision(&scene.operator.put(address, &change).await.ok()?)
+        scene.operator.try_change(address, ENTRY, &body, &id).await
     })
     .await;
     (revision, body)
