--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -72,8 +72,6 @@
     InstanceRegistered = 235, Info;
     /// The instance replaced its configuration by a full copy.
     FullStateFetched = 236, Info;
-    /// The digest of the configuration differs from the sender's.
-    DigestMismatch = 237, Error;
     /// The instance cannot confirm its configuration.
     ConfirmationLost = 238, Warning;
     /// The instance confirmed its configuration again.
--- a/coriandergw/src/result_code.rs
+++ b/coriandergw/src/result_code.rs
@@ -88,14 +88,10 @@
     LimitReached = 2007, 429;
     /// The replicated log has no reachable quorum.
     NoQuorum = 2008, 503;
-    /// The instance is not yet ready.
-    NotReady = 2009, 503;
     /// The outcome of a call that must not be repeated is unknown.
     OutcomeUnknown = 3001, 502;
     /// The endpoint answered with an error.
     EndpointFailed = 3002, 502;
-    /// The endpoint did not answer in time.
-    EndpointTimeout = 3003, 504;
     /// The call was cancelled because its program ended.
     Cancelled = 3004, 410;
     /// The instance failed internally.
@@ -130,8 +126,6 @@
     ForeignDataFolder = 5002, 500;
     /// The disk is full or a sync failed.
     StorageFailed = 5003, 500;
-    /// The settings of the voters disagree.
-    VoterMismatch = 5004, 500;
     /// A certificate was not issued by this cluster's authority.
     ForeignCertificate = 5005, 500;
     /// The settings file is not valid.
--- a/testkit/tests/pages.rs
+++ b/testkit/tests/pages.rs
@@ -30,6 +30,23 @@
     rows
 }
 
+fn sources(folder: &Path, found: &mut String) {
+    for entry in std::fs::read_dir(folder).expect("a folder").filter_map(Result::ok) {
+        let path = entry.path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push_str(&std::fs::read_to_string(path).expect("a source file"));
+        }
+    }
+}
+
+fn all_sources() -> String {
+    let mut found = String::new();
+    sources(&repository().join("coriandergw/src"), &mut found);
+    found
+}
+
 fn assert_unique<I>(numbers: I)
 where
     I: IntoIterator<Item = u16>,
@@ -68,3 +85,16 @@
         .collect();
     assert_eq!(listed, in_code);
 }
+
+#[test]
+fn every_number_is_used() {
+    let text = all_sources();
+    for code in ResultCode::ALL {
+        let used = format!("ResultCode::{}", code.name());
+        assert!(text.contains(&used), "{used} is listed and not used");
+    }
+    for event in EventNumber::ALL {
+        let used = format!("EventNumber::{}", event.name());
+        assert!(text.contains(&used), "{used} is listed and not used");
+    }
+}
