fix(admission): lower the concurrency of an endpoint for lasting slowness only

Cause: the limit compared each call with nearly the shortest seen, and lowered itself for every single call that took 2.5 times as long. Calls of a few milliseconds vary that much without load, so an endpoint with 64 places was given far fewer; the calls beyond them waited, and the first calls of new programs, which go after those under way, up to 2 s.

Changed: a call is slow only if the mean over about one round of calls is slow too and it took more than 20 ms.

After the change it is not measured yet.

Conclusion: no timer and no lost wake-up; the adaptive limit fell to a fraction of the capacity.

--- a/coriandergw/src/admission/concurrency.rs
+++ b/coriandergw/src/admission/concurrency.rs
@@ -10,6 +10,12 @@
 /// How much longer than expected a call may take before the limit is lowered.
 const SLOW_RATIO: f64 = 2.5;
 
+/// The duration within which a call is never slow: it is mostly the jitter of the machines.
+const SLOW_MIN: Duration = Duration::from_millis(20);
+
+/// The bounds of how much one call counts against the calls before it.
+const RECENT_WEIGHT: (f64, f64) = (0.02, 0.2);
+
 /// How fast the expected duration follows longer observations; shorter ones count at once by half.
 const BASELINE_RISE: f64 = 0.01;
 
@@ -18,6 +24,7 @@
 pub struct ConcurrencyLimit {
     limit: f64,
     capacity: u32,
+    recent: Option<f64>,
     baseline: Option<f64>,
     lowered_at: Timestamp,
 }
@@ -26,7 +33,13 @@
     /// Starts at the capacity that the endpoint announced.
     pub fn new(capacity: u32) -> Self {
         let capacity = capacity.max(1);
-        Self { limit: f64::from(capacity), capacity, baseline: None, lowered_at: Timestamp(0) }
+        Self {
+            limit: f64::from(capacity),
+            capacity,
+            recent: None,
+            baseline: None,
+            lowered_at: Timestamp(0),
+        }
     }
 
     /// Follows a changed announcement.
@@ -46,10 +59,7 @@
 
     /// Learns from a call that took `ratio` times the duration expected of it.
     pub fn observe(&mut self, ratio: f64, in_flight: u32, duration: Duration, now: Timestamp) {
-        let baseline = self.baseline.get_or_insert(ratio);
-        let step = if ratio < *baseline { 0.5 } else { BASELINE_RISE };
-        *baseline += step * (ratio - *baseline);
-        if ratio > *baseline * SLOW_RATIO {
+        if self.is_slow(ratio, duration) {
             // One decrease a call's duration: the calls sent before it tell nothing new.
             if now.since(self.lowered_at) > duration {
                 self.lower(now);
@@ -59,6 +69,20 @@
         }
     }
 
+    /// Returns whether a call took long and the calls before it did too.
+    ///
+    /// Single calls vary without any load, so their mean over about one round of calls counts.
+    fn is_slow(&mut self, ratio: f64, duration: Duration) -> bool {
+        let weight = (1.0 / self.limit).clamp(RECENT_WEIGHT.0, RECENT_WEIGHT.1);
+        let recent = self.recent.get_or_insert(ratio);
+        *recent += weight * (ratio - *recent);
+        let baseline = self.baseline.get_or_insert(*recent);
+        let step = if *recent < *baseline { 0.5 } else { BASELINE_RISE };
+        *baseline += step * (*recent - *baseline);
+        let slow = *baseline * SLOW_RATIO;
+        duration > SLOW_MIN && ratio > slow && *recent > slow
+    }
+
     /// Lowers the limit after a call failed.
     pub fn lower(&mut self, now: Timestamp) {
         self.limit = (self.limit * DECREASE).max(1.0);
--- a/coriandergw/src/admission/tests.rs
+++ b/coriandergw/src/admission/tests.rs
@@ -1,5 +1,9 @@
 use std::time::Duration;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use super::*;
 use crate::clock::Timestamp;
 use crate::result_code::ResultCode;
@@ -36,6 +40,23 @@
     assert_eq!(limit.get(), 1);
 }
 
+#[test]
+fn durations_that_vary_without_load_do_not_lower_the_concurrency() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for duration in [Duration::from_millis(1), SECOND] {
+        let mut limit = ConcurrencyLimit::new(64);
+        let mut lowest = limit.get();
+        let mut now = Timestamp::from_millis(1);
+        for _ in 0..5_000 {
+            let ratio = if rng.random_bool(0.1) { 5.0 } else { rng.random_range(0.7..1.3) };
+            now = now + duration / 64;
+            limit.observe(ratio, limit.get(), duration.mul_f64(ratio), now);
+            lowest = lowest.min(limit.get());
+        }
+        assert!(lowest >= 60, "{lowest} at {duration:?}");
+    }
+}
+
 #[test]
 fn an_entry_gets_its_share_and_no_more() {
     assert_eq!(share_of(10, 4), 2);
--- a/coriandergw/src/dispatch/scheduler/tests.rs
+++ b/coriandergw/src/dispatch/scheduler/tests.rs
@@ -2,6 +2,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use rand::Rng;
 use serde_json::json;
 
 use super::candidates::WHOLE_GROUP_MAX;
@@ -22,11 +23,16 @@
     scheduler: Scheduler,
     directory: Directory,
     entry: Arc<Entry>,
+    capacity: u32,
     now: Timestamp,
 }
 
 impl World {
     fn new(engines: usize, placer: Arc<dyn Placer>) -> Self {
+        Self::with_capacity(engines, placer, CAPACITY)
+    }
+
+    fn with_capacity(engines: usize, placer: Arc<dyn Placer>, capacity: u32) -> Self {
         let mut raw = RawEntry { name: "n".into(), owner: "o".into(), ..RawEntry::default() };
         raw.limits.calls_in_flight = 100;
         raw.limits.queue_ms = 2_000;
@@ -40,6 +46,7 @@
             scheduler: Scheduler::new(settings),
             directory: Directory::default(),
             entry: Arc::new(Entry::try_from(raw).unwrap()),
+            capacity,
             now: Timestamp::from_millis(1),
         };
         world.announce(0..engines, LoadReport::default());
@@ -54,7 +61,7 @@
         for number in engines {
             let announcement: Announcement = serde_json::from_value(json!({
                 "name": format!("e{number}"), "kind": "model", "address": "127.0.0.1:9",
-                "targets": ["m"], "data_centre": "dc-a", "capacity": CAPACITY, "load": load,
+                "targets": ["m"], "data_centre": "dc-a", "capacity": self.capacity, "load": load,
             }))
             .unwrap();
             self.directory.announce(announcement, self.now);
@@ -213,3 +220,50 @@
     let most = placer.0.load(Ordering::Relaxed);
     assert!((2..=WHOLE_GROUP_MAX).contains(&most), "{most}");
 }
+
+/// Lets programs send each next call when the last one is answered, and returns the longest wait.
+///
+/// The calls take 1 ms, but for 1 in 10 that the machine delays by 4 ms.
+fn longest_wait(world: &mut World, programs: usize, calls_each: usize) -> Duration {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut left = vec![calls_each; programs];
+    let mut queued = HashMap::new();
+    let mut ends = BTreeMap::new();
+    let mut ready: Vec<usize> = (0..programs).collect();
+    let mut longest = Duration::ZERO;
+    loop {
+        for program in ready.drain(..) {
+            let call = world.call(&format!("p{program}"));
+            let under_way = left[program] < calls_each;
+            let call = CallFacts { under_way, prompt_tokens: 1, history_tokens: 0, ..call };
+            let ticket = world.scheduler.enqueue(call, world.now);
+            queued.insert(ticket, (program, world.now));
+        }
+        let key = world.call("p").queue;
+        for one in world.scheduler.assign(&key, None, &world.directory, world.now) {
+            longest = longest.max(world.now.since(queued[&one.ticket].1));
+            let delay = if rng.random_bool(0.1) { 4 } else { 0 };
+            let service = Duration::from_millis(1 + delay);
+            ends.insert((world.now + service, one.ticket), service);
+        }
+        let Some(((now, ticket), total)) = ends.pop_first() else {
+            return longest;
+        };
+        world.now = now;
+        world.announce(0..1, LoadReport::default());
+        let usage = Usage { prompt_tokens: 1, cached_tokens: 0, completion_tokens: 1 };
+        let finish = Finish::Answered { usage, first_token: total, total };
+        world.scheduler.finish(ticket, finish, &world.directory, now);
+        let program = queued[&ticket].0;
+        left[program] -= 1;
+        if left[program] > 0 {
+            ready.push(program);
+        }
+    }
+}
+
+#[test]
+fn no_call_waits_for_an_endpoint_that_announces_room_when_durations_vary() {
+    let mut world = World::with_capacity(1, Arc::<ExpectedFinish>::default(), 64);
+    assert_eq!(longest_wait(&mut world, 32, 250), Duration::ZERO);
+}
