fix(placement): learn the rates of engines alike together and apart from services

Cause: the experiment moved calls away from idle holders of their prefix.

Changed: a rate book for each target; the time until the first token is a line fitted to the calls of all its endpoints, with an endpoint's own calls added; generated tokens by a ratio of sums.

Conclusion: the expected finish was right in form and wrong in its rates.

--- a/coriandergw/src/dispatch/scheduler.rs
+++ b/coriandergw/src/dispatch/scheduler.rs
@@ -123,7 +123,7 @@
     waiting: HashMap<u64, CallFacts>,
     assigned: HashMap<u64, Assigned>,
     prefixes: PrefixBook,
-    rates: RateBook,
+    rates: HashMap<QueueKey, RateBook>,
     health: HealthBook,
     entries: EntryCounts,
     retries: HashMap<EntryName, RetryBudget>,
@@ -142,7 +142,7 @@
             waiting: HashMap::new(),
             assigned: HashMap::new(),
             prefixes: PrefixBook::default(),
-            rates: RateBook::default(),
+            rates: HashMap::new(),
             health: HealthBook::default(),
             entries: EntryCounts::default(),
             retries: HashMap::new(),
@@ -211,7 +211,7 @@
             answer_tokens: ANSWER_TOKENS,
         });
         let need = need_of(&facts, target.answer_tokens);
-        let rates = self.rates.mean();
+        let rates = self.rates.get(&facts.queue).map(RateBook::mean).unwrap_or_default();
         let uncached = need.prompt_tokens.saturating_sub(facts.history_tokens) as f64;
         let seconds = uncached * rates.prefill_seconds_per_token
             + need.answer_tokens as f64 * rates.decode_seconds_per_token
--- a/coriandergw/src/dispatch/scheduler/candidates.rs
+++ b/coriandergw/src/dispatch/scheduler/candidates.rs
@@ -37,7 +37,7 @@
     ) -> Vec<Candidate> {
         let group = directory.group(key.0, &key.1);
         if group.len() <= WHOLE_GROUP_MAX || self.settings.placer.wants_all() {
-            let found = group.iter().filter_map(|name| self.candidate(name, directory, now));
+            let found = group.iter().filter_map(|name| self.candidate(key, name, directory, now));
             let mut found: Vec<Candidate> = found.collect();
             // Ties go to the first one, which must not be the same on all instances.
             found.shuffle(&mut self.rng);
@@ -45,12 +45,13 @@
         }
         let mut found: Vec<Candidate> = Vec::new();
         if let Some(name) = freed.filter(|name| group.contains(name)) {
-            found.extend(self.candidate(name, directory, now));
+            found.extend(self.candidate(key, name, directory, now));
         }
         for _ in 0..PROBES_MAX {
             let name = &group[self.rng.random_range(0..group.len())];
             let is_new = found.iter().all(|candidate| candidate.endpoint != *name);
-            let candidate = self.candidate(name, directory, now).filter(|c| is_new && c.has_room);
+            let candidate =
+                self.candidate(key, name, directory, now).filter(|c| is_new && c.has_room);
             found.extend(candidate);
             if found.len() > RANDOM_CANDIDATES {
                 break;
@@ -61,12 +62,13 @@
 
     fn candidate(
         &self,
+        key: &QueueKey,
         name: &EndpointName,
         directory: &Directory,
         now: Timestamp,
     ) -> Option<Candidate> {
         let known = directory.find(name, now)?;
-        let rates = self.rates.rates(name);
+        let rates = self.rates.get(key).map(|book| book.rates(name)).unwrap_or_default();
         let state = self.endpoints.get(name);
         let fresh = EndpointState::new(known.announcement.capacity);
         let state = state.unwrap_or(&fresh);
@@ -106,7 +108,8 @@
                 let index = known.or_else(|| {
                     let found = directory.find(holder, now)?;
                     let serves = found.announcement.targets.contains(&facts.queue.1);
-                    let candidate = self.candidate(holder, directory, now).filter(|_| serves)?;
+                    let candidate =
+                        self.candidate(&facts.queue, holder, directory, now).filter(|_| serves)?;
                     candidates.push(candidate);
                     Some(candidates.len() - 1)
                 });
--- a/coriandergw/src/dispatch/scheduler/learning.rs
+++ b/coriandergw/src/dispatch/scheduler/learning.rs
@@ -20,15 +20,16 @@
         sample: Sample,
         now: Timestamp,
     ) {
-        let rates = self.rates.mean();
+        let book = self.rates.entry(facts.queue.clone()).or_default();
+        let rates = book.mean();
         let expected = sample.uncached_tokens as f64 * rates.prefill_seconds_per_token
             + sample.answer_tokens as f64 * rates.decode_seconds_per_token
             + rates.overhead_seconds;
+        book.learn(endpoint, sample);
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             let ratio = sample.total.as_secs_f64() / expected.max(f64::MIN_POSITIVE);
             state.limit.observe(ratio, state.in_flight(), sample.total, now);
         }
-        self.rates.learn(endpoint, sample);
         if let Some(target) = self.targets.get_mut(&facts.queue) {
             let difference = sample.answer_tokens as f64 - target.answer_tokens;
             target.answer_tokens += ANSWER_SAMPLE_WEIGHT * difference;
--- a/coriandergw/src/dispatch/scheduler/tests.rs
+++ b/coriandergw/src/dispatch/scheduler/tests.rs
@@ -221,6 +221,26 @@
     assert!((2..=WHOLE_GROUP_MAX).contains(&most), "{most}");
 }
 
+#[test]
+fn the_times_of_services_do_not_count_for_engines() {
+    let mut world = World::usual(1);
+    let service: Announcement = serde_json::from_value(json!({
+        "name": "s0", "kind": "service", "address": "127.0.0.1:9",
+        "targets": ["s"], "data_centre": "dc-a", "capacity": CAPACITY,
+    }))
+    .unwrap();
+    world.directory.announce(service, world.now);
+    let at_service = (CallKind::Service, "s".try_into().unwrap());
+    for _ in 0..20 {
+        let call = CallFacts { queue: at_service.clone(), ..world.call("p") };
+        let ticket = world.send(call).remove(0).0;
+        world.answer(ticket, 4_000);
+    }
+    let key = world.call("p").queue;
+    let engine = world.scheduler.sample(&key, None, &world.directory, world.now).remove(0);
+    assert_eq!(engine.rates, crate::placement::Rates::default());
+}
+
 /// Lets programs send each next call when the last one is answered, and returns the longest wait.
 ///
 /// The calls take 1 ms, but for 1 in 10 that the machine delays by 4 ms.
--- a/coriandergw/src/placement/mod.rs
+++ b/coriandergw/src/placement/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod baselines;
 mod expected;
+mod line;
 mod prefixes;
 mod rates;
 
--- a/coriandergw/src/placement/rates.rs
+++ b/coriandergw/src/placement/rates.rs
@@ -4,12 +4,20 @@
 use std::time::Duration;
 
 use crate::ids::EndpointName;
+use crate::placement::line::Line;
+use crate::placement::line::LineSums;
 
-/// How much one sample counts against what was learned before.
+/// How much one sample of the time of a call counts against what was learned before.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
-/// The uncached tokens below which a prompt says nothing about the prefill rate.
-const PREFILL_SAMPLE_MIN_TOKENS: u64 = 64;
+/// The calls that count for the rates of one endpoint, and of all.
+const WINDOW_CALLS: (f64, f64) = (100.0, 1_000.0);
+
+/// The calls of all endpoints that count for the first token like calls of the endpoint itself.
+const SHARED_FIRST_TOKENS: f64 = 200.0;
+
+/// The calls of all endpoints that count for the other tokens like calls of the endpoint itself.
+const SHARED_DECODES: f64 = 20.0;
 
 /// What is known of an endpoint's speed.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -48,34 +56,79 @@
     pub total: Duration,
 }
 
-/// Keeps the rates of the endpoints, and the mean of all for those not seen yet.
+/// What was observed of an endpoint, or of all.
+#[derive(Debug, Clone, Copy, Default)]
+struct Observed {
+    /// The time until the first token by the prompt tokens that were computed.
+    first_token: LineSums,
+    /// The time after the first token by the tokens that were generated in it.
+    decode: LineSums,
+    service_seconds: Option<f64>,
+}
+
+impl Observed {
+    fn add(&mut self, sample: Sample, window: f64) {
+        let first = sample.first_token.as_secs_f64();
+        let total = sample.total.as_secs_f64();
+        self.first_token.add(sample.uncached_tokens as f64, first, window);
+        if sample.answer_tokens > 1 {
+            self.decode.add((sample.answer_tokens - 1) as f64, total - first, window);
+        }
+        let service = self.service_seconds.get_or_insert(total);
+        *service += SAMPLE_WEIGHT * (total - *service);
+    }
+
+    /// Adds what was observed of all endpoints of the group, as far as that counts for one.
+    fn with_shared(&self, shared: &Observed) -> Self {
+        Self {
+            first_token: self.first_token.plus(shared.first_token.limited(SHARED_FIRST_TOKENS)),
+            decode: self.decode.plus(shared.decode.limited(SHARED_DECODES)),
+            service_seconds: self.service_seconds.or(shared.service_seconds),
+        }
+    }
+
+    fn rates(&self) -> Rates {
+        let assumed = Rates::default();
+        let first_token = self.first_token.line(Line {
+            offset: assumed.overhead_seconds,
+            slope: assumed.prefill_seconds_per_token,
+        });
+        Rates {
+            prefill_seconds_per_token: first_token.slope,
+            decode_seconds_per_token: self.decode.ratio(assumed.decode_seconds_per_token),
+            overhead_seconds: first_token.offset,
+            service_seconds: self.service_seconds.unwrap_or(assumed.service_seconds),
+        }
+    }
+}
+
+/// Keeps the rates of the endpoints of one target.
+///
+/// Endpoints of one target are mostly alike, and the time until a first token varies with what else
+/// runs there. An endpoint's rates are therefore learned from all calls and its own together: else
+/// chance differences would move calls away from the caches that hold their prefixes.
 #[derive(Debug, Default)]
 pub struct RateBook {
-    endpoints: HashMap<EndpointName, Rates>,
-    mean: Option<Rates>,
+    endpoints: HashMap<EndpointName, Observed>,
+    shared: Observed,
 }
 
 impl RateBook {
     /// Returns the rates of an endpoint.
     pub fn rates(&self, name: &EndpointName) -> Rates {
-        self.endpoints.get(name).copied().or(self.mean).unwrap_or_default()
+        let own = self.endpoints.get(name);
+        own.map_or(self.shared, |own| own.with_shared(&self.shared)).rates()
     }
 
-    /// Returns the mean rates.
+    /// Returns the rates over all endpoints.
     pub fn mean(&self) -> Rates {
-        self.mean.unwrap_or_default()
+        self.shared.rates()
     }
 
     /// Learns from an answered call.
     pub fn learn(&mut self, name: &EndpointName, sample: Sample) {
-        let before = self.rates(name);
-        let first = !self.endpoints.contains_key(name) && self.mean.is_none();
-        let after = if first { initial(sample) } else { updated(before, sample) };
-        self.endpoints.insert(name.clone(), after);
-        self.mean = Some(match self.mean {
-            None => after,
-            Some(mean) => updated(mean, sample),
-        });
+        self.endpoints.entry(name.clone()).or_default().add(sample, WINDOW_CALLS.0);
+        self.shared.add(sample, WINDOW_CALLS.1);
     }
 
     /// Forgets an endpoint.
@@ -83,30 +136,3 @@
         self.endpoints.remove(name);
     }
 }
-
-fn initial(sample: Sample) -> Rates {
-    let observed = updated(Rates::default(), sample);
-    Rates { service_seconds: sample.total.as_secs_f64(), ..observed }
-}
-
-fn updated(rates: Rates, sample: Sample) -> Rates {
-    let mut rates = rates;
-    let first = sample.first_token.as_secs_f64();
-    let total = sample.total.as_secs_f64();
-    blend(&mut rates.service_seconds, total);
-    if sample.uncached_tokens >= PREFILL_SAMPLE_MIN_TOKENS {
-        let prefill = (first - rates.overhead_seconds).max(0.0) / sample.uncached_tokens as f64;
-        blend(&mut rates.prefill_seconds_per_token, prefill);
-    } else {
-        blend(&mut rates.overhead_seconds, first);
-    }
-    if sample.answer_tokens > 1 {
-        let decode = (total - first) / (sample.answer_tokens - 1) as f64;
-        blend(&mut rates.decode_seconds_per_token, decode);
-    }
-    rates
-}
-
-fn blend(learned: &mut f64, observed: f64) {
-    *learned += SAMPLE_WEIGHT * (observed - *learned);
-}
--- a/coriandergw/src/placement/tests.rs
+++ b/coriandergw/src/placement/tests.rs
@@ -1,5 +1,9 @@
 use std::time::Duration;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use super::*;
 use crate::clock::Timestamp;
 use crate::ids::EndpointName;
@@ -76,6 +80,38 @@
     assert!((book.rates(&name("unseen")).decode_seconds_per_token - 0.05).abs() < 0.001);
 }
 
+/// Returns what an engine answers: 50 µs a prompt token, and 1 in 10 calls waits for a place there.
+fn busy_sample(rng: &mut ChaCha8Rng) -> Sample {
+    let first_call = rng.random_bool(0.15);
+    let uncached_tokens = rng.random_range(60..400) + if first_call { 1_100 } else { 0 };
+    let wait = if rng.random_bool(0.1) { 200_000 } else { rng.random_range(0..20_000) };
+    let first_token = Duration::from_micros(8_000 + wait + 50 * uncached_tokens);
+    let answer_tokens = rng.random_range(10..50);
+    let total = first_token + Duration::from_millis(10) * (answer_tokens as u32 - 1);
+    Sample { uncached_tokens, answer_tokens, first_token, total }
+}
+
+#[test]
+fn chance_differences_of_engines_alike_do_not_move_a_call_from_its_prefix() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut book = RateBook::default();
+    let names: Vec<EndpointName> = (0..12).map(|n| name(&format!("e{n}"))).collect();
+    let need = Need { prompt_tokens: 1_050, answer_tokens: 30 };
+    let mut moved = 0;
+    for n in 0..2_000 {
+        book.learn(&names[rng.random_range(0..12)], busy_sample(&mut rng));
+        let at = |one: &EndpointName, load, cached_tokens| {
+            let idle = candidate(&one.to_string());
+            Candidate { load, capacity: 8, cached_tokens, rates: book.rates(one), ..idle }
+        };
+        let mut candidates: Vec<Candidate> = names.iter().map(|one| at(one, 0, 0)).collect();
+        candidates[n % 12] = at(&names[n % 12], 1, 850);
+        let stays = ExpectedFinish::default().place(need, &candidates) == Verdict::Send(n % 12);
+        moved += usize::from(n > 100 && !stays);
+    }
+    assert_eq!(moved, 0);
+}
+
 fn evicted(sequence: u64, program: &str, tokens: u64) -> CacheEvent {
     let program = program.try_into().unwrap();
     CacheEvent { sequence, change: CacheChange::Evicted, program, tokens }
