feat(experiment): add a hot prefix and run the policies seed by seed

Cause: no scenario had a prefix that many calls need at once, and the policies ran one after the other, so that a change of the machine's other load met them unevenly.

Changed: the deployment hot_prefix, whose programs send 40 to 79 calls at once on one history; the seeds in the outer loop.

Tried and left out: adding the time of the prompts still being computed at an engine to the wait there.

--- a/testkit/src/bin/cgw-bench/commands.rs
+++ b/testkit/src/bin/cgw-bench/commands.rs
@@ -207,7 +207,7 @@
 pub struct ExperimentArguments {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "association or consortium", default = "association")]
+    #[options(help = "association, consortium or hot_prefix", default = "association")]
     deployment: String,
     #[options(help = "policies, separated by commas; all without it")]
     policies: Option<String>,
--- a/testkit/src/experiment/mod.rs
+++ b/testkit/src/experiment/mod.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use crate::experiment::policy::Policy;
-use crate::experiment::rows::Finished;
+use crate::experiment::rows::Row;
 use crate::experiment::site::Site;
 pub use crate::experiment::workload::Deployment;
 
@@ -50,15 +50,18 @@
 /// # Errors
 /// Fails if no port can be bound.
 pub async fn run(options: Options) -> std::io::Result<Value> {
-    let mut rows = Vec::new();
-    for policy in &options.policies {
-        let mut finished: Vec<Vec<Finished>> = Vec::new();
-        for seed in 1..=options.seeds {
+    let mut finished = vec![Vec::new(); options.policies.len()];
+    // One seed after the other, so that other load on the machine meets all policies alike.
+    for seed in 1..=options.seeds {
+        for (policy, finished) in options.policies.iter().zip(&mut finished) {
             let programs = workload::generate(&options, seed);
             let site = Site::start(&options, *policy, seed).await?;
             finished.push(programs::run_all(&site, programs, options.time_scale).await);
         }
-        rows.extend(rows::summarise(policy.name(), &finished));
     }
+    let of_policies = options.policies.iter().zip(&finished);
+    let rows: Vec<Row> = of_policies
+        .flat_map(|(policy, finished)| rows::summarise(policy.name(), finished))
+        .collect();
     Ok(json!({"deployment": options.deployment.name(), "load": options.load, "rows": rows}))
 }
--- a/testkit/src/experiment/policy.rs
+++ b/testkit/src/experiment/policy.rs
@@ -52,6 +52,8 @@
     NoNewDelay,
     /// The load of an engine only breaks ties.
     NoLoadSlowdown,
+    /// The load of an engine counts half as much.
+    LowLoadSlowdown,
     /// The load of an engine counts three times as much.
     HighLoadSlowdown,
 }
@@ -73,6 +75,7 @@
         Policy::NoCacheEvents,
         Policy::NoNewDelay,
         Policy::NoLoadSlowdown,
+        Policy::LowLoadSlowdown,
         Policy::HighLoadSlowdown,
     ];
 
@@ -93,6 +96,7 @@
             Policy::NoCacheEvents => "no_cache_events",
             Policy::NoNewDelay => "no_new_delay",
             Policy::NoLoadSlowdown => "no_load_slowdown",
+            Policy::LowLoadSlowdown => "low_load_slowdown",
             Policy::HighLoadSlowdown => "high_load_slowdown",
         }
     }
@@ -118,6 +122,7 @@
                 Arc::new(ExpectedFinish { recompute_weight: 8.0, ..usual })
             }
             Policy::NoLoadSlowdown => Arc::new(ExpectedFinish { load_slowdown: 0.0, ..usual }),
+            Policy::LowLoadSlowdown => Arc::new(ExpectedFinish { load_slowdown: 0.5, ..usual }),
             Policy::HighLoadSlowdown => Arc::new(ExpectedFinish { load_slowdown: 3.0, ..usual }),
             _ => Arc::new(usual),
         }
--- a/testkit/src/experiment/programs.rs
+++ b/testkit/src/experiment/programs.rs
@@ -16,6 +16,7 @@
 use coriandergw::ids::EndpointName;
 use coriandergw::ids::ProgramId;
 use coriandergw::result_code::Refusal;
+use futures_util::future::join_all;
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -98,19 +99,12 @@
                 paused += pause.mul_f64(time_scale);
                 continue;
             }
-            let call = self.ready(step);
-            let (input, history_tokens) = (call.input.clone(), call.history_tokens);
-            let outcome = dispatcher.run(call, &SendsAll, None).await;
-            let DispatchOutcome::Done { output, usage, .. } = outcome else {
-                refused = 1;
-                break;
-            };
-            self.attained_tokens += usage.total();
-            if matches!(step, Step::Model { .. }) {
-                // The whole history was computed before, by the calls that it consists of.
-                recomputed_tokens += history_tokens.saturating_sub(usage.cached_tokens);
-                self.remember("user", &input);
-                self.remember("assistant", &output);
+            match self.step(step, dispatcher).await {
+                Some(tokens) => recomputed_tokens += tokens,
+                None => {
+                    refused = 1;
+                    break;
+                }
             }
         }
         dispatcher.program_ended(&self.id);
@@ -122,6 +116,31 @@
         }
     }
 
+    /// Sends the calls of a step. Returns the tokens computed again; nothing after a refusal.
+    async fn step(&mut self, step: &Step, dispatcher: &ScheduledDispatcher) -> Option<u64> {
+        let count = if let Step::Fan { calls, .. } = step { *calls } else { 1 };
+        let calls: Vec<ReadyCall> = (0..count).map(|_| self.ready(step)).collect();
+        let (input, history_tokens) = (calls[0].input.clone(), calls[0].history_tokens);
+        let sent = calls.into_iter().map(|call| dispatcher.run(call, &SendsAll, None));
+        let mut recomputed_tokens = 0;
+        let mut first = None;
+        for outcome in join_all(sent).await {
+            let DispatchOutcome::Done { output, usage, .. } = outcome else {
+                return None;
+            };
+            self.attained_tokens += usage.total();
+            // The whole history was computed before, by the calls that it consists of.
+            recomputed_tokens += history_tokens.saturating_sub(usage.cached_tokens);
+            first.get_or_insert(output);
+        }
+        if matches!(step, Step::Service) {
+            return Some(0);
+        }
+        self.remember("user", &input);
+        self.remember("assistant", &first?);
+        Some(recomputed_tokens)
+    }
+
     fn remember(&mut self, role: &str, text: &serde_json::Value) {
         let content = text.as_str().unwrap_or_default().into();
         self.history.push(Message { role: role.into(), content });
@@ -133,6 +152,9 @@
             Step::Model { input_tokens, answer_tokens } => {
                 (CallKind::Model, MODEL, *input_tokens, *answer_tokens)
             }
+            Step::Fan { input_tokens, answer_tokens, .. } => {
+                (CallKind::Model, MODEL, *input_tokens, *answer_tokens)
+            }
             _ => (CallKind::Service, SERVICE, 1, 1),
         };
         let text = format!("{}/{} ", self.id, self.calls);
--- a/testkit/src/experiment/workload.rs
+++ b/testkit/src/experiment/workload.rs
@@ -20,12 +20,15 @@
     Association,
     /// Calls from the poolside over long evening chats.
     Consortium,
+    /// Programs that send many calls at once on one history, more than its engine works on at once.
+    HotPrefix,
 }
 
 impl Deployment {
     /// Returns the deployment of a name.
     pub fn find(name: &str) -> Option<Self> {
-        [Self::Association, Self::Consortium].into_iter().find(|one| one.name() == name)
+        let all = [Self::Association, Self::Consortium, Self::HotPrefix];
+        all.into_iter().find(|one| one.name() == name)
     }
 
     /// Returns the name.
@@ -33,6 +36,7 @@
         match self {
             Deployment::Association => "association",
             Deployment::Consortium => "consortium",
+            Deployment::HotPrefix => "hot_prefix",
         }
     }
 
@@ -41,6 +45,7 @@
         match self {
             Deployment::Association => 12,
             Deployment::Consortium => 9,
+            Deployment::HotPrefix => 12,
         }
     }
 
@@ -49,6 +54,7 @@
         match self {
             Deployment::Association => 7,
             Deployment::Consortium => 4,
+            Deployment::HotPrefix => 2,
         }
     }
 }
@@ -63,6 +69,15 @@
         /// Tokens of its answer.
         answer_tokens: u64,
     },
+    /// Model calls at once, all on the same history; the first answer goes on.
+    Fan {
+        /// How many calls.
+        calls: u64,
+        /// Tokens of the input of each.
+        input_tokens: u64,
+        /// Tokens of the answer of each.
+        answer_tokens: u64,
+    },
     /// A call of a plain service.
     Service,
     /// The caller does something else.
@@ -98,10 +113,13 @@
 fn demand(program: &PlannedProgram) -> f64 {
     let limits = limits();
     let per_token = limits.decode_step.as_secs_f64() / limits.max_batch as f64;
+    let of_call = |input_tokens: u64, answer_tokens: u64| {
+        input_tokens as f64 / limits.prefill_tokens_per_second + answer_tokens as f64 * per_token
+    };
     let of_step = |step: &Step| match step {
-        Step::Model { input_tokens, answer_tokens } => {
-            *input_tokens as f64 / limits.prefill_tokens_per_second
-                + *answer_tokens as f64 * per_token
+        Step::Model { input_tokens, answer_tokens } => of_call(*input_tokens, *answer_tokens),
+        Step::Fan { calls, input_tokens, answer_tokens } => {
+            *calls as f64 * of_call(*input_tokens, *answer_tokens)
         }
         _ => 0.0,
     };
@@ -128,7 +146,7 @@
     // A rush: the arrival rate doubles from the start to the closing time.
     let place = match options.deployment {
         Deployment::Association => (1.0 + 3.0 * place).sqrt() - 1.0,
-        Deployment::Consortium => place,
+        Deployment::Consortium | Deployment::HotPrefix => place,
     };
     let class = draw_class(options.deployment, rng);
     PlannedProgram {
@@ -142,7 +160,7 @@
 
 fn draw_class(deployment: Deployment, rng: &mut ChaCha8Rng) -> Class {
     let interactive = match deployment {
-        Deployment::Association => 0.2,
+        Deployment::Association | Deployment::HotPrefix => 0.2,
         Deployment::Consortium => 0.6,
     };
     match rng.random::<f64>() {
@@ -164,12 +182,25 @@
     ENTRIES - 1
 }
 
+/// Draws a program that plans, works on all parts of the plan at once and sums up.
+fn draw_fan(rng: &mut ChaCha8Rng) -> Vec<Step> {
+    let input_tokens = rng.random_range(300..800);
+    let plan = Step::Model { input_tokens, answer_tokens: rng.random_range(20..50) };
+    let calls = rng.random_range(40..80);
+    let fan = Step::Fan { calls, input_tokens: 60, answer_tokens: rng.random_range(20..50) };
+    let sum = Step::Model { input_tokens: 400, answer_tokens: rng.random_range(20..50) };
+    vec![plan, Step::Service, fan, Step::Service, sum]
+}
+
 fn draw_steps(deployment: Deployment, class: Class, rng: &mut ChaCha8Rng) -> Vec<Step> {
+    if deployment == Deployment::HotPrefix {
+        return draw_fan(rng);
+    }
     let chats = deployment == Deployment::Consortium && class != Class::Interactive;
     let turns = match (deployment, class) {
         (Deployment::Consortium, Class::Interactive) => rng.random_range(2..=3),
         (Deployment::Consortium, _) => rng.random_range(8..=20),
-        (Deployment::Association, _) => rng.random_range(3..=10),
+        (Deployment::Association | Deployment::HotPrefix, _) => rng.random_range(3..=10),
     };
     let mut steps = Vec::new();
     for turn in 0..turns {
