refactor(tests): build contexts, lone instances and random cases in one place

Change: test_support builds the three; the two lone instances use the scheduled dispatcher, as instances do; dispatch/direct.rs is gone and its mapping of a failed sending stands in send_failure.rs.

--- a/coriandergw/src/callers/tests.rs
+++ b/coriandergw/src/callers/tests.rs
@@ -1,6 +1,5 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::time::Duration;
 
 use axum::body::Body as HttpBody;
 use axum::http::Method;
@@ -16,29 +15,20 @@
 use tokio::net::TcpStream;
 
 use super::*;
-use crate::addresses::OneAddress;
 use crate::catalogue::Entry;
 use crate::catalogue::MemoryCatalogue;
 use crate::catalogue::RawEntry;
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::clock::Timestamp;
-use crate::context::Context;
-use crate::dispatch::direct::DirectDispatcher;
 use crate::endpoints::directory::Directory;
-use crate::events::Recorder;
 use crate::ids::Epoch;
-use crate::ids::GroupId;
 use crate::ids::InstanceName;
 use crate::ids::PartitionId;
 use crate::leases::Home;
 use crate::leases::Partitions;
-use crate::log_groups::StateMachine;
-use crate::log_groups::local::LocalLog;
-use crate::metrics::Metrics;
-use crate::programs::JournalState;
-use crate::programs::Programs;
 use crate::settings::Settings;
+use crate::test_support;
 
 /// All partitions are at one instance, which may move.
 #[derive(Default)]
@@ -78,13 +68,7 @@
     async fn start(name: &str, require_account_key: bool) -> Self {
         let clock = Arc::new(SystemClock::default());
         let instance = InstanceName::try_from(name).unwrap();
-        let cx = Context {
-            instance: instance.clone(),
-            data_centre: "dc".try_into().unwrap(),
-            clock: clock.clone(),
-            events: Arc::new(Recorder::new(instance.clone(), clock)),
-            metrics: Arc::new(Metrics::new().unwrap()),
-        };
+        let cx = test_support::context(instance.clone(), "dc", clock);
         let raw = |name: &str, key: &str| RawEntry {
             name: name.to_owned(),
             owner: name.to_owned(),
@@ -95,37 +79,14 @@
         let entries = entries.map(|raw| Entry::try_from(raw).unwrap());
         let catalogue = Arc::new(MemoryCatalogue::with_entries(entries));
         let partitions = Arc::new(OneHome::default());
-        *partitions.here.lock().unwrap() = Some(instance.clone());
-        let directory = Arc::new(Directory::default());
-        let machine: Box<dyn StateMachine> = Box::new(JournalState::default());
-        let programs = Programs::start(
-            cx.clone(),
-            catalogue.clone(),
-            partitions.clone(),
-            Arc::new(LocalLog::new(instance, [(GroupId(1), machine)])),
-            1,
-            Arc::new(DirectDispatcher::new(cx.clone(), directory.clone())),
-        );
+        *partitions.here.lock().unwrap() = Some(instance);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let mut settings = Settings::dev(address);
         settings.access.require_account_key = require_account_key;
-        let ttl = Duration::from_secs(1);
-        let shared = Arc::new(Shared {
-            addresses: Arc::new(OneAddress::new(address, cx.data_centre.clone(), ttl)),
-            cx,
-            settings,
-            caller_address: address,
-            catalogue: catalogue.clone(),
-            catalogue_writer: catalogue.clone(),
-            cluster: catalogue,
-            directory: directory.clone(),
-            programs,
-            partitions: partitions.clone(),
-            voters: None,
-            transport: None,
-            stage: Arc::default(),
-        });
+        let shared = test_support::shared(cx, settings, catalogue, partitions.clone());
+        let directory = shared.directory.clone();
+        let shared = Arc::new(shared);
         let service =
             crate::instance::router(shared).into_make_service_with_connect_info::<SocketAddr>();
         tokio::spawn(async move { axum::serve(listener, service).await });
--- a/coriandergw/src/dispatch/mod.rs
+++ b/coriandergw/src/dispatch/mod.rs
@@ -15,12 +15,12 @@
 use crate::result_code::Refusal;
 
 mod cache_feeds;
-pub mod direct;
 mod endpoint_state;
 pub mod facts;
 mod releases;
 pub mod scheduled;
 pub mod scheduler;
+mod send_failure;
 
 /// Says what kind of endpoint a call is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/coriandergw/src/dispatch/scheduled/tests.rs
+++ b/coriandergw/src/dispatch/scheduled/tests.rs
@@ -18,8 +18,7 @@
 use crate::catalogue::RawEntry;
 use crate::clock::SystemClock;
 use crate::endpoints::gossip::NoPeers;
-use crate::events::Recorder;
-use crate::metrics::Metrics;
+use crate::test_support;
 
 /// How a test endpoint treats each request, the last one repeated.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -88,13 +87,7 @@
     async fn start(scripts: &[&[Does]]) -> Self {
         let clock = Arc::new(SystemClock::default());
         let name = crate::ids::InstanceName::try_from("i1").unwrap();
-        let cx = Context {
-            instance: name.clone(),
-            data_centre: "dc-a".try_into().unwrap(),
-            clock: clock.clone(),
-            events: Arc::new(Recorder::new(name, clock)),
-            metrics: Arc::new(Metrics::new().unwrap()),
-        };
+        let cx = test_support::context(name, "dc-a", clock);
         let directory = Arc::new(Directory::default());
         let mut fakes = Vec::new();
         for (number, script) in scripts.iter().enumerate() {
--- a/coriandergw/src/endpoints/gossip/tests.rs
+++ b/coriandergw/src/endpoints/gossip/tests.rs
@@ -2,9 +2,8 @@
 use crate::clock::SystemClock;
 use crate::dispatch::CallKind;
 use crate::endpoints::directory::RENEWAL_INTERVAL;
-use crate::events::Recorder;
 use crate::ids::TargetName;
-use crate::metrics::Metrics;
+use crate::test_support;
 use crate::transport::memory::MemoryNetwork;
 
 struct FixedPeers(Vec<Peer>);
@@ -31,13 +30,7 @@
     let member = |own: &&str| {
         let Peer { data_centre, name } = peer(own);
         let clock = Arc::new(SystemClock::default());
-        let cx = Context {
-            instance: name.clone(),
-            data_centre,
-            clock: clock.clone(),
-            events: Arc::new(Recorder::new(name.clone(), clock)),
-            metrics: Arc::new(Metrics::new().unwrap()),
-        };
+        let cx = test_support::context(name.clone(), &data_centre.to_string(), clock);
         let directory = Arc::new(Directory::default());
         let others = names.iter().filter(|other| *other != own).map(|other| peer(other)).collect();
         let peers = Arc::new(FixedPeers(others));
--- a/coriandergw/src/leases/tests.rs
+++ b/coriandergw/src/leases/tests.rs
@@ -21,14 +21,11 @@
 use crate::catalogue::RawEntry;
 use crate::clock::Clock;
 use crate::clock::WallTime;
-use crate::context::Context;
 use crate::control::ControlMachine;
 use crate::control::ControlState;
 use crate::control::SharedControlState;
-use crate::events::Recorder;
 use crate::ids::CONTROL_GROUP;
 use crate::ids::ChangeId;
-use crate::ids::DataCentre;
 use crate::ids::EntryName;
 use crate::ids::GroupId;
 use crate::ids::PARTITION_COUNT;
@@ -37,7 +34,7 @@
 use crate::log_groups::ReplicatedLog;
 use crate::log_groups::StateMachine;
 use crate::log_groups::local::LocalLog;
-use crate::metrics::Metrics;
+use crate::test_support;
 use crate::transport::memory::MemoryNetwork;
 
 mod cuts;
@@ -139,13 +136,8 @@
 
     fn join(&mut self, number: usize, data: Option<&Path>) {
         let name = name(number);
-        let cx = Context {
-            instance: name.clone(),
-            data_centre: DataCentre::try_from(format!("dc{}", number % 3)).unwrap(),
-            clock: self.clock.clone(),
-            events: Arc::new(Recorder::new(name.clone(), self.clock.clone())),
-            metrics: Arc::new(Metrics::new().unwrap()),
-        };
+        let data_centre = format!("dc{}", number % 3);
+        let cx = test_support::context(name.clone(), &data_centre, self.clock.clone());
         let address: SocketAddr = ([127, 0, 0, 1], 1_000 + number as u16).into();
         let registration = Registration {
             caller_address: address,
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -32,4 +32,6 @@
 pub mod result_code;
 pub mod settings;
 pub mod storage;
+#[cfg(test)]
+mod test_support;
 pub mod transport;
--- a/coriandergw/src/log_groups/test_cluster.rs
+++ b/coriandergw/src/log_groups/test_cluster.rs
@@ -14,9 +14,7 @@
 use crate::clock::SystemClock;
 use crate::context::Context;
 use crate::events::EventNumber;
-use crate::events::Recorder;
 use crate::ids::CONTROL_GROUP;
-use crate::ids::DataCentre;
 use crate::ids::InstanceName;
 use crate::log_groups::ReplicatedLog;
 use crate::log_groups::RestoreError;
@@ -24,9 +22,9 @@
 use crate::log_groups::node::LogNode;
 use crate::log_groups::node::LogOptions;
 use crate::log_groups::node::LogStartError;
-use crate::metrics::Metrics;
 use crate::storage::Disk;
 use crate::storage::memory_disk::MemoryDisk;
+use crate::test_support;
 use crate::transport::memory::MemoryNetwork;
 
 /// How long a condition may take before a test gives up.
@@ -205,13 +203,7 @@
     }
 
     pub fn context(&self, raw: &str) -> Context {
-        Context {
-            instance: name(raw),
-            data_centre: DataCentre::try_from("dc").expect("a valid name"),
-            clock: self.clock.clone(),
-            events: Arc::new(Recorder::new(name(raw), self.clock.clone())),
-            metrics: Arc::new(Metrics::new().expect("metrics")),
-        }
+        test_support::context(name(raw), "dc", self.clock.clone())
     }
 
     /// Starts a member with an empty state machine on the disk that it has.
--- a/coriandergw/src/log_groups/tests.rs
+++ b/coriandergw/src/log_groups/tests.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 use crate::clock::Timestamp;
 use crate::events::EventNumber;
@@ -33,6 +32,7 @@
 use crate::storage::identity::IDENTITY_FILE;
 use crate::storage::identity::Identity;
 use crate::storage::store::LOG_FILE;
+use crate::test_support;
 
 /// More entries between snapshots than any test writes.
 const NO_SNAPSHOTS: u64 = 1_000_000;
@@ -303,15 +303,8 @@
     prop::collection::vec(message, 0..12)
 }
 
-/// The seed of the random cases.
-const SEED: u64 = 4;
-
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(test_support::random_cases())]
 
     #[test]
     fn messages_survive_the_wire(messages in messages()) {
--- a/coriandergw/src/operators/tests.rs
+++ b/coriandergw/src/operators/tests.rs
@@ -4,19 +4,12 @@
 use tower::ServiceExt;
 
 use super::*;
-use crate::addresses::OneAddress;
 use crate::catalogue::MemoryCatalogue;
 use crate::clock::SystemClock;
-use crate::context::Context;
-use crate::dispatch::direct::DirectDispatcher;
-use crate::endpoints::directory::Directory;
-use crate::events::Recorder;
 use crate::instance::router;
 use crate::leases::local::LocalPartitions;
-use crate::log_groups::local::LocalLog;
-use crate::metrics::Metrics;
-use crate::programs::Programs;
 use crate::settings::Settings;
+use crate::test_support;
 
 const ENTRY: &str = "/v1/catalogue/entries/costing";
 
@@ -43,43 +36,13 @@
     fn new() -> Self {
         let settings = Settings::dev(([127, 0, 0, 1], 0).into());
         let name = settings.instance.name.clone();
-        let data_centre = settings.instance.data_centre.clone();
+        let data_centre = settings.instance.data_centre.to_string();
         let address = settings.instance.listen;
-        let clock = Arc::new(SystemClock::default());
-        let cx = Context {
-            instance: name.clone(),
-            data_centre: data_centre.clone(),
-            clock: clock.clone(),
-            events: Arc::new(Recorder::new(name.clone(), clock)),
-            metrics: Arc::new(Metrics::new().unwrap()),
-        };
+        let cx =
+            test_support::context(name.clone(), &data_centre, Arc::new(SystemClock::default()));
         let catalogue = Arc::new(MemoryCatalogue::default());
-        let directory = Arc::new(Directory::default());
-        let partitions = Arc::new(LocalPartitions::new(name.clone(), address));
-        let programs = Programs::start(
-            cx.clone(),
-            catalogue.clone(),
-            partitions.clone(),
-            Arc::new(LocalLog::new(name, [])),
-            1,
-            Arc::new(DirectDispatcher::new(cx.clone(), directory.clone())),
-        );
-        let ttl = settings.instance.addresses_ttl;
-        let shared = Shared {
-            cx,
-            settings,
-            caller_address: address,
-            catalogue: catalogue.clone(),
-            catalogue_writer: catalogue.clone(),
-            cluster: catalogue,
-            directory,
-            programs,
-            partitions,
-            addresses: Arc::new(OneAddress::new(address, data_centre, ttl)),
-            voters: None,
-            transport: None,
-            stage: Arc::default(),
-        };
+        let partitions = Arc::new(LocalPartitions::new(name, address));
+        let shared = test_support::shared(cx, settings, catalogue, partitions);
         Self { routes: router(Arc::new(shared)) }
     }
 
--- a/coriandergw/src/orders/tests.rs
+++ b/coriandergw/src/orders/tests.rs
@@ -19,14 +19,12 @@
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::clock::Timestamp;
-use crate::context::Context;
 use crate::endpoints::Announcement;
 use crate::endpoints::directory::Directory;
-use crate::events::Recorder;
 use crate::ids::FencingNumber;
 use crate::ids::InstanceName;
 use crate::ids::ProgramId;
-use crate::metrics::Metrics;
+use crate::test_support;
 
 fn version(number: &str) -> ModelVersion {
     ModelVersion { model: "m".try_into().unwrap(), version: number.to_owned() }
@@ -184,13 +182,7 @@
     tokio::spawn(async move { axum::serve(listener, routes).await });
     let clock = Arc::new(SystemClock::default());
     let name = InstanceName::try_from("i1").unwrap();
-    let cx = Context {
-        instance: name.clone(),
-        data_centre: "dc-a".try_into().unwrap(),
-        clock: clock.clone(),
-        events: Arc::new(Recorder::new(name, clock.clone())),
-        metrics: Arc::new(Metrics::new().unwrap()),
-    };
+    let cx = test_support::context(name, "dc-a", clock.clone());
     let directory = Arc::new(Directory::default());
     let leader = Arc::new(Leader(clock.clone()));
     let (settings, wishes) = (OrderSettings::default(), leader.clone());
--- a/coriandergw/src/programs/tests/world.rs
+++ b/coriandergw/src/programs/tests/world.rs
@@ -25,7 +25,6 @@
 use crate::clock::SystemClock;
 use crate::clock::Timestamp;
 use crate::clock::WallTime;
-use crate::context::Context;
 use crate::dispatch::CallKind;
 use crate::dispatch::DispatchObserver;
 use crate::dispatch::DispatchOutcome;
@@ -34,7 +33,6 @@
 use crate::dispatch::ReadyCall;
 use crate::dispatch::TokenSink;
 use crate::dispatch::Usage;
-use crate::events::Recorder;
 use crate::ids::EndpointName;
 use crate::ids::Epoch;
 use crate::ids::GroupId;
@@ -47,7 +45,6 @@
 use crate::log_groups::ReplicatedLog;
 use crate::log_groups::StateMachine;
 use crate::log_groups::local::LocalLog;
-use crate::metrics::Metrics;
 use crate::programs::CallRequest;
 use crate::programs::CreatedProgram;
 use crate::programs::JournalState;
@@ -57,6 +54,7 @@
 use crate::programs::generated::command::Command as WireCommand;
 use crate::programs::record::Record;
 use crate::programs::record::What;
+use crate::test_support;
 
 /// How long a test waits for a condition before it fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -180,13 +178,7 @@
     pub fn home(&self, epoch: u64) -> TestHome {
         let gate = Arc::new(Gate::default());
         let partitions = Arc::new(FakePartitions::new(epoch));
-        let cx = Context {
-            instance: name(&format!("i{epoch}")),
-            data_centre: "dc".try_into().unwrap(),
-            clock: self.clock.clone(),
-            events: Arc::new(Recorder::new(name("i"), self.clock.clone())),
-            metrics: Arc::new(Metrics::new().unwrap()),
-        };
+        let cx = test_support::context(name(&format!("i{epoch}")), "dc", self.clock.clone());
         let dispatcher = Arc::new(FakeDispatcher {
             gate: gate.clone(),
             runs: self.runs.clone(),
--- a/coriandergw/src/storage/tests.rs
+++ b/coriandergw/src/storage/tests.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 use crate::ids::CONTROL_GROUP;
 use crate::ids::GroupId;
@@ -26,6 +25,7 @@
 use crate::storage::store::Opened;
 use crate::storage::store::Store;
 use crate::storage::store::StoreOptions;
+use crate::test_support;
 
 fn name(raw: &str) -> InstanceName {
     InstanceName::try_from(raw).expect("a valid name")
@@ -71,15 +71,8 @@
     prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 1..6)
 }
 
-/// The seed of the random cases.
-const SEED: u64 = 4;
-
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(test_support::random_cases())]
 
     #[test]
     fn a_file_cut_anywhere_gives_the_frames_before_the_cut(payloads in payloads(), cut in 0..300usize) {
--- /dev/null
+++ b/coriandergw/src/test_support.rs
@@ -0,0 +1,93 @@
+//! Builds what the tests of several features share.
+
+use std::sync::Arc;
+
+use proptest::test_runner::Config as ProptestConfig;
+use proptest::test_runner::RngSeed;
+
+use crate::addresses::OneAddress;
+use crate::catalogue::MemoryCatalogue;
+use crate::clock::Clock;
+use crate::context::Context;
+use crate::dispatch::scheduled::DispatchSettings;
+use crate::dispatch::scheduled::ScheduledDispatcher;
+use crate::endpoints::directory::Directory;
+use crate::endpoints::gossip::NoPeers;
+use crate::events::Recorder;
+use crate::ids::DataCentre;
+use crate::ids::GroupId;
+use crate::ids::InstanceName;
+use crate::instance::Shared;
+use crate::leases::Partitions;
+use crate::log_groups::StateMachine;
+use crate::log_groups::local::LocalLog;
+use crate::metrics::Metrics;
+use crate::programs::JournalState;
+use crate::programs::Programs;
+use crate::settings::Settings;
+
+/// The seed of the random cases.
+const SEED: u64 = 4;
+
+/// Returns the settings of tests with random cases: each run has the same cases.
+pub fn random_cases() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Builds the context of an instance, which keeps its events in memory.
+pub fn context(instance: InstanceName, data_centre: &str, clock: Arc<dyn Clock>) -> Context {
+    Context {
+        instance: instance.clone(),
+        data_centre: DataCentre::try_from(data_centre).expect("a valid name"),
+        clock: clock.clone(),
+        events: Arc::new(Recorder::new(instance, clock)),
+        metrics: Arc::new(Metrics::new().expect("metrics")),
+    }
+}
+
+/// Builds what the routes of a lone instance share: its journal is in memory, and it knows no
+/// endpoint yet.
+pub fn shared(
+    cx: Context,
+    settings: Settings,
+    catalogue: Arc<MemoryCatalogue>,
+    partitions: Arc<dyn Partitions>,
+) -> Shared {
+    let directory = Arc::new(Directory::default());
+    let dispatcher = ScheduledDispatcher::start(
+        cx.clone(),
+        directory.clone(),
+        Arc::new(NoPeers),
+        DispatchSettings::default(),
+    );
+    let machine: Box<dyn StateMachine> = Box::new(JournalState::default());
+    let programs = Programs::start(
+        cx.clone(),
+        catalogue.clone(),
+        partitions.clone(),
+        Arc::new(LocalLog::new(cx.instance.clone(), [(GroupId(1), machine)])),
+        1,
+        dispatcher,
+    );
+    let address = settings.instance.listen;
+    let ttl = settings.instance.addresses_ttl;
+    Shared {
+        addresses: Arc::new(OneAddress::new(address, cx.data_centre.clone(), ttl)),
+        cx,
+        settings,
+        caller_address: address,
+        catalogue: catalogue.clone(),
+        catalogue_writer: catalogue.clone(),
+        cluster: catalogue,
+        directory,
+        programs,
+        partitions,
+        voters: None,
+        transport: None,
+        stage: Arc::default(),
+    }
+}
