fix(testkit): generate message types in the workspace that the command is run in

Cause: cgw-generate had the folder of its own build in it, so run from another work tree it wrote the generated files there and left this one as it was. Change: it writes below the current folder, as cargo run from the workspace does. Two generated files are in the formatter's form again. Before: a changed proto of a second work tree was not generated. After: it is (run by hand).

--- a/coriandergw/src/log_groups/generated.rs
+++ b/coriandergw/src/log_groups/generated.rs
@@ -93,10 +93,7 @@
     pub sent_at_us: u64,
     #[prost(bool, tag = "4")]
     pub counts: bool,
-    #[prost(
-        oneof = "group_message::Body",
-        tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
-    )]
+    #[prost(oneof = "group_message::Body", tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub body: ::core::option::Option<group_message::Body>,
 }
 /// Nested message and enum types in `GroupMessage`.
--- a/coriandergw/src/programs/generated.rs
+++ b/coriandergw/src/programs/generated.rs
@@ -82,17 +82,7 @@
 }
 /// Nested message and enum types in `Answer`.
 pub mod answer {
-    #[derive(
-        Clone,
-        Copy,
-        Debug,
-        PartialEq,
-        Eq,
-        Hash,
-        PartialOrd,
-        Ord,
-        ::prost::Enumeration
-    )]
+    #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
     #[repr(i32)]
     pub enum Verdict {
         Invalid = 0,
--- a/testkit/src/bin/cgw-generate.rs
+++ b/testkit/src/bin/cgw-generate.rs
@@ -1,11 +1,12 @@
-//! Writes the generated message types of all slices; run by maintainers after a change of a proto.
+//! Writes the generated message types of all slices of the workspace that it is run in; run by
+//! maintainers after a change of a proto.
 
 use std::path::Path;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../coriandergw/src");
-    match testkit::generate::generate_all(&source) {
+    let source = Path::new("coriandergw/src");
+    match testkit::generate::generate_all(source) {
         Ok(files) => {
             for file in files {
                 println!("{}", file.display());
