--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -120,6 +120,8 @@
     PartitionDropped = 309, Info;
     /// An ended program was forgotten after its retention.
     ProgramForgotten = 310, Debug;
+    /// Trees of programs were left to the journal alone, as memory is bounded.
+    TreesParked = 311, Debug;
     /// An endpoint announced itself.
     EndpointAnnounced = 400, Info;
     /// An endpoint is leaving.
--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -79,6 +79,7 @@
     );
     let programs = Programs::start(
         cx.clone(),
+        settings.programs,
         control.clone(),
         control.clone(),
         log,
--- a/coriandergw/src/instance/dev.rs
+++ b/coriandergw/src/instance/dev.rs
@@ -55,6 +55,7 @@
     let partitions = Arc::new(LocalPartitions::new(cx.instance.clone(), caller_address));
     let programs = Programs::start(
         cx.clone(),
+        settings.programs,
         catalogue.clone(),
         partitions.clone(),
         local_log(&cx),
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -31,6 +31,8 @@
     pub retries: IntCounterVec,
     /// Orders to engines by kind and result.
     pub orders: IntCounterVec,
+    /// Trees of programs read back from the journal.
+    pub trees_read_back: IntCounter,
     /// Partitions held and similar states, by name.
     pub states: IntGaugeVec,
     /// Messages of control traffic by kind and direction.
@@ -75,6 +77,10 @@
                 "Seconds that a call waited for a place",
                 &["class"],
             )?,
+            trees_read_back: counter(
+                "cgw_trees_read_back_total",
+                "Trees of programs read back from the journal",
+            )?,
             prefix_tokens_reused: counter(
                 "cgw_prefix_tokens_reused_total",
                 "Prompt tokens found in an engine's cache",
--- a/coriandergw/src/programs/append.rs
+++ b/coriandergw/src/programs/append.rs
@@ -19,11 +19,11 @@
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 
-/// How long a record that may be given up is proposed again.
-const PATIENCE: Duration = Duration::from_secs(2);
+/// How long a request to the journal that may be given up is repeated.
+pub(super) const PATIENCE: Duration = Duration::from_secs(2);
 
 /// The delay before a proposal is repeated.
-const REPEAT_DELAY: Duration = Duration::from_millis(20);
+pub(super) const REPEAT_DELAY: Duration = Duration::from_millis(20);
 
 /// When a caller should come back if the journal has no quorum.
 const NO_QUORUM_RETRY: Duration = Duration::from_millis(500);
--- a/coriandergw/src/programs/create.rs
+++ b/coriandergw/src/programs/create.rs
@@ -82,11 +82,11 @@
     ) -> Result<(), Refusal> {
         // Known before it is written, so that its limits hold also if the caller goes away.
         let tree = place.tree.clone();
-        place.home.trees.lock().expect("not poisoned").insert(place.program.clone(), tree);
+        place.home.trees.lock().expect("not poisoned").live.insert(place.program.clone(), tree);
         let what = What::Created(creation);
         let created = self.append(place, Persistence::GiveUp, |_| Ok((what, ()))).await;
         created.map_err(|refusal| {
-            place.home.trees.lock().expect("not poisoned").remove(&place.program);
+            place.home.trees.lock().expect("not poisoned").live.remove(&place.program);
             // No call of the program can exist before its identifier is known.
             Refusal { not_run: true, ..refusal }
         })
--- a/coriandergw/src/programs/end.rs
+++ b/coriandergw/src/programs/end.rs
@@ -102,9 +102,13 @@
         let root = place.program.root();
         // A failed attempt is repeated by the next sweep.
         if place.home.journal.forget(&root).await.is_ok() {
-            place.home.trees.lock().expect("not poisoned").remove(&root);
-            let subject = Subject { program: Some(root), ..Subject::default() };
-            self.cx.events.record(EventNumber::ProgramForgotten, subject, "program forgotten");
+            place.home.trees.lock().expect("not poisoned").live.remove(&root);
+            self.record_forgotten(&root);
         }
     }
+
+    pub(super) fn record_forgotten(&self, root: &ProgramId) {
+        let subject = Subject { program: Some(root.clone()), ..Subject::default() };
+        self.cx.events.record(EventNumber::ProgramForgotten, subject, "program forgotten");
+    }
 }
--- a/coriandergw/src/programs/generated.rs
+++ b/coriandergw/src/programs/generated.rs
@@ -61,6 +61,11 @@
     pub after_root: ::prost::alloc::string::String,
     #[prost(uint64, tag = "4")]
     pub after_sequence: u64,
+    /// The only tree to read, from the record `from_sequence` on; empty reads all trees.
+    #[prost(string, tag = "5")]
+    pub only_root: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "6")]
+    pub from_sequence: u64,
 }
 /// The answer to a command.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/coriandergw/src/programs/handover.rs
+++ b/coriandergw/src/programs/handover.rs
@@ -46,7 +46,7 @@
         let home = self.homes.lock().expect("not poisoned").get(&partition).cloned();
         home.is_some_and(|home| {
             let trees = home.trees.lock().expect("not poisoned");
-            trees.values().any(|tree| !tree.live.lock().expect("not poisoned").is_empty())
+            trees.live.values().any(|tree| !tree.live.lock().expect("not poisoned").is_empty())
         })
     }
 }
--- a/coriandergw/src/programs/home.rs
+++ b/coriandergw/src/programs/home.rs
@@ -33,11 +33,13 @@
 use crate::programs::handover::Entering;
 use crate::programs::journal::Journal;
 use crate::programs::journal::Journals;
+use crate::programs::parked::Trees;
 use crate::programs::state::Program;
 use crate::programs::state::Tree;
 use crate::programs::turn::Turn;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
+use crate::settings::ProgramSettings;
 
 /// When a caller should come back if a program has no home at the moment.
 pub const NO_HOME_RETRY: Duration = Duration::from_millis(250);
@@ -47,6 +49,7 @@
     pub(super) cx: Context,
     pub(super) catalogue: Arc<dyn CatalogueView>,
     pub(super) partitions: Arc<dyn Partitions>,
+    pub(super) settings: ProgramSettings,
     pub(super) journals: Journals,
     pub(super) dispatcher: Arc<dyn Dispatcher>,
     pub(super) homes: Mutex<BTreeMap<PartitionId, Arc<Home>>>,
@@ -63,7 +66,7 @@
     /// Cancelled when another home has taken over.
     pub lost: CancellationToken,
     pub loaded: OnceCell<()>,
-    pub trees: Mutex<HashMap<ProgramId, Arc<LiveTree>>>,
+    pub trees: Mutex<Trees>,
     pub lapsed_since: Mutex<Option<Timestamp>>,
 }
 
@@ -101,6 +104,7 @@
     /// Starts serving the programs of the partitions that this instance holds.
     pub fn start(
         cx: Context,
+        settings: ProgramSettings,
         catalogue: Arc<dyn CatalogueView>,
         partitions: Arc<dyn Partitions>,
         log: Arc<dyn ReplicatedLog>,
@@ -109,6 +113,7 @@
     ) -> Arc<Self> {
         let programs = Arc::new(Self {
             cx,
+            settings,
             catalogue,
             partitions,
             journals: Journals::new(log, groups),
@@ -197,7 +202,7 @@
         secret: &str,
     ) -> Result<Place, Refusal> {
         let home = self.home(id.partition()).await?;
-        let tree = home.trees.lock().expect("not poisoned").get(&id.root()).cloned();
+        let tree = self.tree(&home, &id.root()).await?;
         let unknown =
             || Refusal::not_run(ResultCode::UnknownProgram, format!("no program is named {id}"));
         let place = Place { home, tree: tree.ok_or_else(unknown)?, program: id.clone() };
--- a/coriandergw/src/programs/journal.rs
+++ b/coriandergw/src/programs/journal.rs
@@ -208,6 +208,30 @@
         }
     }
 
+    /// Reads one tree of the partition; the epoch must be fenced.
+    ///
+    /// # Errors
+    /// Fails as [`JournalError`] describes.
+    pub async fn read_tree(&self, root: &ProgramId) -> Result<Tree, JournalError> {
+        let mut tree = Tree::default();
+        loop {
+            let read = wire::Read {
+                partition: u32::from(self.partition.0),
+                epoch: self.epoch.0,
+                only_root: root.to_string(),
+                from_sequence: tree.next_sequence,
+                ..Default::default()
+            };
+            let answer = self.propose(WireCommand::Read(read)).await?;
+            for stored in answer.page {
+                tree.apply(Epoch(stored.epoch), Record::decode(&stored.record)?)?;
+            }
+            if !answer.more {
+                return Ok(tree);
+            }
+        }
+    }
+
     async fn propose(&self, command: WireCommand) -> Result<wire::Answer, JournalError> {
         propose(&*self.log, self.group, command).await
     }
--- a/coriandergw/src/programs/journal_state.rs
+++ b/coriandergw/src/programs/journal_state.rs
@@ -113,7 +113,11 @@
         }
         let mut answer = self.verdict(Verdict::Applied);
         let mut bytes = 0;
-        for stored in self.records_after(read) {
+        let records: Box<dyn Iterator<Item = wire::Stored>> = match read.only_root.is_empty() {
+            true => Box::new(self.records_after(read)),
+            false => Box::new(self.records_of(&read.only_root, read.from_sequence)),
+        };
+        for stored in records {
             if bytes > 0 && bytes + stored.record.len() > PAGE_BYTES {
                 answer.more = true;
                 break;
@@ -124,6 +128,15 @@
         answer
     }
 
+    fn records_of<'a>(
+        &'a self,
+        root: &'a str,
+        from: u64,
+    ) -> impl Iterator<Item = wire::Stored> + 'a {
+        let records = self.trees.get(root).map_or(&[][..], Vec::as_slice);
+        stored_records(root, records).skip(from as usize)
+    }
+
     fn records_after<'a>(
         &'a self,
         read: &'a wire::Read,
--- a/coriandergw/src/programs/limits.rs
+++ b/coriandergw/src/programs/limits.rs
@@ -80,15 +80,47 @@
     row.take_while(|turn| alike(turn)).count() == REPETITION_LIMIT
 }
 
-/// Returns why a program must end at `now`, if it must.
-pub fn end_due(program: &Program, limits: &Limits, now: WallTime) -> Option<EndReason> {
-    if program.ended.is_some() {
+/// What the limits of time look at.
+#[derive(Debug, Clone, Copy)]
+pub struct Age {
+    /// When the program was created.
+    pub created_at: WallTime,
+    /// When its last record was written.
+    pub active_at: WallTime,
+    /// When it ended.
+    pub ended_at: Option<WallTime>,
+    /// Whether a call has no result yet.
+    pub has_open_calls: bool,
+}
+
+impl Age {
+    /// Returns whether the program ended at least `span_ms` milliseconds ago.
+    pub fn ended_before(&self, now: WallTime, span_ms: u64) -> bool {
+        self.ended_at.is_some_and(|at| now.0.saturating_sub(at.0) >= span_ms)
+    }
+}
+
+impl Program {
+    /// Returns what the limits of time look at.
+    pub fn age(&self) -> Age {
+        Age {
+            created_at: self.created_at,
+            active_at: self.active_at,
+            ended_at: self.ended.map(|(at, _)| at),
+            has_open_calls: self.has_open_calls(),
+        }
+    }
+}
+
+/// Returns why a program of this age must end at `now`, if it must.
+pub fn end_due(age: &Age, limits: &Limits, now: WallTime) -> Option<EndReason> {
+    if age.ended_at.is_some() {
         return None;
     }
-    if now.0.saturating_sub(program.created_at.0) >= limits.wall_ms {
+    if now.0.saturating_sub(age.created_at.0) >= limits.wall_ms {
         return Some(EndReason::WallTime);
     }
-    let idle_ms = now.0.saturating_sub(program.active_at.0);
-    let is_idle = idle_ms >= limits.idle_ms && !program.has_open_calls();
+    let idle_ms = now.0.saturating_sub(age.active_at.0);
+    let is_idle = idle_ms >= limits.idle_ms && !age.has_open_calls;
     is_idle.then_some(EndReason::Idle)
 }
--- a/coriandergw/src/programs/mod.rs
+++ b/coriandergw/src/programs/mod.rs
@@ -15,6 +15,7 @@
 mod journal;
 mod journal_state;
 mod limits;
+mod parked;
 mod record;
 mod request;
 mod reserve;
--- /dev/null
+++ b/coriandergw/src/programs/parked.rs
@@ -0,0 +1,258 @@
+//! Keeps trees that nobody has asked for lately out of memory: only the journal holds them.
+//!
+//! A tree's state is built from its journal and nothing else, so a tree without work can be dropped
+//! at any time and read back when it is asked for.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::clock::WallTime;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::EntryName;
+use crate::ids::ProgramId;
+use crate::programs::append::PATIENCE;
+use crate::programs::append::REPEAT_DELAY;
+use crate::programs::home::Home;
+use crate::programs::home::LiveTree;
+use crate::programs::home::Place;
+use crate::programs::home::Programs;
+use crate::programs::home::no_home;
+use crate::programs::journal::JournalError;
+use crate::programs::limits::Age;
+use crate::programs::limits::end_due;
+use crate::programs::state::Tree;
+use crate::programs::sweep::RETENTION_MS;
+use crate::result_code::Refusal;
+
+/// The memory of a program beside its calls, in bytes.
+const PROGRAM_BYTES: usize = 5 * 1024;
+
+/// The memory of a call beside its text, in bytes.
+const CALL_BYTES: usize = 3 * 1024;
+
+/// The copies of a turn's text in memory: as it was stored, and as messages of a prompt.
+const TEXT_COPIES: usize = 2;
+
+/// The trees of a partition at its home.
+#[derive(Default)]
+pub(super) struct Trees {
+    /// The trees in memory.
+    pub live: HashMap<ProgramId, Arc<LiveTree>>,
+    /// The trees that only the journal holds.
+    pub parked: HashMap<ProgramId, Arc<ParkedTree>>,
+}
+
+/// What is remembered of a tree that only the journal holds.
+pub(super) struct ParkedTree {
+    /// The programs of the tree, with what their time limits need.
+    pub programs: Vec<ParkedProgram>,
+    /// Lets one request at a time read the tree back.
+    reading: tokio::sync::Mutex<()>,
+}
+
+/// What is remembered of a program that only the journal holds.
+pub(super) struct ParkedProgram {
+    /// The entry that it was created under.
+    pub entry: EntryName,
+    /// What its time limits look at.
+    pub age: Age,
+}
+
+impl ParkedTree {
+    fn of(tree: &Tree) -> Self {
+        let programs = tree.programs.values();
+        let programs = programs
+            .map(|program| ParkedProgram { entry: program.entry.clone(), age: program.age() });
+        Self { programs: programs.collect(), reading: tokio::sync::Mutex::default() }
+    }
+
+    /// Returns whether all programs ended at least `retention_ms` ago.
+    pub fn is_forgettable(&self, now: WallTime, retention_ms: u64) -> bool {
+        self.programs.iter().all(|program| program.age.ended_before(now, retention_ms))
+    }
+}
+
+impl Tree {
+    /// Estimates the memory that the tree takes, in bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        let programs = self.programs.values();
+        let bytes = programs.map(|program| {
+            PROGRAM_BYTES + CALL_BYTES * program.calls.len() + TEXT_COPIES * program.history_bytes
+        });
+        bytes.sum()
+    }
+
+    fn active_at(&self) -> WallTime {
+        self.programs.values().map(|program| program.active_at).max().unwrap_or_default()
+    }
+
+    fn has_open_calls(&self) -> bool {
+        self.programs.values().any(|program| program.has_open_calls())
+    }
+}
+
+/// A tree in memory that could be parked.
+struct Candidate {
+    active_at: WallTime,
+    bytes: usize,
+    home: Arc<Home>,
+    root: ProgramId,
+}
+
+impl Programs {
+    /// Returns a tree of a home; reads it back if only the journal holds it.
+    pub(super) async fn tree(
+        &self,
+        home: &Arc<Home>,
+        root: &ProgramId,
+    ) -> Result<Option<Arc<LiveTree>>, Refusal> {
+        let parked = {
+            let trees = home.trees.lock().expect("not poisoned");
+            if let Some(tree) = trees.live.get(root) {
+                return Ok(Some(tree.clone()));
+            }
+            trees.parked.get(root).cloned()
+        };
+        let Some(parked) = parked else {
+            return Ok(None);
+        };
+        let _reading = parked.reading.lock().await;
+        {
+            let trees = home.trees.lock().expect("not poisoned");
+            if !trees.parked.contains_key(root) {
+                // Another request has read it, or it was forgotten.
+                return Ok(trees.live.get(root).cloned());
+            }
+        }
+        let state = self.read_back(home, root).await?;
+        let tree = Arc::new(LiveTree::from_state(state));
+        let mut trees = home.trees.lock().expect("not poisoned");
+        trees.parked.remove(root);
+        trees.live.insert(root.clone(), tree.clone());
+        self.cx.metrics.trees_read_back.inc();
+        Ok(Some(tree))
+    }
+
+    /// Reads a tree from the journal; repeats what the journal did not answer.
+    async fn read_back(&self, home: &Arc<Home>, root: &ProgramId) -> Result<Tree, Refusal> {
+        let started = self.cx.clock.now();
+        loop {
+            let cause = match home.journal.read_tree(root).await {
+                Ok(tree) => return Ok(tree),
+                Err(cause) => cause,
+            };
+            let is_final =
+                matches!(cause, JournalError::Stale { .. } | JournalError::Invalid { .. });
+            if is_final {
+                self.drop_home_for(home, &cause.to_string());
+            }
+            if is_final || self.cx.clock.now().since(started) >= PATIENCE {
+                return Err(no_home(format!("the program cannot be read back: {cause}")));
+            }
+            tokio::time::sleep(REPEAT_DELAY).await;
+        }
+    }
+
+    /// Parks the trees that were not asked for the longest until the others fit the memory bound.
+    pub(super) fn park_cold(&self) {
+        let mut candidates = Vec::new();
+        let mut bytes = 0;
+        for home in self.known_homes() {
+            let trees = home.trees.lock().expect("not poisoned");
+            for (root, tree) in &trees.live {
+                let state = tree.state.lock().expect("not poisoned");
+                let found = state.memory_bytes();
+                bytes += found;
+                if is_quiet(tree, &state) {
+                    let (home, root) = (home.clone(), root.clone());
+                    let active_at = state.active_at();
+                    candidates.push(Candidate { active_at, bytes: found, home, root });
+                }
+            }
+        }
+        self.cx.metrics.states.with_label_values(&["program_memory_bytes"]).set(bytes as i64);
+        let bound = self.settings.memory_bytes;
+        if bytes <= bound {
+            return;
+        }
+        candidates.sort_by_key(|candidate| candidate.active_at);
+        let mut count = 0;
+        for candidate in &candidates {
+            if bytes <= bound {
+                break;
+            }
+            if park(candidate) {
+                bytes -= candidate.bytes;
+                count += 1;
+            }
+        }
+        let message = format!("{count} trees parked, {bytes} bytes of programs in memory");
+        self.cx.events.record(EventNumber::TreesParked, Subject::default(), message);
+    }
+
+    /// Enforces the limits of parked trees: reads back what must end and forgets what is old.
+    pub(super) async fn sweep_parked(self: &Arc<Self>, home: &Arc<Home>, now: WallTime) {
+        let parked: Vec<(ProgramId, Arc<ParkedTree>)> = {
+            let trees = home.trees.lock().expect("not poisoned");
+            trees.parked.iter().map(|(root, tree)| (root.clone(), tree.clone())).collect()
+        };
+        for (root, tree) in parked {
+            if tree.is_forgettable(now, RETENTION_MS) {
+                self.forget_parked(home, &root, &tree).await;
+            } else if self.is_due(&tree, now) {
+                // A failed reading is repeated by the next sweep.
+                if let Ok(Some(tree)) = self.tree(home, &root).await {
+                    let place = Place { home: home.clone(), tree, program: root };
+                    self.sweep_tree(&place, now).await;
+                }
+            }
+        }
+    }
+
+    fn is_due(&self, tree: &ParkedTree, now: WallTime) -> bool {
+        tree.programs.iter().any(|program| {
+            let entry = self.catalogue.entry(&program.entry);
+            entry.is_some_and(|entry| end_due(&program.age, &entry.limits, now).is_some())
+        })
+    }
+
+    async fn forget_parked(&self, home: &Arc<Home>, root: &ProgramId, tree: &ParkedTree) {
+        let _reading = tree.reading.lock().await;
+        if !home.trees.lock().expect("not poisoned").parked.contains_key(root) {
+            return;
+        }
+        // A failed attempt is repeated by the next sweep.
+        if home.journal.forget(root).await.is_ok() {
+            home.trees.lock().expect("not poisoned").parked.remove(root);
+            self.record_forgotten(root);
+        }
+    }
+}
+
+/// Returns whether nothing works on a tree.
+fn is_quiet(tree: &Arc<LiveTree>, state: &Tree) -> bool {
+    // Whoever works on a tree holds it; new holders need the lock of the home's trees.
+    Arc::strong_count(tree) == 1
+        && !state.programs.is_empty()
+        && !state.has_open_calls()
+        && tree.live.lock().expect("not poisoned").is_empty()
+}
+
+/// Parks a tree unless something works on it by now.
+fn park(candidate: &Candidate) -> bool {
+    let mut trees = candidate.home.trees.lock().expect("not poisoned");
+    let Some(tree) = trees.live.get(&candidate.root) else {
+        return false;
+    };
+    let parked = {
+        let state = tree.state.lock().expect("not poisoned");
+        if !is_quiet(tree, &state) {
+            return false;
+        }
+        ParkedTree::of(&state)
+    };
+    trees.live.remove(&candidate.root);
+    trees.parked.insert(candidate.root.clone(), Arc::new(parked));
+    true
+}
--- a/coriandergw/src/programs/sweep.rs
+++ b/coriandergw/src/programs/sweep.rs
@@ -33,8 +33,8 @@
 /// How long a home keeps its running calls while its lease is not confirmed.
 const LAPSE_GRACE: Duration = Duration::from_secs(3);
 
-/// How long an ended program can be read.
-const RETENTION: Duration = Duration::from_secs(10 * 60);
+/// How long an ended program can be read, in milliseconds.
+pub(super) const RETENTION_MS: u64 = 10 * 60 * 1_000;
 
 impl Programs {
     pub(super) async fn sweep_forever(programs: Weak<Self>) {
@@ -93,7 +93,7 @@
         missing.map(|(partition, epoch)| (*partition, *epoch)).collect()
     }
 
-    fn known_homes(&self) -> Vec<Arc<Home>> {
+    pub(super) fn known_homes(&self) -> Vec<Arc<Home>> {
         self.homes.lock().expect("not poisoned").values().cloned().collect()
     }
 
@@ -105,18 +105,21 @@
             totals.partitions += 1;
             let trees: Vec<(ProgramId, Arc<LiveTree>)> = {
                 let trees = home.trees.lock().expect("not poisoned");
-                trees.iter().map(|(root, tree)| (root.clone(), tree.clone())).collect()
+                trees.live.iter().map(|(root, tree)| (root.clone(), tree.clone())).collect()
             };
             for (program, tree) in trees {
                 let place = Place { home: home.clone(), tree, program };
                 totals.add(&place);
                 self.sweep_tree(&place, now).await;
             }
+            totals.add_parked(&home);
+            self.sweep_parked(&home, now).await;
         }
+        self.park_cold();
         self.show(&totals);
     }
 
-    async fn sweep_tree(self: &Arc<Self>, place: &Place, now: WallTime) {
+    pub(super) async fn sweep_tree(self: &Arc<Self>, place: &Place, now: WallTime) {
         for (program, reason) in self.due(place, now) {
             let place = Place { program, ..place.clone() };
             // A failed attempt is repeated by the next sweep.
@@ -131,7 +134,7 @@
         let state = place.tree.state.lock().expect("not poisoned");
         let due = state.programs.values().filter_map(|program| {
             let entry = self.catalogue.entry(&program.entry)?;
-            Some((program.id.clone(), end_due(program, &entry.limits, now)?))
+            Some((program.id.clone(), end_due(&program.age(), &entry.limits, now)?))
         });
         due.collect()
     }
@@ -140,6 +143,7 @@
         let states = &self.cx.metrics.states;
         states.with_label_values(&["program_partitions"]).set(totals.partitions);
         states.with_label_values(&["programs"]).set(totals.programs);
+        states.with_label_values(&["programs_parked"]).set(totals.parked);
         states.with_label_values(&["programs_ended"]).set(totals.ended);
         states.with_label_values(&["program_turns"]).set(totals.turns);
         states.with_label_values(&["program_history_bytes"]).set(totals.history_bytes);
@@ -165,11 +169,21 @@
     partitions: i64,
     programs: i64,
     ended: i64,
+    parked: i64,
     turns: i64,
     history_bytes: i64,
 }
 
 impl Totals {
+    fn add_parked(&mut self, home: &Home) {
+        let trees = home.trees.lock().expect("not poisoned");
+        for program in trees.parked.values().flat_map(|tree| &tree.programs) {
+            self.programs += 1;
+            self.parked += 1;
+            self.ended += i64::from(program.age.ended_at.is_some());
+        }
+    }
+
     fn add(&mut self, place: &Place) {
         let state = place.tree.state.lock().expect("not poisoned");
         for program in state.programs.values() {
@@ -182,11 +196,9 @@
 }
 
 fn is_forgettable(place: &Place, now: WallTime) -> bool {
-    let retention_ms = RETENTION.as_millis() as u64;
     let state = place.tree.state.lock().expect("not poisoned");
-    let is_old = |ended_at: WallTime| now.0.saturating_sub(ended_at.0) >= retention_ms;
     let has_live = !place.tree.live.lock().expect("not poisoned").is_empty();
     !has_live
         && !state.programs.is_empty()
-        && state.programs.values().all(|program| program.ended.is_some_and(|(at, _)| is_old(at)))
+        && state.programs.values().all(|program| program.age().ended_before(now, RETENTION_MS))
 }
--- a/coriandergw/src/programs/takeover.rs
+++ b/coriandergw/src/programs/takeover.rs
@@ -18,16 +18,16 @@
     /// Rebuilds the programs of a partition and resumes their calls.
     pub(super) async fn load(self: &Arc<Self>, home: &Arc<Home>) -> Result<(), JournalError> {
         home.journal.fence().await?;
-        let trees = home.journal.read().await?;
-        let count = trees.len();
+        let states = home.journal.read().await?;
+        let count = states.len();
         let mut places = Vec::new();
-        let mut live_trees = home.trees.lock().expect("not poisoned");
-        for (root, state) in trees {
+        let mut trees = home.trees.lock().expect("not poisoned");
+        for (root, state) in states {
             let tree = Arc::new(LiveTree::from_state(state));
             places.push(Place { home: home.clone(), tree: tree.clone(), program: root.clone() });
-            live_trees.insert(root, tree);
+            trees.live.insert(root, tree);
         }
-        drop(live_trees);
+        drop(trees);
         for place in places {
             self.resume(&place);
         }
--- a/coriandergw/src/programs/tests/audit.rs
+++ b/coriandergw/src/programs/tests/audit.rs
@@ -127,9 +127,27 @@
 
 #[test]
 fn random_programs_hold_their_promises_while_homes_are_lost() {
-    let world = World { unknown_percent: 10, ..World::default() };
+    run_random_programs(usize::MAX);
+}
+
+#[test]
+fn random_programs_hold_their_promises_while_homes_are_lost_and_trees_are_parked() {
+    run_random_programs(0);
+}
+
+/// Parks trees again and again, as far as memory is short.
+async fn park_forever(home: TestHome) {
+    loop {
+        home.programs.park_cold();
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn run_random_programs(memory_bytes: usize) {
+    let world = World { unknown_percent: 10, memory_bytes, ..World::default() };
     let mut rng = ChaCha8Rng::seed_from_u64(SEED);
     let (mut runtime, home) = world.process(1);
+    runtime.spawn(park_forever(home.clone()));
     let serving: Serving = Arc::new(Mutex::new((runtime.handle().clone(), home)));
     let callers = tokio::runtime::Runtime::new().unwrap();
     let mut programs = tokio::task::JoinSet::new();
@@ -150,6 +168,7 @@
             let _ = tokio::time::timeout(Duration::from_millis(300), ran_enough).await;
         });
         let (next, home) = world.process(epoch);
+        next.spawn(park_forever(home.clone()));
         *serving.lock().unwrap() = (next.handle().clone(), home);
         std::mem::replace(&mut runtime, next).shutdown_background();
         losses += 1;
@@ -164,6 +183,8 @@
         audit(&world, program, answers, &history);
     }
     let is_done = |(_, answer): &&(CallRequest, CallAnswer)| answer.is_ok();
+    let parked = home.programs.cx.metrics.trees_read_back.get() > 0;
+    assert_eq!(parked, memory_bytes == 0);
     let done = results.iter().flat_map(|(_, answers)| answers).filter(is_done).count();
     assert!(done > PROGRAMS, "most calls are done: {done}");
     runtime.shutdown_background();
--- a/coriandergw/src/programs/tests/limits.rs
+++ b/coriandergw/src/programs/tests/limits.rs
@@ -22,8 +22,12 @@
         (json!({"idle_ms": 60_000}), ResultCode::ProgramEnded),
         (json!({"wall_ms": 60_000}), ResultCode::WallTimeLimit),
     ];
-    for (limits, code) in cases {
-        let world = World::with_limits(limits);
+    // With no memory for them, programs are parked by each sweep.
+    let cases = cases.into_iter().flat_map(|(limits, code)| {
+        [0, usize::MAX].map(|memory_bytes| (limits.clone(), memory_bytes, code))
+    });
+    for (limits, memory_bytes, code) in cases {
+        let world = World { memory_bytes, ..World::with_limits(limits) };
         let home = world.home(1);
         let program = home.create(10_000, 5).await;
         home.call(&program, model("a")).await.unwrap();
@@ -40,17 +44,20 @@
 
 #[tokio::test]
 async fn an_ended_program_is_forgotten_after_its_retention() {
-    let world = World::default();
-    let home = world.home(1);
-    let program = home.create(10_000, 5).await;
-    home.programs.end(&program.program, &program.secret).await.unwrap();
-    home.programs.sweep_programs().await;
-    home.history(&program).await;
-    world.clock.ahead_ms.store(60 * 60 * 1_000, Ordering::Relaxed);
-    home.programs.sweep_programs().await;
-    for home in [home, world.home(2)] {
-        let read = home.programs.history(&program.program, &program.secret).await;
-        assert_eq!(read.unwrap_err().code, ResultCode::UnknownProgram);
+    for memory_bytes in [0, usize::MAX] {
+        let world = World { memory_bytes, ..World::default() };
+        let home = world.home(1);
+        let program = home.create(10_000, 5).await;
+        home.programs.end(&program.program, &program.secret).await.unwrap();
+        home.programs.sweep_programs().await;
+        home.history(&program).await;
+        home.programs.sweep_programs().await;
+        world.clock.ahead_ms.store(60 * 60 * 1_000, Ordering::Relaxed);
+        home.programs.sweep_programs().await;
+        for home in [home, world.home(2)] {
+            let read = home.programs.history(&program.program, &program.secret).await;
+            assert_eq!(read.unwrap_err().code, ResultCode::UnknownProgram);
+        }
     }
 }
 
--- /dev/null
+++ b/coriandergw/src/programs/tests/parked.rs
@@ -0,0 +1,134 @@
+//! Programs that only the journal holds go on as if they had stayed in memory.
+
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::dispatch::CallKind;
+use crate::programs::ChildRequest;
+use crate::programs::tests::world::Step;
+use crate::programs::tests::world::TestHome;
+use crate::programs::tests::world::World;
+use crate::programs::tests::world::call;
+use crate::programs::tests::world::model;
+use crate::result_code::ResultCode;
+
+/// A world whose homes keep nothing in memory that is not worked on.
+fn small_world() -> World {
+    World { memory_bytes: 0, ..World::default() }
+}
+
+fn state_of(home: &TestHome, state: &str) -> i64 {
+    home.programs.cx.metrics.states.with_label_values(&[state]).get()
+}
+
+fn read_back(home: &TestHome) -> u64 {
+    home.programs.cx.metrics.trees_read_back.get()
+}
+
+/// Parks what can be parked and shows the counts.
+async fn park(home: &TestHome) {
+    home.programs.sweep_programs().await;
+    home.programs.sweep_programs().await;
+}
+
+#[tokio::test]
+async fn a_parked_program_goes_on_with_its_whole_state() {
+    let world = small_world();
+    let home = world.home(1);
+    let program = home.create(10_000, 5).await;
+    let first = home.call(&program, model("a")).await.unwrap();
+    home.call(&program, call("b", CallKind::Service, false)).await.unwrap();
+    park(&home).await;
+    assert_eq!((state_of(&home, "programs"), state_of(&home, "programs_parked")), (1, 1));
+    assert_eq!(home.call(&program, model("a")).await.unwrap(), first);
+    assert_eq!(world.runs_of(&program.program, "a"), 1, "a resent call is not run again");
+    park(&home).await;
+    home.call(&program, model("c")).await.unwrap();
+    let prompts: Vec<usize> =
+        world.runs.lock().unwrap().iter().map(|run| run.prompt.len()).collect();
+    assert_eq!(prompts.last(), Some(&3), "the prompt has what was said before: {prompts:?}");
+    park(&home).await;
+    assert_eq!(home.history(&program).await, ["a", "b", "c"]);
+    assert_eq!(read_back(&home), 3);
+    let wrong = home.programs.history(&program.program, "another secret").await;
+    assert_eq!(wrong.unwrap_err().code, ResultCode::WrongSecret);
+}
+
+#[tokio::test]
+async fn a_parked_family_keeps_its_budget() {
+    let world = small_world();
+    let home = world.home(1);
+    let program = home.create(1_000, 4).await;
+    home.call(&program, model("a")).await.unwrap();
+    park(&home).await;
+    let req = json!({"budget": {"tokens": 500, "calls": 2}, "inherit_history": true});
+    let child: ChildRequest = serde_json::from_value(req).unwrap();
+    let create = |req| home.programs.create_child(&program.program, &program.secret, req);
+    let created = create(child.clone()).await.unwrap();
+    home.call(&created, model("x")).await.unwrap();
+    park(&home).await;
+    // One call is used by the parent and two are lent, so that two more are not there.
+    let refusal = create(child).await.unwrap_err();
+    assert_eq!(refusal.code, ResultCode::BudgetExhausted);
+    home.programs.end(&program.program, &program.secret).await.unwrap();
+    park(&home).await;
+    let refusal = home.call(&created, model("y")).await.unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::ProgramEnded, true));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_come_together_read_a_parked_program_once() {
+    let world = small_world();
+    let home = world.home(1);
+    let program = home.create(1_000_000, 100).await;
+    for round in 0..8 {
+        park(&home).await;
+        let before = read_back(&home);
+        let mut calls = JoinSet::new();
+        for index in 0..8 {
+            let (home, program) = (home.clone(), program.clone());
+            let req = call(&format!("c{round}-{index}"), CallKind::Tool, true);
+            calls.spawn(async move { home.call(&program, req).await });
+        }
+        for answer in calls.join_all().await {
+            answer.unwrap();
+        }
+        assert!(read_back(&home) > before);
+    }
+    assert_eq!(home.history(&program).await.len(), 64);
+}
+
+#[tokio::test]
+async fn a_program_that_is_worked_on_is_not_parked() {
+    for step in Step::ALL {
+        let world = small_world();
+        let home = world.home(1);
+        let program = home.create(10_000, 5).await;
+        home.gate.close_at(step);
+        let asked = tokio::spawn({
+            let (home, program) = (home.clone(), program.clone());
+            async move { home.call(&program, call("a", CallKind::Service, false)).await }
+        });
+        home.gate.reached.notified().await;
+        park(&home).await;
+        assert_eq!(state_of(&home, "programs_parked"), 0, "{step:?}");
+        home.gate.open();
+        asked.await.unwrap().unwrap();
+        assert_eq!(home.history(&program).await, ["a"]);
+    }
+}
+
+#[tokio::test]
+async fn a_former_home_does_not_read_a_parked_program_back() {
+    let world = small_world();
+    let former = world.home(1);
+    let program = former.create(10_000, 5).await;
+    former.call(&program, model("a")).await.unwrap();
+    park(&former).await;
+    let next = world.home(2);
+    next.call(&program, model("b")).await.unwrap();
+    let refusal = former.call(&program, model("c")).await.unwrap_err();
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::NoHome, false));
+    assert_eq!(world.runs_of(&program.program, "c"), 0);
+    assert_eq!(next.history(&program).await, ["a", "b"]);
+}
--- a/coriandergw/src/programs/tests/world.rs
+++ b/coriandergw/src/programs/tests/world.rs
@@ -54,6 +54,7 @@
 use crate::programs::generated::command::Command as WireCommand;
 use crate::programs::record::Record;
 use crate::programs::record::What;
+use crate::settings::ProgramSettings;
 use crate::test_support;
 
 /// How long a test waits for a condition before it fails.
@@ -131,6 +132,7 @@
     pub clock: Arc<TestClock>,
     pub can_look_up: bool,
     pub unknown_percent: u32,
+    pub memory_bytes: usize,
 }
 
 /// The system's clock with a wall time that tests move.
@@ -171,6 +173,7 @@
             clock: Arc::default(),
             can_look_up: false,
             unknown_percent: 0,
+            memory_bytes: usize::MAX,
         }
     }
 
@@ -190,6 +193,7 @@
         let log = FakeLog { inner: self.log.clone(), gate: gate.clone(), unknown_percent, rng };
         let programs = Programs::start(
             cx,
+            ProgramSettings { memory_bytes: self.memory_bytes },
             self.catalogue.clone(),
             partitions.clone(),
             Arc::new(log),
--- a/coriandergw/src/programs/turn.rs
+++ b/coriandergw/src/programs/turn.rs
@@ -58,7 +58,11 @@
 
     /// Returns the bytes of its text.
     pub fn text_bytes(&self) -> usize {
-        self.completion.output.len() + self.request.input.as_str().map_or(0, str::len)
+        let input = match self.request.input.as_str() {
+            Some(text) => text.len(),
+            None => self.request.input.to_string().len(),
+        };
+        input + self.completion.output.len()
     }
 }
 
--- a/coriandergw/src/settings/mod.rs
+++ b/coriandergw/src/settings/mod.rs
@@ -15,6 +15,7 @@
 mod instance;
 mod log;
 mod options;
+mod programs;
 mod reader;
 mod tls;
 
@@ -27,6 +28,7 @@
 pub use log::LogSettings;
 pub use options::OPTIONS;
 pub use options::OptionSpec;
+pub use programs::ProgramSettings;
 
 use reader::Reader;
 
@@ -40,6 +42,8 @@
     pub instance: InstanceSettings,
     /// The cluster that it belongs to.
     pub cluster: ClusterSettings,
+    /// What is kept of programs.
+    pub programs: ProgramSettings,
     /// The data folder; present on store instances only.
     pub data: Option<PathBuf>,
     /// The keys for TLS between instances; absent for `dev` only.
@@ -72,6 +76,7 @@
         let mut reader = Reader::new(text);
         let instance = InstanceSettings::read(&mut reader);
         let cluster = ClusterSettings::read(&mut reader);
+        let programs = ProgramSettings::read(&mut reader);
         let data = reader.optional("storage", "data").map(|data| folder.join(data));
         let keys = tls::read(&mut reader, folder);
         let caller_keys = tls::read_caller(&mut reader, folder);
@@ -84,7 +89,8 @@
         let faults = reader.into_faults();
         match (instance, cluster, keys) {
             (Some(instance), Some(cluster), Some(keys)) if faults.is_empty() => {
-                Ok(Self { instance, cluster, data, keys: Some(keys), caller_keys, access, log })
+                let keys = Some(keys);
+                Ok(Self { instance, cluster, programs, data, keys, caller_keys, access, log })
             }
             _ => Err(faults),
         }
@@ -97,6 +103,7 @@
         Self {
             instance: InstanceSettings::new(name.clone(), data_centre, listen),
             cluster: ClusterSettings::alone("dev", name),
+            programs: ProgramSettings::default(),
             data: None,
             keys: None,
             caller_keys: None,
--- a/coriandergw/src/settings/options.rs
+++ b/coriandergw/src/settings/options.rs
@@ -48,6 +48,7 @@
     "cluster", "voters", "", "", "names, separated by commas", "The store instances that vote at first; the same on every instance.";
     "cluster", "journal_groups", "1", "", "1 to 64", "The log groups that program journals are spread over; the same on every instance.";
     "cluster", "freshness_limit_ms", "5000", "milliseconds", "1000 to 3600000", "After how long without a confirmed configuration new programs are refused.";
+    "programs", "memory_mib", "128", "mebibytes", "1 to 1048576", "The memory for programs whose home is here; beyond it, those not asked for the longest are kept by the journal alone.";
     "storage", "data", "", "", FILE, "The data folder. Store instances only.";
     "tls", "authority", "", "", FILE, "The certificate of the cluster's authority, PEM.";
     "tls", "certificate", "", "", FILE, "The instance's certificate, PEM.";
--- a/coriandergw/src/test_support.rs
+++ b/coriandergw/src/test_support.rs
@@ -67,6 +67,7 @@
     let machine: Box<dyn StateMachine> = Box::new(JournalState::default());
     let programs = Programs::start(
         cx.clone(),
+        settings.programs,
         catalogue.clone(),
         partitions.clone(),
         Arc::new(LocalLog::new(cx.instance.clone(), [(GroupId(1), machine)])),
--- a/testkit/src/bench_programs.rs
+++ b/testkit/src/bench_programs.rs
@@ -1,8 +1,9 @@
-//! Measures what a turn costs in the journal and how long a takeover takes.
+//! Measures what a turn costs in the journal and how long a takeover and reading back take.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_trait::async_trait;
@@ -39,6 +40,7 @@
 use coriandergw::programs::JournalState;
 use coriandergw::programs::ProgramRequest;
 use coriandergw::programs::Programs;
+use coriandergw::settings::ProgramSettings;
 use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
@@ -49,6 +51,9 @@
 /// The bytes of text of each question and each answer.
 const TEXT_BYTES: usize = 500;
 
+/// The time between two looks at how many programs are parked.
+const PARKING_POLL: Duration = Duration::from_millis(10);
+
 /// What a turn cost in programs of one length.
 #[derive(Debug, Clone, Serialize)]
 pub struct TurnCost {
@@ -75,6 +80,19 @@
     pub takeover_ms: f64,
 }
 
+/// What it costs to read programs back that only the journal holds.
+#[derive(Debug, Clone, Serialize)]
+pub struct ReadBackCost {
+    /// The turns of each program.
+    pub turns: usize,
+    /// The programs that were read back.
+    pub programs: usize,
+    /// The mean time from a request to its answer, in microseconds.
+    pub read_back_us: f64,
+    /// The same for a program that is in memory, in microseconds.
+    pub in_memory_us: f64,
+}
+
 /// The whole result.
 #[derive(Debug, Clone, Serialize)]
 pub struct Report {
@@ -82,6 +100,8 @@
     pub turns: Vec<TurnCost>,
     /// The takeover.
     pub takeover: TakeoverCost,
+    /// The costs of reading back by turns.
+    pub read_back: Vec<ReadBackCost>,
 }
 
 /// Runs the measurement.
@@ -89,10 +109,41 @@
 /// `measured` programs of each length are measured, and `programs` are taken over.
 pub async fn run(lengths: &[usize], measured: usize, programs: usize) -> Report {
     let mut turns = Vec::new();
+    let mut read_back = Vec::new();
     for length in lengths {
         turns.push(measure_turns(*length, measured).await);
+        read_back.push(measure_read_back(*length, measured).await);
     }
-    Report { turns, takeover: measure_takeover(programs, 4).await }
+    Report { turns, takeover: measure_takeover(programs, 4).await, read_back }
+}
+
+async fn measure_read_back(turns: usize, measured: usize) -> ReadBackCost {
+    let log = Arc::new(CountingLog::default());
+    let metrics = Arc::new(Metrics::new().expect("metrics"));
+    let programs = home_with(&log, 1, ProgramSettings { memory_bytes: 0 }, metrics.clone());
+    let mut created = Vec::new();
+    for _ in 0..measured {
+        let program = create(&programs).await;
+        take_turns(&programs, &program, 0..turns).await;
+        created.push(program);
+    }
+    let parked = metrics.states.with_label_values(&["programs_parked"]);
+    while parked.get() < measured as i64 {
+        tokio::time::sleep(PARKING_POLL).await;
+    }
+    let read_back_us = read_all(&programs, &created).await;
+    let in_memory_us = read_all(&programs, &created).await;
+    ReadBackCost { turns, programs: measured, read_back_us, in_memory_us }
+}
+
+/// Reads all histories once and returns the mean time, in microseconds.
+async fn read_all(programs: &Arc<Programs>, created: &[CreatedProgram]) -> f64 {
+    let started = Instant::now();
+    for program in created {
+        let history = programs.history(&program.program, &program.secret).await;
+        history.expect("a history is read");
+    }
+    started.elapsed().as_secs_f64() * 1e6 / created.len() as f64
 }
 
 async fn measure_turns(turns_before: usize, measured: usize) -> TurnCost {
@@ -168,6 +219,16 @@
 }
 
 fn home(log: &Arc<CountingLog>, epoch: u64) -> Arc<Programs> {
+    let metrics = Arc::new(Metrics::new().expect("metrics"));
+    home_with(log, epoch, ProgramSettings::default(), metrics)
+}
+
+fn home_with(
+    log: &Arc<CountingLog>,
+    epoch: u64,
+    settings: ProgramSettings,
+    metrics: Arc<Metrics>,
+) -> Arc<Programs> {
     let clock = Arc::new(SystemClock::default());
     let instance = InstanceName::try_from(format!("i{epoch}")).expect("a valid name");
     let cx = Context {
@@ -175,13 +236,14 @@
         data_centre: "dc".try_into().expect("a valid name"),
         clock: clock.clone(),
         events: Arc::new(Recorder::new(instance, clock)),
-        metrics: Arc::new(Metrics::new().expect("metrics")),
+        metrics,
     };
     let limits = json!({"tokens": 100_000_000, "turns": 1_000, "calls": 1_000});
     let raw: RawEntry = parsed(json!({"name": "bench", "owner": "bench", "limits": limits}));
     let catalogue = MemoryCatalogue::with_entries([Entry::try_from(raw).expect("a valid entry")]);
     Programs::start(
         cx,
+        settings,
         Arc::new(catalogue),
         Arc::new(AllPartitions(Epoch(epoch))),
         log.clone(),
--- a/testkit/src/bin/cgw-bench-programs.rs
+++ b/testkit/src/bin/cgw-bench-programs.rs
@@ -1,4 +1,4 @@
-//! Prints what a turn costs in the journal and how long a takeover takes, as JSON.
+//! Prints what a turn costs in the journal and how long a takeover and reading back take, as JSON.
 
 use std::process::ExitCode;
 
