fix(callers): leave open in a redirect whether a call ran

Cause: where callers speak TLS, a request for a program at another home is redirected. The redirect's refusal said "not run" also for a call, though an earlier attempt of the same call may have run at another home. Change: the kind of request qualifies every refusal that the forwarder makes, in one place, the redirect and the refusal while out of date among them. Conclusion: no refusal by an instance that is not the home claims that a call has not run.

--- a/coriandergw/src/callers/forward.rs
+++ b/coriandergw/src/callers/forward.rs
@@ -62,23 +62,66 @@
     }
 }
 
+/// What a request asks for, as far as its refusals differ.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RequestKind {
+    /// Adds a call, which an earlier attempt may have sent to its endpoint already.
+    Call,
+    /// Anything else.
+    Other,
+}
+
+impl RequestKind {
+    fn of(uri: &Uri) -> Self {
+        match uri.path().ends_with("/calls") {
+            true => Self::Call,
+            false => Self::Other,
+        }
+    }
+
+    /// Makes a refusal by an instance that is not the home true for this kind of request.
+    fn qualify(self, refusal: Refusal) -> Refusal {
+        match self {
+            Self::Call => refusal.may_be_resent(),
+            Self::Other => refusal,
+        }
+    }
+}
+
+/// Says why a request is answered neither here nor by the home.
+#[derive(Debug)]
+enum Turned {
+    Refused(Refusal),
+    /// The caller has to ask at `location` by itself.
+    Redirected {
+        location: String,
+        refusal: Refusal,
+    },
+}
+
+impl From<Refusal> for Turned {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
 /// Serves a request here or forwards it to where its program is served.
 pub(super) async fn serve_or_forward(
     State((shared, forwarder)): State<(Arc<Shared>, Forwarder)>,
     req: Request,
     next: Next,
 ) -> Response {
+    let kind = RequestKind::of(req.uri());
     let program = program_of(req.uri());
     if program.is_none()
         && let Err(refusal) = shared.programs.check_admits()
     {
-        return refuse_program(&shared, &req, &refusal);
+        return refuse_program(&shared, &req, &kind.qualify(refusal));
     }
-    let adds_call = adds_call(req.uri());
     match serve_or_forward_admitted(&shared, &forwarder, program, req, next).await {
         Ok(res) => res,
-        Err(refusal) if adds_call => refusal.may_be_resent().into_response(),
-        Err(refusal) => refusal.into_response(),
+        Err(Turned::Refused(refusal)) => kind.qualify(refusal).into_response(),
+        Err(Turned::Redirected { location, refusal }) => redirect(&location, kind.qualify(refusal)),
     }
 }
 
@@ -88,21 +131,21 @@
     program: Option<ProgramId>,
     req: Request,
     next: Next,
-) -> Result<Response, Refusal> {
+) -> Result<Response, Turned> {
     let _entering = program.as_ref().map(|id| shared.programs.enter(id.partition()));
     let is_forwarded = req.headers().contains_key(FORWARDED);
     let home = match locate(&shared.programs, program.as_ref(), is_forwarded).await {
         Location::Here => return Ok(next.run(req).await),
-        Location::Nowhere => return Err(no_home("the program has no home at the moment")),
+        Location::Nowhere => return Err(no_home("the program has no home at the moment").into()),
         Location::Elsewhere(_) if is_forwarded => {
-            return Err(no_home("the program's home has moved"));
+            return Err(no_home("the program's home has moved").into());
         }
         Location::Elsewhere(home) => home,
     };
     if shared.settings.caller_keys.is_some() {
-        return Ok(redirect(&home, req.uri()));
+        return Err(turn_to(&home, req.uri()));
     }
-    forwarder.forward(&home, req).await
+    Ok(forwarder.forward(&home, req).await?)
 }
 
 /// Refuses a new program and names the instances that may take it.
@@ -116,10 +159,6 @@
     (refusal.status(), Json(body)).into_response()
 }
 
-fn adds_call(uri: &Uri) -> bool {
-    uri.path().ends_with("/calls")
-}
-
 /// Finds where a request is served; waits a little for a home that is moving.
 async fn locate(programs: &Programs, id: Option<&ProgramId>, is_forwarded: bool) -> Location {
     let find = || match id {
@@ -144,13 +183,17 @@
 }
 
 /// Sends the caller on by itself where callers speak TLS, whose names are its own to check.
-fn redirect(home: &Home, uri: &Uri) -> Response {
+fn turn_to(home: &Home, uri: &Uri) -> Turned {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     let location = format!("https://{}{path}", home.address);
     let refusal = no_home(format!("the program's home is {}", home.address));
+    Turned::Redirected { location, refusal }
+}
+
+fn redirect(location: &str, refusal: Refusal) -> Response {
     let mut res = refusal.into_response();
     *res.status_mut() = StatusCode::TEMPORARY_REDIRECT;
-    if let Ok(location) = HeaderValue::from_str(&location) {
+    if let Ok(location) = HeaderValue::from_str(location) {
         res.headers_mut().insert(header::LOCATION, location);
     }
     res
--- a/coriandergw/src/callers/tests.rs
+++ b/coriandergw/src/callers/tests.rs
@@ -27,6 +27,7 @@
 use crate::dispatch::direct::DirectDispatcher;
 use crate::endpoints::directory::Directory;
 use crate::events::Recorder;
+use crate::http_server::CallerKeyFiles;
 use crate::ids::Epoch;
 use crate::ids::GroupId;
 use crate::ids::InstanceName;
@@ -76,6 +77,20 @@
 impl Instance {
     /// Starts an instance that knows no home yet.
     async fn start(name: &str, require_account_key: bool) -> Self {
+        Self::start_with(name, |settings| settings.access.require_account_key = require_account_key)
+            .await
+    }
+
+    /// Starts an instance that redirects, as where callers speak TLS.
+    async fn start_redirecting(name: &str) -> Self {
+        let none = CallerKeyFiles { certificate: "unused".into(), key: "unused".into() };
+        Self::start_with(name, |settings| settings.caller_keys = Some(none)).await
+    }
+
+    async fn start_with<F>(name: &str, set: F) -> Self
+    where
+        F: FnOnce(&mut Settings),
+    {
         let clock = Arc::new(SystemClock::default());
         let instance = InstanceName::try_from(name).unwrap();
         let cx = Context {
@@ -109,7 +124,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let mut settings = Settings::dev(address);
-        settings.access.require_account_key = require_account_key;
+        set(&mut settings);
         let ttl = Duration::from_secs(1);
         let shared = Arc::new(Shared {
             addresses: Arc::new(OneAddress::new(address, cx.data_centre.clone(), ttl)),
@@ -198,9 +213,9 @@
 
 /// Checks that a refusal does not claim that the call has not run: it may be a resend.
 #[track_caller]
-fn assert_open(answer: &(u16, Value)) {
-    let (status, body) = answer;
-    assert_eq!((*status, &body["code"]), (503, &json!("CG-2003")));
+fn assert_open(answer: &(u16, Value), status: u16) {
+    let (got, body) = answer;
+    assert_eq!((*got, &body["code"]), (status, &json!("CG-2003")));
     assert_eq!(body["not_run"], false, "{body}");
     assert!(body["retry_after_ms"].is_u64(), "{body}");
 }
@@ -277,14 +292,14 @@
     let path = "/v1/programs/p-1/calls";
     let call = r#"{"call_id":"x","kind":"tool","target":"t"}"#;
     let program = r#"{"entry":"e"}"#;
-    assert_open(&connection.post(path, "", call).await);
+    assert_open(&connection.post(path, "", call).await, 503);
     assert_refused(&connection.post("/v1/programs", "", program).await, 503, "CG-2003");
 
     let gone = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = gone.local_addr().unwrap();
     entry.tell_home("a", address);
     drop(gone);
-    assert_open(&connection.post(path, "", call).await);
+    assert_open(&connection.post(path, "", call).await, 503);
     assert_refused(&connection.post("/v1/programs", "", program).await, 503, "CG-2003");
 
     let cut = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -296,7 +311,18 @@
             let _ = tokio::io::AsyncReadExt::read(&mut stream, &mut buf).await;
         }
     });
-    assert_open(&connection.post(path, "", call).await);
+    assert_open(&connection.post(path, "", call).await, 503);
+}
+
+#[tokio::test]
+async fn a_redirect_leaves_open_whether_a_call_ran() {
+    let entry = Instance::start_redirecting("b").await;
+    let mut connection = entry.connect().await;
+    entry.tell_home("a", "192.0.2.1:443".parse().unwrap());
+    let call = r#"{"call_id":"x","kind":"tool","target":"t"}"#;
+    assert_open(&connection.post("/v1/programs/p-1/calls", "", call).await, 307);
+    let program = r#"{"entry":"e"}"#;
+    assert_refused(&connection.post("/v1/programs", "", program).await, 307, "CG-2003");
 }
 
 #[tokio::test]
