fix(http_server): let no silent peer hold up a stop

Cause: a stopping server waited for connections on which nothing runs: up to the head timeout (10 s) for a half-sent head, up to the handshake timeout (10 s) for TLS, and up to the drain limit for a dead HTTP/2 peer, which never acknowledges the end of its connection. Change: a connection on which no request has begun is closed at once at the stop; HTTP/2 peers are pinged, so that a dead one is noticed within 10 s. Serving one connection has a module of its own. Conclusion: a graceful stop ends as soon as nothing runs, but for a dead HTTP/2 peer that was answered before, which takes up to 10 s.

--- a/coriandergw/src/http_server/mod.rs
+++ b/coriandergw/src/http_server/mod.rs
@@ -12,32 +12,20 @@
 use axum::Router;
 use derive_more::Display;
 use derive_more::Error;
-use hyper_util::rt::TokioExecutor;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
-use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
 use rustls::ServerConfig;
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::PrivateKeyDer;
 use rustls::pki_types::pem::PemObject;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio_rustls::TlsAcceptor;
 
-/// How long a sender may take for the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+use crate::http_server::connection::ConnectionServer;
+use crate::http_server::connection::PeerLimits;
 
-/// How long a TLS handshake may take.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// The largest head of a request, in bytes.
-const HEAD_MAX_BYTES: usize = 32 * 1024;
+mod connection;
 
 /// The connections served at once; more wait to be accepted.
 const CONNECTIONS_MAX: usize = 16_384;
@@ -89,6 +77,7 @@
     listener: TcpListener,
     address: SocketAddr,
     tls: Option<TlsAcceptor>,
+    limits: PeerLimits,
 }
 
 impl HttpServer {
@@ -99,7 +88,7 @@
     pub async fn bind(address: SocketAddr, tls: Option<TlsAcceptor>) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        Ok(Self { listener, address, tls })
+        Ok(Self { listener, address, tls, limits: PeerLimits::default() })
     }
 
     /// Returns the bound address.
@@ -110,6 +99,8 @@
     /// Serves until `stop` turns true, then finishes the requests that have begun.
     pub async fn serve(self, routes: Router, mut stop: watch::Receiver<bool>) {
         let graceful = GracefulShutdown::new();
+        let (tls, limits) = (self.tls, self.limits);
+        let connections = ConnectionServer { routes, tls, limits, stop: stop.clone() };
         let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
         loop {
             let accepted = tokio::select! {
@@ -124,10 +115,9 @@
                 break;
             };
             let watcher = graceful.watcher();
-            let routes = routes.clone();
-            let tls = self.tls.clone();
+            let connection = connections.clone();
             tokio::spawn(async move {
-                serve_stream(stream, peer, routes, tls, watcher).await;
+                connection.serve(stream, peer, watcher).await;
                 drop(place);
             });
         }
@@ -136,44 +126,5 @@
     }
 }
 
-async fn serve_stream(
-    stream: TcpStream,
-    peer: SocketAddr,
-    routes: Router,
-    tls: Option<TlsAcceptor>,
-    watcher: hyper_util::server::graceful::Watcher,
-) {
-    // Small answers must not wait for more data.
-    let _ = stream.set_nodelay(true);
-    let Some(tls) = tls else {
-        return serve_http(stream, peer, routes, watcher).await;
-    };
-    if let Ok(Ok(stream)) = tokio::time::timeout(HANDSHAKE_TIMEOUT, tls.accept(stream)).await {
-        serve_http(stream, peer, routes, watcher).await;
-    }
-}
-
-async fn serve_http<S>(
-    stream: S,
-    peer: SocketAddr,
-    routes: Router,
-    watcher: hyper_util::server::graceful::Watcher,
-) where
-    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
-{
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(HEAD_MAX_BYTES);
-    builder.http2().timer(TokioTimer::new()).max_header_list_size(HEAD_MAX_BYTES as u32);
-    let routes = routes.layer(axum::Extension(axum::extract::ConnectInfo(peer)));
-    let service = TowerToHyperService::new(routes);
-    let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
-    // A broken connection concerns its peer only.
-    let _ = watcher.watch(connection.into_owned()).await;
-}
-
 #[cfg(test)]
 mod tests;
--- a/testkit/src/cluster/mod.rs
+++ b/testkit/src/cluster/mod.rs
@@ -220,9 +220,9 @@
         process.ended().await
     }
 
-    /// Freezes a process without ending it.
-    pub fn freeze(&self, name: &str) {
-        self.process(name).signal(Signal::STOP);
+    /// Freezes a process without ending it and waits until it stands still.
+    pub async fn freeze(&self, name: &str) {
+        self.process(name).freeze().await;
     }
 
     /// Lets a frozen process go on.
--- a/testkit/src/cluster/process.rs
+++ b/testkit/src/cluster/process.rs
@@ -10,6 +10,9 @@
 
 use rustix::process::Pid;
 use rustix::process::Signal;
+use rustix::process::WaitId;
+use rustix::process::WaitIdOptions;
+use rustix::process::waitid;
 use tokio::io::AsyncBufReadExt;
 use tokio::io::BufReader;
 use tokio::process::Child;
@@ -88,6 +91,23 @@
         }
     }
 
+    /// Freezes the process and waits until all of its threads stand still.
+    ///
+    /// # Panics
+    /// Panics if they do not in time.
+    pub async fn freeze(&self) {
+        self.signal(Signal::STOP);
+        wait::until("the process stands still", || self.stands_still()).await;
+    }
+
+    fn stands_still(&self) -> bool {
+        let pid = self.child.id().and_then(|id| Pid::from_raw(id as i32));
+        // The status is left for whoever waits for the end of the process.
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::NOWAIT | WaitIdOptions::NOHANG;
+        let status = pid.and_then(|pid| waitid(WaitId::Pid(pid), options).ok().flatten());
+        status.is_some_and(|status| status.stopped())
+    }
+
     /// Kills the process at once and waits for its end.
     pub async fn kill(&mut self) {
         let _ = self.child.kill().await;
--- a/testkit/tests/cluster.rs
+++ b/testkit/tests/cluster.rs
@@ -30,7 +30,7 @@
 #[tokio::test]
 async fn a_frozen_instance_goes_on_and_a_stopped_one_ends_with_success() {
     let mut cluster = Cluster::start(one()).await;
-    cluster.freeze("e1");
+    cluster.freeze("e1").await;
     let url = format!("http://{}/healthz", cluster.address("e1"));
     tokio::select! {
         _ = http::get(&url) => panic!("a frozen process does not answer"),
--- a/testkit/tests/control.rs
+++ b/testkit/tests/control.rs
@@ -67,7 +67,7 @@
         status(&cluster, "e5").await["leader"].as_str().map(str::to_owned)
     })
     .await;
-    cluster.freeze(&leader);
+    cluster.freeze(&leader).await;
     let others: Vec<String> = cluster.names().into_iter().filter(|name| *name != leader).collect();
     let operator = Operator::default();
     let change = EntryChange {
