fix(programs): count a resent call once and never deny it

Cause: a call that a new home resumed and took out again (no endpoint known yet, for example) was charged to the budget of calls, and its resend was charged again. Change: a program remembers the calls that were taken out after they may have been sent; they hold nothing more of the budget of calls, and no refusal says that they have not run. A refusal at acceptance by a home that was replaced or whose lease has ended leaves it open too. Conclusion: the budget counts each call once, also over takeovers, and "not run" is said where it is known.

--- a/coriandergw/src/programs/accept.rs
+++ b/coriandergw/src/programs/accept.rs
@@ -124,12 +124,32 @@
         let place = place.clone();
         let task = tokio::spawn(async move {
             let call = req.call_id.clone();
-            let reservation = programs.accept(&place, req).await.map_err(Err)?;
+            let accepted = programs.accept(&place, req).await;
+            let accepted = accepted.map_err(|refusal| programs.qualify(&place, &call, refusal));
+            let reservation = accepted.map_err(Err)?;
             programs.work_on(&place, &call, Start { reservation, sink })
         });
         task.await.unwrap_or_else(|_| Err(Err(home_lost())))
     }
 
+    /// Makes the refusal of a call that was not accepted true for its earlier attempts too.
+    fn qualify(&self, place: &Place, call: &CallId, refusal: Refusal) -> Refusal {
+        // Only the home knows whether the call ran, and one that lost its lease is none.
+        if refusal.code == ResultCode::NoHome || !self.is_home_of(place) {
+            return refusal.may_be_resent();
+        }
+        let sent_before = place.read(|program| Ok(program.sent_before.contains(call)));
+        let not_run = refusal.not_run && matches!(sent_before, Ok(false));
+        Refusal { not_run, ..refusal }
+    }
+
+    /// Returns whether the lease of a place's home still holds.
+    pub(super) fn is_home_of(&self, place: &Place) -> bool {
+        let Place { home, .. } = place;
+        let held = self.partitions.held(home.partition, self.cx.clock.now());
+        held == Some(home.epoch) && !home.lost.is_cancelled()
+    }
+
     /// Accepts a call unless it is known by then. Returns what was reserved for it.
     async fn accept(
         self: &Arc<Self>,
@@ -231,7 +251,7 @@
     check_running(program)?;
     check_predecessors(program, req)?;
     check_turns(program, &entry.limits, req)?;
-    if program.ledger.remaining().calls == 0 {
+    if program.ledger.remaining().calls < program.calls_needed(&req.call_id) {
         let message = "the budget of calls is used up";
         return Err(Refusal::not_run(ResultCode::BudgetExhausted, message));
     }
--- a/coriandergw/src/programs/run.rs
+++ b/coriandergw/src/programs/run.rs
@@ -46,6 +46,8 @@
     pub request: Arc<CallRequest>,
     /// Whether a former home accepted the call and may have sent it.
     pub resumed: bool,
+    /// Whether the call was taken out again before, after it may have been sent.
+    pub sent_before: bool,
 }
 
 /// Journals what must be durable before a call is sent.
@@ -217,6 +219,7 @@
         call: id.clone(),
         request: call.request.clone(),
         resumed: call.epoch < place.home.epoch,
+        sent_before: program.sent_before.contains(id),
     };
     Ok((work, call.intent.clone()))
 }
@@ -258,9 +261,7 @@
 impl Observer<'_> {
     /// Refuses to send once the home or the program is gone.
     fn check_may_send(&self) -> Result<(), Refusal> {
-        let Place { home, .. } = &self.work.place;
-        let held = self.programs.partitions.held(home.partition, self.programs.cx.clock.now());
-        if held != Some(home.epoch) || home.lost.is_cancelled() {
+        if !self.programs.is_home_of(&self.work.place) {
             return Err(no_home("the program's home is moving"));
         }
         self.work.place.read(check_running)
--- a/coriandergw/src/programs/settle.rs
+++ b/coriandergw/src/programs/settle.rs
@@ -50,8 +50,7 @@
                 self.record_done(work, completion).await
             }
             DispatchOutcome::NotRun(refusal) if refusal.not_run => {
-                let refusal = Refusal { not_run: !self.may_have_run(work), ..refusal };
-                self.withdraw(work, refusal, self.may_have_run(work)).await
+                self.withdraw(work, refusal, false).await
             }
             DispatchOutcome::NotRun(refusal) | DispatchOutcome::Failed(refusal) => {
                 self.record_failed(work, refusal).await
@@ -60,8 +59,8 @@
         }
     }
 
-    /// Returns whether a former home may have sent the call.
-    fn may_have_run(&self, work: &Work) -> bool {
+    /// Returns whether a former home may have sent this attempt at the call.
+    fn may_be_sent(&self, work: &Work) -> bool {
         work.resumed && work.request.is_idempotent()
     }
 
@@ -147,8 +146,8 @@
         refusal: Refusal,
         sent: bool,
     ) -> CallAnswer {
-        let not_run = refusal.not_run && !self.may_have_run(work);
-        let sent = sent || self.may_have_run(work);
+        let sent = sent || self.may_be_sent(work);
+        let not_run = refusal.not_run && !sent && !work.sent_before;
         let what = What::Withdrawn { call: work.call.clone(), sent };
         self.record_result(work, what).await?;
         Err(Refusal { not_run, ..refusal })
--- a/coriandergw/src/programs/state.rs
+++ b/coriandergw/src/programs/state.rs
@@ -1,6 +1,7 @@
 //! The state of a tree of programs, built from the records of its journal and nothing else.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::clock::WallTime;
@@ -61,6 +62,9 @@
     pub history_bytes: usize,
     /// Its calls.
     pub calls: BTreeMap<CallId, Call>,
+    /// The calls that were taken out again after they may have been sent; the budget has counted
+    /// them.
+    pub sent_before: BTreeSet<CallId>,
     /// When and why it ended.
     pub ended: Option<(WallTime, EndReason)>,
 }
@@ -78,6 +82,8 @@
     pub reserved_epoch: Epoch,
     /// The tokens reserved for earlier attempts that may have been sent.
     pub reserved_earlier: u64,
+    /// What the call holds of the budget of calls: nothing if it was counted before.
+    pub reserved_calls: u64,
     /// The endpoint that a call which must not be repeated was sent to.
     pub intent: Option<EndpointName>,
     /// How it ended.
@@ -101,7 +107,7 @@
 
     fn held(&self) -> Amount {
         let tokens = self.reserved.unwrap_or(0).saturating_add(self.reserved_earlier);
-        Amount { tokens, calls: 1 }
+        Amount { tokens, calls: self.reserved_calls }
     }
 }
 
@@ -120,6 +126,7 @@
             history,
             history_bytes: 0,
             calls: BTreeMap::new(),
+            sent_before: BTreeSet::new(),
             ended: None,
         }
     }
@@ -129,6 +136,11 @@
         self.calls.values().any(|call| call.result.is_none())
     }
 
+    /// Returns what a new call takes of the budget of calls; one that is resent counts once.
+    pub fn calls_needed(&self, id: &CallId) -> u64 {
+        u64::from(!self.sent_before.contains(id))
+    }
+
     /// Returns the tokens that calls other than `id` hold while they run under `epoch`.
     pub fn held_by_others(&self, id: &CallId, epoch: Epoch) -> u64 {
         let runs = |call: &&Call| call.result.is_none() && call.reserved_epoch == epoch;
@@ -244,16 +256,18 @@
     request: Arc<CallRequest>,
     reserved: Option<u64>,
 ) -> Result<(), RecordError> {
-    if !program.ledger.reserve(Amount { tokens: reserved.unwrap_or(0), calls: 1 }) {
+    let id = request.call_id.clone();
+    let calls = program.calls_needed(&id);
+    if !program.ledger.reserve(Amount { tokens: reserved.unwrap_or(0), calls }) {
         return Err(RecordError::new("the budget does not cover an accepted call"));
     }
-    let id = request.call_id.clone();
     let call = Call {
         request,
         epoch,
         reserved,
         reserved_epoch: epoch,
         reserved_earlier: 0,
+        reserved_calls: calls,
         intent: None,
         result: None,
     };
@@ -293,7 +307,7 @@
     let tokens = call.reserved_earlier.saturating_add(completion.usage.total());
     call.result = Some(CallResult::Done(completion.clone()));
     let turn = Turn::new(call.request.clone(), completion);
-    program.ledger.settle(held, Amount { tokens, calls: 1 });
+    program.ledger.settle(held, Amount { tokens, calls: held.calls });
     program.history_bytes += turn.text_bytes();
     program.history.push(Arc::new(turn));
     Ok(())
@@ -310,13 +324,15 @@
 fn withdraw(program: &mut Program, id: &CallId, sent: bool) -> Result<(), RecordError> {
     let call = program.call(id)?;
     let held = call.held();
-    let used = match sent {
-        true => held,
-        false => {
-            let calls = u64::from(call.reserved_earlier > 0);
-            Amount { tokens: call.reserved_earlier, calls }
-        }
+    let earlier = Amount { tokens: call.reserved_earlier, ..held };
+    let used = match (sent, call.reserved_earlier > 0) {
+        (true, _) => held,
+        (false, true) => earlier,
+        (false, false) => Amount::default(),
     };
+    if sent || call.reserved_earlier > 0 {
+        program.sent_before.insert(id.clone());
+    }
     program.calls.remove(id);
     program.ledger.settle(held, used);
     Ok(())
--- a/coriandergw/src/programs/tests/budget.rs
+++ b/coriandergw/src/programs/tests/budget.rs
@@ -169,6 +169,7 @@
 #[test]
 fn each_way_to_end_a_call_charges_what_it_may_have_used() {
     let call = || CallId::try_from("a").unwrap();
+    let accepted = || What::Accepted { request: model("a").into(), reserved: Some(100) };
     let again = || What::Reserved { call: call(), tokens: 100 };
     let not_sent = || What::NotSent { call: call() };
     let withdrawn = |sent| What::Withdrawn { call: call(), sent };
@@ -191,6 +192,10 @@
         (vec![withdrawn(true)], 900, 9),
         (vec![again(), withdrawn(false)], 900, 9),
         (vec![again(), withdrawn(true)], 800, 9),
+        (vec![withdrawn(true), accepted(), done()], 890, 9),
+        (vec![withdrawn(true), accepted(), withdrawn(false)], 900, 9),
+        (vec![again(), withdrawn(false), accepted(), failed()], 800, 9),
+        (vec![withdrawn(false), accepted(), done()], 990, 9),
     ];
     for (steps, tokens, calls) in cases {
         let label = format!("{steps:?}");
