--- a/coriandergw/src/programs/tests/world.rs
+++ b/coriandergw/src/programs/tests/world.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -54,6 +55,8 @@
 use crate::programs::generated::command::Command as WireCommand;
 use crate::programs::record::Record;
 use crate::programs::record::What;
+use crate::result_code::Refusal;
+use crate::result_code::ResultCode;
 use crate::settings::ProgramSettings;
 use crate::test_support;
 
@@ -66,6 +69,8 @@
 /// A step at which a home can be stopped for good.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
+    BeforeCreated,
+    AfterCreated,
     BeforeAccepted,
     AfterAccepted,
     BeforeIntent,
@@ -77,6 +82,7 @@
 }
 
 impl Step {
+    /// The steps of a call.
     pub const ALL: [Step; 8] = [
         Step::BeforeAccepted,
         Step::AfterAccepted,
@@ -187,6 +193,7 @@
             runs: self.runs.clone(),
             can_look_up: self.can_look_up,
             ended: Mutex::default(),
+            is_known: true.into(),
         });
         let rng = Mutex::new(ChaCha8Rng::seed_from_u64(epoch));
         let unknown_percent = self.unknown_percent;
@@ -247,6 +254,12 @@
         self.programs.create(req).await.unwrap()
     }
 
+    /// Creates a program with the usual budget.
+    pub async fn try_create(&self) -> Result<CreatedProgram, Refusal> {
+        let req: ProgramRequest = serde_json::from_value(json!({"entry": "e"})).unwrap();
+        self.programs.create(req).await
+    }
+
     pub async fn call(
         &self,
         program: &CreatedProgram,
@@ -288,7 +301,7 @@
 /// Leases of every 512th partition, under one epoch.
 pub struct FakePartitions {
     epoch: AtomicU64,
-    pub fresh: std::sync::atomic::AtomicBool,
+    pub fresh: AtomicBool,
 }
 
 impl FakePartitions {
@@ -342,6 +355,7 @@
         return None;
     };
     match Record::decode(&append.record).ok()?.what {
+        What::Created(_) => Some((Step::BeforeCreated, Step::AfterCreated)),
         What::Accepted { .. } => Some((Step::BeforeAccepted, Step::AfterAccepted)),
         What::Intent { .. } => Some((Step::BeforeIntent, Step::AfterIntent)),
         What::Done { .. } => Some((Step::BeforeDone, Step::AfterDone)),
@@ -378,6 +392,8 @@
     runs: Arc<Mutex<Vec<Run>>>,
     can_look_up: bool,
     pub ended: Mutex<BTreeMap<ProgramId, usize>>,
+    /// Whether the endpoint has announced itself.
+    pub is_known: AtomicBool,
 }
 
 impl FakeDispatcher {
@@ -411,6 +427,10 @@
         observer: &dyn DispatchObserver,
         sink: Option<TokenSink>,
     ) -> DispatchOutcome {
+        if !self.is_known.load(Ordering::SeqCst) {
+            let refusal = Refusal::not_run(ResultCode::NoEndpoint, "no endpoint");
+            return DispatchOutcome::NotRun(refusal);
+        }
         let endpoint = EndpointName::try_from("fake").unwrap();
         if let Err(refusal) = observer.before_send(&endpoint).await {
             return DispatchOutcome::NotRun(refusal);
