feat(membership): run probes between instances and leave silent ones out of address answers

Cause: the core of probes and suspicion had tests and no driver, so a silent instance stayed in the address answers until its lease had ended (3.3 s) and was chosen as a relay until two renewals had failed.

Change: a driver sends the core's messages over the transport; a probe and its answer share one exchange. Each instance probes at most four successors in its data centre, and relays probe the relays elsewhere. An instance that knows no other joins through the peers of its settings. Two instances must find a member silent before it is avoided or declared dead; one that hears of an accusation checks it and tells three others at once. Address answers and the choice of a relay leave avoided instances out, but never all of a data centre's or all others. The memory transport can slow links.

Before: 3.3 s by the length of the lease, not measured here.

--- a/coriandergw/src/addresses/choice.rs
+++ b/coriandergw/src/addresses/choice.rs
@@ -11,6 +11,7 @@
 use crate::control::Instance;
 use crate::control::InstanceState;
 use crate::ids::DataCentre;
+use crate::membership::Liveness;
 
 /// The addresses in one answer.
 pub const ADDRESSES_MAX: usize = 5;
@@ -25,11 +26,14 @@
 /// Those in `near` come first. Within a data centre the order depends on `seed`, so that callers are
 /// spread over all instances, also those whose first address is lost. One address of another data
 /// centre is always among them, where there is one, for when the nearest data centre is lost.
+/// Instances that `liveness` avoids are left out, unless that left none of `near` or none elsewhere:
+/// an instance that is cut off must not send its callers nowhere.
 pub fn choose_addresses<'a, I>(
     instances: I,
     near: &DataCentre,
     seed: u64,
     ttl: Duration,
+    liveness: &dyn Liveness,
 ) -> AddressAnswer
 where
     I: IntoIterator<Item = &'a Instance>,
@@ -38,6 +42,7 @@
     let (mut nearby, mut others): (Vec<_>, Vec<_>) =
         alive.partition(|instance| instance.data_centre == *near);
     for group in [&mut nearby, &mut others] {
+        leave_out_avoided(group, liveness);
         group.sort_by_cached_key(|instance| rank(instance, seed));
     }
     let spare = usize::from(!others.is_empty());
@@ -50,6 +55,14 @@
     AddressAnswer { addresses: addresses.collect(), ttl_ms: ttl.as_millis() as u64 }
 }
 
+/// Removes the avoided instances of a group, unless these are all.
+fn leave_out_avoided(group: &mut Vec<&Instance>, liveness: &dyn Liveness) {
+    let is_used = |instance: &&Instance| !liveness.is_avoided(&instance.name);
+    if group.iter().any(is_used) {
+        group.retain(is_used);
+    }
+}
+
 /// Returns the place of an instance in the order of one caller.
 fn rank(instance: &Instance, seed: u64) -> [u8; 32] {
     let hash = Sha256::new().chain_update(seed.to_be_bytes());
--- a/coriandergw/src/addresses/cluster.rs
+++ b/coriandergw/src/addresses/cluster.rs
@@ -13,10 +13,13 @@
 use crate::control::InstanceState;
 use crate::ids::InstanceName;
 use crate::leases::ClusterStatus;
+use crate::membership::Liveness;
 
-/// The addresses of the registered instances that are alive, as this instance knows them.
+/// The addresses of the registered instances that are alive and answer probes, as this instance
+/// knows them.
 pub struct ClusterAddresses {
     cluster: Arc<dyn ClusterStatus>,
+    liveness: Arc<dyn Liveness>,
     name: InstanceName,
     own: Address,
     ttl: Duration,
@@ -26,11 +29,12 @@
     /// Creates the book of the instance `name`, which callers reach at `own`.
     pub fn new(
         cluster: Arc<dyn ClusterStatus>,
+        liveness: Arc<dyn Liveness>,
         name: InstanceName,
         own: Address,
         ttl: Duration,
     ) -> Self {
-        Self { cluster, name, own, ttl }
+        Self { cluster, liveness, name, own, ttl }
     }
 }
 
@@ -39,7 +43,9 @@
         let instances = self.cluster.instances();
         let instances = instances.iter().map(Arc::as_ref);
         let near = &self.own.data_centre;
-        let mut answer = choose_addresses(instances, near, caller_seed(caller), self.ttl);
+        let seed = caller_seed(caller);
+        let liveness = self.liveness.as_ref();
+        let mut answer = choose_addresses(instances, near, seed, self.ttl, liveness);
         if answer.addresses.is_empty() {
             // Before the first configuration arrives, no other instance is known.
             answer.addresses.push(self.own.clone());
--- a/coriandergw/src/addresses/tests.rs
+++ b/coriandergw/src/addresses/tests.rs
@@ -5,6 +5,7 @@
 use crate::control::InstanceState;
 use crate::ids::Epoch;
 use crate::ids::InstanceName;
+use crate::membership::Liveness;
 
 const TTL: Duration = Duration::from_secs(10);
 
@@ -29,8 +30,48 @@
     (1..=count).map(instance).collect()
 }
 
+/// The instances that are avoided, by name.
+struct Avoided(&'static [&'static str]);
+
+impl Liveness for Avoided {
+    fn is_avoided(&self, name: &InstanceName) -> bool {
+        self.0.contains(&name.as_str())
+    }
+}
+
 fn choose(instances: &[Instance], seed: u64) -> Vec<Address> {
-    choose_addresses(instances, &data_centre(1), seed, TTL).addresses
+    choose_without(instances, seed, &[])
+}
+
+fn choose_without(
+    instances: &[Instance],
+    seed: u64,
+    avoided: &'static [&'static str],
+) -> Vec<Address> {
+    let avoided = Avoided(avoided);
+    choose_addresses(instances, &data_centre(1), seed, TTL, &avoided).addresses
+}
+
+#[test]
+fn an_avoided_instance_is_left_out() {
+    let all = instances(9);
+    for seed in 0..50 {
+        let chosen = choose_without(&all, seed, &["i001", "i002"]);
+        let is_named = |at: usize| chosen.iter().any(|one| one.address == all[at].caller_address);
+        assert!(!is_named(0) && !is_named(1), "{chosen:?}");
+        assert_eq!(chosen.len(), ADDRESSES_MAX);
+    }
+}
+
+#[test]
+fn callers_are_not_left_without_an_address_where_all_others_seem_silent() {
+    let chosen = choose_without(&instances(4), 3, &["i002", "i003", "i004"]);
+    let mut centres: Vec<_> = chosen.iter().map(|one| one.data_centre.as_str()).collect();
+    assert_eq!(centres[0], "dc1");
+    centres.sort_unstable();
+    assert_eq!(centres, ["dc0", "dc1", "dc2"], "i001 and both instances elsewhere");
+    let chosen = choose_without(&instances(2), 3, &["i001", "i002"]);
+    assert_eq!(chosen.len(), 2);
 }
 
 #[test]
@@ -71,7 +112,7 @@
 
 #[test]
 fn an_answer_has_the_form_that_callers_read() {
-    let answer = choose_addresses(&instances(1), &data_centre(1), 0, TTL);
+    let answer = choose_addresses(&instances(1), &data_centre(1), 0, TTL, &Avoided(&[]));
     let json = serde_json::to_value(&answer).unwrap();
     let expected = serde_json::json!({
         "addresses": [{"address": "10.0.0.1:80", "data_centre": "dc1"}],
--- a/coriandergw/src/callers/tests.rs
+++ b/coriandergw/src/callers/tests.rs
@@ -124,6 +124,7 @@
             partitions: partitions.clone(),
             voters: None,
             transport: None,
+            membership: None,
             stage: Arc::default(),
         });
         let service =
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -80,6 +80,12 @@
     RevisionFileFailed = 240, Error;
     /// A dead instance without partitions was removed.
     InstanceForgotten = 241, Info;
+    /// Another instance is silent or leaving; it is left out of address answers.
+    MemberAvoided = 220, Warning;
+    /// An instance that was left out is used again or forgotten.
+    MemberUsedAgain = 221, Info;
+    /// A message about members could not be read.
+    MembershipMessageRefused = 222, Warning;
     /// The instance became the leader of a log group.
     LogLeaderElected = 200, Info;
     /// The instance stopped leading a log group.
--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -36,6 +36,7 @@
 use crate::log_groups::node::LogOptions;
 use crate::log_groups::node::SNAPSHOT_EVERY_ENTRIES;
 use crate::log_groups::voters::Voters;
+use crate::membership::Membership;
 use crate::programs::JournalState;
 use crate::programs::Programs;
 use crate::settings::Settings;
@@ -69,6 +70,10 @@
         .map_err(|cause| RunError::Control { cause })?;
     tokio::spawn(learn_addresses(Arc::downgrade(&control), transport.clone()));
     let peers = Arc::new(RegisteredPeers { control: control.clone(), name: cx.instance.clone() });
+    let seeds = settings.cluster.peers.keys().cloned().collect();
+    let timing = settings.membership;
+    let membership = Membership::start(cx.clone(), transport.clone(), seeds, peers.clone(), timing);
+    control.set_liveness(membership.clone());
     let directory = Arc::new(Directory::default());
     let _gossip = Gossip::start(cx.clone(), directory.clone(), transport.clone(), peers.clone());
     let dispatcher = ScheduledDispatcher::start(
@@ -87,7 +92,7 @@
     );
     control.set_handover_gate(programs.clone());
     let shared = Arc::new(Shared {
-        addresses: addresses(&settings, control.clone(), caller_address),
+        addresses: addresses(&settings, control.clone(), membership.clone(), caller_address),
         cx,
         settings,
         caller_address,
@@ -99,9 +104,14 @@
         partitions: control.clone(),
         voters: node.clone().map(|node| node as Arc<dyn Voters>),
         transport: Some(transport.clone()),
+        membership: Some(membership.clone()),
         stage: Arc::default(),
     });
-    serve(server, shared, || control.leave()).await;
+    let leave = || {
+        membership.leave();
+        control.leave();
+    };
+    serve(server, shared, leave).await;
     control.stop();
     if let Some(node) = node {
         node.stop().await;
@@ -201,11 +211,13 @@
 fn addresses(
     settings: &Settings,
     control: Arc<ControlClient>,
+    membership: Arc<Membership>,
     caller_address: SocketAddr,
 ) -> Arc<ClusterAddresses> {
     let instance = &settings.instance;
     let own = Address { address: caller_address, data_centre: instance.data_centre.clone() };
-    Arc::new(ClusterAddresses::new(control, instance.name.clone(), own, instance.addresses_ttl))
+    let (name, ttl) = (instance.name.clone(), instance.addresses_ttl);
+    Arc::new(ClusterAddresses::new(control, membership, name, own, ttl))
 }
 
 /// Tells the transport where the registered instances are.
--- a/coriandergw/src/instance/dev.rs
+++ b/coriandergw/src/instance/dev.rs
@@ -74,6 +74,7 @@
         partitions,
         voters: None,
         transport: None,
+        membership: None,
         stage: Arc::default(),
     });
     serve(server, shared, || {}).await;
--- a/coriandergw/src/instance/mod.rs
+++ b/coriandergw/src/instance/mod.rs
@@ -18,6 +18,7 @@
 use crate::leases::ClusterStatus;
 use crate::leases::Partitions;
 use crate::log_groups::voters::Voters;
+use crate::membership::Membership;
 use crate::metrics::Metrics;
 use crate::operators;
 use crate::programs::Programs;
@@ -64,6 +65,8 @@
     pub voters: Option<Arc<dyn Voters>>,
     /// The transport between instances; none where there are no others.
     pub transport: Option<Arc<QuicTransport>>,
+    /// Which other instances answer; none where there are no others.
+    pub membership: Option<Arc<Membership>>,
     /// How far the instance is from its start to its stop.
     pub stage: Arc<Stage>,
 }
--- a/coriandergw/src/leases/client.rs
+++ b/coriandergw/src/leases/client.rs
@@ -73,6 +73,7 @@
 use crate::leases::status::report;
 use crate::log_groups::ProposeError;
 use crate::log_groups::ReplicatedLog;
+use crate::membership::Liveness;
 use crate::result_code::ResultCode;
 use crate::transport;
 use crate::transport::Handler;
@@ -118,6 +119,7 @@
     silent: Mutex<Option<InstanceName>>,
     local: OnceLock<Arc<ControlHandler>>,
     gate: OnceLock<Arc<dyn HandoverGate>>,
+    liveness: OnceLock<Arc<dyn Liveness>>,
     wake: Notify,
     applied: Notify,
     tasks: Mutex<Vec<JoinHandle<()>>>,
@@ -148,6 +150,7 @@
             silent: Mutex::default(),
             local: OnceLock::new(),
             gate: OnceLock::new(),
+            liveness: OnceLock::new(),
             wake: Notify::new(),
             applied: Notify::new(),
             tasks: Mutex::default(),
@@ -344,7 +347,7 @@
     fn usable_relay(&self) -> Option<InstanceName> {
         let holder = self.holder.lock().expect("not poisoned");
         holder.own()?;
-        let relay = relay_of(holder.published(), &self.cx)?;
+        let relay = self.relay_of(holder.published())?;
         drop(holder);
         if relay == self.cx.instance {
             return None;
@@ -413,7 +416,7 @@
         for instance in holder.published().instances().values() {
             self.transport.learn(&instance.name, instance.peer_address);
         }
-        if relay_of(holder.published(), &self.cx).as_ref() != Some(&self.cx.instance) {
+        if self.relay_of(holder.published()).as_ref() != Some(&self.cx.instance) {
             return;
         }
         let is_member = |instance: &&Arc<Instance>| {
@@ -495,6 +498,24 @@
         let _ = self.gate.set(gate);
     }
 
+    /// Sets what tells which instances are no good as a relay. Set once, after the start.
+    pub fn set_liveness(&self, liveness: Arc<dyn Liveness>) {
+        let _ = self.liveness.set(liveness);
+    }
+
+    /// Returns the relay of this data centre: the instance with the lowest name that is not avoided.
+    ///
+    /// Instances that differ in it do no harm: one that is taken for the relay acts as one.
+    fn relay_of(&self, published: &Published) -> Option<InstanceName> {
+        let liveness = self.liveness.get();
+        let is_avoided = |name: &InstanceName| liveness.is_some_and(|hint| hint.is_avoided(name));
+        let found = published
+            .instances()
+            .values()
+            .find(|instance| in_reach(instance, &self.cx) && !is_avoided(&instance.name));
+        found.map(|instance| instance.name.clone())
+    }
+
     /// Takes no more work for partitions that are to move and returns those that are too busy to.
     ///
     /// A former leader gets nothing.
@@ -557,12 +578,6 @@
     instance.state == InstanceState::Alive && instance.data_centre == cx.data_centre
 }
 
-/// Returns the relay of this data centre: the instance with the lowest name.
-fn relay_of(published: &Published, cx: &Context) -> Option<InstanceName> {
-    let found = published.instances().values().find(|instance| in_reach(instance, cx));
-    found.map(|instance| instance.name.clone())
-}
-
 impl Partitions for ControlClient {
     fn home(&self, partition: PartitionId) -> Option<Home> {
         self.holder.lock().expect("not poisoned").home(partition)
--- /dev/null
+++ b/coriandergw/src/membership/driver.rs
@@ -0,0 +1,244 @@
+//! Runs the probes of one instance over the transport.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::Weak;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use async_trait::async_trait;
+use bytes::Bytes;
+use rand::seq::IndexedRandom;
+
+use crate::clock::Timestamp;
+use crate::context::Context;
+use crate::endpoints::gossip::Peers;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::InstanceName;
+use crate::membership::Liveness;
+use crate::membership::MemberStatus;
+use crate::membership::Members;
+use crate::membership::Message;
+use crate::membership::MessageKind;
+use crate::membership::Outgoing;
+use crate::membership::Timing;
+use crate::membership::wire;
+use crate::transport::Handler;
+use crate::transport::Kind;
+use crate::transport::Transport;
+use crate::transport::TransportError;
+
+/// The time between two ticks of the core.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The ticks between two looks at the registered instances.
+const TICKS_PER_SYNC: u64 = 20;
+
+/// The ticks between two requests to join, while no other instance has been heard of.
+const TICKS_PER_JOIN: u64 = 10;
+
+/// The seeds that are asked at once to join.
+const SEEDS_ASKED: usize = 3;
+
+/// How long a dead member that is not registered either is remembered.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// The state that counts the avoided instances in the metrics.
+const AVOIDED_STATE: &str = "members_avoided";
+
+/// Probes other instances and answers their probes.
+pub struct Membership {
+    cx: Context,
+    transport: Arc<dyn Transport>,
+    seeds: Vec<InstanceName>,
+    registered: Arc<dyn Peers>,
+    timing: Timing,
+    members: Mutex<Members>,
+    avoided: ArcSwap<BTreeSet<InstanceName>>,
+}
+
+impl Membership {
+    /// Registers the handler, starts to probe and returns.
+    ///
+    /// The instance joins through `seeds`; the addresses of these and of the `registered` instances
+    /// are the transport's to know.
+    pub fn start(
+        cx: Context,
+        transport: Arc<dyn Transport>,
+        seeds: Vec<InstanceName>,
+        registered: Arc<dyn Peers>,
+        timing: Timing,
+    ) -> Arc<Self> {
+        let incarnation = cx.clock.wall().0;
+        let name = cx.instance.clone();
+        let now = cx.clock.now();
+        let members = Members::new(name, cx.data_centre.clone(), incarnation, timing, now);
+        let membership = Arc::new(Self {
+            cx,
+            transport: transport.clone(),
+            seeds,
+            registered,
+            timing,
+            members: Mutex::new(members),
+            avoided: ArcSwap::default(),
+        });
+        transport.register(Kind::Membership, Arc::new(ProbeHandler(membership.clone())));
+        tokio::spawn(run(Arc::downgrade(&membership)));
+        membership
+    }
+
+    /// Tells the others that this instance is leaving.
+    pub fn leave(&self) {
+        self.members.lock().expect("not poisoned").leave();
+    }
+
+    /// Returns what this instance knows of the others.
+    pub fn status(&self) -> Vec<MemberStatus> {
+        let now = self.cx.clock.now();
+        let members = self.members.lock().expect("not poisoned");
+        let avoided = self.avoided.load();
+        let status = |(name, member)| MemberStatus::new(name, member, avoided.contains(name), now);
+        members.members().iter().map(status).collect()
+    }
+
+    fn tick(self: &Arc<Self>, count: u64) {
+        let now = self.cx.clock.now();
+        if count.is_multiple_of(TICKS_PER_SYNC) {
+            self.take_registered(now);
+        }
+        let mut members = self.members.lock().expect("not poisoned");
+        let outgoing = members.tick(now, &mut rand::rng());
+        let avoided = members.avoided(now);
+        let must_join = count.is_multiple_of(TICKS_PER_JOIN) && !members.has_joined();
+        let join = must_join.then(|| members.join());
+        drop(members);
+        self.note_avoided(avoided);
+        self.send_all(outgoing);
+        if let Some(join) = join {
+            self.ask_seeds(&join);
+        }
+    }
+
+    fn take_registered(&self, now: Timestamp) {
+        let registered = self.registered.live();
+        let names: BTreeSet<_> = registered.iter().map(|peer| peer.name.clone()).collect();
+        let mut members = self.members.lock().expect("not poisoned");
+        for peer in registered {
+            members.add(peer.name, peer.data_centre, now);
+        }
+        members.forget_dead(FORGET_AFTER, now, |name| names.contains(name));
+    }
+
+    fn note_avoided(&self, avoided: BTreeSet<InstanceName>) {
+        let before = self.avoided.load_full();
+        if *before == avoided {
+            return;
+        }
+        let record = |number, name: &InstanceName, message: &str| {
+            let subject = Subject { peer: Some(name.to_string()), ..Subject::default() };
+            self.cx.events.record(number, subject, message);
+        };
+        for name in avoided.difference(&before) {
+            record(EventNumber::MemberAvoided, name, "the instance is silent or leaving");
+        }
+        for name in before.difference(&avoided) {
+            record(EventNumber::MemberUsedAgain, name, "the instance answers or is forgotten");
+        }
+        let gauge = self.cx.metrics.states.with_label_values(&[AVOIDED_STATE]);
+        gauge.set(avoided.len() as i64);
+        self.avoided.store(Arc::new(avoided));
+    }
+
+    fn ask_seeds(self: &Arc<Self>, join: &Message) {
+        let others: Vec<_> = self.seeds.iter().filter(|seed| **seed != self.cx.instance).collect();
+        for seed in others.choose_multiple(&mut rand::rng(), SEEDS_ASKED) {
+            let to = InstanceName::clone(seed);
+            self.send_all(vec![Outgoing { to, message: join.clone() }]);
+        }
+    }
+
+    fn send_all(self: &Arc<Self>, outgoing: Vec<Outgoing>) {
+        for Outgoing { to, message } in outgoing {
+            if is_answered(&message.kind) {
+                tokio::spawn(self.clone().exchange(to, message));
+            } else {
+                self.transport.send(&to, Kind::Membership, wire::encode(message));
+            }
+        }
+    }
+
+    /// Sends a message and takes the answer that comes with it.
+    async fn exchange(self: Arc<Self>, to: InstanceName, message: Message) {
+        let kind = message.kind.clone();
+        let payload = wire::encode(message);
+        let timeout = self.timing.probe_timeout;
+        match self.transport.call(&to, Kind::Membership, payload, timeout).await {
+            Ok(answer) => match wire::decode(answer) {
+                Ok(answer) => self.send_all(self.receive(&to, answer)),
+                Err(cause) => self.refuse(&to, cause),
+            },
+            Err(TransportError::UnknownPeer { .. }) => self.void(&kind),
+            // The core notices by itself what stays without an answer.
+            Err(_) => {}
+        }
+    }
+
+    /// Ends a probe that has said nothing about its target.
+    fn void(&self, kind: &MessageKind) {
+        if let MessageKind::Ping { sequence } = kind {
+            self.members.lock().expect("not poisoned").void_probe(*sequence);
+        }
+    }
+
+    fn receive(&self, from: &InstanceName, message: Message) -> Vec<Outgoing> {
+        let now = self.cx.clock.now();
+        self.members.lock().expect("not poisoned").receive(from, message, now)
+    }
+
+    fn refuse(&self, from: &InstanceName, cause: String) {
+        let subject = Subject { peer: Some(from.to_string()), ..Subject::default() };
+        self.cx.events.record(EventNumber::MembershipMessageRefused, subject, cause);
+    }
+}
+
+impl Liveness for Membership {
+    fn is_avoided(&self, name: &InstanceName) -> bool {
+        self.avoided.load().contains(name)
+    }
+}
+
+/// Returns whether the receiver answers in the same exchange.
+fn is_answered(kind: &MessageKind) -> bool {
+    matches!(kind, MessageKind::Ping { .. } | MessageKind::RelayedPing { .. } | MessageKind::Join)
+}
+
+async fn run(membership: Weak<Membership>) {
+    let mut count = 0;
+    loop {
+        tokio::time::sleep(TICK).await;
+        let Some(membership) = membership.upgrade() else {
+            return;
+        };
+        membership.tick(count);
+        count += 1;
+    }
+}
+
+struct ProbeHandler(Arc<Membership>);
+
+#[async_trait]
+impl Handler for ProbeHandler {
+    async fn handle(&self, from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
+        let message = wire::decode(payload).inspect_err(|cause| {
+            self.0.refuse(from, cause.clone());
+        })?;
+        let outgoing = self.0.receive(from, message).into_iter();
+        // What goes back to the sender travels in the same exchange.
+        let (answers, others): (Vec<_>, Vec<_>) = outgoing.partition(|one| one.to == *from);
+        self.0.send_all(others);
+        let answer = answers.into_iter().next();
+        Ok(answer.map_or_else(Bytes::new, |answer| wire::encode(answer.message)))
+    }
+}
--- a/coriandergw/src/membership/probes.rs
+++ b/coriandergw/src/membership/probes.rs
@@ -1,19 +1,13 @@
 //! The probes under way and the order in which members are probed.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use rand::Rng;
 use rand::seq::SliceRandom;
 
 use crate::clock::Timestamp;
 use crate::ids::InstanceName;
-
-/// How long a probe waits before helpers are asked.
-pub(super) const DIRECT_LIMIT: Duration = Duration::from_millis(300);
-
-/// How long a probe waits in all.
-pub(super) const PROBE_LIMIT: Duration = Duration::from_millis(1_000);
+use crate::membership::Timing;
 
 /// A probe of one member.
 #[derive(Debug)]
@@ -24,14 +18,25 @@
 }
 
 /// The probes under way.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Probes {
+    timing: Timing,
     next_sequence: u64,
     under_way: BTreeMap<u64, Probe>,
     order: Vec<InstanceName>,
 }
 
 impl Probes {
+    /// Creates an empty list.
+    pub(super) fn new(timing: Timing) -> Self {
+        Self { timing, next_sequence: 0, under_way: BTreeMap::new(), order: Vec::new() }
+    }
+
+    /// Returns whether a probe of `target` is under way.
+    pub(super) fn has_target(&self, target: &InstanceName) -> bool {
+        self.under_way.values().any(|probe| probe.target == *target)
+    }
+
     /// Starts a probe and returns its number.
     pub(super) fn start(&mut self, target: InstanceName, now: Timestamp) -> u64 {
         self.next_sequence += 1;
@@ -52,10 +57,11 @@
 
     /// Returns the probes for which helpers are now to be asked.
     pub(super) fn due_for_helpers(&mut self, now: Timestamp) -> Vec<(u64, InstanceName)> {
+        let limit = self.timing.direct_timeout();
         let due = self
             .under_way
             .iter_mut()
-            .filter(|(_, probe)| !probe.helpers_asked && now.since(probe.sent_at) >= DIRECT_LIMIT);
+            .filter(|(_, probe)| !probe.helpers_asked && now.since(probe.sent_at) >= limit);
         due.map(|(sequence, probe)| {
             probe.helpers_asked = true;
             (*sequence, probe.target.clone())
@@ -65,7 +71,8 @@
 
     /// Ends the probes that nobody answered and returns their targets.
     pub(super) fn take_failed(&mut self, now: Timestamp) -> Vec<InstanceName> {
-        let is_failed = |probe: &Probe| now.since(probe.sent_at) >= PROBE_LIMIT;
+        let limit = self.timing.probe_timeout;
+        let is_failed = |probe: &Probe| now.since(probe.sent_at) >= limit;
         let failed = self.under_way.extract_if(.., |_, probe| is_failed(probe));
         failed.map(|(_, probe)| probe.target).collect()
     }
--- /dev/null
+++ b/coriandergw/src/membership/status.rs
@@ -0,0 +1,39 @@
+//! The members as operators are told of them.
+
+use serde::Serialize;
+
+use crate::clock::Timestamp;
+use crate::ids::DataCentre;
+use crate::ids::InstanceName;
+use crate::membership::Member;
+
+/// One other instance as the asked one sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct MemberStatus {
+    /// The name.
+    pub name: InstanceName,
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// Whether it is alive, suspect, leaving or dead.
+    pub state: String,
+    /// How long it has been in this state, in milliseconds.
+    pub since_ms_ago: u64,
+    /// The incarnation number of its probes, which is not that of its registration.
+    pub incarnation: u64,
+    /// Whether it is left out of address answers and not chosen as a relay.
+    pub avoided: bool,
+}
+
+impl MemberStatus {
+    pub(super) fn new(name: &InstanceName, member: &Member, avoided: bool, now: Timestamp) -> Self {
+        Self {
+            name: name.clone(),
+            data_centre: member.data_centre.clone(),
+            state: member.state.to_string(),
+            since_ms_ago: now.since(member.since).as_millis() as u64,
+            incarnation: member.incarnation,
+            avoided,
+        }
+    }
+}
--- a/coriandergw/src/membership/tests.rs
+++ b/coriandergw/src/membership/tests.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -11,6 +12,9 @@
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
 
+mod driver;
+mod wire;
+
 const STEP_MS: u64 = 50;
 
 /// What is wrong with instance 0.
@@ -35,7 +39,11 @@
 }
 
 fn name(number: usize) -> InstanceName {
-    InstanceName::try_from(format!("i{number:02}")).unwrap()
+    InstanceName::try_from(format!("i{number:03}")).unwrap()
+}
+
+fn number(name: &InstanceName) -> usize {
+    name.as_str()[1..].parse().unwrap()
 }
 
 fn data_centre(number: usize) -> DataCentre {
@@ -46,9 +54,10 @@
     /// Starts instances that know instance 1 only, spread over the data centres.
     fn new(count: usize, data_centres: usize, seed: u64) -> Self {
         let start = Timestamp(1);
+        let timing = Timing::default();
         let build = |number: usize| {
             let mut members =
-                Members::new(name(number), data_centre(number % data_centres), 1, start);
+                Members::new(name(number), data_centre(number % data_centres), 1, timing, start);
             members.add(name(1), data_centre(1 % data_centres), start);
             members
         };
@@ -74,9 +83,7 @@
 
     fn post(&mut self, from: usize, outgoing: Vec<Outgoing>, fault: Fault) {
         for Outgoing { to, message } in outgoing {
-            let Some(to) = (0..self.members.len()).find(|number| name(*number) == to) else {
-                continue;
-            };
+            let to = number(&to);
             if self.is_lost(fault, from, to) {
                 continue;
             }
@@ -98,14 +105,7 @@
         while self.now_ms < end {
             self.now_ms += STEP_MS;
             let now = Timestamp::from_millis(self.now_ms);
-            while let Some(((at, _), _)) = self.queue.first_key_value() {
-                if *at > self.now_ms {
-                    break;
-                }
-                let (_, (from, to, message)) = self.queue.pop_first().unwrap();
-                let answers = self.members[to].receive(&name(from), message, now);
-                self.post(to, answers, fault);
-            }
+            self.deliver(fault);
             for number in 0..self.members.len() {
                 let outgoing = self.members[number].tick(now, &mut self.rng);
                 self.post(number, outgoing, fault);
@@ -114,6 +114,19 @@
         }
     }
 
+    /// Delivers what is due.
+    fn deliver(&mut self, fault: Fault) {
+        let now = Timestamp::from_millis(self.now_ms);
+        while let Some(((at, _), _)) = self.queue.first_key_value() {
+            if *at > self.now_ms {
+                break;
+            }
+            let (_, (from, to, message)) = self.queue.pop_first().unwrap();
+            let answers = self.members[to].receive(&name(from), message, now);
+            self.post(to, answers, fault);
+        }
+    }
+
     fn state(&self, at: usize, of: usize) -> Option<MemberState> {
         self.members[at].members().get(&name(of)).map(|member| member.state)
     }
@@ -125,14 +138,32 @@
         seen.all(|state| state == Some(first)).then_some(first)
     }
 
-    /// Checks that nobody holds an instance other than 0 for dead.
+    /// Returns whether an instance avoids another.
+    fn avoids(&self, at: usize, of: usize) -> bool {
+        self.members[at].avoided(Timestamp::from_millis(self.now_ms)).contains(&name(of))
+    }
+
+    /// Checks that nobody holds an instance other than 0 for dead or avoids it.
     fn assert_others_live(&self) {
         for at in 0..self.members.len() {
-            for of in (1..self.members.len()).filter(|of| *of != at) {
-                assert_ne!(self.state(at, of), Some(MemberState::Dead), "{of} at {at}");
+            let avoided = self.members[at].avoided(Timestamp::from_millis(self.now_ms));
+            assert!(avoided.iter().all(|of| *of == name(0)), "{avoided:?} at {at}");
+            for (of, member) in self.members[at].members().iter().filter(|(of, _)| **of != name(0))
+            {
+                assert_ne!(member.state, MemberState::Dead, "{of} at {at}");
             }
         }
     }
+
+    /// Loses instance 0 and returns after how long all others avoid it, in milliseconds.
+    fn lose_and_time(&mut self) -> u64 {
+        let lost_at = self.now_ms;
+        while !(1..self.members.len()).all(|at| self.avoids(at, 0)) {
+            self.run(Fault::Gone, STEP_MS, Bench::assert_others_live);
+            assert!(self.now_ms < lost_at + 60_000, "instance 0 is never avoided");
+        }
+        self.now_ms - lost_at
+    }
 }
 
 fn faults() -> impl Strategy<Value = Fault> {
@@ -169,6 +200,50 @@
     }
 }
 
+#[test]
+fn a_silent_instance_is_avoided_by_all_others_and_used_again_when_it_returns() {
+    for (count, data_centres) in [(3, 1), (3, 3), (9, 3), (12, 4), (24, 2)] {
+        let mut bench = Bench::new(count, data_centres, 17);
+        let mut millis = Vec::new();
+        for _ in 0..3 {
+            millis.push(bench.lose_and_time());
+            bench.run(Fault::None, 30_000, |_| {});
+            assert!((1..count).all(|at| !bench.avoids(at, 0)), "{count} instances");
+        }
+        println!("{count} instances in {data_centres} data centres: avoided after {millis:?} ms");
+    }
+}
+
+#[test]
+fn an_instance_probes_few_others_of_a_large_data_centre() {
+    let mut bench = Bench::new(40, 1, 5);
+    let mut receivers = BTreeMap::<usize, BTreeSet<InstanceName>>::new();
+    for _ in 0..200 {
+        bench.now_ms += STEP_MS;
+        let now = Timestamp::from_millis(bench.now_ms);
+        for number in 0..40 {
+            let outgoing = bench.members[number].tick(now, &mut bench.rng);
+            receivers.entry(number).or_default().extend(outgoing.iter().map(|one| one.to.clone()));
+            bench.post(number, outgoing, Fault::None);
+        }
+        bench.deliver(Fault::None);
+    }
+    assert!(receivers.values().all(|names| names.len() <= 4), "{receivers:?}");
+}
+
+#[test]
+fn an_instance_that_left_under_a_clock_that_was_ahead_is_alive_when_it_returns() {
+    let mut bench = Bench::new(3, 1, 9);
+    bench.members[0].leave();
+    bench.run(Fault::None, 5_000, |_| {});
+    assert_eq!(bench.agreed(0), Some(MemberState::Leaving));
+    let now = Timestamp::from_millis(bench.now_ms);
+    bench.members[0] = Members::new(name(0), data_centre(0), 1, Timing::default(), now);
+    bench.members[0].add(name(1), data_centre(0), now);
+    bench.run(Fault::None, 10_000, |_| {});
+    assert_eq!(bench.agreed(0), Some(MemberState::Alive));
+}
+
 #[test]
 fn all_hear_of_an_instance_that_leaves_and_choose_another_relay() {
     let mut bench = Bench::new(6, 1, 3);
--- a/coriandergw/src/operators/mod.rs
+++ b/coriandergw/src/operators/mod.rs
@@ -18,6 +18,7 @@
 use crate::ids::InstanceName;
 use crate::instance::Shared;
 use crate::leases::StatusReport;
+use crate::membership::MemberStatus;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 
@@ -35,6 +36,8 @@
     /// The state of the cluster.
     #[serde(flatten)]
     cluster: StatusReport,
+    /// The other instances as the asked one's probes see them.
+    members: Vec<MemberStatus>,
 }
 
 /// Builds the routes of operators.
@@ -58,6 +61,7 @@
         instance: shared.cx.instance.clone(),
         certificate_expires_at_s: transport.and_then(|t| t.certificate_expires_at_s()),
         cluster: shared.cluster.status().await,
+        members: shared.membership.as_ref().map(|m| m.status()).unwrap_or_default(),
     }))
 }
 
--- a/coriandergw/src/operators/tests.rs
+++ b/coriandergw/src/operators/tests.rs
@@ -78,6 +78,7 @@
             addresses: Arc::new(OneAddress::new(address, data_centre, ttl)),
             voters: None,
             transport: None,
+            membership: None,
             stage: Arc::default(),
         };
         Self { routes: router(Arc::new(shared)) }
--- a/coriandergw/src/settings/mod.rs
+++ b/coriandergw/src/settings/mod.rs
@@ -7,6 +7,7 @@
 use crate::http_server::CallerKeyFiles;
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
+use crate::membership::Timing;
 use crate::transport::tls::KeyFiles;
 
 mod access;
@@ -14,6 +15,7 @@
 mod fault;
 mod instance;
 mod log;
+mod membership;
 mod options;
 mod reader;
 mod tls;
@@ -40,6 +42,8 @@
     pub instance: InstanceSettings,
     /// The cluster that it belongs to.
     pub cluster: ClusterSettings,
+    /// How instances probe each other.
+    pub membership: Timing,
     /// The data folder; present on store instances only.
     pub data: Option<PathBuf>,
     /// The keys for TLS between instances; absent for `dev` only.
@@ -72,6 +76,7 @@
         let mut reader = Reader::new(text);
         let instance = InstanceSettings::read(&mut reader);
         let cluster = ClusterSettings::read(&mut reader);
+        let membership = membership::read(&mut reader);
         let data = reader.optional("storage", "data").map(|data| folder.join(data));
         let keys = tls::read(&mut reader, folder);
         let caller_keys = tls::read_caller(&mut reader, folder);
@@ -84,7 +89,8 @@
         let faults = reader.into_faults();
         match (instance, cluster, keys) {
             (Some(instance), Some(cluster), Some(keys)) if faults.is_empty() => {
-                Ok(Self { instance, cluster, data, keys: Some(keys), caller_keys, access, log })
+                let keys = Some(keys);
+                Ok(Self { instance, cluster, membership, data, keys, caller_keys, access, log })
             }
             _ => Err(faults),
         }
@@ -97,6 +103,7 @@
         Self {
             instance: InstanceSettings::new(name.clone(), data_centre, listen),
             cluster: ClusterSettings::alone("dev", name),
+            membership: Timing::default(),
             data: None,
             keys: None,
             caller_keys: None,
--- a/coriandergw/src/settings/options.rs
+++ b/coriandergw/src/settings/options.rs
@@ -48,6 +48,9 @@
     "cluster", "voters", "", "", "names, separated by commas", "The store instances that vote at first; the same on every instance.";
     "cluster", "journal_groups", "1", "", "1 to 64", "The log groups that program journals are spread over; the same on every instance.";
     "cluster", "freshness_limit_ms", "5000", "milliseconds", "1000 to 3600000", "After how long without a confirmed configuration new programs are refused.";
+    "membership", "probe_interval_ms", "500", "milliseconds", "100 to 60000", "The time between two probes of other instances.";
+    "membership", "probe_timeout_ms", "600", "milliseconds", "100 to 60000", "How long a probe waits; helpers are asked after half of it. More than the longest round trip between data centres.";
+    "membership", "suspicion_ms", "3000", "milliseconds", "100 to 600000", "How long a suspected instance can refute before it is held for dead.";
     "storage", "data", "", "", FILE, "The data folder. Store instances only.";
     "tls", "authority", "", "", FILE, "The certificate of the cluster's authority, PEM.";
     "tls", "certificate", "", "", FILE, "The instance's certificate, PEM.";
--- a/coriandergw/src/transport/memory.rs
+++ b/coriandergw/src/transport/memory.rs
@@ -17,11 +17,12 @@
 use crate::transport::TransportError;
 use crate::transport::peers::Handlers;
 
-/// Connects the memory transports of one process and can cut links between them.
+/// Connects the memory transports of one process and can cut and slow down links between them.
 #[derive(Default)]
 pub struct MemoryNetwork {
     members: RwLock<BTreeMap<InstanceName, Arc<Handlers>>>,
     cut_links: RwLock<BTreeSet<(InstanceName, InstanceName)>>,
+    delays: RwLock<BTreeMap<(InstanceName, InstanceName), Duration>>,
 }
 
 impl MemoryNetwork {
@@ -37,8 +38,14 @@
         self.cut_links.write().expect("not poisoned").insert((from.clone(), to.clone()));
     }
 
+    /// Holds up all messages from `from` to `to` until [`MemoryNetwork::heal`].
+    pub fn slow_down(&self, from: &InstanceName, to: &InstanceName, delay: Duration) {
+        self.delays.write().expect("not poisoned").insert((from.clone(), to.clone()), delay);
+    }
+
     /// Restores all links.
     pub fn heal(&self) {
+        self.delays.write().expect("not poisoned").clear();
         self.cut_links.write().expect("not poisoned").clear();
     }
 
@@ -46,6 +53,18 @@
         self.cut_links.read().expect("not poisoned").contains(&(from.clone(), to.clone()))
     }
 
+    /// Lets a message travel; one on a link that is cut never arrives.
+    async fn travel(&self, from: &InstanceName, to: &InstanceName) {
+        if self.is_cut(from, to) {
+            std::future::pending::<()>().await;
+        }
+        let link = (from.clone(), to.clone());
+        let delay = self.delays.read().expect("not poisoned").get(&link).copied();
+        if let Some(delay) = delay {
+            tokio::time::sleep(delay).await;
+        }
+    }
+
     fn find(&self, name: &InstanceName) -> Option<Arc<Handlers>> {
         self.members.read().expect("not poisoned").get(name).cloned()
     }
@@ -66,18 +85,14 @@
         kind: Kind,
         payload: Bytes,
     ) -> Result<Bytes, TransportError> {
-        if network.is_cut(&from, &to) {
-            std::future::pending::<()>().await;
-        }
+        network.travel(&from, &to).await;
         let handlers = network.find(&to).ok_or(TransportError::UnknownPeer { peer: to.clone() })?;
         let handler = handlers.find(kind).ok_or_else(|| TransportError::Refused {
             peer: to.clone(),
             reason: "no handler for this kind".to_owned(),
         })?;
         let answer = handler.handle(&from, payload).await;
-        if network.is_cut(&to, &from) {
-            std::future::pending::<()>().await;
-        }
+        network.travel(&to, &from).await;
         answer.map_err(|reason| TransportError::Refused { peer: to, reason })
     }
 }
--- a/testkit/src/bench/capacity.rs
+++ b/testkit/src/bench/capacity.rs
@@ -36,6 +36,9 @@
 /// The sizes of cluster at which control traffic is measured.
 const CLUSTER_SIZES: [usize; 3] = [3, 6, 9];
 
+/// The label of messages about members.
+const MEMBERSHIP: &str = "kind=\"membership\"";
+
 /// How long control traffic is counted.
 const QUIET_TIME: Duration = Duration::from_secs(10);
 
@@ -206,6 +209,8 @@
     name: String,
     sent_bytes: f64,
     sent_messages: f64,
+    membership_bytes: f64,
+    membership_messages: f64,
     usage: resources::Usage,
 }
 
@@ -216,6 +221,10 @@
             "instance": self.name,
             "sent_bytes_per_second": (self.sent_bytes - before.sent_bytes) / seconds,
             "sent_messages_per_second": (self.sent_messages - before.sent_messages) / seconds,
+            "membership_bytes_per_second":
+                (self.membership_bytes - before.membership_bytes) / seconds,
+            "membership_messages_per_second":
+                (self.membership_messages - before.membership_messages) / seconds,
             "core_share": (self.usage.cpu_seconds - before.usage.cpu_seconds) / seconds,
             "resident_kib": self.usage.resident_kib,
         })
@@ -231,6 +240,8 @@
         all.push(Snapshot {
             sent_bytes: sum_of(&text, "cgw_control_bytes_total"),
             sent_messages: sum_of(&text, "cgw_control_messages_total"),
+            membership_bytes: sum_of_kind(&text, "cgw_control_bytes_total", MEMBERSHIP),
+            membership_messages: sum_of_kind(&text, "cgw_control_messages_total", MEMBERSHIP),
             usage: resources::usage(cluster.process_id(&name)),
             name,
         });
@@ -240,6 +251,13 @@
 
 /// Adds up what was sent, over all kinds of message.
 pub(super) fn sum_of(metrics: &str, name: &str) -> f64 {
-    let sent = metrics.lines().filter(|line| line.starts_with(name) && line.contains("\"sent\""));
+    sum_of_kind(metrics, name, "")
+}
+
+/// Adds up what was sent in the lines that contain `kind`.
+fn sum_of_kind(metrics: &str, name: &str, kind: &str) -> f64 {
+    let is_meant =
+        |line: &&str| line.starts_with(name) && line.contains("\"sent\"") && line.contains(kind);
+    let sent = metrics.lines().filter(is_meant);
     sent.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok()).sum()
 }
