--- a/coriandergw/src/settings/mod.rs
+++ b/coriandergw/src/settings/mod.rs
@@ -7,6 +7,7 @@
 use crate::http_server::CallerKeyFiles;
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
+use crate::membership::Timing;
 use crate::transport::tls::KeyFiles;
 
 mod access;
@@ -14,6 +15,7 @@
 mod fault;
 mod instance;
 mod log;
+mod membership;
 mod options;
 mod programs;
 mod reader;
@@ -44,6 +46,8 @@
     pub cluster: ClusterSettings,
     /// What is kept of programs.
     pub programs: ProgramSettings,
+    /// How instances probe each other.
+    pub membership: Timing,
     /// The data folder; present on store instances only.
     pub data: Option<PathBuf>,
     /// The keys for TLS between instances; absent for `dev` only.
@@ -77,6 +81,7 @@
         let instance = InstanceSettings::read(&mut reader);
         let cluster = ClusterSettings::read(&mut reader);
         let programs = ProgramSettings::read(&mut reader);
+        let membership = membership::read(&mut reader);
         let data = reader.optional("storage", "data").map(|data| folder.join(data));
         let keys = tls::read(&mut reader, folder);
         let caller_keys = tls::read_caller(&mut reader, folder);
@@ -90,7 +95,17 @@
         match (instance, cluster, keys) {
             (Some(instance), Some(cluster), Some(keys)) if faults.is_empty() => {
                 let keys = Some(keys);
-                Ok(Self { instance, cluster, programs, data, keys, caller_keys, access, log })
+                Ok(Self {
+                    instance,
+                    cluster,
+                    programs,
+                    membership,
+                    data,
+                    keys,
+                    caller_keys,
+                    access,
+                    log,
+                })
             }
             _ => Err(faults),
         }
@@ -104,6 +119,7 @@
             instance: InstanceSettings::new(name.clone(), data_centre, listen),
             cluster: ClusterSettings::alone("dev", name),
             programs: ProgramSettings::default(),
+            membership: Timing::default(),
             data: None,
             keys: None,
             caller_keys: None,
--- a/coriandergw/src/test_support.rs
+++ b/coriandergw/src/test_support.rs
@@ -89,6 +89,7 @@
         partitions,
         voters: None,
         transport: None,
+        membership: None,
         stage: Arc::default(),
     }
 }
