feat(testkit): measure control by role, kind of message and size of cluster

Cause: the control part of `cgw-bench capacity` began to count while the partition table was still being sent, had fixed sizes and told neither roles nor kinds of message apart.

--- a/testkit/src/bench/capacity.rs
+++ b/testkit/src/bench/capacity.rs
@@ -1,7 +1,6 @@
 //! Measures what the shipped binary costs at several sizes and fits lines to it.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use serde_json::Value;
 use serde_json::json;
@@ -11,8 +10,6 @@
 use crate::bench::latency::Latency;
 use crate::bench::latency::Summary;
 use crate::bench::resources;
-use crate::cluster::Cluster;
-use crate::cluster::ClusterOptions;
 use crate::cluster::process::Process;
 use crate::fakes::announcer::Announcer;
 use crate::fakes::service::Service;
@@ -33,12 +30,6 @@
 /// The programs that are created at once.
 const CREATED_AT_ONCE: usize = 64;
 
-/// The sizes of cluster at which control traffic is measured.
-const CLUSTER_SIZES: [usize; 3] = [3, 6, 9];
-
-/// How long control traffic is counted.
-const QUIET_TIME: Duration = Duration::from_secs(10);
-
 /// The most calls of one program; a new one is created after them.
 const CALLS_PER_PROGRAM: usize = 200;
 
@@ -180,66 +171,3 @@
     let line = fit::line(&points);
     json!({"turns": turns, "points_programs_kib": points, "line": line})
 }
-
-/// Measures the control traffic and processor time of idle clusters of several sizes.
-pub async fn control(seed: u64) -> Value {
-    let mut rows = Vec::new();
-    for instances in CLUSTER_SIZES {
-        let options = ClusterOptions { instances, stores: 3, seed, ..ClusterOptions::default() };
-        let cluster = Cluster::start(options).await;
-        let before = snapshot(&cluster).await;
-        tokio::time::sleep(QUIET_TIME).await;
-        let after = snapshot(&cluster).await;
-        rows.push(json!({
-            "instances": instances,
-            "per_instance": before
-                .iter()
-                .zip(&after)
-                .map(|(before, after)| after.since(before))
-                .collect::<Vec<Value>>(),
-        }));
-    }
-    json!(rows)
-}
-
-struct Snapshot {
-    name: String,
-    sent_bytes: f64,
-    sent_messages: f64,
-    usage: resources::Usage,
-}
-
-impl Snapshot {
-    fn since(&self, before: &Snapshot) -> Value {
-        let seconds = QUIET_TIME.as_secs_f64();
-        json!({
-            "instance": self.name,
-            "sent_bytes_per_second": (self.sent_bytes - before.sent_bytes) / seconds,
-            "sent_messages_per_second": (self.sent_messages - before.sent_messages) / seconds,
-            "core_share": (self.usage.cpu_seconds - before.usage.cpu_seconds) / seconds,
-            "resident_kib": self.usage.resident_kib,
-        })
-    }
-}
-
-async fn snapshot(cluster: &Cluster) -> Vec<Snapshot> {
-    let mut all = Vec::new();
-    for name in cluster.names() {
-        let url = format!("http://{}/metrics", cluster.direct_address(&name));
-        let answer = crate::http::get(&url).await.expect("an answer");
-        let text = String::from_utf8_lossy(&answer.body).into_owned();
-        all.push(Snapshot {
-            sent_bytes: sum_of(&text, "cgw_control_bytes_total"),
-            sent_messages: sum_of(&text, "cgw_control_messages_total"),
-            usage: resources::usage(cluster.process_id(&name)),
-            name,
-        });
-    }
-    all
-}
-
-/// Adds up what was sent, over all kinds of message.
-pub(super) fn sum_of(metrics: &str, name: &str) -> f64 {
-    let sent = metrics.lines().filter(|line| line.starts_with(name) && line.contains("\"sent\""));
-    sent.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok()).sum()
-}
--- a/testkit/src/bench/mod.rs
+++ b/testkit/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Load and measurements; `cgw-bench` is their command line.
 
 pub mod capacity;
+pub mod control;
 pub mod fit;
 pub mod latency;
 pub mod load;
--- a/testkit/src/bench/resources.rs
+++ b/testkit/src/bench/resources.rs
@@ -32,6 +32,20 @@
     }
 }
 
+/// Returns how often the threads of a process waited and were woken since they started.
+pub fn wake_ups(process: u32) -> u64 {
+    let Ok(threads) = std::fs::read_dir(format!("/proc/{process}/task")) else {
+        return 0;
+    };
+    let read = |thread: std::fs::DirEntry| std::fs::read_to_string(thread.path().join("status"));
+    threads.flatten().filter_map(|thread| read(thread).ok()).map(|text| voluntary(&text)).sum()
+}
+
+fn voluntary(status: &str) -> u64 {
+    let found = status.lines().find_map(|line| line.strip_prefix("voluntary_ctxt_switches:"));
+    found.and_then(|number| number.trim().parse().ok()).unwrap_or(0)
+}
+
 pub(super) fn resident_kib(status: &str) -> u64 {
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("");
     line.split_whitespace().next().and_then(|number| number.parse().ok()).unwrap_or(0)
--- a/testkit/src/bench/tests.rs
+++ b/testkit/src/bench/tests.rs
@@ -1,7 +1,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::bench::capacity::sum_of;
+use crate::bench::control::Roles;
+use crate::bench::control::sum_of;
 use crate::bench::fit;
 use crate::bench::latency::Latency;
 use crate::bench::resources;
@@ -62,3 +63,17 @@
     let text = "x_total{direction=\"sent\",kind=\"a\"} 5\nx_total{direction=\"received\",kind=\"a\"} 7\nx_total{direction=\"sent\",kind=\"b\"} 1\n";
     assert_eq!(sum_of(text, "x_total"), 6.0);
 }
+
+#[test]
+fn an_instance_has_the_role_that_costs_most() {
+    let instance = |name: &str, data_centre: &str| serde_json::json!({"name": name, "data_centre": data_centre});
+    let status = serde_json::json!({
+        "leader": "e1",
+        "instances": [
+            instance("e1", "a"), instance("e2", "b"), instance("e3", "a"), instance("e4", "c"),
+        ],
+    });
+    let roles = Roles::of(&status, 2);
+    let found: Vec<&str> = ["e1", "e2", "e3", "e4"].map(|name| roles.role(name)).to_vec();
+    assert_eq!(found, ["leader", "store", "entry", "relay"]);
+}
--- a/testkit/src/bin/cgw-bench/commands.rs
+++ b/testkit/src/bin/cgw-bench/commands.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde_json::json;
 use testkit::bench::capacity;
+use testkit::bench::control::ControlOptions;
+use testkit::bench::control::control;
 use testkit::bench::load;
 use testkit::bench::load::LoadOptions;
 use testkit::bench::shapes::Shape;
@@ -270,12 +272,47 @@
     part: Option<String>,
     #[options(help = "calls done by each idle program when memory is measured", default = "0")]
     turns: usize,
+    #[options(help = "the sizes of cluster for control, separated by commas", default = "3,6,9")]
+    sizes: String,
+    #[options(help = "the store instances of a cluster", default = "3")]
+    stores: usize,
+    #[options(help = "the data centres of a cluster", default = "3")]
+    data_centres: usize,
+    #[options(help = "the groups of program journals", default = "1")]
+    journal_groups: u32,
+    #[options(help = "seconds that a cluster is left alone before counting", default = "10")]
+    settle: u64,
+    #[options(help = "seconds that are counted", default = "20")]
+    quiet: u64,
     #[options(help = "the seed", default = "1")]
     seed: u64,
     #[options(help = "print JSON")]
     json: bool,
 }
 
+impl TryFrom<&CapacityArguments> for ControlOptions {
+    type Error = String;
+
+    fn try_from(arguments: &CapacityArguments) -> Result<Self, String> {
+        let sizes = arguments.sizes.split(',').map(|size| size.trim().parse::<usize>());
+        let sizes = sizes.collect::<Result<Vec<_>, _>>().map_err(|cause| cause.to_string())?;
+        if sizes.iter().any(|size| *size < arguments.stores) || arguments.stores == 0 {
+            return Err(
+                "a cluster has at least as many instances as stores, and a store".to_owned()
+            );
+        }
+        Ok(Self {
+            sizes,
+            stores: arguments.stores,
+            data_centres: arguments.data_centres.max(1),
+            journal_groups: arguments.journal_groups,
+            settle: Duration::from_secs(arguments.settle),
+            quiet: Duration::from_secs(arguments.quiet.max(1)),
+            seed: arguments.seed,
+        })
+    }
+}
+
 /// Measures the shipped binary beside this one.
 pub async fn capacity(arguments: CapacityArguments) -> Result<(), String> {
     let wanted = |part: &str| arguments.part.as_deref().is_none_or(|wanted| wanted == part);
@@ -287,7 +324,7 @@
         result["memory"] = capacity::memory(arguments.turns).await;
     }
     if wanted("control") {
-        result["control"] = capacity::control(arguments.seed).await;
+        result["control"] = control(&ControlOptions::try_from(&arguments)?).await;
     }
     print(arguments.json, &result);
     Ok(())
