perf(log_groups): sleep until the next deadline; leave unchanged heartbeat lists out

Cause: the driver ticked all cores 50 times a second, and each group added its whole heartbeat to each message between store instances.

Change: a core tells when time alone next makes it act, and the driver sleeps until then. The heartbeats of all groups that leave together, and their answers, are numbered lists without the sending time; a list that the receiver confirmed is left out until something in it changes. The cores see the same messages as before. Half of the simulated schedules now wait for deadlines.

--- a/coriandergw/src/log_groups/core/leader.rs
+++ b/coriandergw/src/log_groups/core/leader.rs
@@ -84,7 +84,7 @@
     }
 
     /// Returns the sending time of the last heartbeat that a quorum answered.
-    fn quorum_contact(&self, now: Timestamp) -> Option<Timestamp> {
+    pub(super) fn quorum_contact(&self, now: Timestamp) -> Option<Timestamp> {
         let Role::Leader(leading) = &self.role else {
             return None;
         };
--- a/coriandergw/src/log_groups/core/mod.rs
+++ b/coriandergw/src/log_groups/core/mod.rs
@@ -10,6 +10,7 @@
 //! After a failed sync the driver drops the core: nothing further may be acknowledged.
 
 mod config_change;
+mod deadline;
 mod election;
 mod entry;
 mod follower;
--- a/coriandergw/src/log_groups/core/progress.rs
+++ b/coriandergw/src/log_groups/core/progress.rs
@@ -47,8 +47,18 @@
 
     /// Returns whether entries are worth sending: the member answers and nothing is in flight.
     pub(super) fn may_send(&self, now: Timestamp) -> bool {
-        let is_active = now.since(self.heard_at) < PROMISE;
-        is_active && self.in_flight.is_none_or(|sent_at| now.since(sent_at) >= RESEND_AFTER)
+        let is_over = |sent_at: Timestamp| now.since(sent_at) >= RESEND_AFTER;
+        self.is_active(now) && self.in_flight.is_none_or(is_over)
+    }
+
+    /// Returns when what is in flight may be sent again, if the member answers.
+    pub(super) fn resend_due(&self, now: Timestamp) -> Option<Timestamp> {
+        let sent_at = self.in_flight.filter(|_| self.is_active(now));
+        sent_at.map(|sent_at| sent_at + RESEND_AFTER)
+    }
+
+    fn is_active(&self, now: Timestamp) -> bool {
+        now.since(self.heard_at) < PROMISE
     }
 
     pub(super) fn note_answer(&mut self, sent_at: Timestamp, counts: bool, now: Timestamp) {
--- a/coriandergw/src/log_groups/core/simulation.rs
+++ b/coriandergw/src/log_groups/core/simulation.rs
@@ -86,6 +86,8 @@
     now: Timestamp,
     rng: ChaCha8Rng,
     next_command: u64,
+    /// Whether members wait for their deadlines, as a driver does, and do not look at each slot.
+    waits: bool,
     leaders: BTreeMap<u64, usize>,
     committed: BTreeMap<u64, (Entry, u64)>,
     /// The index and term of each acknowledged command.
@@ -130,6 +132,7 @@
             now: Timestamp::from_millis(1_000),
             rng: ChaCha8Rng::seed_from_u64(seed),
             next_command: 0,
+            waits: seed.is_multiple_of(2),
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
             acknowledged: Vec::new(),
@@ -214,9 +217,8 @@
 
     fn pass_slot(&mut self) {
         self.now = self.now + SLOT;
-        for member in 0..NAMES.len() {
-            self.finish_sync(member);
-        }
+        let mut woken = BTreeSet::new();
+        woken.extend((0..NAMES.len()).filter(|member| self.finish_sync(*member)));
         let now = self.now;
         let (due, later) = std::mem::take(&mut self.network)
             .into_iter()
@@ -226,11 +228,16 @@
             let local = self.local(to);
             if let Some(core) = &mut self.members[to].core {
                 core.step(&name(from), message, local);
+                woken.insert(to);
             }
         }
         for member in 0..NAMES.len() {
             let local = self.local(member);
+            let waits = self.waits && !woken.contains(&member);
             if let Some(core) = &mut self.members[member].core {
+                if waits && local < core.next_deadline(local) {
+                    continue;
+                }
                 core.tick(local);
             }
             self.act(member);
@@ -238,17 +245,19 @@
         self.check();
     }
 
-    fn finish_sync(&mut self, at: usize) {
+    /// Ends the write under way if it is done; returns whether it was.
+    fn finish_sync(&mut self, at: usize) -> bool {
         let (now, local) = (self.now, self.local(at));
         let member = &mut self.members[at];
         let Some(pending) = member.pending.take_if(|pending| pending.due <= now) else {
-            return;
+            return false;
         };
         member.persist(pending.records, pending.replaces_all);
         if let Some(core) = &mut member.core {
             core.synced(local);
         }
         self.send(at, pending.messages);
+        true
     }
 
     fn send(&mut self, from: usize, messages: Vec<(InstanceName, Message)>) {
--- a/coriandergw/src/log_groups/driver.rs
+++ b/coriandergw/src/log_groups/driver.rs
@@ -9,7 +9,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
-use tokio::time::MissedTickBehavior;
 
 use crate::clock::Timestamp;
 use crate::context::Context;
@@ -23,14 +22,18 @@
 use crate::log_groups::core::Record;
 use crate::log_groups::group::Group;
 use crate::log_groups::propose::Outcome;
+use crate::log_groups::pulse::PulseBook;
 use crate::log_groups::wire;
 use crate::storage::StorageError;
 use crate::storage::store::Store;
 use crate::transport::Kind;
 use crate::transport::Transport;
 
-/// The time between two ticks of the cores.
-const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// The shortest wait for a deadline, so that one just missed does not make the driver spin.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
+/// The longest wait for a deadline.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
 /// The inputs that are taken in before the groups act on them.
 const INPUTS_PER_TURN: usize = 1_024;
@@ -83,6 +86,7 @@
     /// Messages that wait for the sync under way.
     held: Outgoing,
     outgoing: Outgoing,
+    pulses: Arc<Mutex<PulseBook>>,
 }
 
 type Outgoing = BTreeMap<InstanceName, Vec<(GroupId, Message)>>;
@@ -96,6 +100,7 @@
         groups: BTreeMap<GroupId, Group>,
         store: Store,
         inputs: mpsc::Receiver<Input>,
+        pulses: Arc<Mutex<PulseBook>>,
     ) -> Self {
         Self {
             cx,
@@ -107,22 +112,20 @@
             sync: None,
             held: Outgoing::new(),
             outgoing: Outgoing::new(),
+            pulses,
         }
     }
 
     /// Runs until it is stopped or the storage fails.
     pub async fn run(mut self) {
-        let mut ticks = tokio::time::interval(TICK_INTERVAL);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
+            let wait = self.wait();
             let is_going_on = tokio::select! {
                 input = self.inputs.recv() => self.take_inputs(input),
                 synced = finished(&mut self.sync) => self.note_sync(synced),
-                _ = ticks.tick() => {
-                    self.tick();
-                    true
-                }
+                () = tokio::time::sleep(wait) => true,
             };
+            self.tick();
             if !is_going_on || !self.act() {
                 break;
             }
@@ -136,6 +139,14 @@
         }
     }
 
+    /// Returns how long nothing is to be done unless something arrives.
+    fn wait(&self) -> Duration {
+        let now = self.cx.clock.now();
+        let deadlines = self.groups.values().map(|group| group.core.next_deadline(now));
+        let wait = deadlines.min().map_or(LONGEST_WAIT, |deadline| deadline.since(now));
+        wait.clamp(SHORTEST_WAIT, LONGEST_WAIT)
+    }
+
     fn tick(&mut self) {
         let now = self.cx.clock.now();
         for group in self.groups.values_mut() {
@@ -223,8 +234,9 @@
         if self.sync.is_none() {
             self.start_sync();
         }
-        for (to, messages) in std::mem::take(&mut self.outgoing) {
-            let payload = wire::encode_envelope(&self.cluster, messages);
+        for (to, mut messages) in std::mem::take(&mut self.outgoing) {
+            let pulses = self.pulses.lock().expect("not poisoned").pack(&to, &mut messages);
+            let payload = wire::encode_envelope(&self.cluster, messages, pulses);
             self.transport.send(&to, Kind::Log, payload);
         }
         true
--- a/coriandergw/src/log_groups/generated.rs
+++ b/coriandergw/src/log_groups/generated.rs
@@ -124,12 +124,52 @@
         ChunkAnswer(super::ChunkAnswer),
     }
 }
+/// One group's heartbeat, or its answer, without the sending time.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Beat {
+    #[prost(uint32, tag = "1")]
+    pub group: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(bool, tag = "3")]
+    pub counts: bool,
+    #[prost(uint64, tag = "4")]
+    pub commit: u64,
+    #[prost(bool, tag = "5")]
+    pub is_voter: bool,
+}
+/// The heartbeats of all groups, or the answers to them, that share a sending time.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Pulse {
+    #[prost(uint64, tag = "1")]
+    pub sent_at_us: u64,
+    /// Identifies the list of beats at its sender.
+    #[prost(uint64, tag = "2")]
+    pub list: u64,
+    /// Left out where the receiver has confirmed that it keeps the list.
+    #[prost(message, repeated, tag = "3")]
+    pub beats: ::prost::alloc::vec::Vec<Beat>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Pulses {
+    #[prost(message, optional, tag = "1")]
+    pub heartbeats: ::core::option::Option<Pulse>,
+    #[prost(message, optional, tag = "2")]
+    pub answers: ::core::option::Option<Pulse>,
+    /// The lists that the sender keeps from the receiver; zero for none.
+    #[prost(uint64, tag = "3")]
+    pub kept_heartbeats: u64,
+    #[prost(uint64, tag = "4")]
+    pub kept_answers: u64,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Envelope {
     #[prost(string, tag = "1")]
     pub cluster: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "2")]
     pub messages: ::prost::alloc::vec::Vec<GroupMessage>,
+    #[prost(message, optional, tag = "3")]
+    pub pulses: ::core::option::Option<Pulses>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HardState {
--- a/coriandergw/src/log_groups/mod.rs
+++ b/coriandergw/src/log_groups/mod.rs
@@ -17,6 +17,7 @@
 pub mod local;
 pub mod node;
 mod propose;
+mod pulse;
 pub mod voters;
 pub mod wire;
 
--- a/coriandergw/src/log_groups/node.rs
+++ b/coriandergw/src/log_groups/node.rs
@@ -34,6 +34,7 @@
 use crate::log_groups::driver::Input;
 use crate::log_groups::group::Group;
 use crate::log_groups::propose::LocalProposer;
+use crate::log_groups::pulse::PulseBook;
 use crate::log_groups::wire;
 use crate::storage::Disk;
 use crate::storage::StorageError;
@@ -144,12 +145,18 @@
         let views = held.iter().map(|(id, group)| (*id, view(group))).collect();
         let (inputs, receiver) = mpsc::channel(INPUT_QUEUE);
         let local = LocalProposer { inputs: inputs.clone() };
-        let receive = Receive { cx: cx.clone(), cluster: cluster.clone(), inputs: inputs.clone() };
+        let pulses = Arc::new(Mutex::new(PulseBook::default()));
+        let receive = Receive {
+            cx: cx.clone(),
+            cluster: cluster.clone(),
+            inputs: inputs.clone(),
+            pulses: pulses.clone(),
+        };
         transport.register(Kind::Log, Arc::new(receive));
         transport.register(Kind::Propose, Arc::new(local.clone()));
         let client = LogClient::new(transport.clone(), voters);
         let client = client.with_local(cx.instance.clone(), local);
-        let driver = Driver::new(cx, transport, cluster, held, store, receiver);
+        let driver = Driver::new(cx, transport, cluster, held, store, receiver, pulses);
         let task = Mutex::new(Some(tokio::spawn(driver.run())));
         Ok(Arc::new(Self { client, inputs, views, task }))
     }
@@ -234,16 +241,20 @@
     cx: Context,
     cluster: String,
     inputs: mpsc::Sender<Input>,
+    pulses: Arc<Mutex<PulseBook>>,
 }
 
 #[async_trait]
 impl Handler for Receive {
     async fn handle(&self, from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
-        let messages = wire::decode_envelope(&self.cluster, payload).map_err(|cause| {
+        let envelope = wire::decode_envelope(&self.cluster, payload).map_err(|cause| {
             let subject = Subject { peer: Some(from.to_string()), ..Subject::default() };
             self.cx.events.record(EventNumber::LogMessageRefused, subject, cause.to_string());
             cause.to_string()
         })?;
+        let (others, pulses) = envelope;
+        let mut messages = self.pulses.lock().expect("not poisoned").unpack(from, pulses);
+        messages.extend(others);
         let input = Input::Messages { from: from.clone(), messages };
         // A message that finds the queue full is lost; its sender repeats it.
         self.inputs.try_send(input).map_err(|cause| cause.to_string())?;
--- a/coriandergw/src/log_groups/tests.rs
+++ b/coriandergw/src/log_groups/tests.rs
@@ -23,7 +23,9 @@
 use crate::log_groups::core::Payload;
 use crate::log_groups::core::Recovered;
 use crate::log_groups::core::Snapshot;
+use crate::log_groups::generated::Pulses;
 use crate::log_groups::node::LogStartError;
+use crate::log_groups::pulse::PulseBook;
 use crate::log_groups::test_cluster::Cluster;
 use crate::log_groups::test_cluster::name;
 use crate::log_groups::test_cluster::wait_for;
@@ -315,8 +317,9 @@
 
     #[test]
     fn messages_survive_the_wire(messages in messages()) {
-        let bytes = wire::encode_envelope("test", messages.clone());
-        prop_assert_eq!(wire::decode_envelope("test", bytes.clone()), Ok(messages));
+        let bytes = wire::encode_envelope("test", messages.clone(), Pulses::default());
+        let decoded = wire::decode_envelope("test", bytes.clone());
+        prop_assert_eq!(decoded, Ok((messages, Pulses::default())));
         prop_assert!(wire::decode_envelope("other", bytes).is_err());
     }
 
@@ -325,14 +328,17 @@
         messages in messages(),
         noise in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6),
     ) {
-        let mut bytes = wire::encode_envelope("test", messages).to_vec();
+        let (book, mut others) = (&mut PulseBook::default(), messages);
+        let pulses = book.pack(&name("b"), &mut others);
+        let mut bytes = wire::encode_envelope("test", others, pulses).to_vec();
         for (at, byte) in noise {
             let at = at.index(bytes.len());
             bytes[at] = byte;
         }
-        if let Ok(messages) = wire::decode_envelope("test", bytes.into()) {
-            let again = wire::encode_envelope("test", messages.clone());
-            prop_assert_eq!(wire::decode_envelope("test", again), Ok(messages));
+        if let Ok((messages, pulses)) = wire::decode_envelope("test", bytes.into()) {
+            let again = wire::encode_envelope("test", messages.clone(), pulses.clone());
+            prop_assert_eq!(wire::decode_envelope("test", again), Ok((messages, pulses.clone())));
+            book.unpack(&name("a"), pulses);
         }
     }
 
--- a/coriandergw/src/log_groups/wire.rs
+++ b/coriandergw/src/log_groups/wire.rs
@@ -238,24 +238,33 @@
     }
 }
 
-/// Encodes the messages of all groups to one peer.
-pub fn encode_envelope(cluster: &str, messages: Vec<(GroupId, Message)>) -> Bytes {
+/// Encodes the messages of all groups to one peer, and its pulses.
+pub fn encode_envelope(
+    cluster: &str,
+    messages: Vec<(GroupId, Message)>,
+    pulses: raw::Pulses,
+) -> Bytes {
     let messages =
         messages.into_iter().map(|(group, message)| raw_group_message(group, message)).collect();
-    let envelope = raw::Envelope { cluster: cluster.to_owned(), messages };
+    let pulses = Some(pulses);
+    let envelope = raw::Envelope { cluster: cluster.to_owned(), messages, pulses };
     envelope.encode_to_vec().into()
 }
 
-/// Decodes the messages of all groups from one peer.
+/// Decodes the messages of all groups from one peer, and its pulses.
 ///
 /// # Errors
 /// Fails if the bytes are malformed or come from another cluster.
-pub fn decode_envelope(cluster: &str, bytes: Bytes) -> Result<Vec<(GroupId, Message)>, WireError> {
+pub fn decode_envelope(
+    cluster: &str,
+    bytes: Bytes,
+) -> Result<(Vec<(GroupId, Message)>, raw::Pulses), WireError> {
     let envelope = raw::Envelope::decode(bytes)?;
     if envelope.cluster != cluster {
         return Err(WireError::ForeignCluster { cluster: envelope.cluster });
     }
-    envelope.messages.into_iter().map(group_message).collect()
+    let messages = envelope.messages.into_iter().map(group_message);
+    Ok((messages.collect::<Result<_, _>>()?, envelope.pulses.unwrap_or_default()))
 }
 
 impl From<(GroupId, Record)> for raw::Record {
