perf(transport): send messages without an answer on unidirectional streams

Cause: a one-way message opened a bidirectional stream and got an empty answer. A stream given up in the middle of a message counted as finished, so its part could be taken for a whole message. Answers were not counted as control traffic, and endpoint messages were counted twice.

Change: one-way messages use unidirectional streams; a stream that is dropped before its message is whole is reset; answers are counted where they are sent, endpoint messages once.

--- a/coriandergw/src/endpoints/gossip.rs
+++ b/coriandergw/src/endpoints/gossip.rs
@@ -223,9 +223,6 @@
 
     fn send(&self, to: &InstanceName, body: Body) {
         let payload = Envelope { body: Some(body) }.encode_to_vec();
-        let labels = ["endpoints", "sent"];
-        self.cx.metrics.control_messages.with_label_values(&labels).inc();
-        self.cx.metrics.control_bytes.with_label_values(&labels).inc_by(payload.len() as u64);
         self.transport.send(to, Kind::Endpoints, payload.into());
     }
 
--- a/coriandergw/src/transport/quic.rs
+++ b/coriandergw/src/transport/quic.rs
@@ -1,7 +1,8 @@
 //! The transport over QUIC with mutual TLS.
 //!
-//! Each message opens one bidirectional stream: a byte with the kind, the payload, then the answer
-//! on the way back, led by a byte that tells an answer from a refusal.
+//! A call opens one bidirectional stream: a byte with the kind, the payload, then the answer on the
+//! way back, led by a byte that tells an answer from a refusal. A message without an answer opens a
+//! unidirectional stream, which costs half the packets.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -47,6 +48,9 @@
 /// The messages that one peer may have under way at once.
 const STREAMS_PER_PEER: u32 = 4_096;
 
+/// The code of a stream that was given up before its message was whole.
+const CUT_SHORT: u32 = 1;
+
 const ANSWER: u8 = 0;
 const REFUSAL: u8 = 1;
 
@@ -139,6 +143,7 @@
 fn transport_config() -> quinn::TransportConfig {
     let mut config = quinn::TransportConfig::default();
     config.max_concurrent_bidi_streams(STREAMS_PER_PEER.into());
+    config.max_concurrent_uni_streams(STREAMS_PER_PEER.into());
     config.max_idle_timeout(IDLE_TIMEOUT.try_into().ok());
     config
 }
@@ -159,33 +164,42 @@
         connection.close(1u32.into(), b"no instance name in the certificate");
         return;
     };
-    while let Ok((send, recv)) = connection.accept_bi().await {
-        tokio::spawn(serve_stream(shared.clone(), from.clone(), send, recv));
+    loop {
+        let (shared, from) = (shared.clone(), from.clone());
+        tokio::select! {
+            call = connection.accept_bi() => match call {
+                Ok((send, recv)) => drop(tokio::spawn(serve_call(shared, from, send, recv))),
+                Err(_) => return,
+            },
+            message = connection.accept_uni() => match message {
+                Ok(recv) => drop(tokio::spawn(serve_message(shared, from, recv))),
+                Err(_) => return,
+            },
+        }
     }
 }
 
-async fn serve_stream(
+async fn serve_message(shared: Arc<Shared>, from: InstanceName, mut recv: quinn::RecvStream) {
+    // Nobody waits for the outcome.
+    let _ = shared.take_message(&from, &mut recv).await;
+}
+
+async fn serve_call(
     shared: Arc<Shared>,
     from: InstanceName,
     mut send: quinn::SendStream,
     mut recv: quinn::RecvStream,
 ) {
-    let Ok(message) = recv.read_to_end(PAYLOAD_MAX_BYTES + 1).await else {
+    let Some((kind, answer)) = shared.take_message(&from, &mut recv).await else {
         return;
     };
-    let mut payload = Bytes::from(message);
-    if payload.is_empty() {
-        return;
-    }
-    let number = payload.split_to(1)[0];
-    let answer = match Kind::from_number(number) {
-        Some(kind) => shared.handle(kind, &from, payload).await,
-        None => Err(format!("unknown message kind {number}")),
-    };
     let (tag, body) = match answer {
         Ok(body) => (ANSWER, body),
         Err(reason) => (REFUSAL, Bytes::from(reason)),
     };
+    if let Some(kind) = kind {
+        shared.count(kind, "sent", body.len());
+    }
     // The peer may have gone; nobody is left to be told.
     let _ = send.write_all(&[tag]).await;
     let _ = send.write_all(&body).await;
@@ -193,6 +207,25 @@
 }
 
 impl Shared {
+    /// Reads a message and handles it; returns nothing if it was cut short.
+    async fn take_message(
+        &self,
+        from: &InstanceName,
+        recv: &mut quinn::RecvStream,
+    ) -> Option<(Option<Kind>, Result<Bytes, String>)> {
+        let mut payload = Bytes::from(recv.read_to_end(PAYLOAD_MAX_BYTES + 1).await.ok()?);
+        if payload.is_empty() {
+            return None;
+        }
+        let number = payload.split_to(1)[0];
+        let kind = Kind::from_number(number);
+        let answer = match kind {
+            Some(kind) => self.handle(kind, from, payload).await,
+            None => Err(format!("unknown message kind {number}")),
+        };
+        Some((kind, answer))
+    }
+
     async fn handle(
         &self,
         kind: Kind,
@@ -242,6 +275,17 @@
         }
     }
 
+    /// Sends a message that has no answer.
+    async fn deliver(&self, to: &InstanceName, kind: Kind, payload: Bytes) -> Option<()> {
+        if payload.len() > PAYLOAD_MAX_BYTES {
+            return None;
+        }
+        let connection = self.connection(to).await.ok()?;
+        self.count(kind, "sent", payload.len());
+        let stream = connection.open_uni().await.ok()?;
+        Outgoing::new(stream).write(kind, payload).await.ok()
+    }
+
     async fn exchange(
         &self,
         to: &InstanceName,
@@ -254,21 +298,52 @@
         let connection = self.connection(to).await?;
         self.count(kind, "sent", payload.len());
         let no_answer = |reason: String| TransportError::NoAnswer { peer: to.clone(), reason };
-        let (mut send, mut recv) =
+        let (send, mut recv) =
             connection.open_bi().await.map_err(|cause| no_answer(cause.to_string()))?;
-        let mut message = BytesMut::with_capacity(1 + payload.len());
-        message.put_u8(kind as u8);
-        message.put(payload);
-        send.write_all(&message).await.map_err(|cause| no_answer(cause.to_string()))?;
-        send.finish().map_err(|cause| no_answer(cause.to_string()))?;
+        Outgoing::new(send).write(kind, payload).await.map_err(no_answer)?;
         let answer = recv
             .read_to_end(PAYLOAD_MAX_BYTES + 1)
             .await
             .map_err(|cause| no_answer(cause.to_string()))?;
+        // The byte that leads the answer is not part of the payload.
+        self.count(kind, "received", answer.len().saturating_sub(1));
         parse_answer(to, answer)
     }
 }
 
+/// A stream that is reset if it is dropped before the whole message is written.
+///
+/// A stream dropped otherwise counts as finished, and its part of a message as a whole one.
+struct Outgoing {
+    stream: quinn::SendStream,
+    is_whole: bool,
+}
+
+impl Outgoing {
+    fn new(stream: quinn::SendStream) -> Self {
+        Self { stream, is_whole: false }
+    }
+
+    async fn write(mut self, kind: Kind, payload: Bytes) -> Result<(), String> {
+        let mut message = BytesMut::with_capacity(1 + payload.len());
+        message.put_u8(kind as u8);
+        message.put(payload);
+        self.stream.write_all(&message).await.map_err(|cause| cause.to_string())?;
+        self.stream.finish().map_err(|cause| cause.to_string())?;
+        self.is_whole = true;
+        Ok(())
+    }
+}
+
+impl Drop for Outgoing {
+    fn drop(&mut self) {
+        if !self.is_whole {
+            // A stream that is closed already needs no reset.
+            let _ = self.stream.reset(CUT_SHORT.into());
+        }
+    }
+}
+
 fn parse_answer(to: &InstanceName, answer: Vec<u8>) -> Result<Bytes, TransportError> {
     let mut body = Bytes::from(answer);
     if body.is_empty() {
@@ -292,9 +367,9 @@
         let shared = self.shared.clone();
         let to = to.clone();
         tokio::spawn(async move {
-            let exchange = shared.exchange(&to, kind, payload);
+            let delivery = shared.deliver(&to, kind, payload);
             // One-way messages are allowed to be lost; their senders repeat them.
-            let _ = tokio::time::timeout(ONE_WAY_TIMEOUT, exchange).await;
+            let _ = tokio::time::timeout(ONE_WAY_TIMEOUT, delivery).await;
             drop(permit);
         });
     }
--- a/coriandergw/src/transport/quic/tests.rs
+++ b/coriandergw/src/transport/quic/tests.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -22,11 +23,24 @@
 use crate::transport::PAYLOAD_MAX_BYTES;
 use crate::transport::Transport;
 use crate::transport::TransportError;
+use crate::transport::quic::Outgoing;
 use crate::transport::quic::QuicTransport;
 use crate::transport::tls::TlsConfigs;
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Keeps what it is given.
+#[derive(Default)]
+struct Keep(Mutex<Vec<Bytes>>);
+
+#[async_trait]
+impl Handler for Keep {
+    async fn handle(&self, _from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
+        self.0.lock().unwrap().push(payload);
+        Ok(Bytes::new())
+    }
+}
+
 /// Answers with the sender's name and the payload.
 struct Echo;
 
@@ -113,3 +127,24 @@
     let answer = ask(&a, "b", vec![0; PAYLOAD_MAX_BYTES + 1].into()).await;
     assert_eq!(answer, Err(TransportError::TooLarge { bytes: PAYLOAD_MAX_BYTES + 1 }));
 }
+
+#[tokio::test]
+async fn a_message_without_an_answer_arrives_whole_or_not_at_all() {
+    let authority = make_authority("test", now()).expect("an authority");
+    let b = start(&authority, "b", &[]);
+    let kept = Arc::new(Keep::default());
+    b.register(Kind::Log, kept.clone());
+    let a = start(&authority, "a", &[("b", b.local_address().expect("bound"))]);
+    let connection = a.shared.connection(&name("b")).await.expect("b listens");
+    let mut cut_short = Outgoing::new(connection.open_uni().await.expect("a stream"));
+    cut_short.stream.write_all(&[Kind::Log as u8, b'x']).await.expect("room");
+    drop(cut_short);
+    let is_there = async {
+        while kept.0.lock().unwrap().is_empty() {
+            a.send(&name("b"), Kind::Log, "whole".into());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, is_there).await.expect("the message arrives");
+    assert!(kept.0.lock().unwrap().iter().all(|payload| payload == "whole"));
+}
