perf(leases): look through the partitions only after a change

Cause: the control leader compared all 4,096 partitions ten times a second, and each instance all partitions that it holds five times a second, also when nothing had changed.

Change: the leader remembers the state in which nothing was to be moved and plans again only when revision, targets, lapsed leases or released partitions differ. `leases/leader.rs` is split by duty into tenure and moves.

Conclusion: at rest the work no longer grows with the partitions.

--- a/coriandergw/src/leases/client.rs
+++ b/coriandergw/src/leases/client.rs
@@ -39,6 +39,7 @@
 use crate::ids::Revision;
 use crate::leases::ANSWER_TIMEOUT;
 use crate::leases::HandoverGate;
+use crate::leases::HeldVersion;
 use crate::leases::Home;
 use crate::leases::Partitions;
 use crate::leases::RENEWAL_INTERVAL;
@@ -576,6 +577,10 @@
         self.holder.lock().expect("not poisoned").all_held(now)
     }
 
+    fn held_version(&self, now: Timestamp) -> Option<HeldVersion> {
+        Some(self.holder.lock().expect("not poisoned").held_version(now))
+    }
+
     fn is_fresh(&self, now: Timestamp) -> bool {
         self.holder.lock().expect("not poisoned").is_fresh(now)
     }
--- a/coriandergw/src/leases/holder.rs
+++ b/coriandergw/src/leases/holder.rs
@@ -16,6 +16,7 @@
 use crate::ids::InstanceName;
 use crate::ids::PartitionId;
 use crate::ids::Revision;
+use crate::leases::HeldVersion;
 use crate::leases::Home;
 use crate::leases::LEASE;
 use crate::leases::PART_MAX_BYTES;
@@ -58,6 +59,8 @@
     lease_until: Timestamp,
     confirmed_at: Option<Timestamp>,
     released: BTreeMap<PartitionId, ReleaseMark>,
+    /// Counts the changes of the held partitions that the revision and the lease do not show.
+    changes: u64,
     leaving: bool,
     freshness_limit: Duration,
 }
@@ -74,6 +77,7 @@
             lease_until: Timestamp(0),
             confirmed_at: None,
             released: BTreeMap::new(),
+            changes: 0,
             leaving: false,
             freshness_limit,
         }
@@ -99,6 +103,7 @@
         self.incarnation = incarnation;
         self.lease_until = Timestamp(0);
         self.released.clear();
+        self.changes += 1;
     }
 
     /// Asks for all partitions to be moved away.
@@ -163,9 +168,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(sent_at));
         // A former leader's moves are applied by now or will never be.
         let table = self.replica.published().table();
+        let before = self.released.len();
         self.released.retain(|partition, mark| {
             mark.fencing == grant.fencing && table.tenure(*partition).epoch == mark.epoch
         });
+        self.changes += u64::from(self.released.len() != before);
     }
 
     /// Replaces the copy by a full state, unless that is older than what was applied.
@@ -173,6 +180,7 @@
         let is_older = published.revision() < self.revision();
         if !is_older {
             self.replica = Replica::new(published);
+            self.changes += 1;
         }
         !is_older
     }
@@ -183,6 +191,7 @@
             return false;
         }
         self.fencing = fencing;
+        self.changes += 1;
         for partition in partitions {
             let epoch = self.published().table().tenure(*partition).epoch;
             self.released.insert(*partition, ReleaseMark { epoch, fencing });
@@ -192,6 +201,7 @@
 
     /// Takes work again for partitions that were released and cannot move yet.
     pub(super) fn keep(&mut self, partitions: &[PartitionId]) {
+        self.changes += 1;
         for partition in partitions {
             self.released.remove(partition);
         }
@@ -235,6 +245,15 @@
         given.filter(|(partition, _)| self.held_as(own, *partition).is_some()).collect()
     }
 
+    /// Returns what tells whether the held partitions may have changed.
+    pub(super) fn held_version(&self, now: Timestamp) -> HeldVersion {
+        HeldVersion {
+            revision: self.published().revision(),
+            has_lease: self.has_lease(now),
+            changes: self.changes,
+        }
+    }
+
     /// Returns the home of a partition, unless it is dead.
     pub(super) fn home(&self, partition: PartitionId) -> Option<Home> {
         let tenure = self.published().table().tenure(partition);
--- a/coriandergw/src/leases/leader.rs
+++ b/coriandergw/src/leases/leader.rs
@@ -8,13 +8,8 @@
 use crate::clock::Timestamp;
 use crate::context::Context;
 use crate::control::CommandKind;
-use crate::control::Forget;
-use crate::control::Instance;
 use crate::control::InstanceState;
-use crate::control::Move;
 use crate::control::Published;
-use crate::control::Reassign;
-use crate::control::SetState;
 use crate::control::SharedControlState;
 use crate::control::TakeControl;
 use crate::control::decode_answer;
@@ -23,26 +18,20 @@
 use crate::ids::CONTROL_GROUP;
 use crate::ids::FencingNumber;
 use crate::ids::InstanceName;
-use crate::ids::PartitionId;
 use crate::ids::Revision;
-use crate::leases::ANSWER_TIMEOUT;
 use crate::leases::PART_MAX_BYTES;
 use crate::leases::generated::Grant;
-use crate::leases::generated::InstanceLag;
 use crate::leases::generated::Poke;
 use crate::leases::generated::RelayRenewal;
-use crate::leases::generated::Release;
-use crate::leases::generated::Released;
 use crate::leases::generated::Renewal;
 use crate::leases::generated::StatusAnswer;
 use crate::leases::generated::request::Kind;
+use crate::leases::leader::tenure::Tenure;
+use crate::leases::leader::tenure::due_state;
+use crate::leases::leader::tenure::lag;
+use crate::leases::leader::tenure::renew_one;
 use crate::leases::lease_table::LeaseTable;
-use crate::leases::messages;
 use crate::leases::messages::encode_request;
-use crate::leases::plan::ByInstance;
-use crate::leases::plan::Plan;
-use crate::leases::plan::PlanInput;
-use crate::leases::plan::make_plan;
 use crate::log_groups::ReplicatedLog;
 use crate::log_groups::node::LogNode;
 use crate::result_code::Refusal;
@@ -53,8 +42,8 @@
 /// The time between two looks at what is to be done.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long a dead instance without partitions stays registered.
-const FORGET_AFTER_MS: u64 = 24 * 60 * 60 * 1_000;
+mod moves;
+mod tenure;
 
 /// Tells whether this instance leads the control group.
 pub trait Leadership: Send + Sync {
@@ -73,18 +62,6 @@
     }
 }
 
-/// One tenure as the control leader.
-struct Tenure {
-    term: u64,
-    fencing: u64,
-    leases: LeaseTable,
-    /// Partitions that their homes were asked to release, with the home's index.
-    asked: BTreeSet<(u32, PartitionId)>,
-    /// Partitions that their homes released, with the home's index.
-    released: BTreeSet<(u32, PartitionId)>,
-    poked: Revision,
-}
-
 /// The control leader's part of a store instance; idle while another instance leads.
 pub(super) struct LeaderService {
     cx: Context,
@@ -176,6 +153,7 @@
             asked: BTreeSet::new(),
             released: BTreeSet::new(),
             poked: Revision(0),
+            at_rest: None,
         });
         let subject = Subject { epoch: Some(term), ..Subject::default() };
         let message = format!("control taken with fencing number {fencing}");
@@ -266,88 +244,6 @@
         })
     }
 
-    /// Returns the plan and the revision of the table that it was made against.
-    fn plan(&self) -> Option<(Plan, Revision)> {
-        self.with_tenure(|tenure, now| {
-            let state = self.state.read().expect("not poisoned");
-            let published = state.published();
-            drop_moved(tenure, published);
-            let mut plan = make_plan(&PlanInput {
-                table: published.table(),
-                targets: &targets(tenure, published, now),
-                leaving: &in_state(published, InstanceState::Leaving),
-                free: &free_partitions(tenure, published, now),
-            });
-            // A home that did not answer may have released all the same, so it is asked again.
-            for (holder, partition) in tenure.asked.difference(&tenure.released) {
-                let partitions = plan.release.entry(*holder).or_default();
-                if !partitions.contains(partition) {
-                    partitions.push(*partition);
-                }
-            }
-            (plan, state.table_revision())
-        })
-    }
-
-    async fn assign(&self, assign: &ByInstance, against: Revision) {
-        if assign.is_empty() {
-            return;
-        }
-        let Some(fencing) = self.fencing() else {
-            return;
-        };
-        let moves: Vec<Move> = assign.iter().map(to_move).collect();
-        let count: usize = assign.values().map(Vec::len).sum();
-        let reassign = Reassign { fencing: fencing.0, against: against.0, moves };
-        let command = CommandKind::Reassign(reassign);
-        if let Ok(epoch) = self.propose(command).await {
-            let subject = Subject { epoch: Some(epoch), ..Subject::default() };
-            let message = format!("{count} partitions moved");
-            self.cx.events.record(EventNumber::PartitionsMoved, subject, message);
-        }
-    }
-
-    /// Asks homes to release partitions; the next tick gives what was released to others.
-    async fn release(&self, release: ByInstance) {
-        let Some(fencing) = self.fencing() else {
-            return;
-        };
-        let calls = release.into_iter().filter_map(|(index, partitions)| {
-            let state = self.state.read().expect("not poisoned");
-            let name = state.published().instance_at(index)?.name.clone();
-            Some(self.release_from(fencing, index, name, partitions))
-        });
-        futures_util::future::join_all(calls.collect::<Vec<_>>()).await;
-    }
-
-    async fn release_from(
-        &self,
-        fencing: FencingNumber,
-        index: u32,
-        name: InstanceName,
-        partitions: Vec<PartitionId>,
-    ) {
-        let pairs: Vec<_> = partitions.iter().map(|partition| (index, *partition)).collect();
-        self.with_tenure(|tenure, _| tenure.asked.extend(pairs.iter().copied()));
-        let raw = partitions.iter().map(|partition| u32::from(partition.0)).collect();
-        let request =
-            encode_request(Kind::Release(Release { fencing: fencing.0, partitions: raw }));
-        let kind = transport::Kind::Control;
-        let answer = self.transport.call(&name, kind, request, ANSWER_TIMEOUT).await;
-        let answer =
-            answer.ok().and_then(|answer| messages::decode_answer::<Released>(answer).ok());
-        let Some(answer) = answer else {
-            return;
-        };
-        let is_busy =
-            |(_, partition): &(u32, PartitionId)| answer.busy.contains(&partition.0.into());
-        let (busy, released): (Vec<_>, Vec<_>) = pairs.into_iter().partition(is_busy);
-        self.with_tenure(|tenure, _| {
-            tenure.released.extend(released);
-            tenure.asked.retain(|pair| !busy.contains(pair));
-        });
-    }
-
     /// Tells the instances that renew directly about a newer revision.
     fn poke_renewers(&self) {
         let names = self.with_tenure(|tenure, now| {
@@ -389,129 +285,3 @@
         ..Grant::default()
     }
 }
-
-/// Renews the lease of the present incarnation of an instance that is not dead.
-fn renew_one(
-    tenure: &mut Tenure,
-    published: &Published,
-    name: &InstanceName,
-    renewal: &Renewal,
-    now: Timestamp,
-) -> bool {
-    let Some(instance) = published.instances().get(name) else {
-        return false;
-    };
-    let is_present = instance.incarnation == renewal.incarnation;
-    if !is_present || instance.state == InstanceState::Dead {
-        return false;
-    }
-    let applied = Revision(renewal.revision);
-    let newest = published.revision();
-    let renewed = tenure.leases.renew(name, renewal.incarnation, applied, newest, now);
-    if renewed && renewal.leaving {
-        tenure.leases.set_leaving(name, renewal.incarnation);
-    }
-    renewed
-}
-
-/// Returns the command that brings the state of an instance up to date, if one is due.
-fn due_state(
-    tenure: &mut Tenure,
-    published: &Published,
-    instance: &Instance,
-    now: Timestamp,
-    wall_ms: u64,
-) -> Option<CommandKind> {
-    let name = &instance.name;
-    if instance.state == InstanceState::Dead {
-        let is_old = wall_ms.saturating_sub(instance.since_wall_ms) > FORGET_AFTER_MS;
-        if !is_old || published.table().held_by(instance.index).next().is_some() {
-            return None;
-        }
-        let forget = Forget { fencing: tenure.fencing, name: name.to_string() };
-        return Some(CommandKind::Forget(forget));
-    }
-    tenure.leases.observe(name, instance.incarnation, now);
-    let state = if tenure.leases.condemn_if_lapsed(name, instance.incarnation, now) {
-        InstanceState::Dead
-    } else {
-        let lease = tenure.leases.record(name, instance.incarnation)?;
-        (lease.leaving && instance.state == InstanceState::Alive)
-            .then_some(InstanceState::Leaving)?
-    };
-    Some(CommandKind::SetState(SetState {
-        fencing: tenure.fencing,
-        name: name.to_string(),
-        incarnation: instance.incarnation,
-        state: state.into(),
-        wall_ms,
-    }))
-}
-
-fn in_state(published: &Published, state: InstanceState) -> BTreeSet<u32> {
-    let instances = published.instances().values();
-    instances.filter(|instance| instance.state == state).map(|instance| instance.index).collect()
-}
-
-/// Returns the instances that take partitions: while former leases may hold all that are alive,
-/// later those that renewed.
-fn targets(tenure: &Tenure, published: &Published, now: Timestamp) -> BTreeSet<u32> {
-    let mut targets = in_state(published, InstanceState::Alive);
-    if tenure.leases.is_settled(now) {
-        targets.retain(|index| {
-            published.instance_at(*index).is_some_and(|instance| {
-                let lease = tenure.leases.record(&instance.name, instance.incarnation);
-                lease.is_some_and(|lease| lease.renewed_at.is_some())
-            })
-        });
-    }
-    targets
-}
-
-/// Returns the partitions that no instance may act for any more.
-fn free_partitions(
-    tenure: &Tenure,
-    published: &Published,
-    now: Timestamp,
-) -> BTreeSet<PartitionId> {
-    let is_free = |partition: PartitionId, row: crate::control::Tenure| {
-        let Some(instance) = published.instance_at(row.holder) else {
-            return true;
-        };
-        if instance.has(row) {
-            return instance.state == InstanceState::Dead
-                || tenure.released.contains(&(row.holder, partition));
-        }
-        tenure.leases.earlier_lapsed(&instance.name, instance.incarnation, now)
-    };
-    let rows = published.table().iter();
-    rows.filter(|(partition, row)| is_free(*partition, *row))
-        .map(|(partition, _)| partition)
-        .collect()
-}
-
-/// Drops the notes on released partitions that have moved since.
-fn drop_moved(tenure: &mut Tenure, published: &Published) {
-    let table = published.table();
-    let is_still_there =
-        |(holder, partition): &(u32, PartitionId)| table.tenure(*partition).holder == *holder;
-    tenure.asked.retain(is_still_there);
-    tenure.released.retain(is_still_there);
-}
-
-fn to_move((holder, partitions): (&u32, &Vec<PartitionId>)) -> Move {
-    let partitions = partitions.iter().map(|partition| u32::from(partition.0)).collect();
-    Move { holder: *holder, partitions }
-}
-
-fn lag(tenure: &Tenure, instance: &Instance, newest: Revision, now: Timestamp) -> InstanceLag {
-    let lease = tenure.leases.record(&instance.name, instance.incarnation);
-    let millis = |at: Timestamp| now.since(at).as_millis() as u64;
-    let behind_since = lease.and_then(|lease| lease.behind_at(newest));
-    InstanceLag {
-        name: instance.name.to_string(),
-        revision: lease.map_or(0, |lease| lease.revision.0),
-        behind_ms: behind_since.map_or(0, |at| millis(at).max(1)),
-        renewed_ms_ago: lease.and_then(|lease| lease.renewed_at).map_or(u64::MAX, millis),
-    }
-}
--- a/coriandergw/src/leases/mod.rs
+++ b/coriandergw/src/leases/mod.rs
@@ -11,6 +11,7 @@
 use crate::ids::Epoch;
 use crate::ids::InstanceName;
 use crate::ids::PartitionId;
+use crate::ids::Revision;
 
 mod client;
 #[allow(missing_docs, clippy::all)]
@@ -64,6 +65,17 @@
     pub epoch: Epoch,
 }
 
+/// Tells apart the states between which the held partitions may differ.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldVersion {
+    /// The applied revision.
+    pub revision: Revision,
+    /// Whether the lease holds.
+    pub has_lease: bool,
+    /// How often incarnation, copy or released partitions changed in another way.
+    pub changes: u64,
+}
+
 /// Tells whether a partition can move to another home.
 pub trait HandoverGate: Send + Sync {
     /// Returns whether calls of the partition's programs are running here.
@@ -81,6 +93,12 @@
     /// Returns the partitions that this instance holds at `now`, with their epochs.
     fn all_held(&self, now: Timestamp) -> Vec<(PartitionId, Epoch)>;
 
+    /// Returns a value that differs wherever [`Partitions::all_held`] may differ; nothing where
+    /// that is not known.
+    fn held_version(&self, _now: Timestamp) -> Option<HeldVersion> {
+        None
+    }
+
     /// Returns whether this instance has confirmed its configuration within the freshness limit.
     fn is_fresh(&self, now: Timestamp) -> bool;
 }
--- a/coriandergw/src/leases/tests/holding.rs
+++ b/coriandergw/src/leases/tests/holding.rs
@@ -91,6 +91,37 @@
     assert_eq!(late, GrantResult::Ignored);
 }
 
+#[test]
+fn the_held_version_differs_wherever_the_held_partitions_do() {
+    let mut holder = holder();
+    let mut state = control_state();
+    let mut seen = vec![(holder.held_version(SENT_AT), holder.all_held(SENT_AT))];
+    let mut note = |holder: &Holder, now| {
+        let (version, held) = (holder.held_version(now), holder.all_held(now));
+        let (last_version, last_held) = seen.last().unwrap();
+        assert_ne!(held, *last_held);
+        assert_ne!(version, *last_version, "{held:?} is not told from {last_held:?}");
+        seen.push((version, held));
+    };
+    holder.on_grant(SENT_AT, 1, &grant(&state, 1));
+    note(&holder, SENT_AT);
+    note(&holder, SENT_AT + LEASE);
+    note(&holder, SENT_AT);
+    holder.release(1, &[PARTITION]);
+    note(&holder, SENT_AT);
+    holder.keep(&[PARTITION]);
+    note(&holder, SENT_AT);
+    holder.release(1, &[PARTITION]);
+    note(&holder, SENT_AT);
+    holder.on_grant(SENT_AT, 1, &grant(&state, 2));
+    note(&holder, SENT_AT);
+    give(&mut state);
+    holder.on_grant(SENT_AT, 1, &grant(&state, 2));
+    note(&holder, SENT_AT);
+    holder.set_incarnation(Some(2));
+    note(&holder, SENT_AT);
+}
+
 #[test]
 fn a_state_that_differs_or_lacks_deltas_is_replaced_but_never_by_an_older_one() {
     let mut holder = holder();
--- a/coriandergw/src/programs/home.rs
+++ b/coriandergw/src/programs/home.rs
@@ -35,6 +35,7 @@
 use crate::programs::journal::Journals;
 use crate::programs::state::Program;
 use crate::programs::state::Tree;
+use crate::programs::sweep::Followed;
 use crate::programs::turn::Turn;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
@@ -53,6 +54,7 @@
     pub(super) draining: CancellationToken,
     pub(super) running: watch::Sender<usize>,
     pub(super) entering: Entering,
+    pub(super) followed: Mutex<Option<Followed>>,
 }
 
 /// One partition at its home, under one epoch.
@@ -117,6 +119,7 @@
             draining: CancellationToken::new(),
             running: watch::Sender::new(0),
             entering: Entering::default(),
+            followed: Mutex::default(),
         });
         tokio::spawn(Self::sweep_forever(Arc::downgrade(&programs)));
         programs
--- a/coriandergw/src/programs/sweep.rs
+++ b/coriandergw/src/programs/sweep.rs
@@ -14,6 +14,7 @@
 use crate::ids::Epoch;
 use crate::ids::PartitionId;
 use crate::ids::ProgramId;
+use crate::leases::HeldVersion;
 use crate::programs::home::Home;
 use crate::programs::home::LiveTree;
 use crate::programs::home::Place;
@@ -36,6 +37,13 @@
 /// How long an ended program can be read.
 const RETENTION: Duration = Duration::from_secs(10 * 60);
 
+/// The state of leases and homes in which a sweep found nothing left to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Followed {
+    version: HeldVersion,
+    homes: usize,
+}
+
 impl Programs {
     pub(super) async fn sweep_forever(programs: Weak<Self>) {
         let mut round = 0u64;
@@ -53,11 +61,18 @@
     /// Drops homes whose lease is gone and takes over partitions that were granted.
     pub(super) async fn follow_leases(self: &Arc<Self>) {
         let now = self.cx.clock.now();
+        // The state is read before what depends on it, so that a change in between is seen next.
+        let state = self.state_of_leases(now);
+        if state.is_some() && *self.followed.lock().expect("not poisoned") == state {
+            return;
+        }
         let held: BTreeMap<PartitionId, Epoch> =
             self.partitions.all_held(now).into_iter().collect();
         self.drop_gone(&held, now);
         let missing = self.without_home(&held);
         if missing.is_empty() {
+            let is_done = state.is_some_and(|state| state.homes == held.len());
+            *self.followed.lock().expect("not poisoned") = state.filter(|_| is_done);
             return;
         }
         // Most partitions hold nothing: they are fenced together and need no reading.
@@ -71,6 +86,11 @@
         while takeovers.next().await.is_some() {}
     }
 
+    fn state_of_leases(&self, now: Timestamp) -> Option<Followed> {
+        let version = self.partitions.held_version(now)?;
+        Some(Followed { version, homes: self.homes.lock().expect("not poisoned").len() })
+    }
+
     fn drop_gone(&self, held: &BTreeMap<PartitionId, Epoch>, now: Timestamp) {
         let mut homes = self.known_homes();
         homes.retain(|home| is_gone(home, held.get(&home.partition).copied(), now));
