--- a/coriandergw/src/callers/tests.rs
+++ b/coriandergw/src/callers/tests.rs
@@ -1,6 +1,5 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::time::Duration;
 
 use axum::body::Body as HttpBody;
 use axum::http::Method;
@@ -16,29 +15,21 @@
 use tokio::net::TcpStream;
 
 use super::*;
-use crate::addresses::OneAddress;
 use crate::catalogue::Entry;
 use crate::catalogue::MemoryCatalogue;
 use crate::catalogue::RawEntry;
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::clock::Timestamp;
-use crate::context::Context;
-use crate::dispatch::direct::DirectDispatcher;
 use crate::endpoints::directory::Directory;
-use crate::events::Recorder;
+use crate::http_server::CallerKeyFiles;
 use crate::ids::Epoch;
-use crate::ids::GroupId;
 use crate::ids::InstanceName;
 use crate::ids::PartitionId;
 use crate::leases::Home;
 use crate::leases::Partitions;
-use crate::log_groups::StateMachine;
-use crate::log_groups::local::LocalLog;
-use crate::metrics::Metrics;
-use crate::programs::JournalState;
-use crate::programs::Programs;
 use crate::settings::Settings;
+use crate::test_support;
 
 /// All partitions are at one instance, which may move.
 #[derive(Default)]
@@ -76,15 +67,23 @@
 impl Instance {
     /// Starts an instance that knows no home yet.
     async fn start(name: &str, require_account_key: bool) -> Self {
+        Self::start_with(name, |settings| settings.access.require_account_key = require_account_key)
+            .await
+    }
+
+    /// Starts an instance that redirects, as where callers speak TLS.
+    async fn start_redirecting(name: &str) -> Self {
+        let none = CallerKeyFiles { certificate: "unused".into(), key: "unused".into() };
+        Self::start_with(name, |settings| settings.caller_keys = Some(none)).await
+    }
+
+    async fn start_with<F>(name: &str, set: F) -> Self
+    where
+        F: FnOnce(&mut Settings),
+    {
         let clock = Arc::new(SystemClock::default());
         let instance = InstanceName::try_from(name).unwrap();
-        let cx = Context {
-            instance: instance.clone(),
-            data_centre: "dc".try_into().unwrap(),
-            clock: clock.clone(),
-            events: Arc::new(Recorder::new(instance.clone(), clock)),
-            metrics: Arc::new(Metrics::new().unwrap()),
-        };
+        let cx = test_support::context(instance.clone(), "dc", clock);
         let raw = |name: &str, key: &str| RawEntry {
             name: name.to_owned(),
             owner: name.to_owned(),
@@ -95,37 +94,14 @@
         let entries = entries.map(|raw| Entry::try_from(raw).unwrap());
         let catalogue = Arc::new(MemoryCatalogue::with_entries(entries));
         let partitions = Arc::new(OneHome::default());
-        *partitions.here.lock().unwrap() = Some(instance.clone());
-        let directory = Arc::new(Directory::default());
-        let machine: Box<dyn StateMachine> = Box::new(JournalState::default());
-        let programs = Programs::start(
-            cx.clone(),
-            catalogue.clone(),
-            partitions.clone(),
-            Arc::new(LocalLog::new(instance, [(GroupId(1), machine)])),
-            1,
-            Arc::new(DirectDispatcher::new(cx.clone(), directory.clone())),
-        );
+        *partitions.here.lock().unwrap() = Some(instance);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let mut settings = Settings::dev(address);
-        settings.access.require_account_key = require_account_key;
-        let ttl = Duration::from_secs(1);
-        let shared = Arc::new(Shared {
-            addresses: Arc::new(OneAddress::new(address, cx.data_centre.clone(), ttl)),
-            cx,
-            settings,
-            caller_address: address,
-            catalogue: catalogue.clone(),
-            catalogue_writer: catalogue.clone(),
-            cluster: catalogue,
-            directory: directory.clone(),
-            programs,
-            partitions: partitions.clone(),
-            voters: None,
-            transport: None,
-            stage: Arc::default(),
-        });
+        set(&mut settings);
+        let shared = test_support::shared(cx, settings, catalogue, partitions.clone());
+        let directory = shared.directory.clone();
+        let shared = Arc::new(shared);
         let service =
             crate::instance::router(shared).into_make_service_with_connect_info::<SocketAddr>();
         tokio::spawn(async move { axum::serve(listener, service).await });
@@ -198,9 +174,9 @@
 
 /// Checks that a refusal does not claim that the call has not run: it may be a resend.
 #[track_caller]
-fn assert_open(answer: &(u16, Value)) {
-    let (status, body) = answer;
-    assert_eq!((*status, &body["code"]), (503, &json!("CG-2003")));
+fn assert_open(answer: &(u16, Value), status: u16) {
+    let (got, body) = answer;
+    assert_eq!((*got, &body["code"]), (status, &json!("CG-2003")));
     assert_eq!(body["not_run"], false, "{body}");
     assert!(body["retry_after_ms"].is_u64(), "{body}");
 }
@@ -277,14 +253,14 @@
     let path = "/v1/programs/p-1/calls";
     let call = r#"{"call_id":"x","kind":"tool","target":"t"}"#;
     let program = r#"{"entry":"e"}"#;
-    assert_open(&connection.post(path, "", call).await);
+    assert_open(&connection.post(path, "", call).await, 503);
     assert_refused(&connection.post("/v1/programs", "", program).await, 503, "CG-2003");
 
     let gone = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = gone.local_addr().unwrap();
     entry.tell_home("a", address);
     drop(gone);
-    assert_open(&connection.post(path, "", call).await);
+    assert_open(&connection.post(path, "", call).await, 503);
     assert_refused(&connection.post("/v1/programs", "", program).await, 503, "CG-2003");
 
     let cut = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -296,7 +272,18 @@
             let _ = tokio::io::AsyncReadExt::read(&mut stream, &mut buf).await;
         }
     });
-    assert_open(&connection.post(path, "", call).await);
+    assert_open(&connection.post(path, "", call).await, 503);
+}
+
+#[tokio::test]
+async fn a_redirect_leaves_open_whether_a_call_ran() {
+    let entry = Instance::start_redirecting("b").await;
+    let mut connection = entry.connect().await;
+    entry.tell_home("a", "192.0.2.1:443".parse().unwrap());
+    let call = r#"{"call_id":"x","kind":"tool","target":"t"}"#;
+    assert_open(&connection.post("/v1/programs/p-1/calls", "", call).await, 307);
+    let program = r#"{"entry":"e"}"#;
+    assert_refused(&connection.post("/v1/programs", "", program).await, 307, "CG-2003");
 }
 
 #[tokio::test]
