--- a/coriandergw/src/programs/home.rs
+++ b/coriandergw/src/programs/home.rs
@@ -36,6 +36,7 @@
 use crate::programs::parked::Trees;
 use crate::programs::state::Program;
 use crate::programs::state::Tree;
+use crate::programs::sweep::Followed;
 use crate::programs::turn::Turn;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
@@ -56,6 +57,7 @@
     pub(super) draining: CancellationToken,
     pub(super) running: watch::Sender<usize>,
     pub(super) entering: Entering,
+    pub(super) followed: Mutex<Option<Followed>>,
 }
 
 /// One partition at its home, under one epoch.
@@ -122,6 +124,7 @@
             draining: CancellationToken::new(),
             running: watch::Sender::new(0),
             entering: Entering::default(),
+            followed: Mutex::default(),
         });
         tokio::spawn(Self::sweep_forever(Arc::downgrade(&programs)));
         programs
