--- a/coriandergw/src/dispatch/mod.rs
+++ b/coriandergw/src/dispatch/mod.rs
@@ -8,8 +8,10 @@
 
 use crate::catalogue::Entry;
 use crate::clock::Timestamp;
+use crate::endpoints::Announcement;
 use crate::ids::CallId;
 use crate::ids::EndpointName;
+use crate::ids::FencingNumber;
 use crate::ids::ProgramId;
 use crate::ids::TargetName;
 use crate::result_code::Refusal;
@@ -17,6 +19,7 @@
 mod cache_feeds;
 pub mod direct;
 mod endpoint_state;
+pub mod engine_memory;
 pub mod facts;
 mod releases;
 pub mod scheduled;
@@ -151,6 +154,32 @@
 /// Passes generated text on as it arrives; bounded, so that a slow caller slows the engine.
 pub type TokenSink = mpsc::Sender<Bytes>;
 
+/// What an engine reports of the memory that it holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Held {
+    /// The highest fencing number that it has seen.
+    pub fencing: FencingNumber,
+    /// The programs whose memory it holds.
+    pub programs: Vec<ProgramId>,
+}
+
+/// Reads and releases the memory that engines hold for programs.
+#[async_trait]
+pub trait EngineMemory: Send + Sync {
+    /// Returns what an engine holds, or `None` if it does not answer.
+    async fn held(&self, engine: &Announcement) -> Option<Held>;
+
+    /// Orders the release of a program's memory once. Returns whether the engine confirmed it.
+    ///
+    /// `fencing` is the highest number that the engine is known to have seen.
+    async fn release(
+        &self,
+        engine: &Announcement,
+        program: &ProgramId,
+        fencing: FencingNumber,
+    ) -> bool;
+}
+
 /// Queues, places, sends and retries calls.
 #[async_trait]
 pub trait Dispatcher: Send + Sync {
--- a/coriandergw/src/dispatch/scheduled.rs
+++ b/coriandergw/src/dispatch/scheduled.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::TokenSink;
 use crate::dispatch::cache_feeds;
 use crate::dispatch::direct::outcome_of;
+use crate::dispatch::engine_memory::HttpEngineMemory;
 use crate::dispatch::facts::CallFacts;
 use crate::dispatch::facts::QueueKey;
 use crate::dispatch::releases::Releases;
@@ -125,8 +126,9 @@
             data_centre: cx.data_centre.clone(),
             seed: settings.seed,
         });
+        let memory = Arc::new(HttpEngineMemory::new(client.clone()));
         let inner = Arc::new(Inner {
-            releases: Releases::new(cx.clone(), directory.clone(), client.clone()),
+            releases: Releases::new(cx.clone(), directory.clone(), memory),
             cx,
             directory,
             client,
--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -24,6 +24,7 @@
 use crate::instance::context;
 use crate::instance::serve::bind;
 use crate::instance::serve::serve;
+use crate::instance::start_sweeper;
 use crate::leases;
 use crate::leases::ClusterStatus;
 use crate::leases::ControlClient;
@@ -36,10 +37,13 @@
 use crate::log_groups::node::LogOptions;
 use crate::log_groups::node::SNAPSHOT_EVERY_ENTRIES;
 use crate::log_groups::voters::Voters;
+use crate::programs::HomesOfPrograms;
 use crate::programs::JournalState;
+use crate::programs::LivesHandler;
 use crate::programs::Programs;
 use crate::settings::Settings;
 use crate::storage::file_disk::FileDisk;
+use crate::transport::Kind;
 use crate::transport::Transport;
 use crate::transport::quic::QuicTransport;
 use crate::transport::quic::StartError;
@@ -86,6 +90,14 @@
         dispatcher,
     );
     control.set_handover_gate(programs.clone());
+    transport.register(Kind::Programs, Arc::new(LivesHandler(programs.clone())));
+    let homes = HomesOfPrograms::new(
+        cx.clone(),
+        programs.clone(),
+        control.clone(),
+        Some(transport.clone()),
+    );
+    let sweeper = start_sweeper(&cx, &directory, homes);
     let shared = Arc::new(Shared {
         addresses: addresses(&settings, control.clone(), caller_address),
         cx,
@@ -102,6 +114,7 @@
         stage: Arc::default(),
     });
     serve(server, shared, || control.leave()).await;
+    sweeper.abort();
     control.stop();
     if let Some(node) = node {
         node.stop().await;
--- a/coriandergw/src/instance/dev.rs
+++ b/coriandergw/src/instance/dev.rs
@@ -22,9 +22,11 @@
 use crate::instance::context;
 use crate::instance::serve::bind;
 use crate::instance::serve::serve;
+use crate::instance::start_sweeper;
 use crate::leases::local::LocalPartitions;
 use crate::log_groups::StateMachine;
 use crate::log_groups::local::LocalLog;
+use crate::programs::HomesOfPrograms;
 use crate::programs::JournalState;
 use crate::programs::Programs;
 use crate::settings::Settings;
@@ -61,6 +63,8 @@
         JOURNAL_GROUPS,
         dispatcher,
     );
+    let homes = HomesOfPrograms::new(cx.clone(), programs.clone(), partitions.clone(), None);
+    let sweeper = start_sweeper(&cx, &directory, homes);
     let shared = Arc::new(Shared {
         addresses: one_address(&settings, caller_address),
         cx,
@@ -77,6 +81,7 @@
         stage: Arc::default(),
     });
     serve(server, shared, || {}).await;
+    sweeper.abort();
     Ok(())
 }
 
--- a/coriandergw/src/instance/mod.rs
+++ b/coriandergw/src/instance/mod.rs
@@ -12,6 +12,7 @@
 use crate::catalogue::CatalogueWriter;
 use crate::clock::SystemClock;
 use crate::context::Context;
+use crate::dispatch::engine_memory::HttpEngineMemory;
 use crate::endpoints::directory::Directory;
 use crate::events;
 use crate::events::Recorder;
@@ -20,6 +21,8 @@
 use crate::log_groups::voters::Voters;
 use crate::metrics::Metrics;
 use crate::operators;
+use crate::orders::Sweeper;
+use crate::programs::HomesOfPrograms;
 use crate::programs::Programs;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
@@ -87,6 +90,15 @@
         .with_state(shared)
 }
 
+fn start_sweeper(
+    cx: &Context,
+    directory: &Arc<Directory>,
+    homes: HomesOfPrograms,
+) -> tokio::task::JoinHandle<()> {
+    let memory = Arc::new(HttpEngineMemory::default());
+    Sweeper::new(cx.clone(), directory.clone(), memory, Arc::new(homes)).start()
+}
+
 fn context(settings: &Settings) -> Result<Context, RunError> {
     let clock = Arc::new(SystemClock::default());
     let name = settings.instance.name.clone();
--- a/coriandergw/src/orders/driver.rs
+++ b/coriandergw/src/orders/driver.rs
@@ -1,11 +1,8 @@
 //! Reads back what engines report and sends the orders that are due.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
-
 use crate::clock::Timestamp;
 use crate::context::Context;
 use crate::dispatch::CallKind;
@@ -14,11 +11,9 @@
 use crate::endpoints::directory::Directory;
 use crate::events::EventNumber;
 use crate::events::Subject;
-use crate::ids::ProgramId;
 use crate::orders::EngineState;
 use crate::orders::Order;
 use crate::orders::OrderSender;
-use crate::orders::Sweep;
 use crate::orders::TenureSource;
 use crate::orders::TokenBucket;
 use crate::orders::WantedState;
@@ -30,13 +25,6 @@
 /// How long an engine may take to report its state.
 const STATE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Tells which programs live.
-#[async_trait]
-pub trait LivePrograms: Send + Sync {
-    /// Returns those of `programs` that live, or `None` if that cannot be told for all of them.
-    async fn live(&self, programs: &[ProgramId]) -> Option<BTreeSet<ProgramId>>;
-}
-
 /// Tells what engines should be like.
 pub trait Wishes: Send + Sync {
     /// Returns what an engine should be like, or `None` to leave its models and role alone.
@@ -63,10 +51,8 @@
     cx: Context,
     directory: Arc<Directory>,
     tenure: Arc<dyn TenureSource>,
-    live: Arc<dyn LivePrograms>,
     wishes: Arc<dyn Wishes>,
     client: EndpointClient,
-    sweep: Sweep,
     loads: TokenBucket,
 }
 
@@ -76,7 +62,6 @@
         cx: Context,
         directory: Arc<Directory>,
         tenure: Arc<dyn TenureSource>,
-        live: Arc<dyn LivePrograms>,
         wishes: Arc<dyn Wishes>,
         settings: OrderSettings,
     ) -> tokio::task::JoinHandle<()> {
@@ -86,10 +71,8 @@
             cx,
             directory,
             tenure,
-            live,
             wishes,
             client: EndpointClient::default(),
-            sweep: Sweep::default(),
         };
         tokio::spawn(async move {
             loop {
@@ -119,22 +102,18 @@
         let Ok(state) = EngineState::try_from(raw) else {
             return;
         };
-        for order in self.orders_for(engine, &state).await {
+        for order in self.orders_for(engine, &state) {
             if !self.give(engine, &order).await {
                 return;
             }
         }
     }
 
-    async fn orders_for(&mut self, engine: &Announcement, state: &EngineState) -> Vec<Order> {
+    fn orders_for(&mut self, engine: &Announcement, state: &EngineState) -> Vec<Order> {
         let wanted = self.wishes.wanted(engine);
         let mut orders = wanted.map(|wanted| plan(&wanted, state)).unwrap_or_default();
         let now = self.cx.clock.now();
         orders.retain(|order| !matches!(order, Order::LoadModel { .. }) || self.loads.take(now));
-        if let Some(live) = self.live.live(&state.held).await {
-            let orphaned = self.sweep.observe(&engine.name, &state.held, &live, now);
-            orders.extend(orphaned.into_iter().map(|program| Order::Release { program }));
-        }
         orders
     }
 
--- a/coriandergw/src/orders/mod.rs
+++ b/coriandergw/src/orders/mod.rs
@@ -1,24 +1,28 @@
 //! Orders to engines: load a model, change a role, release memory.
 //!
-//! The control leader compares the wanted state with what each engine reports and orders what
-//! differs. Orders state the wanted end, so a repeated order changes nothing.
+//! The control leader compares the wanted models and role with what each engine reports and orders
+//! what differs. The instance that an engine renews at sweeps what it holds for programs that are
+//! gone. Orders state the wanted end, so a repeated order changes nothing.
 
 mod bucket;
 mod copies;
 mod driver;
+mod lives;
 mod plan;
 mod sender;
 mod state;
 mod sweep;
+mod sweeper;
 mod tenure;
 
 pub use bucket::TokenBucket;
 pub use copies::Demand;
 pub use copies::copies_by_peak;
-pub use driver::LivePrograms;
 pub use driver::OrderDriver;
 pub use driver::OrderSettings;
 pub use driver::Wishes;
+pub use lives::Life;
+pub use lives::LivePrograms;
 pub use plan::plan;
 pub use sender::OrderSender;
 pub use sender::SendOrderError;
@@ -30,6 +34,8 @@
 pub use state::StateError;
 pub use state::WantedState;
 pub use sweep::Sweep;
+pub use sweep::pause_after;
+pub use sweeper::Sweeper;
 pub use tenure::Tenure;
 pub use tenure::TenureSource;
 
--- a/coriandergw/src/orders/state.rs
+++ b/coriandergw/src/orders/state.rs
@@ -9,7 +9,6 @@
 
 use crate::ids::FencingNumber;
 use crate::ids::NameError;
-use crate::ids::ProgramId;
 use crate::ids::TargetName;
 
 /// What an engine works on.
@@ -62,11 +61,6 @@
         /// The role.
         role: Role,
     },
-    /// The engine holds no memory for this program.
-    Release {
-        /// The program.
-        program: ProgramId,
-    },
 }
 
 impl Order {
@@ -76,7 +70,6 @@
             Order::LoadModel { .. } => "load_model",
             Order::UnloadModel { .. } => "unload_model",
             Order::SetRole { .. } => "set_role",
-            Order::Release { .. } => "release",
         }
     }
 }
@@ -116,8 +109,6 @@
     pub models: Vec<LoadedModel>,
     /// Its role.
     pub role: Role,
-    /// The programs whose memory it holds.
-    pub held: Vec<ProgramId>,
 }
 
 /// Says why a report could not be read.
@@ -146,8 +137,6 @@
     models: Vec<RawModel>,
     #[serde(default)]
     role: Role,
-    #[serde(default)]
-    held: Vec<RawHeld>,
 }
 
 #[derive(Deserialize)]
@@ -159,11 +148,6 @@
     loading: bool,
 }
 
-#[derive(Deserialize)]
-struct RawHeld {
-    program: String,
-}
-
 impl TryFrom<RawModel> for LoadedModel {
     type Error = NameError;
 
@@ -180,13 +164,11 @@
         let raw: RawState =
             serde_json::from_value(raw).map_err(|cause| StateError::Malformed { cause })?;
         let models = raw.models.into_iter().map(LoadedModel::try_from);
-        let held = raw.held.into_iter().map(|held| ProgramId::try_from(held.program));
         let name = |cause| StateError::Name { cause };
         Ok(Self {
             fencing: FencingNumber(raw.fencing),
             models: models.collect::<Result<_, _>>().map_err(name)?,
             role: raw.role,
-            held: held.collect::<Result<_, _>>().map_err(name)?,
         })
     }
 }
--- a/coriandergw/src/orders/sweep.rs
+++ b/coriandergw/src/orders/sweep.rs
@@ -5,39 +5,73 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
-use crate::ids::EndpointName;
+use crate::ids::Epoch;
 use crate::ids::ProgramId;
+use crate::orders::Life;
+use crate::orders::LivePrograms;
 
-/// How long memory must have been held without a live program before it is released.
-///
-/// A program that has just begun may not be known yet to whoever tells which programs live.
-const ORPHANED_FOR: Duration = Duration::from_secs(10);
+/// How long a program counts as live without asking its home again.
+const LIVE_FOR: Duration = Duration::from_secs(60);
 
-/// Remembers since when memory is held for programs that do not live.
+/// The shortest time between two rounds.
+const PAUSE_MIN: Duration = Duration::from_secs(2);
+
+/// The longest time between two rounds.
+const PAUSE_MAX: Duration = Duration::from_secs(60);
+
+/// The part of the time between two rounds that each program held adds.
+const PAUSE_PER_HELD: Duration = Duration::from_millis(50);
+
+/// What a home said of a program.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    life: Life,
+    epoch: Option<Epoch>,
+    told_at: Timestamp,
+}
+
+/// Remembers what homes said of the programs that engines hold memory for.
 #[derive(Debug, Default)]
 pub struct Sweep {
-    orphaned_since: BTreeMap<(EndpointName, ProgramId), Timestamp>,
+    known: BTreeMap<ProgramId, Known>,
 }
 
 impl Sweep {
-    /// Compares what an engine holds with the programs that live and returns what to release.
-    pub fn observe(
+    /// Returns the held programs whose homes are to be asked, and forgets those not held any more.
+    ///
+    /// A program counts as live until its home changes, since a release may be lost with a home.
+    pub fn to_ask(
         &mut self,
-        engine: &EndpointName,
-        held: &[ProgramId],
-        live: &BTreeSet<ProgramId>,
+        held: &BTreeSet<ProgramId>,
+        live: &dyn LivePrograms,
         now: Timestamp,
     ) -> Vec<ProgramId> {
-        let orphaned: BTreeSet<&ProgramId> = held.iter().filter(|id| !live.contains(*id)).collect();
-        self.orphaned_since.retain(|(of, id), _| of != engine || orphaned.contains(id));
-        let mut due = Vec::new();
-        for program in orphaned {
-            let key = (engine.clone(), program.clone());
-            let since = *self.orphaned_since.entry(key).or_insert(now);
-            if now.since(since) >= ORPHANED_FOR {
-                due.push(program.clone());
+        self.known.retain(|program, _| held.contains(program));
+        let is_due = |program: &&ProgramId| match self.known.get(*program) {
+            None => true,
+            Some(Known { life: Life::Gone, .. }) => false,
+            Some(known) => {
+                known.epoch != live.epoch(program) || now.since(known.told_at) >= LIVE_FOR
             }
-        }
-        due
+        };
+        held.iter().filter(is_due).cloned().collect()
     }
+
+    /// Records what a home said when its epoch was `epoch`.
+    pub fn learn(&mut self, program: &ProgramId, life: Life, epoch: Option<Epoch>, now: Timestamp) {
+        self.known.insert(program.clone(), Known { life, epoch, told_at: now });
+    }
+
+    /// Returns whether the memory of a program is to be released.
+    ///
+    /// A program of which no home has said anything is never gone.
+    pub fn is_gone(&self, program: &ProgramId) -> bool {
+        self.known.get(program).is_some_and(|known| known.life == Life::Gone)
+    }
+}
+
+/// Returns the time until the next round after one in which so many programs were held.
+pub fn pause_after(held: usize) -> Duration {
+    let count = u32::try_from(held).unwrap_or(u32::MAX);
+    PAUSE_PER_HELD.saturating_mul(count).clamp(PAUSE_MIN, PAUSE_MAX)
 }
--- /dev/null
+++ b/coriandergw/src/orders/sweeper.rs
@@ -0,0 +1,134 @@
+//! Releases what the engines announced here hold for programs that are gone.
+//!
+//! An engine is swept by the instance that it renews its announcement at, so that each has one
+//! sweeper and none needs an agreement on who that is.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use futures_util::StreamExt;
+
+use crate::context::Context;
+use crate::dispatch::CallKind;
+use crate::dispatch::EngineMemory;
+use crate::dispatch::Held;
+use crate::endpoints::Announcement;
+use crate::endpoints::directory::Directory;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::ProgramId;
+use crate::orders::LivePrograms;
+use crate::orders::Sweep;
+use crate::orders::pause_after;
+
+/// The engines that are asked for what they hold at the same time.
+const ENGINES_AT_ONCE: usize = 16;
+
+/// The release orders that are under way at the same time.
+const RELEASES_AT_ONCE: usize = 16;
+
+/// An engine and what it reported.
+type Report = (Arc<Announcement>, Held);
+
+/// Compares what engines hold with the programs that live, again and again.
+pub struct Sweeper {
+    cx: Context,
+    directory: Arc<Directory>,
+    memory: Arc<dyn EngineMemory>,
+    live: Arc<dyn LivePrograms>,
+    sweep: Sweep,
+}
+
+impl Sweeper {
+    /// Creates a sweeper that knows nothing yet.
+    pub fn new(
+        cx: Context,
+        directory: Arc<Directory>,
+        memory: Arc<dyn EngineMemory>,
+        live: Arc<dyn LivePrograms>,
+    ) -> Self {
+        Self { cx, directory, memory, live, sweep: Sweep::default() }
+    }
+
+    /// Starts the sweeper in a task of its own.
+    pub fn start(mut self) -> tokio::task::JoinHandle<()> {
+        tokio::spawn(async move {
+            loop {
+                let held = self.round().await;
+                tokio::time::sleep(pause_after(held)).await;
+            }
+        })
+    }
+
+    /// Looks at each engine once. Returns for how many programs memory is held.
+    pub async fn round(&mut self) -> usize {
+        let reports = self.read_engines().await;
+        let held: BTreeSet<ProgramId> =
+            reports.iter().flat_map(|(_, held)| held.programs.iter().cloned()).collect();
+        self.ask_homes(&held).await;
+        self.release_gone(&reports).await;
+        held.len()
+    }
+
+    async fn read_engines(&self) -> Vec<Report> {
+        let engines = self.directory.local().into_iter();
+        let engines = engines.filter(|engine| engine.kind == CallKind::Model);
+        let reads: Vec<_> = engines.map(|engine| read(self.memory.clone(), engine)).collect();
+        let reads = futures_util::stream::iter(reads).buffer_unordered(ENGINES_AT_ONCE);
+        reads.filter_map(std::future::ready).collect().await
+    }
+
+    async fn ask_homes(&mut self, held: &BTreeSet<ProgramId>) {
+        // Homes are asked after the engines: what an engine held then was created before.
+        let live = self.live.clone();
+        let now = self.cx.clock.now();
+        let asked = self.sweep.to_ask(held, &*live, now);
+        // Read before the answers: a home that changes meanwhile is asked again.
+        let epochs: Vec<_> = asked.iter().map(|program| live.epoch(program)).collect();
+        let told = live.lives(&asked).await;
+        let now = self.cx.clock.now();
+        for (program, epoch) in asked.iter().zip(epochs) {
+            if let Some(life) = told.get(program) {
+                self.sweep.learn(program, *life, epoch, now);
+            }
+        }
+    }
+
+    async fn release_gone(&self, reports: &[Report]) {
+        let mut releases = Vec::new();
+        for (engine, held) in reports {
+            let gone = held.programs.iter().filter(|program| self.sweep.is_gone(program));
+            releases.extend(gone.map(|program| self.release(engine, held, program)));
+        }
+        let mut releases = futures_util::stream::iter(releases).buffer_unordered(RELEASES_AT_ONCE);
+        while releases.next().await.is_some() {}
+    }
+
+    async fn release(&self, engine: &Announcement, held: &Held, program: &ProgramId) {
+        let confirmed = self.memory.release(engine, program, held.fencing).await;
+        self.note(engine, program, confirmed);
+    }
+
+    fn note(&self, engine: &Announcement, program: &ProgramId, confirmed: bool) {
+        let (result, number) = match confirmed {
+            true => ("confirmed", EventNumber::OrderConfirmed),
+            // The next round finds the memory still held and orders its release again.
+            false => ("failed", EventNumber::OrderFailed),
+        };
+        self.cx.metrics.orders.with_label_values(&["sweep", result]).inc();
+        let subject = Subject {
+            peer: Some(engine.name.to_string()),
+            program: Some(program.clone()),
+            ..Subject::default()
+        };
+        self.cx.events.record(number, subject, "release by the sweep");
+    }
+}
+
+async fn read(memory: Arc<dyn EngineMemory>, engine: Arc<Announcement>) -> Option<Report> {
+    let held = memory.held(&engine).await?;
+    Some((engine, held))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/coriandergw/src/orders/sweeper/tests.rs
@@ -0,0 +1,172 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use serde_json::json;
+
+use super::*;
+use crate::clock::Clock;
+use crate::clock::SystemClock;
+use crate::clock::Timestamp;
+use crate::events::Recorder;
+use crate::ids::Epoch;
+use crate::ids::FencingNumber;
+use crate::ids::InstanceName;
+use crate::metrics::Metrics;
+use crate::orders::Life;
+
+fn program(id: &str) -> ProgramId {
+    id.try_into().unwrap()
+}
+
+/// Homes under one epoch that say what they are told to, and count who asks.
+#[derive(Default)]
+struct Homes {
+    epoch: Mutex<Option<Epoch>>,
+    lives: Mutex<BTreeMap<ProgramId, Life>>,
+    asked: Mutex<Vec<ProgramId>>,
+}
+
+impl Homes {
+    fn say(&self, id: &str, life: Life) {
+        self.lives.lock().unwrap().insert(program(id), life);
+    }
+
+    fn take_asked(&self) -> Vec<ProgramId> {
+        std::mem::take(&mut self.asked.lock().unwrap())
+    }
+}
+
+#[async_trait]
+impl LivePrograms for Homes {
+    fn epoch(&self, _program: &ProgramId) -> Option<Epoch> {
+        *self.epoch.lock().unwrap()
+    }
+
+    async fn lives(&self, programs: &[ProgramId]) -> BTreeMap<ProgramId, Life> {
+        self.asked.lock().unwrap().extend(programs.iter().cloned());
+        let lives = self.lives.lock().unwrap();
+        programs.iter().filter_map(|id| Some((id.clone(), *lives.get(id)?))).collect()
+    }
+}
+
+/// An engine that refuses some orders at first.
+#[derive(Default)]
+struct FakeMemory {
+    held: Mutex<Vec<ProgramId>>,
+    refusals: Mutex<u32>,
+}
+
+#[async_trait]
+impl EngineMemory for FakeMemory {
+    async fn held(&self, _engine: &Announcement) -> Option<Held> {
+        let programs = self.held.lock().unwrap().clone();
+        Some(Held { fencing: FencingNumber(7), programs })
+    }
+
+    async fn release(
+        &self,
+        _engine: &Announcement,
+        program: &ProgramId,
+        fencing: FencingNumber,
+    ) -> bool {
+        assert_eq!(fencing, FencingNumber(7), "the engine's own number is sent");
+        let mut refusals = self.refusals.lock().unwrap();
+        if *refusals > 0 {
+            *refusals -= 1;
+            return false;
+        }
+        self.held.lock().unwrap().retain(|held| held != program);
+        true
+    }
+}
+
+fn sweeper(memory: &Arc<FakeMemory>, homes: &Arc<Homes>) -> Sweeper {
+    let clock = Arc::new(SystemClock::default());
+    let name = InstanceName::try_from("i1").unwrap();
+    let cx = Context {
+        instance: name.clone(),
+        data_centre: "dc-a".try_into().unwrap(),
+        clock: clock.clone(),
+        events: Arc::new(Recorder::new(name, clock.clone())),
+        metrics: Arc::new(Metrics::new().unwrap()),
+    };
+    let engine = json!({
+        "name": "e", "kind": "model", "address": "127.0.0.1:9", "targets": ["m"],
+        "data_centre": "dc-a",
+    });
+    let directory = Arc::new(Directory::default());
+    directory.announce(serde_json::from_value(engine).unwrap(), clock.now());
+    Sweeper::new(cx, directory, memory.clone(), homes.clone())
+}
+
+fn engine_with(held: &[&str]) -> Arc<FakeMemory> {
+    let held = held.iter().map(|id| program(id)).collect();
+    Arc::new(FakeMemory { held: Mutex::new(held), ..FakeMemory::default() })
+}
+
+#[tokio::test]
+async fn only_what_a_home_says_is_gone_is_released() {
+    let (memory, homes) = (engine_with(&["gone", "live", "not-known"]), Arc::<Homes>::default());
+    homes.say("gone", Life::Gone);
+    homes.say("live", Life::Live);
+    let mut sweeper = sweeper(&memory, &homes);
+    for _ in 0..3 {
+        sweeper.round().await;
+    }
+    assert_eq!(*memory.held.lock().unwrap(), ["live", "not-known"].map(program));
+}
+
+#[tokio::test]
+async fn a_release_is_repeated_until_the_engine_holds_nothing() {
+    let (memory, homes) = (engine_with(&["gone"]), Arc::<Homes>::default());
+    homes.say("gone", Life::Gone);
+    *memory.refusals.lock().unwrap() = 2;
+    let mut sweeper = sweeper(&memory, &homes);
+    sweeper.round().await;
+    sweeper.round().await;
+    assert_eq!(memory.held.lock().unwrap().len(), 1);
+    sweeper.round().await;
+    assert!(memory.held.lock().unwrap().is_empty());
+    // A call that ended late stored its prefix again.
+    memory.held.lock().unwrap().push(program("gone"));
+    sweeper.round().await;
+    assert!(memory.held.lock().unwrap().is_empty());
+}
+
+#[tokio::test]
+async fn a_home_is_asked_again_when_it_has_changed_or_could_not_tell() {
+    let (memory, homes) = (engine_with(&["live", "not-known"]), Arc::<Homes>::default());
+    homes.say("live", Life::Live);
+    let mut sweeper = sweeper(&memory, &homes);
+    sweeper.round().await;
+    assert_eq!(homes.take_asked(), ["live", "not-known"].map(program));
+    sweeper.round().await;
+    assert_eq!(homes.take_asked(), ["not-known"].map(program));
+    *homes.epoch.lock().unwrap() = Some(Epoch(2));
+    sweeper.round().await;
+    assert_eq!(homes.take_asked(), ["live", "not-known"].map(program));
+}
+
+#[test]
+fn a_live_program_is_asked_for_again_after_a_while() {
+    let (mut sweep, homes) = (Sweep::default(), Homes::default());
+    let held = BTreeSet::from([program("p")]);
+    let at = |seconds: u64| Timestamp::from_millis(seconds * 1_000);
+    sweep.learn(&program("p"), Life::Live, None, at(1));
+    assert!(sweep.to_ask(&held, &homes, at(60)).is_empty());
+    assert_eq!(sweep.to_ask(&held, &homes, at(61)), [program("p")]);
+    sweep.learn(&program("p"), Life::Gone, None, at(61));
+    assert!(sweep.to_ask(&held, &homes, at(200)).is_empty() && sweep.is_gone(&program("p")));
+    sweep.to_ask(&BTreeSet::new(), &homes, at(201));
+    assert!(!sweep.is_gone(&program("p")), "what is not held any more is forgotten");
+}
+
+#[test]
+fn rounds_are_further_apart_the_more_is_held() {
+    let seconds = [0, 40, 472, 100_000].map(|held| pause_after(held).as_secs_f64());
+    assert_eq!(seconds, [2.0, 2.0, 23.6, 60.0]);
+    assert!(pause_after(usize::MAX) <= Duration::from_secs(60));
+}
--- a/coriandergw/src/orders/tests.rs
+++ b/coriandergw/src/orders/tests.rs
@@ -3,7 +3,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use axum::Json;
 use axum::Router;
 use axum::http::StatusCode;
@@ -25,7 +24,6 @@
 use crate::events::Recorder;
 use crate::ids::FencingNumber;
 use crate::ids::InstanceName;
-use crate::ids::ProgramId;
 use crate::metrics::Metrics;
 
 fn version(number: &str) -> ModelVersion {
@@ -79,19 +77,6 @@
     assert_eq!(taken, [true, true, false, false, true, false]);
 }
 
-#[test]
-fn memory_of_programs_that_are_gone_is_released_after_a_while() {
-    let (engine, at) = ("e".try_into().unwrap(), Timestamp::from_millis);
-    let [alive, gone] = ["p1", "p2"].map(|id| ProgramId::try_from(id).unwrap());
-    let (held, live) = ([alive.clone(), gone.clone()], BTreeSet::from([alive]));
-    let mut sweep = Sweep::default();
-    assert!(sweep.observe(&engine, &held, &live, at(0)).is_empty());
-    assert!(sweep.observe(&engine, &held, &live, at(9_000)).is_empty());
-    assert_eq!(sweep.observe(&engine, &held, &live, at(10_000)), [gone]);
-    sweep.observe(&engine, &held, &BTreeSet::from(held.clone()), at(11_000));
-    assert!(sweep.observe(&engine, &held, &live, at(12_000)).is_empty());
-}
-
 /// Gives each model copies in proportion to its mean load.
 fn copies_by_mean(demands: &[Demand], memory_budget: u64) -> Vec<u32> {
     let total: f64 = demands.iter().map(|demand| demand.mean_concurrency).sum();
@@ -140,7 +125,7 @@
     }
 }
 
-/// Leads for ever, holds program `p-live` for alive and wants version 2 of the model.
+/// Leads for ever and wants version 2 of the model.
 struct Leader(Arc<SystemClock>);
 
 impl TenureSource for Leader {
@@ -157,13 +142,6 @@
     }
 }
 
-#[async_trait]
-impl LivePrograms for Leader {
-    async fn live(&self, _programs: &[ProgramId]) -> Option<BTreeSet<ProgramId>> {
-        Some(BTreeSet::new())
-    }
-}
-
 #[tokio::test]
 async fn orders_are_repeated_until_they_are_confirmed() {
     let seen = Arc::<Mutex<Vec<Value>>>::default();
@@ -195,8 +173,7 @@
     let leader = Arc::new(Leader(clock.clone()));
     let (settings, wishes) = (OrderSettings::default(), leader.clone());
     directory.announce(engine.clone(), clock.now());
-    let driver =
-        OrderDriver::start(cx, directory.clone(), leader.clone(), leader, wishes, settings);
+    let driver = OrderDriver::start(cx, directory.clone(), leader, wishes, settings);
     let wait = async {
         while seen.lock().unwrap().len() < 2 {
             directory.announce(engine.clone(), clock.now());
--- a/coriandergw/src/programs/generated.rs
+++ b/coriandergw/src/programs/generated.rs
@@ -262,3 +262,48 @@
     #[prost(uint32, tag = "1")]
     pub reason: u32,
 }
+/// Asks a home which of its programs live.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LivesQuery {
+    #[prost(string, repeated, tag = "1")]
+    pub programs: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// Says of each program asked for, in the same order, whether it lives.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LivesAnswer {
+    #[prost(enumeration = "lives_answer::Life", repeated, tag = "1")]
+    pub lives: ::prost::alloc::vec::Vec<i32>,
+}
+/// Nested message and enum types in `LivesAnswer`.
+pub mod lives_answer {
+    #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+    #[repr(i32)]
+    pub enum Life {
+        /// The instance cannot tell, for example while the home is changing.
+        NotKnown = 0,
+        Live = 1,
+        Gone = 2,
+    }
+    impl Life {
+        /// String value of the enum field names used in the ProtoBuf definition.
+        ///
+        /// The values are not transformed in any way and thus are considered stable
+        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+        pub fn as_str_name(&self) -> &'static str {
+            match self {
+                Self::NotKnown => "NOT_KNOWN",
+                Self::Live => "LIVE",
+                Self::Gone => "GONE",
+            }
+        }
+        /// Creates an enum from field names used in the ProtoBuf definition.
+        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+            match value {
+                "NOT_KNOWN" => Some(Self::NotKnown),
+                "LIVE" => Some(Self::Live),
+                "GONE" => Some(Self::Gone),
+                _ => None,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coriandergw/src/programs/lives.rs
@@ -0,0 +1,73 @@
+//! Tells other instances which programs at home here live.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use prost::Message;
+
+use crate::ids::InstanceName;
+use crate::ids::ProgramId;
+use crate::orders::Life;
+use crate::programs::Programs;
+use crate::programs::generated::LivesAnswer;
+use crate::programs::generated::LivesQuery;
+use crate::programs::generated::lives_answer::Life as WireLife;
+use crate::transport::Handler;
+
+impl Programs {
+    /// Returns whether a program lives, if this instance is its home and has read its journal.
+    pub fn life(&self, id: &ProgramId) -> Option<Life> {
+        let partition = id.partition();
+        let home = self.homes.lock().expect("not poisoned").get(&partition).cloned()?;
+        let held = self.partitions.held(partition, self.cx.clock.now());
+        if held != Some(home.epoch) || home.lost.is_cancelled() || !home.loaded.initialized() {
+            return None;
+        }
+        let tree = home.trees.lock().expect("not poisoned").get(&id.root()).cloned();
+        let Some(tree) = tree else {
+            return Some(Life::Gone);
+        };
+        let state = tree.state.lock().expect("not poisoned");
+        match state.programs.get(id).is_some_and(|program| program.ended.is_none()) {
+            true => Some(Life::Live),
+            false => Some(Life::Gone),
+        }
+    }
+}
+
+impl From<Option<Life>> for WireLife {
+    fn from(life: Option<Life>) -> Self {
+        match life {
+            None => WireLife::NotKnown,
+            Some(Life::Live) => WireLife::Live,
+            Some(Life::Gone) => WireLife::Gone,
+        }
+    }
+}
+
+impl From<WireLife> for Option<Life> {
+    fn from(life: WireLife) -> Self {
+        match life {
+            WireLife::NotKnown => None,
+            WireLife::Live => Some(Life::Live),
+            WireLife::Gone => Some(Life::Gone),
+        }
+    }
+}
+
+/// Answers the questions of other instances.
+pub struct LivesHandler(pub Arc<Programs>);
+
+#[async_trait]
+impl Handler for LivesHandler {
+    async fn handle(&self, _from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
+        let query = LivesQuery::decode(payload).map_err(|cause| cause.to_string())?;
+        let mut answer = LivesAnswer::default();
+        for program in query.programs {
+            let program = ProgramId::try_from(program).map_err(|cause| cause.to_string())?;
+            answer.push_lives(self.0.life(&program).into());
+        }
+        Ok(answer.encode_to_vec().into())
+    }
+}
--- /dev/null
+++ b/coriandergw/src/programs/lives_client.rs
@@ -0,0 +1,127 @@
+//! Asks the homes of programs which of them live.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use futures_util::StreamExt;
+use prost::Message;
+
+use crate::context::Context;
+use crate::ids::Epoch;
+use crate::ids::InstanceName;
+use crate::ids::ProgramId;
+use crate::leases::Partitions;
+use crate::orders::Life;
+use crate::orders::LivePrograms;
+use crate::programs::Programs;
+use crate::programs::generated::LivesAnswer;
+use crate::programs::generated::LivesQuery;
+use crate::transport::Kind;
+use crate::transport::Transport;
+
+/// The programs that one message asks for at most.
+const PROGRAMS_PER_MESSAGE: usize = 1_000;
+
+/// The messages that are under way at the same time.
+const MESSAGES_AT_ONCE: usize = 16;
+
+/// How long a home may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks the homes of programs, this instance among them.
+pub struct HomesOfPrograms {
+    cx: Context,
+    programs: Arc<Programs>,
+    partitions: Arc<dyn Partitions>,
+    transport: Option<Arc<dyn Transport>>,
+}
+
+impl HomesOfPrograms {
+    /// Creates the client; without a transport only this instance is asked.
+    pub fn new(
+        cx: Context,
+        programs: Arc<Programs>,
+        partitions: Arc<dyn Partitions>,
+        transport: Option<Arc<dyn Transport>>,
+    ) -> Self {
+        Self { cx, programs, partitions, transport }
+    }
+
+    fn by_home(&self, programs: &[ProgramId]) -> BTreeMap<InstanceName, Vec<ProgramId>> {
+        let mut by_home = BTreeMap::<InstanceName, Vec<ProgramId>>::new();
+        for program in programs {
+            if let Some(home) = self.partitions.home(program.partition()) {
+                by_home.entry(home.instance).or_default().push(program.clone());
+            }
+        }
+        by_home
+    }
+
+    fn ask_here(&self, programs: Vec<ProgramId>) -> Vec<(ProgramId, Option<Life>)> {
+        let life = |program: ProgramId| {
+            let life = self.programs.life(&program);
+            (program, life)
+        };
+        programs.into_iter().map(life).collect()
+    }
+
+    async fn ask(&self, home: &InstanceName, programs: &[ProgramId]) -> Option<LivesAnswer> {
+        let names = programs.iter().map(ProgramId::to_string).collect();
+        let payload = LivesQuery { programs: names }.encode_to_vec();
+        self.count("sent", payload.len());
+        let transport = self.transport.as_ref()?;
+        let asked = transport.call(home, Kind::Programs, payload.into(), ANSWER_TIMEOUT);
+        let answer = asked.await.ok()?;
+        self.count("received", answer.len());
+        LivesAnswer::decode(answer).ok()
+    }
+
+    fn count(&self, direction: &str, bytes: usize) {
+        let labels = ["programs", direction];
+        self.cx.metrics.control_messages.with_label_values(&labels).inc();
+        self.cx.metrics.control_bytes.with_label_values(&labels).inc_by(bytes as u64);
+    }
+
+    async fn ask_elsewhere(
+        &self,
+        home: InstanceName,
+        programs: Vec<ProgramId>,
+    ) -> Vec<(ProgramId, Option<Life>)> {
+        match self.ask(&home, &programs).await {
+            Some(answer) => {
+                let lives: Vec<Option<Life>> = answer.lives().map(Option::from).collect();
+                programs.into_iter().zip(lives).collect()
+            }
+            None => Vec::new(),
+        }
+    }
+}
+
+#[async_trait]
+impl LivePrograms for HomesOfPrograms {
+    fn epoch(&self, program: &ProgramId) -> Option<Epoch> {
+        self.partitions.home(program.partition()).map(|home| home.epoch)
+    }
+
+    async fn lives(&self, programs: &[ProgramId]) -> BTreeMap<ProgramId, Life> {
+        let mut told = Vec::new();
+        let mut by_home = self.by_home(programs);
+        if let Some(own) = by_home.remove(&self.cx.instance) {
+            told.extend(self.ask_here(own));
+        }
+        let parts = by_home.into_iter().flat_map(|(home, programs)| {
+            let parts: Vec<Vec<ProgramId>> =
+                programs.chunks(PROGRAMS_PER_MESSAGE).map(<[ProgramId]>::to_vec).collect();
+            parts.into_iter().map(move |part| (home.clone(), part))
+        });
+        let asked = parts.map(|(home, part)| self.ask_elsewhere(home, part));
+        let asked: Vec<_> = asked.collect();
+        let mut answers = futures_util::stream::iter(asked).buffer_unordered(MESSAGES_AT_ONCE);
+        while let Some(answer) = answers.next().await {
+            told.extend(answer);
+        }
+        told.into_iter().filter_map(|(program, life)| Some((program, life?))).collect()
+    }
+}
--- /dev/null
+++ b/coriandergw/src/programs/tests/lives.rs
@@ -0,0 +1,39 @@
+//! What a home says of the lives of its programs.
+
+use crate::ids::ProgramId;
+use crate::orders::Life;
+use crate::programs::tests::world::World;
+use crate::programs::tests::world::eventually;
+use crate::programs::tests::world::model;
+
+#[tokio::test]
+async fn a_home_tells_which_programs_live() {
+    let world = World::default();
+    let home = world.home(1);
+    let [live, ended] = [home.create(10_000, 5).await, home.create(10_000, 5).await];
+    home.call(&ended, model("a")).await.unwrap();
+    home.programs.end(&ended.program, &ended.secret).await.unwrap();
+    assert_eq!(home.programs.life(&live.program), Some(Life::Live));
+    assert_eq!(home.programs.life(&ended.program), Some(Life::Gone));
+    let stranger = ProgramId::child_from_random(&live.program, [0; 8]);
+    assert_eq!(home.programs.life(&stranger), Some(Life::Gone));
+}
+
+#[tokio::test]
+async fn nothing_is_told_without_a_lease_or_before_the_journal_is_read() {
+    let world = World::default();
+    let former = world.home(1);
+    let live = former.create(10_000, 5).await;
+    let home = world.home(2);
+    // Never wrong meanwhile, and right in the end.
+    eventually("the new home has read the journal", || {
+        let life = home.programs.life(&live.program);
+        assert_ne!(life, Some(Life::Gone));
+        life == Some(Life::Live)
+    })
+    .await;
+    home.partitions.lose();
+    assert_eq!(home.programs.life(&live.program), None);
+    let elsewhere = ProgramId::try_from("p-elsewhere").unwrap();
+    assert_eq!(home.programs.life(&elsewhere), None);
+}
--- a/coriandergw/src/programs/tests/mod.rs
+++ b/coriandergw/src/programs/tests/mod.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod journal;
 mod limits;
+mod lives;
 mod requests;
 mod rival;
 mod world;
--- a/testkit/src/fakes/engine.rs
+++ b/testkit/src/fakes/engine.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use axum::Json;
@@ -85,6 +87,8 @@
     pub cut_after_tokens: Option<u64>,
     /// Orders are applied but their answers are lost.
     pub lose_order_answers: bool,
+    /// Orders are answered with 503 and not applied.
+    pub refuse_orders: bool,
 }
 
 struct Shared {
@@ -92,6 +96,8 @@
     started: Instant,
     core: Mutex<EngineCore>,
     fault: Mutex<EngineFault>,
+    refused_orders: AtomicU64,
+    state_reads: AtomicU64,
     work: Notify,
 }
 
@@ -133,6 +139,8 @@
             started: Instant::now(),
             core: Mutex::new(core),
             fault: Mutex::default(),
+            refused_orders: AtomicU64::new(0),
+            state_reads: AtomicU64::new(0),
             work: Notify::new(),
         });
         let routes = Router::new()
@@ -178,6 +186,16 @@
         self.shared.core().orders.clone()
     }
 
+    /// Returns how many orders were refused by [`EngineFault::refuse_orders`].
+    pub fn refused_orders(&self) -> u64 {
+        self.shared.refused_orders.load(Ordering::SeqCst)
+    }
+
+    /// Returns how often the state was read.
+    pub fn state_reads(&self) -> u64 {
+        self.shared.state_reads.load(Ordering::SeqCst)
+    }
+
     /// Returns the tokens held for each program.
     pub fn held(&self) -> std::collections::BTreeMap<String, u64> {
         self.shared.core().held()
@@ -327,6 +345,10 @@
 }
 
 async fn take_order(State(shared): State<Arc<Shared>>, Json(order): Json<Order>) -> Response {
+    if shared.fault().refuse_orders {
+        shared.refused_orders.fetch_add(1, Ordering::SeqCst);
+        return (StatusCode::SERVICE_UNAVAILABLE, "orders are refused").into_response();
+    }
     let accepted = shared.core().apply(order.clone(), shared.now());
     if !accepted {
         let fencing = shared.core().fencing;
@@ -356,6 +378,7 @@
 const WEIGHT_RETRY: Duration = Duration::from_millis(50);
 
 async fn state(State(shared): State<Arc<Shared>>) -> Json<Value> {
+    shared.state_reads.fetch_add(1, Ordering::SeqCst);
     let core = shared.core();
     let held: Vec<Value> = core
         .held()
