--- a/coriandergw/src/programs/tests/mod.rs
+++ b/coriandergw/src/programs/tests/mod.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod journal;
 mod limits;
+mod lives;
 mod parked;
 mod requests;
 mod rival;
