--- a/coriandergw/src/dispatch/scheduled.rs
+++ b/coriandergw/src/dispatch/scheduled.rs
@@ -19,7 +19,7 @@
 use crate::dispatch::ReadyCall;
 use crate::dispatch::TokenSink;
 use crate::dispatch::cache_feeds;
-use crate::dispatch::direct::outcome_of;
+use crate::dispatch::engine_memory::HttpEngineMemory;
 use crate::dispatch::facts::CallFacts;
 use crate::dispatch::facts::QueueKey;
 use crate::dispatch::releases::Releases;
@@ -29,6 +29,7 @@
 use crate::dispatch::scheduler::Finish;
 use crate::dispatch::scheduler::Scheduler;
 use crate::dispatch::scheduler::SchedulerSettings;
+use crate::dispatch::send_failure::outcome_of;
 use crate::endpoints::Announcement;
 use crate::endpoints::client::EndpointAnswer;
 use crate::endpoints::client::EndpointClient;
@@ -125,8 +126,9 @@
             data_centre: cx.data_centre.clone(),
             seed: settings.seed,
         });
+        let memory = Arc::new(HttpEngineMemory::new(client.clone()));
         let inner = Arc::new(Inner {
-            releases: Releases::new(cx.clone(), directory.clone(), client.clone()),
+            releases: Releases::new(cx.clone(), directory.clone(), memory),
             cx,
             directory,
             client,
--- a/coriandergw/src/programs/append.rs
+++ b/coriandergw/src/programs/append.rs
@@ -19,11 +19,11 @@
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 
-/// How long a record that may be given up is proposed again.
-const PATIENCE: Duration = Duration::from_secs(2);
+/// How long a request to the journal that may be given up is repeated.
+pub(super) const PATIENCE: Duration = Duration::from_secs(2);
 
 /// The delay before a proposal is repeated.
-const REPEAT_DELAY: Duration = Duration::from_millis(20);
+pub(super) const REPEAT_DELAY: Duration = Duration::from_millis(20);
 
 /// When a caller should come back if the journal has no quorum.
 const NO_QUORUM_RETRY: Duration = Duration::from_millis(500);
@@ -108,6 +108,9 @@
                 return Err(lost(certain));
             }
             match home.journal.append(&root, sequence, record.clone()).await {
+                // The same partition may have been read again meanwhile, under the same epoch and
+                // without this record, so that it must not be built on.
+                Ok(()) if home.lost.is_cancelled() => return Err(home_lost()),
                 Ok(()) => return Ok(()),
                 Err(JournalError::NotTaken { reason }) => {
                     let waited = self.cx.clock.now().since(started);
--- a/coriandergw/src/programs/home.rs
+++ b/coriandergw/src/programs/home.rs
@@ -33,11 +33,14 @@
 use crate::programs::handover::Entering;
 use crate::programs::journal::Journal;
 use crate::programs::journal::Journals;
+use crate::programs::parked::Trees;
 use crate::programs::state::Program;
 use crate::programs::state::Tree;
+use crate::programs::sweep::Followed;
 use crate::programs::turn::Turn;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
+use crate::settings::ProgramSettings;
 
 /// When a caller should come back if a program has no home at the moment.
 pub const NO_HOME_RETRY: Duration = Duration::from_millis(250);
@@ -47,12 +50,14 @@
     pub(super) cx: Context,
     pub(super) catalogue: Arc<dyn CatalogueView>,
     pub(super) partitions: Arc<dyn Partitions>,
+    pub(super) settings: ProgramSettings,
     pub(super) journals: Journals,
     pub(super) dispatcher: Arc<dyn Dispatcher>,
     pub(super) homes: Mutex<BTreeMap<PartitionId, Arc<Home>>>,
     pub(super) draining: CancellationToken,
     pub(super) running: watch::Sender<usize>,
     pub(super) entering: Entering,
+    pub(super) followed: Mutex<Option<Followed>>,
 }
 
 /// One partition at its home, under one epoch.
@@ -63,7 +68,7 @@
     /// Cancelled when another home has taken over.
     pub lost: CancellationToken,
     pub loaded: OnceCell<()>,
-    pub trees: Mutex<HashMap<ProgramId, Arc<LiveTree>>>,
+    pub trees: Mutex<Trees>,
     pub lapsed_since: Mutex<Option<Timestamp>>,
 }
 
@@ -101,6 +106,7 @@
     /// Starts serving the programs of the partitions that this instance holds.
     pub fn start(
         cx: Context,
+        settings: ProgramSettings,
         catalogue: Arc<dyn CatalogueView>,
         partitions: Arc<dyn Partitions>,
         log: Arc<dyn ReplicatedLog>,
@@ -109,6 +115,7 @@
     ) -> Arc<Self> {
         let programs = Arc::new(Self {
             cx,
+            settings,
             catalogue,
             partitions,
             journals: Journals::new(log, groups),
@@ -117,6 +124,7 @@
             draining: CancellationToken::new(),
             running: watch::Sender::new(0),
             entering: Entering::default(),
+            followed: Mutex::default(),
         });
         tokio::spawn(Self::sweep_forever(Arc::downgrade(&programs)));
         programs
@@ -197,7 +205,7 @@
         secret: &str,
     ) -> Result<Place, Refusal> {
         let home = self.home(id.partition()).await?;
-        let tree = home.trees.lock().expect("not poisoned").get(&id.root()).cloned();
+        let tree = self.tree(&home, &id.root()).await?;
         let unknown =
             || Refusal::not_run(ResultCode::UnknownProgram, format!("no program is named {id}"));
         let place = Place { home, tree: tree.ok_or_else(unknown)?, program: id.clone() };
@@ -228,7 +236,8 @@
         }
     }
 
-    fn home_under(&self, partition: PartitionId, epoch: Epoch) -> Arc<Home> {
+    /// Returns the home of a partition under an epoch, rebuilt or not.
+    pub(super) fn home_under(&self, partition: PartitionId, epoch: Epoch) -> Arc<Home> {
         let mut homes = self.homes.lock().expect("not poisoned");
         if let Some(home) = homes.get(&partition) {
             if home.epoch == epoch && !home.lost.is_cancelled() {
@@ -249,13 +258,6 @@
         home
     }
 
-    /// Makes this instance the home of a fenced partition that holds no programs.
-    pub(super) fn start_empty(&self, partition: PartitionId, epoch: Epoch) {
-        let home = self.home_under(partition, epoch);
-        // Set already where a request has loaded the partition meanwhile.
-        let _ = home.loaded.set(());
-    }
-
     /// Stops serving a partition; nothing more is sent or answered for it under this epoch.
     pub(super) fn drop_home(&self, home: &Arc<Home>) {
         home.lost.cancel();
