fix(leases): do not ask a silent former leader at every other renewal

Cause: an instance without a store keeps the leader that its log client last saw. When that one is silent, the client noted it, asked the voters, and at the next renewal preferred the old name again: every other renewal waited a second for nothing, and a voter that is silent itself was asked first as often as the others.

Change: a leader that did not answer stays set aside until it answers; a silent voter is asked last. `learn_addresses`, which repeated what `after_advance` does, is removed.

--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -25,7 +25,6 @@
 use crate::instance::serve::bind;
 use crate::instance::serve::serve;
 use crate::leases;
-use crate::leases::ClusterStatus;
 use crate::leases::ControlClient;
 use crate::leases::Registration;
 use crate::leases::StoreSide;
@@ -40,7 +39,6 @@
 use crate::programs::Programs;
 use crate::settings::Settings;
 use crate::storage::file_disk::FileDisk;
-use crate::transport::Transport;
 use crate::transport::quic::QuicTransport;
 use crate::transport::quic::StartError;
 use crate::transport::tls::KeyFiles;
@@ -67,7 +65,6 @@
     let registration = registration(&settings, caller_address, peer_address);
     let control = leases::start(cx.clone(), transport.clone(), log.clone(), registration, store)
         .map_err(|cause| RunError::Control { cause })?;
-    tokio::spawn(learn_addresses(Arc::downgrade(&control), transport.clone()));
     let peers = Arc::new(RegisteredPeers { control: control.clone(), name: cx.instance.clone() });
     let directory = Arc::new(Directory::default());
     let _gossip = Gossip::start(cx.clone(), directory.clone(), transport.clone(), peers.clone());
@@ -208,13 +205,3 @@
     let own = Address { address: caller_address, data_centre: instance.data_centre.clone() };
     Arc::new(ClusterAddresses::new(control, instance.name.clone(), own, instance.addresses_ttl))
 }
-
-/// Tells the transport where the registered instances are.
-async fn learn_addresses(control: Weak<ControlClient>, transport: Arc<QuicTransport>) {
-    while let Some(control) = control.upgrade() {
-        for instance in control.instances() {
-            transport.learn(&instance.name, instance.peer_address);
-        }
-        control.changed().await;
-    }
-}
--- a/coriandergw/src/leases/client.rs
+++ b/coriandergw/src/leases/client.rs
@@ -115,7 +115,7 @@
     relay: Relay,
     relay_misses: AtomicU32,
     hint: Mutex<Option<InstanceName>>,
-    /// A leader that did not answer; the voters are asked before it is asked again.
+    /// The last leader that did not answer; only another instance can name it again.
     silent: Mutex<Option<InstanceName>>,
     local: OnceLock<Arc<ControlHandler>>,
     gate: OnceLock<Arc<dyn HandoverGate>>,
@@ -177,12 +177,6 @@
         self.wake();
     }
 
-    /// Waits until a newer configuration is applied, or returns at once if one was since the last
-    /// call by the same waiter.
-    pub async fn changed(&self) {
-        self.applied.notified().await;
-    }
-
     pub(super) fn wake(&self) {
         self.wake.notify_one();
     }
@@ -245,22 +239,30 @@
     async fn ask_leader(&self, kind: Kind) -> Option<(InstanceName, Bytes)> {
         let leader = self.find_leader().await?;
         let answer = self.ask(&leader, kind).await.ok();
-        if answer.is_none() {
-            *self.hint.lock().expect("not poisoned") = None;
-            *self.silent.lock().expect("not poisoned") = Some(leader.clone());
+        let mut silent = self.silent.lock().expect("not poisoned");
+        match &answer {
+            Some(_) => *silent = silent.take().filter(|silent| *silent != leader),
+            None => {
+                *self.hint.lock().expect("not poisoned") = None;
+                *silent = Some(leader.clone());
+            }
         }
+        drop(silent);
         answer.map(|answer| (leader, answer))
     }
 
     async fn find_leader(&self) -> Option<InstanceName> {
-        let silent = self.silent.lock().expect("not poisoned").take();
+        // What the log of an instance without a store knows stays as it is until it proposes.
+        let silent = self.silent.lock().expect("not poisoned").clone();
         let known = self.log.leader(CONTROL_GROUP).filter(|leader| Some(leader) != silent.as_ref());
         if let Some(leader) = known.or_else(|| self.leader_hint()) {
             return Some(leader);
         }
         let start = rand::random_range(0..self.registration.voters.len().max(1));
         let voters = self.registration.voters.iter().cycle().skip(start);
-        for voter in voters.take(self.registration.voters.len()) {
+        let mut voters: Vec<_> = voters.take(self.registration.voters.len()).collect();
+        voters.sort_by_key(|voter| Some(*voter) == silent.as_ref());
+        for voter in voters {
             let Ok(answer) = self.ask(voter, Kind::WhoLeads(WhoLeads {})).await else {
                 continue;
             };
--- a/coriandergw/src/leases/tests.rs
+++ b/coriandergw/src/leases/tests.rs
@@ -135,9 +135,19 @@
     }
 
     fn join(&mut self, number: usize, data: Option<&Path>) {
-        let name = name(number);
         let data_centre = format!("dc{}", number % 3);
-        let cx = test_support::context(name.clone(), &data_centre, self.clock.clone());
+        self.join_with(number, &data_centre, self.log.clone(), data);
+    }
+
+    fn join_with(
+        &mut self,
+        number: usize,
+        data_centre: &str,
+        log: Arc<dyn ReplicatedLog>,
+        data: Option<&Path>,
+    ) {
+        let name = name(number);
+        let cx = test_support::context(name.clone(), data_centre, self.clock.clone());
         let address: SocketAddr = ([127, 0, 0, 1], 1_000 + number as u16).into();
         let registration = Registration {
             caller_address: address,
@@ -151,7 +161,7 @@
             leadership: Arc::new(Appointed(name.clone(), self.log.clone())),
         });
         let transport = self.network.join(name.clone());
-        let client = start(cx, transport, self.log.clone(), registration, store).unwrap();
+        let client = start(cx, transport, log, registration, store).unwrap();
         if let Some(earlier) = self.clients.insert(name, client) {
             earlier.stop();
         }
--- a/coriandergw/src/leases/tests/cuts.rs
+++ b/coriandergw/src/leases/tests/cuts.rs
@@ -5,9 +5,41 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::*;
+use crate::transport::Handler;
+use crate::transport::Kind;
+use crate::transport::Transport;
 
 const STEPS: usize = 100;
 
+/// The log of an instance without a store, which still names a former leader.
+struct OutdatedLog {
+    inner: Arc<TestLog>,
+    former: InstanceName,
+}
+
+#[async_trait]
+impl ReplicatedLog for OutdatedLog {
+    async fn propose(&self, group: GroupId, command: Bytes) -> Result<Bytes, ProposeError> {
+        self.inner.propose(group, command).await
+    }
+
+    fn leader(&self, _group: GroupId) -> Option<InstanceName> {
+        Some(self.former.clone())
+    }
+}
+
+/// Counts what it is asked and never answers.
+#[derive(Default)]
+struct Silent(AtomicU64);
+
+#[async_trait]
+impl Handler for Silent {
+    async fn handle(&self, _from: &InstanceName, _payload: Bytes) -> Result<Bytes, String> {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        std::future::pending().await
+    }
+}
+
 async fn run_schedule(seed: u64) {
     let cluster = Cluster::start(6).await;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -67,3 +99,18 @@
         assert!(cluster.held_by(4) > 0 && cluster.held_by(7) > 0);
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_former_leader_is_asked_once() {
+    let mut cluster = Cluster::start(3).await;
+    let (former, number) = (name(8), 9);
+    let silent = Arc::new(Silent::default());
+    cluster.network.join(former.clone()).register(Kind::Control, silent.clone());
+    let log = Arc::new(OutdatedLog { inner: cluster.log.clone(), former });
+    // Alone in its data centre it has no relay and asks the leader itself.
+    cluster.join_with(number, "dc-alone", log, None);
+    cluster.until(Cluster::is_balanced).await;
+    tokio::time::sleep(PATIENCE).await;
+    assert!(cluster.client(number).is_fresh(cluster.now()));
+    assert_eq!(silent.0.load(Ordering::Relaxed), 1);
+}
