fix(testkit): build the shipped binary without the variables of the test's package

Cause: a test builds the binary with a nested cargo. The variables that cargo sets for the test's package differ from those of the outer build; the build script of ring asks for them, so ring and all that depends on it, the product among them, were compiled anew at each change between the two.

Change: the nested build starts without CARGO_PKG_* and CARGO_MANIFEST_*.

--- a/testkit/src/cluster/binary.rs
+++ b/testkit/src/cluster/binary.rs
@@ -8,6 +8,9 @@
 /// The name of the shipped binary.
 const BINARY: &str = "coriandergw";
 
+/// The start of the variables that cargo sets for the test that it runs.
+const PACKAGE_VARIABLES: [&str; 2] = ["CARGO_PKG_", "CARGO_MANIFEST_"];
+
 /// Returns the binary beside the running executable.
 ///
 /// A test builds it first, once a process: `cargo test` alone leaves an older binary in place, and
@@ -37,6 +40,10 @@
     let mut command = Command::new(env!("CARGO"));
     command.args(["build", "--quiet", "--locked", "--workspace", "--bin", BINARY]);
     command.current_dir(env!("CARGO_MANIFEST_DIR"));
+    // A dependency's build script runs again where these differ, and all that depends on it.
+    let of_this_package = |name: &String| PACKAGE_VARIABLES.iter().any(|p| name.starts_with(p));
+    let names = std::env::vars_os().filter_map(|(name, _)| name.into_string().ok());
+    names.filter(of_this_package).for_each(|name| drop(command.env_remove(name)));
     if profile_folder.ends_with("release") {
         command.arg("--release");
     }
