chore(log_groups): take the generator's form of the pulse messages

Cause: the types were written by hand while the generator could not be built here.

Change: the output of `cgw-generate` of this workspace; it differs in two derives.

--- a/coriandergw/src/log_groups/generated.rs
+++ b/coriandergw/src/log_groups/generated.rs
@@ -139,7 +139,7 @@
     pub is_voter: bool,
 }
 /// The heartbeats of all groups, or the answers to them, that share a sending time.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Pulse {
     #[prost(uint64, tag = "1")]
     pub sent_at_us: u64,
@@ -150,7 +150,7 @@
     #[prost(message, repeated, tag = "3")]
     pub beats: ::prost::alloc::vec::Vec<Beat>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Pulses {
     #[prost(message, optional, tag = "1")]
     pub heartbeats: ::core::option::Option<Pulse>,
--- a/testkit/src/cluster/binary.rs
+++ b/testkit/src/cluster/binary.rs
@@ -43,7 +43,9 @@
     // A dependency's build script runs again where these differ, and all that depends on it.
     let of_this_package = |name: &String| PACKAGE_VARIABLES.iter().any(|p| name.starts_with(p));
     let names = std::env::vars_os().filter_map(|(name, _)| name.into_string().ok());
-    names.filter(of_this_package).for_each(|name| drop(command.env_remove(name)));
+    names.filter(of_this_package).for_each(|name| {
+        command.env_remove(name);
+    });
     if profile_folder.ends_with("release") {
         command.arg("--release");
     }
