--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -24,6 +24,7 @@
 use crate::instance::context;
 use crate::instance::serve::bind;
 use crate::instance::serve::serve;
+use crate::instance::start_sweeper;
 use crate::leases;
 use crate::leases::ControlClient;
 use crate::leases::Registration;
@@ -35,10 +36,15 @@
 use crate::log_groups::node::LogOptions;
 use crate::log_groups::node::SNAPSHOT_EVERY_ENTRIES;
 use crate::log_groups::voters::Voters;
+use crate::membership::Membership;
+use crate::programs::HomesOfPrograms;
 use crate::programs::JournalState;
+use crate::programs::LivesHandler;
 use crate::programs::Programs;
 use crate::settings::Settings;
 use crate::storage::file_disk::FileDisk;
+use crate::transport::Kind;
+use crate::transport::Transport;
 use crate::transport::quic::QuicTransport;
 use crate::transport::quic::StartError;
 use crate::transport::tls::KeyFiles;
@@ -66,6 +72,10 @@
     let control = leases::start(cx.clone(), transport.clone(), log.clone(), registration, store)
         .map_err(|cause| RunError::Control { cause })?;
     let peers = Arc::new(RegisteredPeers { control: control.clone(), name: cx.instance.clone() });
+    let seeds = settings.cluster.peers.keys().cloned().collect();
+    let timing = settings.membership;
+    let membership = Membership::start(cx.clone(), transport.clone(), seeds, peers.clone(), timing);
+    control.set_liveness(membership.clone());
     let directory = Arc::new(Directory::default());
     let _gossip = Gossip::start(cx.clone(), directory.clone(), transport.clone(), peers.clone());
     let dispatcher = ScheduledDispatcher::start(
@@ -84,8 +94,16 @@
         dispatcher,
     );
     control.set_handover_gate(programs.clone());
+    transport.register(Kind::Programs, Arc::new(LivesHandler(programs.clone())));
+    let homes = HomesOfPrograms::new(
+        cx.clone(),
+        programs.clone(),
+        control.clone(),
+        Some(transport.clone()),
+    );
+    let sweeper = start_sweeper(&cx, &directory, homes);
     let shared = Arc::new(Shared {
-        addresses: addresses(&settings, control.clone(), caller_address),
+        addresses: addresses(&settings, control.clone(), membership.clone(), caller_address),
         cx,
         settings,
         caller_address,
@@ -97,9 +115,15 @@
         partitions: control.clone(),
         voters: node.clone().map(|node| node as Arc<dyn Voters>),
         transport: Some(transport.clone()),
+        membership: Some(membership.clone()),
         stage: Arc::default(),
     });
-    serve(server, shared, || control.leave()).await;
+    let leave = || {
+        membership.leave();
+        control.leave();
+    };
+    serve(server, shared, leave).await;
+    sweeper.abort();
     control.stop();
     if let Some(node) = node {
         node.stop().await;
@@ -199,9 +223,11 @@
 fn addresses(
     settings: &Settings,
     control: Arc<ControlClient>,
+    membership: Arc<Membership>,
     caller_address: SocketAddr,
 ) -> Arc<ClusterAddresses> {
     let instance = &settings.instance;
     let own = Address { address: caller_address, data_centre: instance.data_centre.clone() };
-    Arc::new(ClusterAddresses::new(control, instance.name.clone(), own, instance.addresses_ttl))
+    let (name, ttl) = (instance.name.clone(), instance.addresses_ttl);
+    Arc::new(ClusterAddresses::new(control, membership, name, own, ttl))
 }
