--- /dev/null
+++ b/coriandergw/src/leases/client/relaying.rs
@@ -0,0 +1,125 @@
+//! Renews through the relay of the data centre, and for its members where this instance is it.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::context::Context;
+use crate::control::Instance;
+use crate::control::InstanceState;
+use crate::control::Published;
+use crate::ids::InstanceName;
+use crate::ids::Revision;
+use crate::leases::client::ControlClient;
+use crate::leases::generated::Grant;
+use crate::leases::generated::RelayRenewal;
+use crate::leases::generated::Renewal;
+use crate::leases::generated::request::Kind;
+use crate::leases::messages::decode_answer;
+use crate::leases::relay::Waiting;
+use crate::result_code::ResultCode;
+
+/// How long the relay may take to answer a renewal.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The renewals that a relay may leave unanswered before the leader is asked directly.
+const RELAY_MISSES_MAX: u32 = 2;
+
+/// How many renewals go to the leader directly before the relay is tried again.
+const RELAY_RETRY_RENEWALS: u32 = 20;
+
+impl ControlClient {
+    pub(super) async fn renew_with_any(
+        &self,
+        own: Renewal,
+        waiting: &[Waiting],
+    ) -> Option<(InstanceName, Grant)> {
+        if waiting.is_empty()
+            && let Some(relay) = self.usable_relay()
+        {
+            let answer = self.ask_within(&relay, Kind::Renewal(own), RELAY_TIMEOUT).await;
+            if let Some(grant) = answer.ok().and_then(|answer| decode_answer(answer).ok()) {
+                self.relay_misses.store(0, Ordering::Relaxed);
+                return Some((relay, grant));
+            }
+            if self.relay_misses.fetch_add(1, Ordering::Relaxed) + 1 < RELAY_MISSES_MAX {
+                self.wake();
+                return None;
+            }
+        }
+        let request = match waiting.is_empty() {
+            true => Kind::Renewal(own),
+            false => {
+                let members = waiting.iter().map(|waiting| waiting.member).collect();
+                Kind::RelayRenewal(RelayRenewal { own: Some(own), members })
+            }
+        };
+        let (leader, answer) = self.ask_leader(request).await?;
+        Some((leader, decode_answer(answer).ok()?))
+    }
+
+    /// Returns the relay of this data centre, unless that is this instance or does not answer.
+    fn usable_relay(&self) -> Option<InstanceName> {
+        let holder = self.holder.lock().expect("not poisoned");
+        holder.own()?;
+        let relay = self.relay_of(holder.published())?;
+        drop(holder);
+        if relay == self.cx.instance {
+            return None;
+        }
+        let misses = self.relay_misses.load(Ordering::Relaxed);
+        if misses < RELAY_MISSES_MAX {
+            return Some(relay);
+        }
+        let misses = self.relay_misses.fetch_add(1, Ordering::Relaxed);
+        misses.is_multiple_of(RELAY_RETRY_RENEWALS).then_some(relay)
+    }
+
+    pub(super) fn answer_waiting(&self, waiting: Vec<Waiting>, upstream: &Grant) {
+        let holder = self.holder.lock().expect("not poisoned");
+        for waiting in waiting {
+            let refused = upstream.refused_members.contains(&waiting.member.index);
+            let applied = waiting.member.renewal.map_or(0, |renewal| renewal.revision);
+            let mut grant = holder.grant_from(upstream, Revision(applied));
+            if refused {
+                grant.refused = ResultCode::StaleIncarnation.number().into();
+            }
+            // A member that no longer waits renews again.
+            let _ = waiting.answer.send(grant);
+        }
+    }
+
+    /// Renews the lease of another instance of this data centre with the next renewal.
+    pub(in crate::leases) async fn relay_renewal(
+        &self,
+        from: &InstanceName,
+        renewal: Renewal,
+    ) -> Option<Grant> {
+        if *from == self.cx.instance {
+            return None;
+        }
+        let index = {
+            let holder = self.holder.lock().expect("not poisoned");
+            holder.own()?;
+            holder.published().instances().get(from)?.index
+        };
+        self.relay.add(index, renewal)?.await.ok()
+    }
+
+    /// Returns the relay of this data centre: the instance with the lowest name that is not avoided.
+    ///
+    /// Instances that differ in it do no harm: one that is taken for the relay acts as one.
+    pub(super) fn relay_of(&self, published: &Published) -> Option<InstanceName> {
+        let liveness = self.liveness.get();
+        let is_avoided = |name: &InstanceName| liveness.is_some_and(|hint| hint.is_avoided(name));
+        let found = published
+            .instances()
+            .values()
+            .find(|instance| in_reach(instance, &self.cx) && !is_avoided(&instance.name));
+        found.map(|instance| instance.name.clone())
+    }
+}
+
+/// Returns whether an instance can be the relay or a member of this data centre.
+pub(super) fn in_reach(instance: &Instance, cx: &Context) -> bool {
+    instance.state == InstanceState::Alive && instance.data_centre == cx.data_centre
+}
