--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -26,7 +26,6 @@
 use crate::instance::serve::serve;
 use crate::instance::start_sweeper;
 use crate::leases;
-use crate::leases::ClusterStatus;
 use crate::leases::ControlClient;
 use crate::leases::Registration;
 use crate::leases::StoreSide;
@@ -72,7 +71,6 @@
     let registration = registration(&settings, caller_address, peer_address);
     let control = leases::start(cx.clone(), transport.clone(), log.clone(), registration, store)
         .map_err(|cause| RunError::Control { cause })?;
-    tokio::spawn(learn_addresses(Arc::downgrade(&control), transport.clone()));
     let peers = Arc::new(RegisteredPeers { control: control.clone(), name: cx.instance.clone() });
     let seeds = settings.cluster.peers.keys().cloned().collect();
     let timing = settings.membership;
@@ -233,13 +231,3 @@
     let (name, ttl) = (instance.name.clone(), instance.addresses_ttl);
     Arc::new(ClusterAddresses::new(control, membership, name, own, ttl))
 }
-
-/// Tells the transport where the registered instances are.
-async fn learn_addresses(control: Weak<ControlClient>, transport: Arc<QuicTransport>) {
-    while let Some(control) = control.upgrade() {
-        for instance in control.instances() {
-            transport.learn(&instance.name, instance.peer_address);
-        }
-        control.changed().await;
-    }
-}
