--- a/coriandergw/src/leases/client.rs
+++ b/coriandergw/src/leases/client.rs
@@ -507,7 +507,7 @@
     /// Returns the relay of this data centre: the instance with the lowest name that is not avoided.
     ///
     /// Instances that differ in it do no harm: one that is taken for the relay acts as one.
-    fn relay_of(&self, published: &Published) -> Option<InstanceName> {
+    pub(super) fn relay_of(&self, published: &Published) -> Option<InstanceName> {
         let liveness = self.liveness.get();
         let is_avoided = |name: &InstanceName| liveness.is_some_and(|hint| hint.is_avoided(name));
         let found = published
--- a/coriandergw/src/leases/tests/holding.rs
+++ b/coriandergw/src/leases/tests/holding.rs
@@ -10,6 +10,7 @@
 use crate::leases::holder::GrantResult;
 use crate::leases::holder::Holder;
 use crate::leases::lease_table::LeaseTable;
+use crate::membership::Liveness;
 
 /// Returns a state in which instance 0 is the home of partition 3 under epoch 1.
 fn control_state() -> ControlState {
@@ -153,3 +154,25 @@
         "it is being declared dead"
     );
 }
+
+/// Finds one instance silent.
+struct Silent(InstanceName);
+
+impl Liveness for Silent {
+    fn is_avoided(&self, name: &InstanceName) -> bool {
+        *name == self.0
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_instance_is_not_chosen_as_the_relay() {
+    let cluster = Cluster::start(9).await;
+    let relay = |number: usize| {
+        let client = cluster.client(number);
+        client.with_published(|published| client.relay_of(published))
+    };
+    assert_eq!(relay(7), Some(name(1)));
+    cluster.client(7).set_liveness(Arc::new(Silent(name(1))));
+    assert_eq!(relay(7), Some(name(4)));
+    assert_eq!(relay(4), Some(name(1)), "another instance may still choose the silent one");
+}
