--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod auditor;
 pub mod bench;
 pub mod bench_log;
+pub mod bench_memory;
 pub mod bench_programs;
 pub mod caller;
 pub mod cluster;
