fix(orders): give orders to engines that ignore fencing, and none after waking up

Cause: three faults of the order driver, which no instance starts yet. - Orders to engines that ignore fencing numbers had to end one longest flight (500 ms) before the lease. The log's lease is 475 ms, so none was ever given. - A leader that was stopped while it connected wrote its order when it woke up: a timeout polls the work once more before it ends it. - Engines were read one after the other, those without a wish too.

Change: the longest flight is waited out once, by the next leader. The sender looks at the time between connecting and writing, and its deadline is taken before the lease is read. 32 engines are worked on at once, and only those that something is wanted of.

Conclusion: on engines that ignore numbers a stop between the last look at the time and the write remains; docs/PROMISES.md says so. The driver still waits for a source of what engines should hold.

--- a/coriandergw/src/orders/driver.rs
+++ b/coriandergw/src/orders/driver.rs
@@ -1,9 +1,12 @@
 //! Reads back what engines report and sends the orders that are due.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
-use crate::clock::Timestamp;
+use futures_util::StreamExt;
+use tokio::time::Instant;
+
 use crate::context::Context;
 use crate::dispatch::CallKind;
 use crate::endpoints::Announcement;
@@ -25,6 +28,9 @@
 /// How long an engine may take to report its state.
 const STATE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The engines that are looked at and given orders at the same time.
+pub(super) const ENGINES_AT_ONCE: usize = 32;
+
 /// Tells what engines should be like.
 pub trait Wishes: Send + Sync {
     /// Returns what an engine should be like, or `None` to leave its models and role alone.
@@ -53,7 +59,7 @@
     tenure: Arc<dyn TenureSource>,
     wishes: Arc<dyn Wishes>,
     client: EndpointClient,
-    loads: TokenBucket,
+    loads: Mutex<TokenBucket>,
 }
 
 impl OrderDriver {
@@ -66,8 +72,12 @@
         settings: OrderSettings,
     ) -> tokio::task::JoinHandle<()> {
         let now = cx.clock.now();
-        let mut driver = Self {
-            loads: TokenBucket::new(settings.loads_at_once, settings.loads_per_second, now),
+        let driver = Self {
+            loads: Mutex::new(TokenBucket::new(
+                settings.loads_at_once,
+                settings.loads_per_second,
+                now,
+            )),
             cx,
             directory,
             tenure,
@@ -82,51 +92,58 @@
         })
     }
 
-    async fn round(&mut self) {
-        for known in self.directory.all(self.cx.clock.now()) {
-            if self.tenure.tenure().is_none() {
-                return;
-            }
-            if known.announcement.kind == CallKind::Model {
-                self.mend(&known.announcement).await;
-            }
+    async fn round(&self) {
+        if self.tenure.tenure().is_none() {
+            return;
         }
+        let engines = self.directory.all(self.cx.clock.now()).into_iter();
+        let engines = engines.filter(|known| known.announcement.kind == CallKind::Model);
+        // Engines that nothing is wanted of are not read.
+        let due = engines.filter_map(|known| {
+            let wanted = self.wishes.wanted(&known.announcement)?;
+            Some(self.mend(known.announcement, wanted))
+        });
+        let due: Vec<_> = due.collect();
+        let mut due = futures_util::stream::iter(due).buffer_unordered(ENGINES_AT_ONCE);
+        while due.next().await.is_some() {}
     }
 
     /// Brings one engine nearer to what is wanted.
-    async fn mend(&mut self, engine: &Announcement) {
-        let asked = self.client.get_json(engine, "/state");
+    async fn mend(&self, engine: Arc<Announcement>, wanted: WantedState) {
+        let asked = self.client.get_json(&engine, "/state");
         let Ok(Ok(raw)) = tokio::time::timeout(STATE_TIMEOUT, asked).await else {
             return;
         };
         let Ok(state) = EngineState::try_from(raw) else {
             return;
         };
-        for order in self.orders_for(engine, &state) {
-            if !self.give(engine, &order).await {
+        for order in self.due_orders(&wanted, &state) {
+            if !self.give(&engine, &order).await {
                 return;
             }
         }
     }
 
-    fn orders_for(&mut self, engine: &Announcement, state: &EngineState) -> Vec<Order> {
-        let wanted = self.wishes.wanted(engine);
-        let mut orders = wanted.map(|wanted| plan(&wanted, state)).unwrap_or_default();
+    fn due_orders(&self, wanted: &WantedState, state: &EngineState) -> Vec<Order> {
         let now = self.cx.clock.now();
-        orders.retain(|order| !matches!(order, Order::LoadModel { .. }) || self.loads.take(now));
+        let mut loads = self.loads.lock().expect("not poisoned");
+        let mut orders = plan(wanted, state);
+        orders.retain(|order| !matches!(order, Order::LoadModel { .. }) || loads.take(now));
         orders
     }
 
     /// Sends one order. Returns whether further ones may be sent to the engine in this round.
     async fn give(&self, engine: &Announcement, order: &Order) -> bool {
-        let now: Timestamp = self.cx.clock.now();
+        // Read before the time that the lease is compared with, so that the deadline is not late.
+        let started = Instant::now();
+        let now = self.cx.clock.now();
         let Some(tenure) = self.tenure.tenure() else {
             return false;
         };
         let Some(time) = tenure.time_for_order(engine.checks_fencing, now) else {
             return false;
         };
-        let sent = OrderSender.send(engine, tenure.fencing, order, time).await;
+        let sent = OrderSender.send(engine, tenure.fencing, order, started + time).await;
         let result = if sent.is_ok() { "confirmed" } else { "failed" };
         self.cx.metrics.orders.with_label_values(&[order.kind(), result]).inc();
         let subject = Subject {
--- a/coriandergw/src/orders/sender.rs
+++ b/coriandergw/src/orders/sender.rs
@@ -10,6 +10,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use crate::endpoints::Announcement;
 use crate::ids::FencingNumber;
@@ -55,7 +56,9 @@
 pub struct OrderSender;
 
 impl OrderSender {
-    /// Sends an order and waits for its confirmation, at most for `time`.
+    /// Sends an order and waits for its confirmation, at most until `deadline`.
+    ///
+    /// Nothing is written after the deadline, also if the process was stopped in between.
     ///
     /// # Errors
     /// Fails unless the engine confirms the order.
@@ -64,12 +67,12 @@
         engine: &Announcement,
         fencing: FencingNumber,
         order: &Order,
-        time: Duration,
+        deadline: Instant,
     ) -> Result<(), SendOrderError> {
         let body = serde_json::to_vec(&NumberedOrder { fencing, order }).map_err(no_answer)?;
-        let exchange = exchange(engine, body);
-        let status =
-            tokio::time::timeout(time.min(ORDER_TIMEOUT), exchange).await.map_err(no_answer)??;
+        let deadline = deadline.min(Instant::now() + ORDER_TIMEOUT);
+        let exchange = exchange(engine, body, deadline);
+        let status = tokio::time::timeout_at(deadline, exchange).await.map_err(no_answer)??;
         match status {
             200..=299 => Ok(()),
             CONFLICT => Err(SendOrderError::Fenced),
@@ -78,7 +81,11 @@
     }
 }
 
-async fn exchange(engine: &Announcement, body: Vec<u8>) -> Result<u16, SendOrderError> {
+async fn exchange(
+    engine: &Announcement,
+    body: Vec<u8>,
+    deadline: Instant,
+) -> Result<u16, SendOrderError> {
     let stream = TcpStream::connect(engine.address).await.map_err(no_answer)?;
     // Closing resets the connection, so that the system does not send buffered bytes later.
     stream.set_zero_linger().map_err(no_answer)?;
@@ -90,6 +97,10 @@
         .header("content-type", "application/json")
         .body(Full::new(Bytes::from(body)))
         .map_err(no_answer)?;
+    // A timeout alone lets one more write through when a stopped process wakes up.
+    if Instant::now() >= deadline {
+        return Err(no_answer("the time for the order is over"));
+    }
     // The connection is driven here and not by a task, so that it ends with the time for the order.
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
--- a/coriandergw/src/orders/tenure.rs
+++ b/coriandergw/src/orders/tenure.rs
@@ -32,20 +32,15 @@
 impl Tenure {
     /// Returns how long an order that is sent at `now` may take, or `None` if none may be sent.
     ///
-    /// An engine that checks numbers refuses late orders itself. For one that does not, the order
-    /// must have arrived before the lease can end, and nothing of the leader before may be under
-    /// way any more.
+    /// An engine that checks numbers refuses late orders itself. For one that does not, nothing of
+    /// the leader before may be under way any more. Its last order was written before its lease
+    /// ended, so waiting for the longest flight once, here, is enough.
     pub fn time_for_order(&self, engine_checks: bool, now: Timestamp) -> Option<Duration> {
         if now >= self.lease_until {
             return None;
         }
         let remaining = self.lease_until.since(now);
-        if engine_checks {
-            return Some(remaining);
-        }
-        if now < self.began + self.old_lease_max + IN_FLIGHT_MAX {
-            return None;
-        }
-        remaining.checked_sub(IN_FLIGHT_MAX).filter(|time| !time.is_zero())
+        let is_alone = now >= self.began + self.old_lease_max + IN_FLIGHT_MAX;
+        (engine_checks || is_alone).then_some(remaining)
     }
 }
