--- a/coriandergw/src/instance/dev.rs
+++ b/coriandergw/src/instance/dev.rs
@@ -57,6 +57,7 @@
     let partitions = Arc::new(LocalPartitions::new(cx.instance.clone(), caller_address));
     let programs = Programs::start(
         cx.clone(),
+        settings.programs,
         catalogue.clone(),
         partitions.clone(),
         local_log(&cx),
@@ -78,6 +79,7 @@
         partitions,
         voters: None,
         transport: None,
+        membership: None,
         stage: Arc::default(),
     });
     serve(server, shared, || {}).await;
--- a/coriandergw/src/orders/tests.rs
+++ b/coriandergw/src/orders/tests.rs
@@ -24,11 +24,10 @@
 use crate::context::Context;
 use crate::endpoints::Announcement;
 use crate::endpoints::directory::Directory;
-use crate::events::Recorder;
 use crate::ids::FencingNumber;
 use crate::ids::InstanceName;
 use crate::log_groups::core::LEASE;
-use crate::metrics::Metrics;
+use crate::test_support;
 
 fn version(number: &str) -> ModelVersion {
     ModelVersion { model: "m".try_into().unwrap(), version: number.to_owned() }
@@ -205,13 +204,7 @@
 
 fn context(clock: &Arc<SystemClock>) -> Context {
     let name = InstanceName::try_from("i1").unwrap();
-    Context {
-        instance: name.clone(),
-        data_centre: "dc-a".try_into().unwrap(),
-        clock: clock.clone(),
-        events: Arc::new(Recorder::new(name, clock.clone())),
-        metrics: Arc::new(Metrics::new().unwrap()),
-    }
+    test_support::context(name, "dc-a", clock.clone())
 }
 
 /// Counts the questions that are open, and the most that ever were.
--- a/coriandergw/src/programs/lives.rs
+++ b/coriandergw/src/programs/lives.rs
@@ -13,6 +13,8 @@
 use crate::programs::generated::LivesAnswer;
 use crate::programs::generated::LivesQuery;
 use crate::programs::generated::lives_answer::Life as WireLife;
+use crate::programs::parked::ParkedTree;
+use crate::programs::state::Tree;
 use crate::transport::Handler;
 
 impl Programs {
@@ -24,15 +26,26 @@
         if held != Some(home.epoch) || home.lost.is_cancelled() || !home.loaded.initialized() {
             return None;
         }
-        let tree = home.trees.lock().expect("not poisoned").get(&id.root()).cloned();
-        let Some(tree) = tree else {
-            return Some(Life::Gone);
+        // Under one lock, as trees move between memory and journal.
+        let trees = home.trees.lock().expect("not poisoned");
+        let lives = match (trees.live.get(&id.root()), trees.parked.get(&id.root())) {
+            (Some(tree), _) => tree.state.lock().expect("not poisoned").lives(id),
+            (None, Some(parked)) => parked.lives(id),
+            (None, None) => false,
         };
-        let state = tree.state.lock().expect("not poisoned");
-        match state.programs.get(id).is_some_and(|program| program.ended.is_none()) {
-            true => Some(Life::Live),
-            false => Some(Life::Gone),
-        }
+        Some(if lives { Life::Live } else { Life::Gone })
+    }
+}
+
+impl Tree {
+    fn lives(&self, id: &ProgramId) -> bool {
+        self.programs.get(id).is_some_and(|program| program.ended.is_none())
+    }
+}
+
+impl ParkedTree {
+    fn lives(&self, id: &ProgramId) -> bool {
+        self.programs.iter().any(|program| program.id == *id && program.age.ended_at.is_none())
     }
 }
 
--- a/coriandergw/src/programs/mod.rs
+++ b/coriandergw/src/programs/mod.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod lives;
 mod lives_client;
+mod parked;
 mod record;
 mod request;
 mod reserve;
--- a/coriandergw/src/programs/sweep.rs
+++ b/coriandergw/src/programs/sweep.rs
@@ -1,6 +1,7 @@
 //! Takes over granted partitions, enforces limits and forgets ended programs, again and again.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Weak;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use crate::ids::Epoch;
 use crate::ids::PartitionId;
 use crate::ids::ProgramId;
+use crate::leases::HeldVersion;
 use crate::programs::home::Home;
 use crate::programs::home::LiveTree;
 use crate::programs::home::Place;
@@ -33,8 +35,15 @@
 /// How long a home keeps its running calls while its lease is not confirmed.
 const LAPSE_GRACE: Duration = Duration::from_secs(3);
 
-/// How long an ended program can be read.
-const RETENTION: Duration = Duration::from_secs(10 * 60);
+/// How long an ended program can be read, in milliseconds.
+pub(super) const RETENTION_MS: u64 = 10 * 60 * 1_000;
+
+/// The state of leases and homes in which a sweep found nothing left to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Followed {
+    version: HeldVersion,
+    homes: usize,
+}
 
 impl Programs {
     pub(super) async fn sweep_forever(programs: Weak<Self>) {
@@ -53,16 +62,28 @@
     /// Drops homes whose lease is gone and takes over partitions that were granted.
     pub(super) async fn follow_leases(self: &Arc<Self>) {
         let now = self.cx.clock.now();
+        // The state is read before what depends on it, so that a change in between is seen next.
+        let state = self.state_of_leases(now);
+        if state.is_some() && *self.followed.lock().expect("not poisoned") == state {
+            return;
+        }
         let held: BTreeMap<PartitionId, Epoch> =
             self.partitions.all_held(now).into_iter().collect();
         self.drop_gone(&held, now);
         let missing = self.without_home(&held);
         if missing.is_empty() {
+            let is_done = state.is_some_and(|state| state.homes == held.len());
+            *self.followed.lock().expect("not poisoned") = state.filter(|_| is_done);
             return;
         }
         // Most partitions hold nothing: they are fenced together and need no reading.
-        for (partition, epoch) in self.journals.fence_empty(&missing).await {
-            self.start_empty(partition, epoch);
+        let homes: Vec<Arc<Home>> =
+            missing.iter().map(|(partition, epoch)| self.home_under(*partition, *epoch)).collect();
+        let empty = self.journals.fence_empty(&missing).await;
+        let empty: BTreeSet<PartitionId> = empty.into_iter().map(|(id, _)| id).collect();
+        for home in homes.iter().filter(|home| empty.contains(&home.partition)) {
+            // Set already where a request has loaded the partition meanwhile.
+            let _ = home.loaded.set(());
         }
         let takeovers = self.without_home(&held).into_iter().map(|(id, _)| self.home(id));
         // A failed takeover is tried again by the next sweep.
@@ -71,6 +92,11 @@
         while takeovers.next().await.is_some() {}
     }
 
+    fn state_of_leases(&self, now: Timestamp) -> Option<Followed> {
+        let version = self.partitions.held_version(now)?;
+        Some(Followed { version, homes: self.homes.lock().expect("not poisoned").len() })
+    }
+
     fn drop_gone(&self, held: &BTreeMap<PartitionId, Epoch>, now: Timestamp) {
         let mut homes = self.known_homes();
         homes.retain(|home| is_gone(home, held.get(&home.partition).copied(), now));
@@ -93,7 +119,7 @@
         missing.map(|(partition, epoch)| (*partition, *epoch)).collect()
     }
 
-    fn known_homes(&self) -> Vec<Arc<Home>> {
+    pub(super) fn known_homes(&self) -> Vec<Arc<Home>> {
         self.homes.lock().expect("not poisoned").values().cloned().collect()
     }
 
@@ -105,18 +131,21 @@
             totals.partitions += 1;
             let trees: Vec<(ProgramId, Arc<LiveTree>)> = {
                 let trees = home.trees.lock().expect("not poisoned");
-                trees.iter().map(|(root, tree)| (root.clone(), tree.clone())).collect()
+                trees.live.iter().map(|(root, tree)| (root.clone(), tree.clone())).collect()
             };
             for (program, tree) in trees {
                 let place = Place { home: home.clone(), tree, program };
                 totals.add(&place);
                 self.sweep_tree(&place, now).await;
             }
+            totals.add_parked(&home);
+            self.sweep_parked(&home, now).await;
         }
+        self.park_cold();
         self.show(&totals);
     }
 
-    async fn sweep_tree(self: &Arc<Self>, place: &Place, now: WallTime) {
+    pub(super) async fn sweep_tree(self: &Arc<Self>, place: &Place, now: WallTime) {
         for (program, reason) in self.due(place, now) {
             let place = Place { program, ..place.clone() };
             // A failed attempt is repeated by the next sweep.
@@ -131,7 +160,7 @@
         let state = place.tree.state.lock().expect("not poisoned");
         let due = state.programs.values().filter_map(|program| {
             let entry = self.catalogue.entry(&program.entry)?;
-            Some((program.id.clone(), end_due(program, &entry.limits, now)?))
+            Some((program.id.clone(), end_due(&program.age(), &entry.limits, now)?))
         });
         due.collect()
     }
@@ -140,6 +169,7 @@
         let states = &self.cx.metrics.states;
         states.with_label_values(&["program_partitions"]).set(totals.partitions);
         states.with_label_values(&["programs"]).set(totals.programs);
+        states.with_label_values(&["programs_parked"]).set(totals.parked);
         states.with_label_values(&["programs_ended"]).set(totals.ended);
         states.with_label_values(&["program_turns"]).set(totals.turns);
         states.with_label_values(&["program_history_bytes"]).set(totals.history_bytes);
@@ -165,11 +195,21 @@
     partitions: i64,
     programs: i64,
     ended: i64,
+    parked: i64,
     turns: i64,
     history_bytes: i64,
 }
 
 impl Totals {
+    fn add_parked(&mut self, home: &Home) {
+        let trees = home.trees.lock().expect("not poisoned");
+        for program in trees.parked.values().flat_map(|tree| &tree.programs) {
+            self.programs += 1;
+            self.parked += 1;
+            self.ended += i64::from(program.age.ended_at.is_some());
+        }
+    }
+
     fn add(&mut self, place: &Place) {
         let state = place.tree.state.lock().expect("not poisoned");
         for program in state.programs.values() {
@@ -182,11 +222,9 @@
 }
 
 fn is_forgettable(place: &Place, now: WallTime) -> bool {
-    let retention_ms = RETENTION.as_millis() as u64;
     let state = place.tree.state.lock().expect("not poisoned");
-    let is_old = |ended_at: WallTime| now.0.saturating_sub(ended_at.0) >= retention_ms;
     let has_live = !place.tree.live.lock().expect("not poisoned").is_empty();
     !has_live
         && !state.programs.is_empty()
-        && state.programs.values().all(|program| program.ended.is_some_and(|(at, _)| is_old(at)))
+        && state.programs.values().all(|program| program.age().ended_before(now, RETENTION_MS))
 }
--- a/coriandergw/src/programs/tests/mod.rs
+++ b/coriandergw/src/programs/tests/mod.rs
@@ -6,6 +6,7 @@
 mod journal;
 mod limits;
 mod lives;
+mod parked;
 mod requests;
 mod rival;
 mod world;
--- a/coriandergw/src/programs/tests/world.rs
+++ b/coriandergw/src/programs/tests/world.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -25,7 +26,6 @@
 use crate::clock::SystemClock;
 use crate::clock::Timestamp;
 use crate::clock::WallTime;
-use crate::context::Context;
 use crate::dispatch::CallKind;
 use crate::dispatch::DispatchObserver;
 use crate::dispatch::DispatchOutcome;
@@ -34,7 +34,6 @@
 use crate::dispatch::ReadyCall;
 use crate::dispatch::TokenSink;
 use crate::dispatch::Usage;
-use crate::events::Recorder;
 use crate::ids::EndpointName;
 use crate::ids::Epoch;
 use crate::ids::GroupId;
@@ -47,7 +46,6 @@
 use crate::log_groups::ReplicatedLog;
 use crate::log_groups::StateMachine;
 use crate::log_groups::local::LocalLog;
-use crate::metrics::Metrics;
 use crate::programs::CallRequest;
 use crate::programs::CreatedProgram;
 use crate::programs::JournalState;
@@ -57,6 +55,10 @@
 use crate::programs::generated::command::Command as WireCommand;
 use crate::programs::record::Record;
 use crate::programs::record::What;
+use crate::result_code::Refusal;
+use crate::result_code::ResultCode;
+use crate::settings::ProgramSettings;
+use crate::test_support;
 
 /// How long a test waits for a condition before it fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -67,6 +69,8 @@
 /// A step at which a home can be stopped for good.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
+    BeforeCreated,
+    AfterCreated,
     BeforeAccepted,
     AfterAccepted,
     BeforeIntent,
@@ -78,6 +82,7 @@
 }
 
 impl Step {
+    /// The steps of a call.
     pub const ALL: [Step; 8] = [
         Step::BeforeAccepted,
         Step::AfterAccepted,
@@ -133,6 +138,7 @@
     pub clock: Arc<TestClock>,
     pub can_look_up: bool,
     pub unknown_percent: u32,
+    pub memory_bytes: usize,
 }
 
 /// The system's clock with a wall time that tests move.
@@ -173,6 +179,7 @@
             clock: Arc::default(),
             can_look_up: false,
             unknown_percent: 0,
+            memory_bytes: usize::MAX,
         }
     }
 
@@ -180,24 +187,20 @@
     pub fn home(&self, epoch: u64) -> TestHome {
         let gate = Arc::new(Gate::default());
         let partitions = Arc::new(FakePartitions::new(epoch));
-        let cx = Context {
-            instance: name(&format!("i{epoch}")),
-            data_centre: "dc".try_into().unwrap(),
-            clock: self.clock.clone(),
-            events: Arc::new(Recorder::new(name("i"), self.clock.clone())),
-            metrics: Arc::new(Metrics::new().unwrap()),
-        };
+        let cx = test_support::context(name(&format!("i{epoch}")), "dc", self.clock.clone());
         let dispatcher = Arc::new(FakeDispatcher {
             gate: gate.clone(),
             runs: self.runs.clone(),
             can_look_up: self.can_look_up,
             ended: Mutex::default(),
+            is_known: true.into(),
         });
         let rng = Mutex::new(ChaCha8Rng::seed_from_u64(epoch));
         let unknown_percent = self.unknown_percent;
         let log = FakeLog { inner: self.log.clone(), gate: gate.clone(), unknown_percent, rng };
         let programs = Programs::start(
             cx,
+            ProgramSettings { memory_bytes: self.memory_bytes },
             self.catalogue.clone(),
             partitions.clone(),
             Arc::new(log),
@@ -251,6 +254,12 @@
         self.programs.create(req).await.unwrap()
     }
 
+    /// Creates a program with the usual budget.
+    pub async fn try_create(&self) -> Result<CreatedProgram, Refusal> {
+        let req: ProgramRequest = serde_json::from_value(json!({"entry": "e"})).unwrap();
+        self.programs.create(req).await
+    }
+
     pub async fn call(
         &self,
         program: &CreatedProgram,
@@ -292,7 +301,7 @@
 /// Leases of every 512th partition, under one epoch.
 pub struct FakePartitions {
     epoch: AtomicU64,
-    pub fresh: std::sync::atomic::AtomicBool,
+    pub fresh: AtomicBool,
 }
 
 impl FakePartitions {
@@ -346,6 +355,7 @@
         return None;
     };
     match Record::decode(&append.record).ok()?.what {
+        What::Created(_) => Some((Step::BeforeCreated, Step::AfterCreated)),
         What::Accepted { .. } => Some((Step::BeforeAccepted, Step::AfterAccepted)),
         What::Intent { .. } => Some((Step::BeforeIntent, Step::AfterIntent)),
         What::Done { .. } => Some((Step::BeforeDone, Step::AfterDone)),
@@ -382,6 +392,8 @@
     runs: Arc<Mutex<Vec<Run>>>,
     can_look_up: bool,
     pub ended: Mutex<BTreeMap<ProgramId, usize>>,
+    /// Whether the endpoint has announced itself.
+    pub is_known: AtomicBool,
 }
 
 impl FakeDispatcher {
@@ -415,6 +427,10 @@
         observer: &dyn DispatchObserver,
         sink: Option<TokenSink>,
     ) -> DispatchOutcome {
+        if !self.is_known.load(Ordering::SeqCst) {
+            let refusal = Refusal::not_run(ResultCode::NoEndpoint, "no endpoint");
+            return DispatchOutcome::NotRun(refusal);
+        }
         let endpoint = EndpointName::try_from("fake").unwrap();
         if let Err(refusal) = observer.before_send(&endpoint).await {
             return DispatchOutcome::NotRun(refusal);
--- a/coriandergw/src/settings/mod.rs
+++ b/coriandergw/src/settings/mod.rs
@@ -7,6 +7,7 @@
 use crate::http_server::CallerKeyFiles;
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
+use crate::membership::Timing;
 use crate::transport::tls::KeyFiles;
 
 mod access;
@@ -14,7 +15,9 @@
 mod fault;
 mod instance;
 mod log;
+mod membership;
 mod options;
+mod programs;
 mod reader;
 mod tls;
 
@@ -27,6 +30,7 @@
 pub use log::LogSettings;
 pub use options::OPTIONS;
 pub use options::OptionSpec;
+pub use programs::ProgramSettings;
 
 use reader::Reader;
 
@@ -40,6 +44,10 @@
     pub instance: InstanceSettings,
     /// The cluster that it belongs to.
     pub cluster: ClusterSettings,
+    /// What is kept of programs.
+    pub programs: ProgramSettings,
+    /// How instances probe each other.
+    pub membership: Timing,
     /// The data folder; present on store instances only.
     pub data: Option<PathBuf>,
     /// The keys for TLS between instances; absent for `dev` only.
@@ -72,6 +80,8 @@
         let mut reader = Reader::new(text);
         let instance = InstanceSettings::read(&mut reader);
         let cluster = ClusterSettings::read(&mut reader);
+        let programs = ProgramSettings::read(&mut reader);
+        let membership = membership::read(&mut reader);
         let data = reader.optional("storage", "data").map(|data| folder.join(data));
         let keys = tls::read(&mut reader, folder);
         let caller_keys = tls::read_caller(&mut reader, folder);
@@ -84,7 +94,18 @@
         let faults = reader.into_faults();
         match (instance, cluster, keys) {
             (Some(instance), Some(cluster), Some(keys)) if faults.is_empty() => {
-                Ok(Self { instance, cluster, data, keys: Some(keys), caller_keys, access, log })
+                let keys = Some(keys);
+                Ok(Self {
+                    instance,
+                    cluster,
+                    programs,
+                    membership,
+                    data,
+                    keys,
+                    caller_keys,
+                    access,
+                    log,
+                })
             }
             _ => Err(faults),
         }
@@ -97,6 +118,8 @@
         Self {
             instance: InstanceSettings::new(name.clone(), data_centre, listen),
             cluster: ClusterSettings::alone("dev", name),
+            programs: ProgramSettings::default(),
+            membership: Timing::default(),
             data: None,
             keys: None,
             caller_keys: None,
