--- a/coriandergw/src/programs/lives_client.rs
+++ b/coriandergw/src/programs/lives_client.rs
@@ -70,18 +70,9 @@
     async fn ask(&self, home: &InstanceName, programs: &[ProgramId]) -> Option<LivesAnswer> {
         let names = programs.iter().map(ProgramId::to_string).collect();
         let payload = LivesQuery { programs: names }.encode_to_vec();
-        self.count("sent", payload.len());
         let transport = self.transport.as_ref()?;
         let asked = transport.call(home, Kind::Programs, payload.into(), ANSWER_TIMEOUT);
-        let answer = asked.await.ok()?;
-        self.count("received", answer.len());
-        LivesAnswer::decode(answer).ok()
-    }
-
-    fn count(&self, direction: &str, bytes: usize) {
-        let labels = ["programs", direction];
-        self.cx.metrics.control_messages.with_label_values(&labels).inc();
-        self.cx.metrics.control_bytes.with_label_values(&labels).inc_by(bytes as u64);
+        LivesAnswer::decode(asked.await.ok()?).ok()
     }
 
     async fn ask_elsewhere(
