--- a/coriandergw/src/orders/sweeper/tests.rs
+++ b/coriandergw/src/orders/sweeper/tests.rs
@@ -10,12 +10,11 @@
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::clock::Timestamp;
-use crate::events::Recorder;
 use crate::ids::Epoch;
 use crate::ids::FencingNumber;
 use crate::ids::InstanceName;
-use crate::metrics::Metrics;
 use crate::orders::Life;
+use crate::test_support;
 
 fn program(id: &str) -> ProgramId {
     id.try_into().unwrap()
@@ -86,13 +85,7 @@
 fn sweeper(memory: &Arc<FakeMemory>, homes: &Arc<Homes>) -> Sweeper {
     let clock = Arc::new(SystemClock::default());
     let name = InstanceName::try_from("i1").unwrap();
-    let cx = Context {
-        instance: name.clone(),
-        data_centre: "dc-a".try_into().unwrap(),
-        clock: clock.clone(),
-        events: Arc::new(Recorder::new(name, clock.clone())),
-        metrics: Arc::new(Metrics::new().unwrap()),
-    };
+    let cx = test_support::context(name, "dc-a", clock.clone());
     let engine = json!({
         "name": "e", "kind": "model", "address": "127.0.0.1:9", "targets": ["m"],
         "data_centre": "dc-a",
--- a/coriandergw/src/programs/tests/lives.rs
+++ b/coriandergw/src/programs/tests/lives.rs
@@ -40,3 +40,17 @@
     let elsewhere = ProgramId::try_from("p-elsewhere").unwrap();
     assert_eq!(home.programs.life(&elsewhere), None);
 }
+
+#[tokio::test]
+async fn a_program_that_only_the_journal_holds_lives_until_it_ends() {
+    let world = World { memory_bytes: 0, ..World::default() };
+    let home = world.home(1);
+    let [live, ended] = [home.create(10_000, 5).await, home.create(10_000, 5).await];
+    home.programs.end(&ended.program, &ended.secret).await.unwrap();
+    home.programs.sweep_programs().await;
+    home.programs.sweep_programs().await;
+    let parked = home.programs.cx.metrics.states.with_label_values(&["programs_parked"]).get();
+    assert_eq!(parked, 2);
+    assert_eq!(home.programs.life(&live.program), Some(Life::Live));
+    assert_eq!(home.programs.life(&ended.program), Some(Life::Gone));
+}
