fix(programs): release the memory that former homes left on engines

Cause: which engines a program was sent to is known only to the process that sent. Change: the end of a program that was created under an earlier epoch also releases at every engine that the home knows for the models that the calls of the program name. Conclusion: such an end costs one order for each engine of the model, which is not measured.

--- a/coriandergw/src/dispatch/mod.rs
+++ b/coriandergw/src/dispatch/mod.rs
@@ -167,6 +167,9 @@
         None
     }
 
+    /// Notes that other instances may have sent calls of the program to any engine of a model.
+    fn sent_elsewhere(&self, _program: &ProgramId, _model: &TargetName) {}
+
     /// Releases the engine memory of a program that has ended; repeated until confirmed.
     fn program_ended(&self, program: &ProgramId);
 }
--- a/coriandergw/src/dispatch/scheduled.rs
+++ b/coriandergw/src/dispatch/scheduled.rs
@@ -42,6 +42,7 @@
 use crate::events::Subject;
 use crate::ids::EndpointName;
 use crate::ids::ProgramId;
+use crate::ids::TargetName;
 use crate::placement::ExpectedFinish;
 use crate::placement::Placer;
 use crate::queueing::QueueSettings;
@@ -395,6 +396,12 @@
         outcome
     }
 
+    fn sent_elsewhere(&self, program: &ProgramId, model: &TargetName) {
+        for engine in self.inner.directory.group(CallKind::Model, model).iter() {
+            self.inner.releases.record(program, engine);
+        }
+    }
+
     fn program_ended(&self, program: &ProgramId) {
         let mut state = self.inner.state.lock().expect("not poisoned");
         state.scheduler.forget_program(program);
--- a/coriandergw/src/dispatch/scheduled/tests.rs
+++ b/coriandergw/src/dispatch/scheduled/tests.rs
@@ -245,6 +245,18 @@
     bench.until(|bench| bench.fakes[0].seen.lock().unwrap().contains(&confirmed)).await;
 }
 
+#[tokio::test]
+async fn memory_is_released_where_another_instance_may_have_sent_a_call() {
+    let bench = Bench::start(&[&[Does::Answer], &[Does::Answer]]).await;
+    let program = "p".try_into().unwrap();
+    bench.dispatcher.sent_elsewhere(&program, &call("c", true).target);
+    bench.dispatcher.program_ended(&program);
+    let release = json!({"fencing": 0, "order": "release", "program": "p"});
+    bench
+        .until(|bench| bench.fakes.iter().all(|e| e.seen.lock().unwrap().contains(&release)))
+        .await;
+}
+
 #[tokio::test]
 async fn a_lost_outcome_is_asked_for() {
     let bench = Bench::start(&[&[Does::Fail(500)], &[Does::Answer]]).await;
--- a/coriandergw/src/programs/end.rs
+++ b/coriandergw/src/programs/end.rs
@@ -1,5 +1,6 @@
 //! Ends programs and releases what they hold.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -81,10 +82,23 @@
         drop(live);
         let has_ended = place.read(|program| Ok(program.ended.is_some())).unwrap_or(false);
         if has_ended && !is_busy && !place.home.lost.is_cancelled() {
+            self.note_former_homes(place);
             self.dispatcher.program_ended(&place.program);
         }
     }
 
+    /// Tells the dispatcher of the calls that former homes may have sent to engines.
+    fn note_former_homes(&self, place: &Place) {
+        let epoch = place.home.epoch;
+        let models = place.read(|program| match program.created_under < epoch {
+            true => Ok(program.models()),
+            false => Ok(BTreeSet::new()),
+        });
+        for model in models.unwrap_or_default() {
+            self.dispatcher.sent_elsewhere(&place.program, &model);
+        }
+    }
+
     fn observe_latency(&self, place: &Place) {
         let wall = self.cx.clock.wall();
         let found = place.read(|program| Ok((self.entry_of(program)?, program.created_at)));
--- a/coriandergw/src/programs/state.rs
+++ b/coriandergw/src/programs/state.rs
@@ -12,6 +12,7 @@
 use crate::ids::Epoch;
 use crate::ids::OwnerName;
 use crate::ids::ProgramId;
+use crate::ids::TargetName;
 use crate::programs::budget::Amount;
 use crate::programs::budget::Ledger;
 use crate::programs::record::Completion;
@@ -50,6 +51,8 @@
     pub parent: Option<ProgramId>,
     /// When it was created.
     pub created_at: WallTime,
+    /// The epoch that it was created under.
+    pub created_under: Epoch,
     /// When the last record was written.
     pub active_at: WallTime,
     /// When the caller wants it done.
@@ -120,6 +123,7 @@
             secret_digest: creation.secret_digest,
             parent: creation.parent,
             created_at: at,
+            created_under: Epoch::default(),
             active_at: at,
             deadline: creation.deadline,
             ledger: Ledger::new(creation.budget),
@@ -136,6 +140,13 @@
         self.calls.values().any(|call| call.result.is_none())
     }
 
+    /// Returns the models that the program's calls name.
+    pub fn models(&self) -> BTreeSet<TargetName> {
+        let requests = self.calls.values().map(|call| &call.request);
+        let models = requests.filter(|request| request.kind == CallKind::Model);
+        models.map(|request| request.target.clone()).collect()
+    }
+
     /// Returns what a new call takes of the budget of calls; one that is resent counts once.
     pub fn calls_needed(&self, id: &CallId) -> u64 {
         u64::from(!self.sent_before.contains(id))
@@ -163,7 +174,7 @@
         let Record { at, program, what } = record;
         self.next_sequence += 1;
         match what {
-            What::Created(creation) => return self.create(program, at, creation),
+            What::Created(creation) => return self.create(program, epoch, at, creation),
             What::Ended { reason } => return self.end(&program, at, reason),
             _ => {}
         }
@@ -179,6 +190,7 @@
     fn create(
         &mut self,
         id: ProgramId,
+        epoch: Epoch,
         at: WallTime,
         creation: Creation,
     ) -> Result<(), RecordError> {
@@ -194,7 +206,9 @@
                 history = parent.history.clone();
             }
         }
-        self.programs.insert(id.clone(), Program::new(id, at, creation, history));
+        let mut program = Program::new(id.clone(), at, creation, history);
+        program.created_under = epoch;
+        self.programs.insert(id, program);
         Ok(())
     }
 
--- a/coriandergw/src/programs/tests/rival.rs
+++ b/coriandergw/src/programs/tests/rival.rs
@@ -140,6 +140,23 @@
     }
 }
 
+#[tokio::test]
+async fn the_end_of_a_program_names_the_engines_that_former_homes_may_have_used() {
+    let world = World::default();
+    let former = world.home(1);
+    let program = former.create(10_000, 5).await;
+    former.call(&program, model("a")).await.unwrap();
+    let home = world.home(2);
+    let own = home.create(10_000, 5).await;
+    home.call(&own, model("a")).await.unwrap();
+    for ended in [&program, &own] {
+        home.programs.end(&ended.program, &ended.secret).await.unwrap();
+    }
+    let elsewhere = home.dispatcher.elsewhere.lock().unwrap().clone();
+    assert_eq!(elsewhere, [(program.program, "t".try_into().unwrap())].into());
+    assert!(former.dispatcher.elsewhere.lock().unwrap().is_empty());
+}
+
 #[tokio::test]
 async fn a_home_without_a_lease_refuses() {
     let world = World::default();
--- a/coriandergw/src/programs/tests/world.rs
+++ b/coriandergw/src/programs/tests/world.rs
@@ -1,6 +1,7 @@
 //! Homes that share one journal, and an endpoint that can stop at any step.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -40,6 +41,7 @@
 use crate::ids::InstanceName;
 use crate::ids::PartitionId;
 use crate::ids::ProgramId;
+use crate::ids::TargetName;
 use crate::leases::Home;
 use crate::leases::Partitions;
 use crate::log_groups::ProposeError;
@@ -193,6 +195,7 @@
             runs: self.runs.clone(),
             can_look_up: self.can_look_up,
             ended: Mutex::default(),
+            elsewhere: Mutex::default(),
             is_known: true.into(),
         });
         let rng = Mutex::new(ChaCha8Rng::seed_from_u64(epoch));
@@ -392,6 +395,7 @@
     runs: Arc<Mutex<Vec<Run>>>,
     can_look_up: bool,
     pub ended: Mutex<BTreeMap<ProgramId, usize>>,
+    pub elsewhere: Mutex<BTreeSet<(ProgramId, TargetName)>>,
     /// Whether the endpoint has announced itself.
     pub is_known: AtomicBool,
 }
@@ -456,6 +460,10 @@
         Some(if ran { LookedUp::Ran { output } } else { LookedUp::NotRan })
     }
 
+    fn sent_elsewhere(&self, program: &ProgramId, model: &TargetName) {
+        self.elsewhere.lock().unwrap().insert((program.clone(), model.clone()));
+    }
+
     fn program_ended(&self, program: &ProgramId) {
         *self.ended.lock().unwrap().entry(program.clone()).or_default() += 1;
     }
