test(testkit): run programs while instances are killed at random

Cause: no test with real processes killed instances at random under many programs. Change: random_kills.rs runs 200 short programs with non-idempotent calls and budgets under 5 seeded kills on 5 instances, then the auditor checks order, runs, histories, budgets and refusals. The wait for released memory no longer copies all records at each look.

--- a/testkit/src/scene.rs
+++ b/testkit/src/scene.rs
@@ -1,5 +1,6 @@
 //! A cluster with fakes, entries and a caller: the start of every integration test.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -215,10 +216,15 @@
     /// # Panics
     /// Panics with the promises that were broken.
     pub async fn audit(&self) {
+        let programs = self.caller.log().programs;
+        let ended: BTreeSet<String> = programs
+            .into_iter()
+            .filter(|program| program.ended)
+            .map(|program| program.id)
+            .collect();
         wait::until("the memory of ended programs is released", || {
-            let evidence = self.evidence();
-            let ended = evidence.log.programs.iter().filter(|program| program.ended);
-            !ended.into_iter().any(|program| evidence.held.contains_key(&program.id))
+            let held = self.engines.iter().flat_map(|engine| engine.held().into_keys());
+            held.into_iter().all(|program| !ended.contains(&program))
         })
         .await;
         auditor::assert_clean(&self.evidence());
--- /dev/null
+++ b/testkit/tests/random_kills.rs
@@ -0,0 +1,168 @@
+//! Runs hundreds of short programs while instances are killed and restarted at random.
+
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use testkit::caller::Caller;
+use testkit::caller::Outcome;
+use testkit::caller::Program;
+use testkit::cluster::Cluster;
+use testkit::cluster::ClusterOptions;
+use testkit::fakes::service::Behaviour;
+use testkit::scene::ENTRY;
+use testkit::scene::MODEL;
+use testkit::scene::RIVAL_ENTRY;
+use testkit::scene::SERVICE;
+use testkit::scene::Scene;
+use testkit::scene::TOOL;
+use testkit::scene::call;
+use testkit::wait;
+
+/// Decides shapes and kills.
+const SEED: u64 = 20_261;
+
+/// The programs of the trial.
+const PROGRAMS: usize = 200;
+
+/// The programs that run at once.
+const PROGRAMS_AT_ONCE: usize = 24;
+
+/// The kills, spread evenly over the programs.
+const KILLS: usize = 5;
+
+/// The programs of the trial that ends all of them.
+const ENDED_PROGRAMS: usize = 100;
+
+/// The kills of that trial.
+const ENDED_KILLS: usize = 3;
+
+/// How long the service takes, so that kills meet calls under way.
+const SERVICE_TIME: Duration = Duration::from_millis(60);
+
+/// The longest time that an instance is down, in milliseconds.
+const DOWN_MAX_MS: u64 = 1_500;
+
+/// The result of a call whose outcome is unknown.
+const OUTCOME_UNKNOWN: &str = "CG-3001";
+
+/// The result of a call beyond the budget.
+const BUDGET_EXHAUSTED: &str = "CG-1010";
+
+/// A program as the seed decides it.
+#[derive(Debug)]
+struct Shape {
+    entry: &'static str,
+    targets: Vec<(&'static str, &'static str)>,
+    /// How many of its calls the budget covers.
+    allowed: usize,
+}
+
+impl Shape {
+    fn new(rng: &mut ChaCha8Rng) -> Self {
+        let entry = if rng.random_bool(0.5) { ENTRY } else { RIVAL_ENTRY };
+        let calls = rng.random_range(2..=4);
+        let target = |_| match rng.random_range(0..4) {
+            0 => ("model", MODEL),
+            1 => ("tool", TOOL),
+            _ => ("service", SERVICE),
+        };
+        let targets: Vec<_> = (0..calls).map(target).collect();
+        let allowed = if rng.random_bool(0.2) { calls - 1 } else { calls };
+        Self { entry, targets, allowed }
+    }
+}
+
+/// Runs calls that depend on each other, up to the first that is not done.
+async fn run_program(caller: &Caller, shape: &Shape) -> Program {
+    let program = caller.create(shape.entry, json!({"calls": shape.allowed})).await;
+    for (n, (kind, target)) in shape.targets.iter().enumerate() {
+        let before: Vec<String> = n.checked_sub(1).map(|n| format!("t{n}")).into_iter().collect();
+        let after: Vec<&str> = before.iter().map(String::as_str).collect();
+        let request = call(&format!("t{n}"), kind, target, &after);
+        let outcome = caller.call(&program, request).await;
+        check_outcome(&outcome, kind, n >= shape.allowed);
+        if !matches!(outcome, Outcome::Done(_)) {
+            break;
+        }
+    }
+    program
+}
+
+/// Checks that a call ended in a way that a kill or the budget can account for.
+fn check_outcome(outcome: &Outcome, kind: &str, is_over: bool) {
+    let is_expected = match outcome {
+        Outcome::Done(_) => !is_over,
+        Outcome::Refused { code, not_run: false } if code == OUTCOME_UNKNOWN => kind == "service",
+        Outcome::Refused { code, .. } if code == BUDGET_EXHAUSTED => is_over,
+        _ => false,
+    };
+    assert!(is_expected, "a {kind} call ended with {outcome:?}");
+}
+
+/// Kills and restarts one instance after the other, each when so many programs have run.
+async fn kill_at_random(
+    cluster: &mut Cluster,
+    done: &AtomicUsize,
+    dues: &[usize],
+    rng: &mut ChaCha8Rng,
+) {
+    let names = cluster.names();
+    for due in dues {
+        wait::until("programs end", || done.load(Ordering::Relaxed) >= *due).await;
+        let name = &names[rng.random_range(0..names.len())];
+        cluster.kill(name).await;
+        // The time that a process is down is part of the trial, not a wait for something.
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..=DOWN_MAX_MS))).await;
+        cluster.start_instance(name).await;
+        cluster.ready(name).await;
+    }
+}
+
+/// Runs programs under kills and reads their histories. Returns the scene and the programs.
+async fn run_trial(programs: usize, kills: usize) -> (Scene, Vec<Program>) {
+    let options = ClusterOptions { instances: 5, seed: SEED, ..ClusterOptions::default() };
+    let mut scene = Scene::start(options).await;
+    scene.service.set_usual(Behaviour::Late(SERVICE_TIME));
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let shapes: Vec<Shape> = (0..programs).map(|_| Shape::new(&mut rng)).collect();
+    let done = AtomicUsize::new(0);
+    let (caller, cluster) = (&scene.caller, &mut scene.cluster);
+    let running = stream::iter(&shapes).map(|shape| async {
+        let program = run_program(caller, shape).await;
+        done.fetch_add(1, Ordering::Relaxed);
+        program
+    });
+    let running = running.buffer_unordered(PROGRAMS_AT_ONCE).collect::<Vec<Program>>();
+    let dues: Vec<usize> = (1..=kills).map(|kill| kill * programs / (kills + 1)).collect();
+    let (programs, ()) = tokio::join!(running, kill_at_random(cluster, &done, &dues, &mut rng));
+
+    // The auditor checks that each history holds all that was answered.
+    stream::iter(&programs)
+        .for_each_concurrent(PROGRAMS_AT_ONCE, |program| async {
+            scene.caller.history(program).await;
+        })
+        .await;
+    (scene, programs)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn programs_keep_their_promises_while_instances_are_killed_at_random() {
+    let (scene, _programs) = run_trial(PROGRAMS, KILLS).await;
+    scene.audit().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_memory_stays_held_after_random_kills() {
+    let (scene, programs) = run_trial(ENDED_PROGRAMS, ENDED_KILLS).await;
+    stream::iter(&programs)
+        .for_each_concurrent(PROGRAMS_AT_ONCE, |program| scene.caller.end(program))
+        .await;
+    scene.audit().await;
+}
