--- a/coriandergw/src/programs/lives.rs
+++ b/coriandergw/src/programs/lives.rs
@@ -13,8 +13,6 @@
 use crate::programs::generated::LivesAnswer;
 use crate::programs::generated::LivesQuery;
 use crate::programs::generated::lives_answer::Life as WireLife;
-use crate::programs::parked::ParkedTree;
-use crate::programs::state::Tree;
 use crate::transport::Handler;
 
 impl Programs {
@@ -26,29 +24,11 @@
         if held != Some(home.epoch) || home.lost.is_cancelled() || !home.loaded.initialized() {
             return None;
         }
-        // Under one lock, as trees move between memory and journal.
-        let trees = home.trees.lock().expect("not poisoned");
-        let lives = match (trees.live.get(&id.root()), trees.parked.get(&id.root())) {
-            (Some(tree), _) => tree.state.lock().expect("not poisoned").lives(id),
-            (None, Some(parked)) => parked.lives(id),
-            (None, None) => false,
-        };
+        let lives = home.trees.lock().expect("not poisoned").lives(id);
         Some(if lives { Life::Live } else { Life::Gone })
     }
 }
 
-impl Tree {
-    fn lives(&self, id: &ProgramId) -> bool {
-        self.programs.get(id).is_some_and(|program| program.ended.is_none())
-    }
-}
-
-impl ParkedTree {
-    fn lives(&self, id: &ProgramId) -> bool {
-        self.programs.iter().any(|program| program.id == *id && program.age.ended_at.is_none())
-    }
-}
-
 impl From<Option<Life>> for WireLife {
     fn from(life: Option<Life>) -> Self {
         match life {
--- a/coriandergw/src/programs/parked.rs
+++ b/coriandergw/src/programs/parked.rs
@@ -43,6 +43,21 @@
     pub parked: HashMap<ProgramId, Arc<ParkedTree>>,
 }
 
+impl Trees {
+    /// Returns whether a program is known and has not ended.
+    pub fn lives(&self, id: &ProgramId) -> bool {
+        let root = id.root();
+        if let Some(tree) = self.live.get(&root) {
+            let state = tree.state.lock().expect("not poisoned");
+            return state.programs.get(id).is_some_and(|program| program.ended.is_none());
+        }
+        let parked = self.parked.get(&root);
+        parked.is_some_and(|tree| {
+            tree.programs.iter().any(|program| program.id == *id && program.age.ended_at.is_none())
+        })
+    }
+}
+
 /// What is remembered of a tree that only the journal holds.
 pub(super) struct ParkedTree {
     /// The programs of the tree, with what their time limits need.
--- a/coriandergw/src/programs/tests/lives.rs
+++ b/coriandergw/src/programs/tests/lives.rs
@@ -8,15 +8,18 @@
 
 #[tokio::test]
 async fn a_home_tells_which_programs_live() {
-    let world = World::default();
-    let home = world.home(1);
-    let [live, ended] = [home.create(10_000, 5).await, home.create(10_000, 5).await];
-    home.call(&ended, model("a")).await.unwrap();
-    home.programs.end(&ended.program, &ended.secret).await.unwrap();
-    assert_eq!(home.programs.life(&live.program), Some(Life::Live));
-    assert_eq!(home.programs.life(&ended.program), Some(Life::Gone));
-    let stranger = ProgramId::child_from_random(&live.program, [0; 8]);
-    assert_eq!(home.programs.life(&stranger), Some(Life::Gone));
+    for memory_bytes in [0, usize::MAX] {
+        let world = World { memory_bytes, ..World::default() };
+        let home = world.home(1);
+        let [live, ended] = [home.create(10_000, 5).await, home.create(10_000, 5).await];
+        home.call(&ended, model("a")).await.unwrap();
+        home.programs.end(&ended.program, &ended.secret).await.unwrap();
+        home.programs.park_cold();
+        assert_eq!(home.programs.life(&live.program), Some(Life::Live));
+        assert_eq!(home.programs.life(&ended.program), Some(Life::Gone));
+        let stranger = ProgramId::child_from_random(&live.program, [0; 8]);
+        assert_eq!(home.programs.life(&stranger), Some(Life::Gone));
+    }
 }
 
 #[tokio::test]
