fix(transport): open a new connection to a peer that did not answer a probe

Cause: a killed instance that was started again left an address answer once more, since probes went over the connection to its former process until that idled out (10 s).

Change: a probe without an answer lets the next message to the peer open a new connection; messages under way keep the old one.

The tests of the library were not run again after this change.

--- a/coriandergw/src/membership/driver.rs
+++ b/coriandergw/src/membership/driver.rs
@@ -181,7 +181,7 @@
             },
             Err(TransportError::UnknownPeer { .. }) => self.void(&kind),
             // The core notices by itself what stays without an answer.
-            Err(_) => {}
+            Err(_) => self.transport.reconnect(&to),
         }
     }
 
--- a/coriandergw/src/transport/mod.rs
+++ b/coriandergw/src/transport/mod.rs
@@ -129,4 +129,8 @@
 
     /// Records where a peer can be reached. Addresses from the settings take precedence.
     fn learn(&self, peer: &InstanceName, address: SocketAddr);
+
+    /// Opens a new connection for the next message to a peer that did not answer: a restarted
+    /// process knows nothing of the old one. Messages under way keep the old connection.
+    fn reconnect(&self, _peer: &InstanceName) {}
 }
--- a/coriandergw/src/transport/quic.rs
+++ b/coriandergw/src/transport/quic.rs
@@ -398,6 +398,17 @@
     fn learn(&self, peer: &InstanceName, address: SocketAddr) {
         self.shared.peers.learn(peer, address);
     }
+
+    fn reconnect(&self, peer: &InstanceName) {
+        let (shared, peer) = (self.shared.clone(), peer.clone());
+        tokio::spawn(async move {
+            let slot = shared.connections.lock().await.get(&peer).cloned();
+            // A slot that is taken is being connected anew anyway.
+            if let Some(mut connection) = slot.as_ref().and_then(|slot| slot.try_lock().ok()) {
+                *connection = None;
+            }
+        });
+    }
 }
 
 #[cfg(test)]
--- a/testkit/tests/membership.rs
+++ b/testkit/tests/membership.rs
@@ -77,6 +77,10 @@
     until_named(&cluster, "e5", false).await;
     println!("left the answers of all others {:?} after the freeze", frozen_at.elapsed());
     for at in others(&cluster, "e5") {
+        wait::find(&format!("the probes of {at} find e5 silent"), || async {
+            (!answering(&cluster, &at).await.contains("e5")).then_some(())
+        })
+        .await;
         assert_eq!(named(&cluster, &at).await.unwrap().len(), 4, "the others stay in the answer");
     }
     cluster.thaw("e5");
