--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -24,8 +24,8 @@
 use crate::instance::context;
 use crate::instance::serve::bind;
 use crate::instance::serve::serve;
+use crate::instance::start_sweeper;
 use crate::leases;
-use crate::leases::ClusterStatus;
 use crate::leases::ControlClient;
 use crate::leases::Registration;
 use crate::leases::StoreSide;
@@ -37,10 +37,13 @@
 use crate::log_groups::node::SNAPSHOT_EVERY_ENTRIES;
 use crate::log_groups::voters::Voters;
 use crate::membership::Membership;
+use crate::programs::HomesOfPrograms;
 use crate::programs::JournalState;
+use crate::programs::LivesHandler;
 use crate::programs::Programs;
 use crate::settings::Settings;
 use crate::storage::file_disk::FileDisk;
+use crate::transport::Kind;
 use crate::transport::Transport;
 use crate::transport::quic::QuicTransport;
 use crate::transport::quic::StartError;
@@ -68,7 +71,6 @@
     let registration = registration(&settings, caller_address, peer_address);
     let control = leases::start(cx.clone(), transport.clone(), log.clone(), registration, store)
         .map_err(|cause| RunError::Control { cause })?;
-    tokio::spawn(learn_addresses(Arc::downgrade(&control), transport.clone()));
     let peers = Arc::new(RegisteredPeers { control: control.clone(), name: cx.instance.clone() });
     let seeds = settings.cluster.peers.keys().cloned().collect();
     let timing = settings.membership;
@@ -92,6 +94,14 @@
         dispatcher,
     );
     control.set_handover_gate(programs.clone());
+    transport.register(Kind::Programs, Arc::new(LivesHandler(programs.clone())));
+    let homes = HomesOfPrograms::new(
+        cx.clone(),
+        programs.clone(),
+        control.clone(),
+        Some(transport.clone()),
+    );
+    let sweeper = start_sweeper(&cx, &directory, homes);
     let shared = Arc::new(Shared {
         addresses: addresses(&settings, control.clone(), membership.clone(), caller_address),
         cx,
@@ -113,6 +123,7 @@
         control.leave();
     };
     serve(server, shared, leave).await;
+    sweeper.abort();
     control.stop();
     if let Some(node) = node {
         node.stop().await;
@@ -220,13 +231,3 @@
     let (name, ttl) = (instance.name.clone(), instance.addresses_ttl);
     Arc::new(ClusterAddresses::new(control, membership, name, own, ttl))
 }
-
-/// Tells the transport where the registered instances are.
-async fn learn_addresses(control: Weak<ControlClient>, transport: Arc<QuicTransport>) {
-    while let Some(control) = control.upgrade() {
-        for instance in control.instances() {
-            transport.learn(&instance.name, instance.peer_address);
-        }
-        control.changed().await;
-    }
-}
--- a/coriandergw/src/programs/parked.rs
+++ b/coriandergw/src/programs/parked.rs
@@ -43,6 +43,21 @@
     pub parked: HashMap<ProgramId, Arc<ParkedTree>>,
 }
 
+impl Trees {
+    /// Returns whether a program is known and has not ended.
+    pub fn lives(&self, id: &ProgramId) -> bool {
+        let root = id.root();
+        if let Some(tree) = self.live.get(&root) {
+            let state = tree.state.lock().expect("not poisoned");
+            return state.programs.get(id).is_some_and(|program| program.ended.is_none());
+        }
+        let parked = self.parked.get(&root);
+        parked.is_some_and(|tree| {
+            tree.programs.iter().any(|program| program.id == *id && program.age.ended_at.is_none())
+        })
+    }
+}
+
 /// What is remembered of a tree that only the journal holds.
 pub(super) struct ParkedTree {
     /// The programs of the tree, with what their time limits need.
@@ -53,6 +68,8 @@
 
 /// What is remembered of a program that only the journal holds.
 pub(super) struct ParkedProgram {
+    /// The identifier.
+    pub id: ProgramId,
     /// The entry that it was created under.
     pub entry: EntryName,
     /// What its time limits look at.
@@ -62,8 +79,11 @@
 impl ParkedTree {
     fn of(tree: &Tree) -> Self {
         let programs = tree.programs.values();
-        let programs = programs
-            .map(|program| ParkedProgram { entry: program.entry.clone(), age: program.age() });
+        let programs = programs.map(|program| ParkedProgram {
+            id: program.id.clone(),
+            entry: program.entry.clone(),
+            age: program.age(),
+        });
         Self { programs: programs.collect(), reading: tokio::sync::Mutex::default() }
     }
 
