fix(endpoints): know the endpoints of a sponsor again that was silent for its lease

Its log showed all endpoints silent at once. Two faults: the relay of a summary was chosen by a count that grows by 6, so of data centres of 2, 3 or 6 instances the same one got every summary, and with it dead the others heard nothing until it was left out; and endpoints that expired with their sponsor's silence were never asked for again, since the version that was held still counted as held. Change: relays are counted in summaries; a sponsor that was silent for its lease counts as not held. Ruled out: the announcer of the fakes (the other instances knew the endpoints all the time). Conclusion: without it, a region that was cut off for an hour would not have seen the other regions' endpoints again until they changed.

--- a/coriandergw/src/endpoints/gossip.rs
+++ b/coriandergw/src/endpoints/gossip.rs
@@ -169,7 +169,7 @@
         }
     }
 
-    fn beat(&self, now: Timestamp, turn: u64) {
+    fn beat(&self, now: Timestamp, count: u64) {
         let own = self.own_beat();
         if own.version > 0 {
             for peer in self.near_peers() {
@@ -187,11 +187,17 @@
             relay: true,
             ..Summary::default()
         };
-        for relay in self.relays(turn) {
+        for relay in self.summary_relays(count) {
             self.send(&relay, Body::Summary(summary.clone()));
         }
     }
 
+    /// Returns the relays that get the summary of tick `count`.
+    fn summary_relays(&self, count: u64) -> Vec<InstanceName> {
+        // Counted in summaries: steps of several ticks would meet the same relay of some again.
+        self.relays(count / TICKS_PER_BEAT)
+    }
+
     /// Returns the live sponsors of this data centre, this instance among them.
     fn live_here(&self, now: Timestamp) -> Vec<Beat> {
         let sponsors = self.sponsors.lock().expect("not poisoned");
@@ -241,8 +247,9 @@
     }
 
     fn hear(&self, beat: &Beat, now: Timestamp) -> bool {
-        self.directory.hear_sponsor(&beat.sponsor, self.lease_of(&beat.data_centre), now);
-        self.sponsors.lock().expect("not poisoned").hear(beat, now)
+        let lease = self.lease_of(&beat.data_centre);
+        self.directory.hear_sponsor(&beat.sponsor, lease, now);
+        self.sponsors.lock().expect("not poisoned").hear(beat, lease, now)
     }
 
     fn pass_on(&self, body: Body) {
@@ -266,7 +273,7 @@
         if !behind {
             return Ok(());
         }
-        let follows = self.sponsors.lock().expect("not poisoned").advance(&beat, now);
+        let follows = self.sponsors.lock().expect("not poisoned").advance(&beat);
         if !follows {
             self.pull_snapshot(&beat.sponsor).await;
             return Ok(());
@@ -298,8 +305,10 @@
         let held = self.sponsors.lock().expect("not poisoned").held(&data_centre);
         if digest(&held) == summary.digest {
             let now = self.cx.clock.now();
-            for beat in held {
-                self.hear(&beat, now);
+            let mut expired = held;
+            expired.retain(|beat| self.hear(beat, now));
+            for beat in expired {
+                self.pull_snapshot(&beat.sponsor).await;
             }
             return Ok(());
         }
--- a/coriandergw/src/endpoints/gossip/repair.rs
+++ b/coriandergw/src/endpoints/gossip/repair.rs
@@ -25,8 +25,8 @@
             return;
         };
         let now = self.cx.clock.now();
-        self.directory.hear_sponsor(&beat.sponsor, self.lease_of(&beat.data_centre), now);
-        if self.sponsors.lock().expect("not poisoned").install(&beat, now) {
+        self.hear(&beat, now);
+        if self.sponsors.lock().expect("not poisoned").install(&beat) {
             self.directory.replace(&beat.sponsor, announcements(snapshot.endpoints), now);
         }
     }
--- a/coriandergw/src/endpoints/gossip/sponsors.rs
+++ b/coriandergw/src/endpoints/gossip/sponsors.rs
@@ -44,18 +44,21 @@
 
 impl Sponsors {
     /// Records a sign of life. Returns whether the endpoints held for the sponsor are out of date.
-    pub fn hear(&mut self, beat: &Beat, now: Timestamp) -> bool {
-        let heard = self
-            .heard
-            .entry(beat.sponsor.clone())
-            .or_insert_with(|| Heard { beat: Beat { version: 0, ..beat.clone() }, at: now });
+    ///
+    /// They have expired here if the sponsor was silent for longer than its `lease`, so that
+    /// nothing is held after that.
+    pub fn hear(&mut self, beat: &Beat, lease: Duration, now: Timestamp) -> bool {
+        let nothing = || Heard { beat: Beat { version: 0, ..beat.clone() }, at: now };
+        let heard = self.heard.entry(beat.sponsor.clone()).or_insert_with(nothing);
+        if now.since(heard.at) > lease {
+            *heard = nothing();
+        }
         heard.at = now;
         beat.order() > heard.beat.order()
     }
 
     /// Returns whether a delta to `beat` follows directly on what is held, and records it if so.
-    pub fn advance(&mut self, beat: &Beat, now: Timestamp) -> bool {
-        self.hear(beat, now);
+    pub fn advance(&mut self, beat: &Beat) -> bool {
         let Some(heard) = self.heard.get_mut(&beat.sponsor) else {
             return false;
         };
@@ -68,8 +71,7 @@
     }
 
     /// Records that everything up to `beat` is held. Returns whether it is not older than before.
-    pub fn install(&mut self, beat: &Beat, now: Timestamp) -> bool {
-        self.hear(beat, now);
+    pub fn install(&mut self, beat: &Beat) -> bool {
         let Some(heard) = self.heard.get_mut(&beat.sponsor) else {
             return false;
         };
--- a/coriandergw/src/endpoints/gossip/tests.rs
+++ b/coriandergw/src/endpoints/gossip/tests.rs
@@ -125,3 +125,29 @@
     let _renewing = members[1].renew();
     until(&members[1..], true).await;
 }
+
+#[tokio::test]
+async fn endpoints_elsewhere_come_back_after_a_long_cut() {
+    let network = Arc::<MemoryNetwork>::default();
+    let members = start(&network, &["a1", "b1"]);
+    let _renewing = members[0].renew();
+    until(&members, true).await;
+    network.cut(&"a1".try_into().unwrap(), &"b1".try_into().unwrap());
+    until(&members[1..], false).await;
+    // Nothing is announced anew meanwhile: the sponsor's list is the one that was held.
+    network.heal();
+    until(&members, true).await;
+}
+
+#[tokio::test]
+async fn the_relays_of_summaries_change_in_data_centres_of_all_sizes() {
+    let network = Arc::<MemoryNetwork>::default();
+    for others in [&["b1", "b2"][..], &["b1", "b2", "b3"], &["b1", "b2", "b3", "b4", "b5", "b6"]] {
+        let names = [&["a1"], others].concat();
+        let member = start(&network, &names).remove(0);
+        let beats = (0..others.len() as u64).map(|beat| beat * TICKS_PER_BEAT);
+        let relays: std::collections::BTreeSet<_> =
+            beats.flat_map(|count| member._gossip.summary_relays(count)).collect();
+        assert_eq!(relays.len(), others.len());
+    }
+}
