--- a/coriandergw/src/programs/tests/budget.rs
+++ b/coriandergw/src/programs/tests/budget.rs
@@ -17,7 +17,7 @@
 use crate::programs::record::Record;
 use crate::programs::record::What;
 use crate::programs::state::Tree;
-use crate::programs::tests::world::Step;
+use crate::programs::tests::fakes::Step;
 use crate::programs::tests::world::World;
 use crate::programs::tests::world::eventually;
 use crate::programs::tests::world::model;
--- a/coriandergw/src/programs/tests/crash.rs
+++ b/coriandergw/src/programs/tests/crash.rs
@@ -3,8 +3,8 @@
 use crate::dispatch::CallKind;
 use crate::programs::CallAnswer;
 use crate::programs::CreatedProgram;
+use crate::programs::tests::fakes::Step;
 use crate::programs::tests::world::PATIENCE;
-use crate::programs::tests::world::Step;
 use crate::programs::tests::world::World;
 use crate::programs::tests::world::call;
 use crate::programs::tests::world::model;
--- a/coriandergw/src/programs/tests/limits.rs
+++ b/coriandergw/src/programs/tests/limits.rs
@@ -9,7 +9,7 @@
 use crate::programs::ChildRequest;
 use crate::programs::limits::REPETITION_LIMIT;
 use crate::programs::limits::TREE_RECORDS_MAX;
-use crate::programs::tests::world::Step;
+use crate::programs::tests::fakes::Step;
 use crate::programs::tests::world::World;
 use crate::programs::tests::world::call;
 use crate::programs::tests::world::eventually;
--- a/coriandergw/src/programs/tests/mod.rs
+++ b/coriandergw/src/programs/tests/mod.rs
@@ -3,6 +3,7 @@
 mod audit;
 mod budget;
 mod crash;
+mod fakes;
 mod journal;
 mod limits;
 mod lives;
--- a/coriandergw/src/programs/tests/parked.rs
+++ b/coriandergw/src/programs/tests/parked.rs
@@ -5,7 +5,7 @@
 
 use crate::dispatch::CallKind;
 use crate::programs::ChildRequest;
-use crate::programs::tests::world::Step;
+use crate::programs::tests::fakes::Step;
 use crate::programs::tests::world::TestHome;
 use crate::programs::tests::world::World;
 use crate::programs::tests::world::call;
--- a/coriandergw/src/programs/tests/rival.rs
+++ b/coriandergw/src/programs/tests/rival.rs
@@ -5,7 +5,7 @@
 
 use crate::dispatch::CallKind;
 use crate::programs::home::Home;
-use crate::programs::tests::world::Step;
+use crate::programs::tests::fakes::Step;
 use crate::programs::tests::world::World;
 use crate::programs::tests::world::call;
 use crate::programs::tests::world::eventually;
--- a/coriandergw/src/transport/quic.rs
+++ b/coriandergw/src/transport/quic.rs
@@ -2,7 +2,7 @@
 //!
 //! A call opens one bidirectional stream: a byte with the kind, the payload, then the answer on the
 //! way back, led by a byte that tells an answer from a refusal. A message without an answer opens a
-//! unidirectional stream, which costs half the packets.
+//! unidirectional stream, which nothing comes back on.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
