--- a/coriandergw/src/programs/home.rs
+++ b/coriandergw/src/programs/home.rs
@@ -75,6 +75,7 @@
 /// A tree of programs at its home.
 #[derive(Default)]
 pub(super) struct LiveTree {
+    /// Locked after `live` where both are needed.
     pub state: Mutex<Tree>,
     /// Orders the writers of the tree's journal.
     pub writer: tokio::sync::Mutex<()>,
--- a/coriandergw/src/programs/parked.rs
+++ b/coriandergw/src/programs/parked.rs
@@ -252,7 +252,8 @@
 
 /// Returns whether nothing works on a tree.
 fn is_quiet(tree: &Arc<LiveTree>, state: &Tree) -> bool {
-    // Whoever works on a tree holds it; new holders need the lock of the home's trees.
+    // Whoever works on a tree holds it, and new holders need the lock of the home's trees. So no
+    // other thread can have locked `live` where it is locked after the state here.
     Arc::strong_count(tree) == 1
         && !state.programs.is_empty()
         && !state.has_open_calls()
--- a/coriandergw/src/programs/sweep.rs
+++ b/coriandergw/src/programs/sweep.rs
@@ -222,8 +222,8 @@
 }
 
 fn is_forgettable(place: &Place, now: WallTime) -> bool {
-    let state = place.tree.state.lock().expect("not poisoned");
     let has_live = !place.tree.live.lock().expect("not poisoned").is_empty();
+    let state = place.tree.state.lock().expect("not poisoned");
     !has_live
         && !state.programs.is_empty()
         && state.programs.values().all(|program| program.age().ended_before(now, RETENTION_MS))
--- a/coriandergw/src/programs/tests/parked.rs
+++ b/coriandergw/src/programs/tests/parked.rs
@@ -1,11 +1,14 @@
 //! Programs that only the journal holds go on as if they had stayed in memory.
 
+use std::time::Duration;
+
 use serde_json::json;
 use tokio::task::JoinSet;
 
 use crate::dispatch::CallKind;
 use crate::programs::ChildRequest;
 use crate::programs::tests::fakes::Step;
+use crate::programs::tests::world::PATIENCE;
 use crate::programs::tests::world::TestHome;
 use crate::programs::tests::world::World;
 use crate::programs::tests::world::call;
@@ -31,6 +34,18 @@
     home.programs.sweep_programs().await;
 }
 
+/// Parks until `count` programs are parked: the task that answered a call may hold its tree still.
+async fn park_until(home: &TestHome, count: i64) {
+    let parked = async {
+        park(home).await;
+        while state_of(home, "programs_parked") != count {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            park(home).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, parked).await.expect("the programs are parked");
+}
+
 #[tokio::test]
 async fn a_parked_program_goes_on_with_its_whole_state() {
     let world = small_world();
@@ -38,16 +53,16 @@
     let program = home.create(10_000, 5).await;
     let first = home.call(&program, model("a")).await.unwrap();
     home.call(&program, call("b", CallKind::Service, false)).await.unwrap();
-    park(&home).await;
+    park_until(&home, 1).await;
     assert_eq!((state_of(&home, "programs"), state_of(&home, "programs_parked")), (1, 1));
     assert_eq!(home.call(&program, model("a")).await.unwrap(), first);
     assert_eq!(world.runs_of(&program.program, "a"), 1, "a resent call is not run again");
-    park(&home).await;
+    park_until(&home, 1).await;
     home.call(&program, model("c")).await.unwrap();
     let prompts: Vec<usize> =
         world.runs.lock().unwrap().iter().map(|run| run.prompt.len()).collect();
     assert_eq!(prompts.last(), Some(&3), "the prompt has what was said before: {prompts:?}");
-    park(&home).await;
+    park_until(&home, 1).await;
     assert_eq!(home.history(&program).await, ["a", "b", "c"]);
     assert_eq!(read_back(&home), 3);
     let wrong = home.programs.history(&program.program, "another secret").await;
@@ -60,18 +75,18 @@
     let home = world.home(1);
     let program = home.create(1_000, 4).await;
     home.call(&program, model("a")).await.unwrap();
-    park(&home).await;
+    park_until(&home, 1).await;
     let req = json!({"budget": {"tokens": 500, "calls": 2}, "inherit_history": true});
     let child: ChildRequest = serde_json::from_value(req).unwrap();
     let create = |req| home.programs.create_child(&program.program, &program.secret, req);
     let created = create(child.clone()).await.unwrap();
     home.call(&created, model("x")).await.unwrap();
-    park(&home).await;
+    park_until(&home, 2).await;
     // One call is used by the parent and two are lent, so that two more are not there.
     let refusal = create(child).await.unwrap_err();
     assert_eq!(refusal.code, ResultCode::BudgetExhausted);
     home.programs.end(&program.program, &program.secret).await.unwrap();
-    park(&home).await;
+    park_until(&home, 2).await;
     let refusal = home.call(&created, model("y")).await.unwrap_err();
     assert_eq!((refusal.code, refusal.not_run), (ResultCode::ProgramEnded, true));
 }
@@ -82,7 +97,7 @@
     let home = world.home(1);
     let program = home.create(1_000_000, 100).await;
     for round in 0..8 {
-        park(&home).await;
+        park_until(&home, 1).await;
         let before = read_back(&home);
         let mut calls = JoinSet::new();
         for index in 0..8 {
@@ -124,7 +139,7 @@
     let former = world.home(1);
     let program = former.create(10_000, 5).await;
     former.call(&program, model("a")).await.unwrap();
-    park(&former).await;
+    park_until(&former, 1).await;
     let next = world.home(2);
     next.call(&program, model("b")).await.unwrap();
     let refusal = former.call(&program, model("c")).await.unwrap_err();
--- a/coriandergw/src/programs/tests/requests.rs
+++ b/coriandergw/src/programs/tests/requests.rs
@@ -1,11 +1,16 @@
 //! What is refused, and that nothing of it is kept.
 
+use std::sync::mpsc;
+
 use serde_json::Value;
 use serde_json::json;
 
+use crate::dispatch::CallKind;
 use crate::programs::CallRequest;
 use crate::programs::ChildRequest;
+use crate::programs::tests::world::PATIENCE;
 use crate::programs::tests::world::World;
+use crate::programs::tests::world::call;
 use crate::programs::tests::world::model;
 use crate::result_code::ResultCode;
 
@@ -110,3 +115,31 @@
     let runs = world.runs.lock().unwrap().clone();
     assert_eq!(runs[1].prompt, ["a".to_owned(), format!("{}:a", parent.program)]);
 }
+
+#[test]
+fn sweeps_and_calls_do_not_wait_for_each_other() {
+    let world = World::default();
+    let (runtime, home) = world.process(1);
+    let sweeping = home.clone();
+    runtime.spawn(async move {
+        loop {
+            sweeping.programs.sweep_programs().await;
+            tokio::task::yield_now().await;
+        }
+    });
+    let (tx, rx) = mpsc::channel();
+    runtime.spawn(async move {
+        for _ in 0..10 {
+            let program = home.create(1_000_000, 1_000).await;
+            for n in 0..200 {
+                let req = call(&format!("c{n}"), CallKind::Tool, true);
+                home.call(&program, req).await.unwrap();
+            }
+        }
+        tx.send(()).unwrap();
+    });
+    // Waits outside the runtime, whose threads may all be blocked.
+    let ended = rx.recv_timeout(PATIENCE);
+    runtime.shutdown_background();
+    assert_eq!(ended, Ok(()), "the calls end");
+}
