--- a/testkit/src/bin/cgw-bench-memory.rs
+++ b/testkit/src/bin/cgw-bench-memory.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use gumdrop::Options;
+use testkit::report::print_json;
 
 /// Measures the sweep of engine memory with real processes and fake engines.
 #[derive(Debug, Options)]
@@ -23,14 +24,5 @@
     let arguments = Arguments::parse_args_default_or_exit();
     let window = Duration::from_secs(arguments.seconds);
     let report = testkit::bench_memory::run(arguments.live, arguments.rounds, window).await;
-    match serde_json::to_string_pretty(&report) {
-        Ok(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
-        Err(cause) => {
-            eprintln!("{cause}");
-            ExitCode::FAILURE
-        }
-    }
+    print_json(&report)
 }
--- a/testkit/src/bin/cgw-bench-programs.rs
+++ b/testkit/src/bin/cgw-bench-programs.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
+use testkit::report::print_json;
 
 /// Measures programs without network, disk or replicas.
 #[derive(Debug, Options)]
@@ -21,14 +22,5 @@
     let lengths = [1, 16, 64, 260];
     let report =
         testkit::bench_programs::run(&lengths, arguments.measured, arguments.programs).await;
-    match serde_json::to_string_pretty(&report) {
-        Ok(text) => {
-            println!("{text}");
-            ExitCode::SUCCESS
-        }
-        Err(cause) => {
-            eprintln!("{cause}");
-            ExitCode::FAILURE
-        }
-    }
+    print_json(&report)
 }
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod operator;
 pub mod proxy;
+pub mod report;
 pub mod scene;
 pub mod sequence;
 pub mod wait;
