--- a/coriandergw/src/programs/parked.rs
+++ b/coriandergw/src/programs/parked.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::MutexGuard;
 
 use crate::clock::WallTime;
 use crate::events::EventNumber;
@@ -176,26 +177,13 @@
 
     /// Parks the trees that were not asked for the longest until the others fit the memory bound.
     pub(super) fn park_cold(&self) {
-        let mut candidates = Vec::new();
-        let mut bytes = 0;
-        for home in self.known_homes() {
-            let trees = home.trees.lock().expect("not poisoned");
-            for (root, tree) in &trees.live {
-                let state = tree.state.lock().expect("not poisoned");
-                let found = state.memory_bytes();
-                bytes += found;
-                if is_quiet(tree, &state) {
-                    let (home, root) = (home.clone(), root.clone());
-                    let active_at = state.active_at();
-                    candidates.push(Candidate { active_at, bytes: found, home, root });
-                }
-            }
-        }
+        let mut bytes = self.memory_bytes();
         self.cx.metrics.states.with_label_values(&["program_memory_bytes"]).set(bytes as i64);
         let bound = self.settings.memory_bytes;
         if bytes <= bound {
             return;
         }
+        let mut candidates = self.candidates();
         candidates.sort_by_key(|candidate| candidate.active_at);
         let mut count = 0;
         for candidate in &candidates {
@@ -211,6 +199,31 @@
         self.cx.events.record(EventNumber::TreesParked, Subject::default(), message);
     }
 
+    fn memory_bytes(&self) -> usize {
+        let of_home = |home: Arc<Home>| {
+            let trees = home.trees.lock().expect("not poisoned");
+            let states = trees.live.values().map(|tree| tree.state.lock().expect("not poisoned"));
+            states.map(|state| state.memory_bytes()).sum::<usize>()
+        };
+        self.known_homes().into_iter().map(of_home).sum()
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        for home in self.known_homes() {
+            let trees = home.trees.lock().expect("not poisoned");
+            for (root, tree) in &trees.live {
+                let Some(state) = quiet_state(tree) else {
+                    continue;
+                };
+                let (active_at, bytes) = (state.active_at(), state.memory_bytes());
+                let (home, root) = (home.clone(), root.clone());
+                candidates.push(Candidate { active_at, bytes, home, root });
+            }
+        }
+        candidates
+    }
+
     /// Enforces the limits of parked trees: reads back what must end and forgets what is old.
     pub(super) async fn sweep_parked(self: &Arc<Self>, home: &Arc<Home>, now: WallTime) {
         let parked: Vec<(ProgramId, Arc<ParkedTree>)> = {
@@ -250,14 +263,14 @@
     }
 }
 
-/// Returns whether nothing works on a tree.
-fn is_quiet(tree: &Arc<LiveTree>, state: &Tree) -> bool {
-    // Whoever works on a tree holds it, and new holders need the lock of the home's trees. So no
-    // other thread can have locked `live` where it is locked after the state here.
-    Arc::strong_count(tree) == 1
-        && !state.programs.is_empty()
-        && !state.has_open_calls()
-        && tree.live.lock().expect("not poisoned").is_empty()
+/// Returns the state of a tree that nothing works on; the home's trees must be locked.
+fn quiet_state(tree: &Arc<LiveTree>) -> Option<MutexGuard<'_, Tree>> {
+    // Whoever works on a tree holds it, and new holders need the lock of the home's trees.
+    let is_held = Arc::strong_count(tree) > 1;
+    let has_live = !tree.live.lock().expect("not poisoned").is_empty();
+    let state = tree.state.lock().expect("not poisoned");
+    let is_quiet = !is_held && !has_live && !state.programs.is_empty() && !state.has_open_calls();
+    is_quiet.then_some(state)
 }
 
 /// Parks a tree unless something works on it by now.
@@ -266,12 +279,8 @@
     let Some(tree) = trees.live.get(&candidate.root) else {
         return false;
     };
-    let parked = {
-        let state = tree.state.lock().expect("not poisoned");
-        if !is_quiet(tree, &state) {
-            return false;
-        }
-        ParkedTree::of(&state)
+    let Some(parked) = quiet_state(tree).map(|state| ParkedTree::of(&state)) else {
+        return false;
     };
     trees.live.remove(&candidate.root);
     trees.parked.insert(candidate.root.clone(), Arc::new(parked));
