--- a/coriandergw/src/events/mod.rs
+++ b/coriandergw/src/events/mod.rs
@@ -80,6 +80,7 @@
     instance: InstanceName,
     clock: Arc<dyn Clock>,
     kept: Mutex<Kept>,
+    kept_max: usize,
     writer: Option<SyncSender<Event>>,
 }
 
@@ -92,7 +93,13 @@
 impl Recorder {
     /// Creates an empty recorder that keeps events in memory only.
     pub fn new(instance: InstanceName, clock: Arc<dyn Clock>) -> Self {
-        Self { instance, clock, kept: Mutex::default(), writer: None }
+        Self { instance, clock, kept: Mutex::default(), kept_max: KEPT_EVENTS, writer: None }
+    }
+
+    /// Keeps fewer events in memory than [`KEPT_EVENTS`].
+    pub fn keep_at_most(mut self, events: usize) -> Self {
+        self.kept_max = events;
+        self
     }
 
     /// Creates a recorder that goes on from the events in a folder and adds to them.
@@ -108,7 +115,7 @@
         let next_sequence = events.back().map_or(0, |event| event.sequence + 1);
         let writer = Some(file::start_writer(folder)?);
         let kept = Mutex::new(Kept { next_sequence, events });
-        Ok(Self { instance, clock, kept, writer })
+        Ok(Self { instance, clock, kept, kept_max: KEPT_EVENTS, writer })
     }
 
     /// Records an event.
@@ -127,7 +134,7 @@
             message: message.into(),
         };
         kept.next_sequence += 1;
-        if kept.events.len() >= KEPT_EVENTS {
+        if kept.events.len() >= self.kept_max {
             kept.events.pop_front();
         }
         kept.events.push_back(event.clone());
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -54,6 +54,10 @@
     DrainFinished = 103, Info;
     /// The drain limit passed with requests still running.
     DrainLimitReached = 104, Warning;
+    /// The settings were read again.
+    SettingsReloaded = 107, Info;
+    /// Changed settings are not valid; the ones before stay in force.
+    SettingsRefused = 108, Error;
     /// Other keys are in use between instances.
     KeysReloaded = 105, Info;
     /// New keys could not be used; the old ones stay in use.
@@ -86,6 +90,12 @@
     MemberUsedAgain = 221, Info;
     /// A message about members could not be read.
     MembershipMessageRefused = 222, Warning;
+    /// A core instance does not answer polls.
+    CoreLost = 223, Warning;
+    /// A core instance answers polls again.
+    CoreRegained = 224, Info;
+    /// The journal group did not answer a command.
+    JournalLost = 225, Warning;
     /// The instance became the leader of a log group.
     LogLeaderElected = 200, Info;
     /// The instance stopped leading a log group.
@@ -102,6 +112,8 @@
     LogSnapshotInstalled = 206, Info;
     /// The voters of a log group changed.
     LogVotersChanged = 207, Info;
+    /// The leader of a log group started a change of its voters.
+    VoterChangeStarted = 209, Info;
     /// A message of the log could not be used.
     LogMessageRefused = 208, Warning;
     /// A program was created.
@@ -134,10 +146,30 @@
     EndpointLeaving = 401, Info;
     /// An endpoint stopped renewing its announcement.
     EndpointSilent = 402, Warning;
+    /// An endpoint's announcement cannot be used.
+    EndpointRefused = 406, Warning;
     /// An attempt of a call failed at its endpoint.
     AttemptFailed = 403, Warning;
     /// An engine confirmed an order.
     OrderConfirmed = 404, Debug;
     /// An order to an engine was not confirmed; it is repeated while it is due.
     OrderFailed = 405, Warning;
+    /// A forwarded request got its answer.
+    RequestEnded = 500, Info;
+    /// A request was refused by this instance.
+    RequestRefused = 501, Warning;
+    /// A request was sent to an endpoint without getting an answer that can be passed on.
+    SendFailed = 502, Warning;
+    /// A stream was broken off towards its caller.
+    StreamBrokenOff = 503, Warning;
+    /// No route takes a request.
+    RequestUnrouted = 504, Info;
+    /// A configuration was taken into use.
+    ConfigApplied = 510, Info;
+    /// A configuration cannot be used; the one before stays in force.
+    ConfigRefused = 511, Error;
+    /// An operator's change was decided.
+    ChangeDecided = 512, Info;
+    /// An operator's read was answered.
+    ReadDecided = 513, Info;
 }
--- /dev/null
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -0,0 +1,582 @@
+//! The way of one request: route, reservation, attempts, answer.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::Uri;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::forwarding::CallHead;
+use crate::forwarding::Dialect;
+use crate::forwarding::attempt::Answer;
+use crate::forwarding::attempt::Attempt;
+use crate::forwarding::attempt::Failure;
+use crate::forwarding::attempt::Outgoing;
+use crate::forwarding::choice;
+use crate::forwarding::choice::Candidate;
+use crate::forwarding::headers;
+use crate::forwarding::loads::Loads;
+use crate::forwarding::pool::IDLE_LIMIT_ONCE;
+use crate::forwarding::pool::Pool;
+use crate::forwarding::pool::SharedPool;
+use crate::forwarding::refusal;
+use crate::forwarding::refusal::AnswerBody;
+use crate::forwarding::relay;
+use crate::forwarding::relay::Relay;
+use crate::forwarding::report::Report;
+use crate::forwarding::turn::Turn;
+use crate::ids::EndpointName;
+use crate::result_code::Refusal;
+use crate::result_code::ResultCode;
+use crate::roster::EndpointRecord;
+use crate::roster::poller::Roster;
+use crate::routes::Repetition;
+use crate::routes::Route;
+use crate::routes::RouteTable;
+use crate::token_budgets::TurnKey;
+use crate::token_budgets::Verdict;
+use crate::token_budgets::client::BudgetClient;
+
+/// How often one request is sent at most, refusals of full endpoints included.
+const SENDS_MAX: u32 = 8;
+
+/// How often all endpoints are tried before a request is refused.
+const ROUNDS_MAX: u32 = 3;
+
+/// The wait before all endpoints are tried again: about one short request.
+const ROUND_PAUSE: Duration = Duration::from_millis(25);
+
+/// The first wait for an idempotent answer, as a multiple of the route's target.
+const FIRST_WAIT_TARGETS: u32 = 2;
+
+/// When a caller should come back after a refusal that passes quickly.
+const RETRY_SOON: Duration = Duration::from_millis(200);
+
+/// How long the journal may take for a reservation; well above an election of its leader.
+const RESERVE_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// The largest answer that is collected before it is passed on, in bytes.
+const COLLECT_MAX_BYTES: u64 = 1 << 20;
+
+/// Reads the configuration as the operator sent it.
+pub trait ConfigReader: Send + Sync {
+    /// Parses and checks a configuration.
+    ///
+    /// # Errors
+    /// Fails with what is wrong with it.
+    fn read(&self, document: &[u8]) -> Result<RouteTable, String>;
+}
+
+type Endpoints = HashMap<Arc<str>, Vec<EndpointRecord>>;
+
+/// Forwards requests.
+pub struct Forwarder {
+    pub(super) cx: Context,
+    pub(super) dialect: Arc<dyn Dialect>,
+    pub(super) pool: SharedPool,
+    pub(super) loads: Arc<Loads>,
+    roster: Arc<Roster>,
+    reader: Arc<dyn ConfigReader>,
+    budgets: BudgetClient,
+    table: ArcSwapOption<RouteTable>,
+    endpoints: ArcSwap<Endpoints>,
+    drains: AtomicBool,
+}
+
+/// What is fixed for a request once its route is known, and where it may have run.
+pub(super) struct Plan {
+    pub(super) route: Arc<Route>,
+    pub(super) service: Arc<str>,
+    pub(super) is_engine: bool,
+    pub(super) tokens_per_event: u64,
+    pub(super) deadline: Instant,
+    /// What groups requests that do well at one endpoint.
+    pub(super) key: Arc<str>,
+    /// The endpoints on which it may have run.
+    pub(super) ran_on: Vec<EndpointName>,
+    pub(super) report: Report,
+}
+
+impl Plan {
+    /// Moves what a relay goes on with out of a plan that is at its end.
+    pub(super) fn take(&mut self) -> Self {
+        Self {
+            route: self.route.clone(),
+            service: self.service.clone(),
+            key: self.key.clone(),
+            ran_on: std::mem::take(&mut self.ran_on),
+            report: self.report.clone(),
+            ..*self
+        }
+    }
+}
+
+impl Forwarder {
+    /// Creates a forwarder that knows nothing yet.
+    pub fn new(
+        cx: Context,
+        dialect: Arc<dyn Dialect>,
+        reader: Arc<dyn ConfigReader>,
+        roster: Arc<Roster>,
+        budgets: BudgetClient,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            cx,
+            dialect,
+            pool: SharedPool::new(Pool::default()),
+            loads: Arc::default(),
+            roster,
+            reader,
+            budgets,
+            table: ArcSwapOption::empty(),
+            endpoints: ArcSwap::default(),
+            drains: AtomicBool::new(false),
+        })
+    }
+
+    /// Returns whether requests can be routed.
+    pub fn is_ready(&self) -> bool {
+        self.table.load().is_some()
+    }
+
+    /// Returns what callers may send, by the configuration in force.
+    pub fn caller_limits(&self) -> crate::routes::CallerLimits {
+        self.table.load().as_ref().map(|table| table.limits()).unwrap_or_default()
+    }
+
+    /// Lets each answer end its connection from now on.
+    pub fn drain(&self) {
+        self.drains.store(true, Ordering::Relaxed);
+    }
+
+    /// Follows the roster until the process ends.
+    pub async fn follow_roster(self: Arc<Self>) {
+        let mut changes = self.roster.changes();
+        loop {
+            self.refresh();
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Takes in the configuration and the endpoints that the roster knows.
+    fn refresh(&self) {
+        let (version, document) = self.roster.with_view(|view| {
+            let (version, document) = view.config();
+            (version, document.clone())
+        });
+        let known = self.table.load().as_ref().map_or(0, |table| table.version());
+        if version > known {
+            self.take_config(version, &document);
+        }
+        let endpoints: Endpoints = self.roster.with_view(|view| {
+            let usable = |service: Arc<str>| (service.clone(), view.usable_endpoints(&service));
+            view.services().into_iter().map(usable).collect()
+        });
+        let is_known = |endpoint: &EndpointName| {
+            endpoints.values().flatten().any(|record| record.id == *endpoint)
+        };
+        self.pool.sweep(is_known, self.cx.clock.now());
+        self.loads.retain(is_known);
+        self.endpoints.store(Arc::new(endpoints));
+    }
+
+    fn take_config(&self, version: u64, document: &[u8]) {
+        match self.reader.read(document) {
+            Ok(table) => {
+                self.table.store(Some(Arc::new(table)));
+                Report::config_applied(&self.cx, version, None);
+            }
+            Err(cause) => Report::config_applied(&self.cx, version, Some(&cause)),
+        }
+    }
+
+    /// Answers one request.
+    pub async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<AnswerBody> {
+        let started = Instant::now();
+        let mut res = match self.clone().forward(req, started).await {
+            Ok(res) => res,
+            Err(refusal) => refusal::answer(&refusal),
+        };
+        if self.drains.load(Ordering::Relaxed) {
+            res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        res
+    }
+
+    async fn forward(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+        started: Instant,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let table = self.table.load_full().ok_or_else(|| {
+            let message = "this instance has no configuration yet";
+            Refusal::not_run(ResultCode::StaleConfiguration, message).retry_after(RETRY_SOON)
+        })?;
+        let host = host_of(&req);
+        let route = table.find(&host, req.uri().path()).cloned().ok_or_else(|| {
+            let version = table.version();
+            Report::no_route(&self.cx, version, &host, req.uri().path());
+            Refusal::not_run(ResultCode::NoRoute, "no route takes this host and path")
+        })?;
+        let head = self
+            .dialect
+            .read_call(req.headers())
+            .map_err(|fault| Refusal::not_run(ResultCode::MalformedRequest, fault.to_string()))?;
+        let limit = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+        let deadline = started + limit;
+        let (mut plan, turn) = self.plan(&table, route, &head, deadline, started)?;
+        let outgoing = outgoing(req, head, table.limits().body_bytes, deadline).await;
+        let result = match outgoing {
+            Ok(outgoing) => self.clone().run(&mut plan, outgoing, turn).await,
+            Err(refusal) => Err(refusal),
+        };
+        result.inspect_err(|refusal| plan.report.refused(&self.cx, refusal))
+    }
+
+    /// Fixes the service and what else is known before the body has arrived.
+    fn plan(
+        &self,
+        table: &RouteTable,
+        route: Arc<Route>,
+        head: &CallHead,
+        deadline: Instant,
+        started: Instant,
+    ) -> Result<(Plan, Option<Turn>), Refusal> {
+        let program = head.program.as_ref().map(|program| program.program.clone());
+        let key = program.clone().or_else(|| head.affinity.clone());
+        let key = key.unwrap_or_else(|| head.attempt.clone());
+        let service = route.service_for(choice::hash_of(&key, "")).cloned();
+        let service = service.ok_or_else(|| {
+            Refusal::not_run(ResultCode::NoEndpoint, "the route goes to no service")
+        })?;
+        let engine = table.service(&service).and_then(|service| service.engine);
+        let turn = match (&program, head.tokens) {
+            (Some(program), Some(_)) if route.repetition.is_stream() => {
+                let key = TurnKey { program: program.clone(), turn: head.attempt.clone() };
+                head.program
+                    .as_ref()
+                    .and_then(|program| program.budget)
+                    .map(|_| Turn::new(self.budgets.clone(), key))
+            }
+            _ => None,
+        };
+        let report = Report::new(head, &route, &service, table.version(), started);
+        let plan = Plan {
+            is_engine: engine.is_some(),
+            tokens_per_event: engine.map_or(1, |engine| u64::from(engine.tokens_per_event)),
+            service,
+            deadline,
+            key,
+            ran_on: Vec::new(),
+            report,
+            route,
+        };
+        Ok((plan, turn))
+    }
+
+    async fn run(
+        self: Arc<Self>,
+        plan: &mut Plan,
+        outgoing: Outgoing,
+        mut turn: Option<Turn>,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        if let Some(turn) = &mut turn {
+            self.reserve(plan, &outgoing.head, turn).await?;
+        }
+        if plan.route.repetition.is_stream() {
+            let answer = self.answered(plan, &outgoing, None).await?;
+            return Ok(Relay::start(self, plan, outgoing, answer, turn));
+        }
+        self.run_plain(plan, outgoing).await
+    }
+
+    /// Reserves the most that the turn may generate.
+    async fn reserve(
+        &self,
+        plan: &mut Plan,
+        head: &CallHead,
+        turn: &mut Turn,
+    ) -> Result<(), Refusal> {
+        let budget = head.program.as_ref().and_then(|program| program.budget).unwrap_or_default();
+        let tokens = head.tokens.map_or(0, |tokens| tokens.output_max);
+        let limit = plan.deadline.min(Instant::now() + RESERVE_LIMIT);
+        let reserved = tokio::time::timeout_at(limit, turn.reserve(budget, tokens)).await;
+        plan.report.note_reserved();
+        match reserved {
+            Ok(Ok(Verdict::Granted { .. })) => Ok(()),
+            Ok(Ok(Verdict::Denied { left })) => {
+                turn.forget();
+                let message = format!("the budget of {budget} tokens has {left} left");
+                Err(Refusal::not_run(ResultCode::BudgetSpent, message))
+            }
+            Ok(Err(cause)) => {
+                Err(Refusal::not_run(ResultCode::NoQuorum, cause.to_string())
+                    .retry_after(RETRY_SOON))
+            }
+            Err(_) => {
+                let message = "the journal did not answer in time";
+                Err(Refusal::not_run(ResultCode::NoQuorum, message).retry_after(RETRY_SOON))
+            }
+        }
+    }
+
+    /// Runs a request whose answer is passed on as a whole.
+    async fn run_plain(
+        self: Arc<Self>,
+        plan: &mut Plan,
+        outgoing: Outgoing,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        loop {
+            let mut answer = self.answered(plan, &outgoing, None).await?;
+            let length = answer.headers.get(header::CONTENT_LENGTH);
+            let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+            if length.is_some_and(|length| length > COLLECT_MAX_BYTES) {
+                return Ok(relay::pass_on(self, plan, answer));
+            }
+            let collecting = collect(&mut answer.body);
+            let collected = tokio::time::timeout_at(plan.deadline, collecting).await;
+            let reason = match collected {
+                Ok(Ok(body)) => {
+                    plan.report.ended(&self.cx, &answer, 0);
+                    return Ok(self.whole_answer(answer, body));
+                }
+                Ok(Err(cause)) => cause.to_string(),
+                Err(_) => "the answer did not end in time".to_owned(),
+            };
+            self.note_lost(plan, &answer.endpoint.id, &reason)?;
+        }
+    }
+
+    fn whole_answer(&self, answer: Answer, body: Bytes) -> Response<AnswerBody> {
+        let mut res = Response::new(refusal::whole(body));
+        *res.status_mut() = answer.status;
+        *res.headers_mut() = answer.headers.clone();
+        res.headers_mut().remove(header::CONTENT_LENGTH);
+        self.loads.note_success(&answer.endpoint.id);
+        answer.finish(&self.pool, self.cx.clock.now());
+        res
+    }
+
+    /// Notes that an attempt may have run; fails if the request must not be sent again.
+    pub(super) fn note_lost(
+        &self,
+        plan: &mut Plan,
+        endpoint: &EndpointName,
+        reason: &str,
+    ) -> Result<(), Refusal> {
+        self.loads.note_failure(endpoint, self.cx.clock.now());
+        plan.report.failed(&self.cx, endpoint, reason);
+        if !plan.ran_on.contains(endpoint) {
+            plan.ran_on.push(endpoint.clone());
+        }
+        let message = format!("the answer of endpoint {endpoint} was lost: {reason}");
+        if !plan.route.repetition.may_repeat() {
+            return Err(Refusal::may_have_run(ResultCode::OutcomeUnknown, message));
+        }
+        if Instant::now() >= plan.deadline {
+            return Err(Refusal::may_have_run(ResultCode::AnswerLate, message));
+        }
+        Ok(())
+    }
+
+    /// Sends the request until an endpoint answers it.
+    pub(super) async fn answered(
+        &self,
+        plan: &mut Plan,
+        outgoing: &Outgoing,
+        last_event: Option<u64>,
+    ) -> Result<Answer, Refusal> {
+        let mut excluded: Vec<EndpointName> = Vec::new();
+        let mut rounds_left = ROUNDS_MAX - 1;
+        let mut fresh_only = false;
+        for sends in 0..SENDS_MAX {
+            let Some(endpoint) = self.choose(plan, outgoing, &excluded) else {
+                if rounds_left == 0 || Instant::now() + ROUND_PAUSE >= plan.deadline {
+                    return Err(self.no_endpoint(plan));
+                }
+                rounds_left -= 1;
+                excluded.clear();
+                tokio::time::sleep(ROUND_PAUSE).await;
+                continue;
+            };
+            let id = endpoint.id.clone();
+            let attempt = self.attempt(plan, endpoint, last_event, sends, fresh_only);
+            plan.report.note_send();
+            match attempt.send(outgoing).await {
+                Ok(answer) if answer.head.not_run => {
+                    self.note_not_run(plan, &answer);
+                    excluded.push(id);
+                    fresh_only = false;
+                }
+                Ok(answer) if answer.status.is_success() && !answer.head.is_signed => {
+                    self.note_lost(plan, &id, "the endpoint did not vouch for the answer")?;
+                }
+                Ok(answer) => return Ok(answer),
+                Err(Failure::NotSent { reason }) => {
+                    // An idle connection that was closed says nothing about the endpoint.
+                    if fresh_only || !self.has_idle(&id) {
+                        self.loads.note_failure(&id, self.cx.clock.now());
+                        plan.ran_on.retain(|ran_on| *ran_on != id);
+                        excluded.push(id.clone());
+                    }
+                    plan.report.failed(&self.cx, &id, &reason);
+                    fresh_only = !fresh_only;
+                }
+                Err(Failure::Lost { reason }) => {
+                    self.note_lost(plan, &id, &reason)?;
+                    fresh_only = true;
+                }
+            }
+            if Instant::now() >= plan.deadline {
+                break;
+            }
+        }
+        Err(self.no_endpoint(plan))
+    }
+
+    fn has_idle(&self, endpoint: &EndpointName) -> bool {
+        self.pool.has_idle(endpoint)
+    }
+
+    fn note_not_run(&self, plan: &mut Plan, answer: &Answer) {
+        let now = self.cx.clock.now();
+        let id = &answer.endpoint.id;
+        match answer.status {
+            StatusCode::MISDIRECTED_REQUEST => self.loads.note_failure(id, now),
+            _ => self.loads.note_full(id, now),
+        }
+        if let Some(load) = answer.head.load {
+            self.loads.note_report(id, load, now);
+        }
+        plan.report.failed(&self.cx, id, &format!("not run, status {}", answer.status.as_u16()));
+    }
+
+    fn no_endpoint(&self, plan: &Plan) -> Refusal {
+        let service = &plan.service;
+        let code = if self.endpoints.load().get(service).is_none_or(Vec::is_empty) {
+            ResultCode::NoEndpoint
+        } else {
+            ResultCode::Overloaded
+        };
+        if !plan.ran_on.is_empty() {
+            let message = format!("no endpoint of {service} answered");
+            return Refusal::may_have_run(ResultCode::AnswerLate, message);
+        }
+        let message = format!("no endpoint of {service} has room");
+        Refusal::not_run(code, message).retry_after(RETRY_SOON)
+    }
+
+    fn choose(
+        &self,
+        plan: &Plan,
+        outgoing: &Outgoing,
+        excluded: &[EndpointName],
+    ) -> Option<EndpointRecord> {
+        let now = self.cx.clock.now();
+        let endpoints = self.endpoints.load();
+        let known = endpoints.get(&plan.service)?;
+        let is_full = plan.ran_on.len() >= plan.route.endpoints_max as usize;
+        let may_take = |record: &&EndpointRecord| {
+            !excluded.contains(&record.id) && (!is_full || plan.ran_on.contains(&record.id))
+        };
+        let candidate = |record: &EndpointRecord| Candidate {
+            record: record.clone(),
+            load: self.loads.get(&record.id),
+        };
+        let mut candidates: Vec<Candidate> = known.iter().filter(may_take).map(candidate).collect();
+        if plan.is_engine {
+            choice::order_engines(&mut candidates, &plan.key, now);
+        } else {
+            let affinity = outgoing.head.affinity.as_deref().filter(|_| plan.route.sticky);
+            choice::order_plain(&mut candidates, affinity, rand::random(), now);
+        }
+        candidates.into_iter().next().map(|candidate| candidate.record)
+    }
+
+    fn attempt(
+        &self,
+        plan: &Plan,
+        endpoint: EndpointRecord,
+        last_event: Option<u64>,
+        sends: u32,
+        fresh_only: bool,
+    ) -> Attempt<'_> {
+        let idle_limit = match plan.route.repetition {
+            _ if fresh_only => Duration::ZERO,
+            Repetition::Once | Repetition::Stream => IDLE_LIMIT_ONCE,
+            _ => Duration::MAX,
+        };
+        let first_wait = plan.route.target * FIRST_WAIT_TARGETS;
+        let head_deadline = match plan.route.repetition {
+            Repetition::Idempotent if sends == 0 => plan.deadline.min(Instant::now() + first_wait),
+            _ => plan.deadline,
+        };
+        Attempt {
+            pool: &self.pool,
+            dialect: &*self.dialect,
+            in_flight: self.loads.begin(&endpoint.id),
+            endpoint,
+            deadline: plan.deadline,
+            head_deadline,
+            idle_limit,
+            last_event,
+            urgency: plan.is_engine.then_some(plan.route.priority),
+            now: self.cx.clock.now(),
+        }
+    }
+}
+
+async fn collect(body: &mut Incoming) -> Result<Bytes, hyper::Error> {
+    Ok(body.collect().await?.to_bytes())
+}
+
+fn host_of(req: &Request<Incoming>) -> String {
+    let header = req.headers().get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = req.uri().host().or(header).unwrap_or_default();
+    host.split(':').next().unwrap_or_default().to_owned()
+}
+
+/// Collects the body and makes the request ready to be sent, several times if need be.
+async fn outgoing(
+    req: Request<Incoming>,
+    head: CallHead,
+    body_max_bytes: usize,
+    deadline: Instant,
+) -> Result<Outgoing, Refusal> {
+    let (mut parts, body) = req.into_parts();
+    let too_large = || {
+        let message = format!("a body may have {body_max_bytes} bytes");
+        Refusal::not_run(ResultCode::BodyTooLarge, message)
+    };
+    let collecting = Limited::new(body, body_max_bytes).collect();
+    let collected = tokio::time::timeout_at(deadline, collecting).await.map_err(|_| {
+        Refusal::not_run(ResultCode::BodyTimeout, "the body did not arrive in time")
+    })?;
+    let body = collected.map_err(|cause| match cause.is::<http_body_util::LengthLimitError>() {
+        true => too_large(),
+        false => Refusal::not_run(ResultCode::MalformedRequest, cause.to_string()),
+    })?;
+    headers::strip_hop_by_hop(&mut parts.headers);
+    parts.headers.remove(header::CONTENT_LENGTH);
+    parts.headers.remove(header::EXPECT);
+    let path = parts.uri.path_and_query().cloned();
+    let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+    Ok(Outgoing { method: parts.method, uri, headers: parts.headers, body: body.to_bytes(), head })
+}
--- /dev/null
+++ b/coriandergw/src/forwarding/report.rs
@@ -0,0 +1,132 @@
+//! What is logged and counted of one request.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::forwarding::CallHead;
+use crate::forwarding::attempt::Answer;
+use crate::ids::EndpointName;
+use crate::result_code::Refusal;
+use crate::routes::Route;
+
+/// Collects the decisions on one request.
+#[derive(Debug, Clone)]
+pub(super) struct Report {
+    attempt: Arc<str>,
+    program: Option<Arc<str>>,
+    route: Arc<str>,
+    service: Arc<str>,
+    config_version: u64,
+    started: Instant,
+    reserved: Option<Instant>,
+    first_event: Option<Instant>,
+    sends: u32,
+}
+
+impl Report {
+    pub(super) fn new(
+        head: &CallHead,
+        route: &Route,
+        service: &Arc<str>,
+        config_version: u64,
+        started: Instant,
+    ) -> Self {
+        Self {
+            attempt: head.attempt.clone(),
+            program: head.program.as_ref().map(|program| program.program.clone()),
+            route: route.name.clone(),
+            service: service.clone(),
+            config_version,
+            started,
+            reserved: None,
+            first_event: None,
+            sends: 0,
+        }
+    }
+
+    pub(super) fn note_reserved(&mut self) {
+        self.reserved = Some(Instant::now());
+    }
+
+    pub(super) fn note_first_event(&mut self) {
+        self.first_event = Some(Instant::now());
+    }
+
+    pub(super) fn note_send(&mut self) {
+        self.sends += 1;
+    }
+
+    fn since_start(&self, at: Option<Instant>) -> u128 {
+        at.map_or(0, |at| (at - self.started).as_millis())
+    }
+
+    fn record(&self, cx: &Context, number: EventNumber, peer: Option<String>, outcome: &str) {
+        let detail = format!(
+            "request={} program={} route={} service={} config={} sends={} reserved_ms={} \
+             first_event_ms={} total_ms={} {outcome}",
+            self.attempt,
+            self.program.as_deref().unwrap_or("-"),
+            self.route,
+            self.service,
+            self.config_version,
+            self.sends,
+            self.since_start(self.reserved),
+            self.since_start(self.first_event),
+            self.started.elapsed().as_millis(),
+        );
+        cx.events.record(number, Subject { peer, ..Subject::default() }, detail);
+    }
+
+    /// The endpoint's answer was passed on.
+    pub(super) fn ended(&self, cx: &Context, answer: &Answer, events: u64) {
+        let outcome = format!("status={} events={events}", answer.status.as_u16());
+        let peer = Some(answer.endpoint.id.to_string());
+        self.record(cx, EventNumber::RequestEnded, peer, &outcome);
+    }
+
+    /// The request was refused by this instance.
+    pub(super) fn refused(&self, cx: &Context, refusal: &Refusal) {
+        let outcome = format!(
+            "code={} not_run={} retry_after_ms={} {}",
+            refusal.code,
+            refusal.not_run,
+            refusal.retry_after.map_or(0, |delay| delay.as_millis()),
+            refusal.message
+        );
+        cx.metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
+        self.record(cx, EventNumber::RequestRefused, None, &outcome);
+    }
+
+    /// One attempt failed.
+    pub(super) fn failed(&self, cx: &Context, endpoint: &EndpointName, reason: &str) {
+        cx.metrics.retries.with_label_values(&["forward"]).inc();
+        let peer = Some(endpoint.to_string());
+        self.record(cx, EventNumber::SendFailed, peer, reason);
+    }
+
+    /// A stream was broken off towards the caller.
+    pub(super) fn broken_off(&self, cx: &Context, events: u64, reason: &str) {
+        self.record(cx, EventNumber::StreamBrokenOff, None, &format!("events={events} {reason}"));
+    }
+
+    /// No route takes a request.
+    pub(super) fn no_route(cx: &Context, config_version: u64, host: &str, path: &str) {
+        cx.metrics.refusals.with_label_values(&["no route"]).inc();
+        let detail = format!("config={config_version} host={host} path={path}");
+        cx.events.record(EventNumber::RequestUnrouted, Subject::default(), detail);
+    }
+
+    /// A configuration was taken into use, or could not be.
+    pub(super) fn config_applied(cx: &Context, version: u64, fault: Option<&str>) {
+        let detail = format!("version={version} {}", fault.unwrap_or("in force"));
+        let number = match fault {
+            None => EventNumber::ConfigApplied,
+            Some(_) => EventNumber::ConfigRefused,
+        };
+        cx.events.record(number, Subject::default(), detail);
+    }
+}
--- /dev/null
+++ b/coriandergw/src/forwarding/turn.rs
@@ -0,0 +1,52 @@
+//! The reservation of one turn and its settlement.
+
+use crate::token_budgets::BudgetError;
+use crate::token_budgets::TurnKey;
+use crate::token_budgets::Verdict;
+use crate::token_budgets::client::BudgetClient;
+
+/// Settles a turn with the tokens that were handed out, however it ends.
+pub(super) struct Turn {
+    client: BudgetClient,
+    key: TurnKey,
+    tokens: u64,
+    is_reserved: bool,
+}
+
+impl Turn {
+    /// Creates the guard of a turn that is not reserved yet.
+    pub(super) fn new(client: BudgetClient, key: TurnKey) -> Self {
+        Self { client, key, tokens: 0, is_reserved: false }
+    }
+
+    /// Reserves the most that the turn may generate.
+    ///
+    /// # Errors
+    /// Fails if the journal did not answer; dropping the guard then withdraws the reservation.
+    pub(super) async fn reserve(
+        &mut self,
+        budget: u64,
+        tokens: u64,
+    ) -> Result<Verdict, BudgetError> {
+        self.is_reserved = true;
+        self.client.reserve(self.key.clone(), budget, tokens).await
+    }
+
+    /// Notes that nothing is reserved.
+    pub(super) fn forget(&mut self) {
+        self.is_reserved = false;
+    }
+
+    /// Counts tokens that are handed to the caller.
+    pub(super) fn hand_out(&mut self, tokens: u64) {
+        self.tokens += tokens;
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        if self.is_reserved {
+            self.client.settle(self.key.clone(), self.tokens);
+        }
+    }
+}
--- a/coriandergw/src/log_groups/client.rs
+++ b/coriandergw/src/log_groups/client.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::RwLock;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -34,7 +35,7 @@
 /// A command may be appended more than once when answers are lost; state machines recognise it.
 pub struct LogClient {
     transport: Arc<dyn Transport>,
-    voters: Vec<InstanceName>,
+    voters: RwLock<Vec<InstanceName>>,
     local: Option<(InstanceName, LocalProposer)>,
     leaders: Mutex<BTreeMap<GroupId, InstanceName>>,
 }
@@ -52,7 +53,7 @@
 impl LogClient {
     /// Creates a client that tries the given voters.
     pub fn new(transport: Arc<dyn Transport>, voters: Vec<InstanceName>) -> Self {
-        Self { transport, voters, local: None, leaders: Mutex::default() }
+        Self { transport, voters: RwLock::new(voters), local: None, leaders: Mutex::default() }
     }
 
     /// Makes the client ask the log node of its own instance without the transport.
@@ -61,6 +62,11 @@
         self
     }
 
+    /// Replaces the voters that are tried.
+    pub fn set_voters(&self, voters: Vec<InstanceName>) {
+        *self.voters.write().expect("not poisoned") = voters;
+    }
+
     /// Records who leads a group.
     pub fn note_leader(&self, group: GroupId, leader: Option<InstanceName>) {
         let mut leaders = self.leaders.lock().expect("not poisoned");
@@ -78,7 +84,8 @@
         if let Some(leader) = self.known_leader(group) {
             return Some(leader);
         }
-        let voter = self.voters.get(attempts.next_voter % self.voters.len().max(1)).cloned();
+        let voters = self.voters.read().expect("not poisoned");
+        let voter = voters.get(attempts.next_voter % voters.len().max(1)).cloned();
         attempts.next_voter += 1;
         voter
     }
--- a/coriandergw/src/log_groups/core/config_change.rs
+++ b/coriandergw/src/log_groups/core/config_change.rs
@@ -1,8 +1,9 @@
-//! Replacement of voters, one at a time.
+//! Changes of the voters, one at a time.
 
 use crate::clock::Timestamp;
 use crate::ids::InstanceName;
 use crate::log_groups::core::Core;
+use crate::log_groups::core::Members;
 use crate::log_groups::core::Payload;
 use crate::log_groups::core::ProposeFault;
 use crate::log_groups::core::Replacement;
@@ -26,13 +27,7 @@
         new: InstanceName,
         now: Timestamp,
     ) -> Result<u64, ProposeFault> {
-        if !self.is_leader() {
-            return Err(ProposeFault::NotLeader);
-        }
-        let (members_index, members) = self.log.members();
-        if !self.is_ready_leader() || members_index > self.commit || members.replacement.is_some() {
-            return Err(refused("another change is under way"));
-        }
+        let members = self.changeable_members()?;
         if !members.voters.contains(&old) {
             return Err(refused("the old instance is no voter"));
         }
@@ -46,6 +41,55 @@
         Ok(self.append(Payload::Members(next), now))
     }
 
+    /// Starts to add the voter `new`, which learns first.
+    ///
+    /// # Errors
+    /// Fails, with nothing appended, if this member does not lead or another change is under way.
+    pub fn add_voter(&mut self, new: InstanceName, now: Timestamp) -> Result<u64, ProposeFault> {
+        let members = self.changeable_members()?;
+        if members.voters.contains(&new) {
+            return Err(refused("the new instance is a voter already"));
+        }
+        let next = members.start_replacement(Replacement { old: new.clone(), new });
+        Ok(self.append(Payload::Members(next), now))
+    }
+
+    /// Removes the voter `old`, or ends the replacement by an instance that never caught up.
+    ///
+    /// # Errors
+    /// Fails, with nothing appended, if this member does not lead, another change is not committed
+    /// yet, or no voter would remain.
+    pub fn remove_voter(
+        &mut self,
+        old: &InstanceName,
+        now: Timestamp,
+    ) -> Result<u64, ProposeFault> {
+        if !self.is_leader() {
+            return Err(ProposeFault::NotLeader);
+        }
+        let (members_index, members) = self.log.members();
+        if !self.is_ready_leader() || members_index > self.commit {
+            return Err(refused("another change is under way"));
+        }
+        let next = members.without(old).ok_or_else(|| refused("no voter would remain"))?;
+        if next == *members {
+            return Err(refused("the instance is no member"));
+        }
+        Ok(self.append(Payload::Members(next), now))
+    }
+
+    /// Returns the members if they may be changed now.
+    fn changeable_members(&self) -> Result<Members, ProposeFault> {
+        if !self.is_leader() {
+            return Err(ProposeFault::NotLeader);
+        }
+        let (members_index, members) = self.log.members();
+        if !self.is_ready_leader() || members_index > self.commit || members.replacement.is_some() {
+            return Err(refused("another change is under way"));
+        }
+        Ok(members.clone())
+    }
+
     /// Takes the next step of a replacement once the conditions for it hold.
     pub(super) fn advance_replacement(&mut self, now: Timestamp) {
         let Role::Leader(leading) = &self.role else {
--- a/coriandergw/src/log_groups/core/members.rs
+++ b/coriandergw/src/log_groups/core/members.rs
@@ -68,6 +68,22 @@
         next
     }
 
+    /// Returns the members without `name`; `None` if no voter would remain.
+    ///
+    /// A replacement that `name` takes part in ends with it.
+    pub(super) fn without(&self, name: &InstanceName) -> Option<Self> {
+        let mut next = self.clone();
+        next.voters.remove(name);
+        next.learners.remove(name);
+        let concerns =
+            |replacement: &Replacement| replacement.old == *name || replacement.new == *name;
+        if next.replacement.as_ref().is_some_and(concerns) {
+            next.replacement = None;
+            next.learners.clear();
+        }
+        (!next.voters.is_empty()).then_some(next)
+    }
+
     /// Returns the next step of the replacement under way, once the step before it is committed.
     pub(super) fn next_step(&self) -> Option<Self> {
         let Replacement { old, new } = self.replacement.clone()?;
--- a/coriandergw/src/log_groups/driver.rs
+++ b/coriandergw/src/log_groups/driver.rs
@@ -23,6 +23,7 @@
 use crate::log_groups::group::Group;
 use crate::log_groups::propose::Outcome;
 use crate::log_groups::pulse::PulseBook;
+use crate::log_groups::voters::VoterChange;
 use crate::log_groups::wire;
 use crate::storage::StorageError;
 use crate::storage::store::Store;
@@ -59,14 +60,12 @@
         /// Gets its fate.
         reply: oneshot::Sender<Outcome>,
     },
-    /// A voter to replace.
-    ReplaceVoter {
+    /// A change of the voters.
+    ChangeVoters {
         /// The group.
         group: GroupId,
-        /// The voter that leaves.
-        old: InstanceName,
-        /// The instance that becomes a voter.
-        new: InstanceName,
+        /// The change.
+        change: VoterChange,
         /// Learns whether the change has started.
         reply: oneshot::Sender<Result<(), ProposeFault>>,
     },
@@ -193,11 +192,10 @@
                 }
                 bytes
             }
-            Input::ReplaceVoter { group, old, new, reply } => {
+            Input::ChangeVoters { group, change, reply } => {
                 let group = self.groups.get_mut(&group);
-                let result = group.map_or(Err(ProposeFault::NotLeader), |group| {
-                    group.core.replace_voter(old, new, now).map(|_| ())
-                });
+                let result = group
+                    .map_or(Err(ProposeFault::NotLeader), |group| group.change_voters(change, now));
                 let _ = reply.send(result);
                 0
             }
--- a/coriandergw/src/log_groups/group.rs
+++ b/coriandergw/src/log_groups/group.rs
@@ -20,9 +20,12 @@
 use crate::log_groups::core::Apply;
 use crate::log_groups::core::Core;
 use crate::log_groups::core::Entry;
+use crate::log_groups::core::Members;
 use crate::log_groups::core::Payload;
+use crate::log_groups::core::ProposeFault;
 use crate::log_groups::driver::answer;
 use crate::log_groups::propose::Outcome;
+use crate::log_groups::voters::VoterChange;
 
 /// The bytes of applied entries after which a snapshot is taken, unless the last one is larger.
 const SNAPSHOT_EVERY_BYTES: usize = 16 << 20;
@@ -48,6 +51,7 @@
     snapshot_every: u64,
     leadership: watch::Sender<Leadership>,
     lease_until: Arc<AtomicU64>,
+    members: watch::Sender<Members>,
 }
 
 impl Group {
@@ -68,6 +72,7 @@
             snapshot_every,
             leadership: watch::Sender::default(),
             lease_until: Arc::default(),
+            members: watch::Sender::default(),
         }
     }
 
@@ -76,6 +81,28 @@
         self.leadership.subscribe()
     }
 
+    /// Returns where the group's members can be watched.
+    pub fn members(&self) -> watch::Receiver<Members> {
+        self.members.subscribe()
+    }
+
+    /// Starts a change of the voters.
+    ///
+    /// # Errors
+    /// Fails, with nothing changed, if this member does not lead or a change is under way.
+    pub fn change_voters(
+        &mut self,
+        change: VoterChange,
+        now: Timestamp,
+    ) -> Result<(), ProposeFault> {
+        let appended = match change {
+            VoterChange::Add(new) => self.core.add_voter(new, now),
+            VoterChange::Remove(old) => self.core.remove_voter(&old, now),
+            VoterChange::Replace { old, new } => self.core.replace_voter(old, new, now),
+        };
+        appended.map(|_| ())
+    }
+
     /// Returns where the end of the own lease is kept, in microseconds of the monotonic clock.
     pub fn lease_until(&self) -> Arc<AtomicU64> {
         self.lease_until.clone()
@@ -159,6 +186,13 @@
             self.forget_waiting("the leader changed");
         }
         self.lease_until.store(self.core.lease_until(now).0, Ordering::Release);
+        self.members.send_if_modified(|members| {
+            let changed = members != self.core.members();
+            if changed {
+                *members = self.core.members().clone();
+            }
+            changed
+        });
         let next = Leadership {
             term: self.core.term(),
             leader: self.core.leader().cloned(),
--- a/coriandergw/src/log_groups/node.rs
+++ b/coriandergw/src/log_groups/node.rs
@@ -35,6 +35,7 @@
 use crate::log_groups::group::Group;
 use crate::log_groups::propose::LocalProposer;
 use crate::log_groups::pulse::PulseBook;
+use crate::log_groups::voters::VoterChange;
 use crate::log_groups::wire;
 use crate::storage::Disk;
 use crate::storage::StorageError;
@@ -99,6 +100,7 @@
 struct GroupView {
     leadership: watch::Receiver<Leadership>,
     lease_until: Arc<AtomicU64>,
+    members: watch::Receiver<Members>,
 }
 
 /// Takes part in the groups of the log and commits commands to them.
@@ -182,18 +184,27 @@
         self.views.keys().copied().collect()
     }
 
-    /// Starts to replace a voter of a group; to be called on the group's leader.
+    /// Returns where the members of a group can be watched; `None` for an unknown group.
+    pub fn members(&self, group: GroupId) -> Option<watch::Receiver<Members>> {
+        self.views.get(&group).map(|view| view.members.clone())
+    }
+
+    /// Records the voters that proposals from here may be sent to.
+    pub fn note_voters(&self, voters: Vec<InstanceName>) {
+        self.client.set_voters(voters);
+    }
+
+    /// Starts a change of a group's voters; to be called on the group's leader.
     ///
     /// # Errors
     /// Fails, with nothing changed, if this instance does not lead or a change is under way.
-    pub async fn replace_voter(
+    pub async fn change_voters(
         &self,
         group: GroupId,
-        old: InstanceName,
-        new: InstanceName,
+        change: VoterChange,
     ) -> Result<(), ProposeFault> {
         let (reply, result) = oneshot::channel();
-        let input = Input::ReplaceVoter { group, old, new, reply };
+        let input = Input::ChangeVoters { group, change, reply };
         self.inputs.send(input).await.map_err(|_| ProposeFault::NotLeader)?;
         result.await.unwrap_or(Err(ProposeFault::NotLeader))
     }
@@ -223,7 +234,11 @@
 }
 
 fn view(group: &Group) -> GroupView {
-    GroupView { leadership: group.leadership(), lease_until: group.lease_until() }
+    GroupView {
+        leadership: group.leadership(),
+        lease_until: group.lease_until(),
+        members: group.members(),
+    }
 }
 
 fn report_opened(cx: &Context, opened: &Opened) {
--- a/coriandergw/src/log_groups/tests.rs
+++ b/coriandergw/src/log_groups/tests.rs
@@ -28,6 +28,7 @@
 use crate::log_groups::test_cluster::Cluster;
 use crate::log_groups::test_cluster::name;
 use crate::log_groups::test_cluster::wait_for;
+use crate::log_groups::voters::VoterChange;
 use crate::log_groups::wire;
 use crate::result_code::ResultCode;
 use crate::storage::Disk;
@@ -166,7 +167,8 @@
     let same = cluster.members[damaged].name.clone();
     let leader = cluster.leader(None).await;
     let node = cluster.members[leader].node();
-    node.replace_voter(CONTROL_GROUP, same.clone(), same).await.expect("the change starts");
+    let change = VoterChange::Replace { old: same.clone(), new: same };
+    node.change_voters(CONTROL_GROUP, change).await.expect("the change starts");
     wait_for("the vote to return", || lost_groups().is_empty()).await;
     cluster.propose(leader, 1).await;
     cluster.applied(damaged, 6).await;
@@ -183,7 +185,8 @@
     cluster.start_member(fresh).expect("a new folder");
     let (old, new) = (cluster.members[first].name.clone(), cluster.members[fresh].name.clone());
     let node = cluster.members[leader].node();
-    node.replace_voter(CONTROL_GROUP, old, new).await.expect("the change starts");
+    let change = VoterChange::Replace { old, new };
+    node.change_voters(CONTROL_GROUP, change).await.expect("the change starts");
     let voters_changed = |at: usize| {
         let number = EventNumber::LogVotersChanged.number();
         cluster.members[at].cx.events.select(|event| event.number == number).len()
@@ -198,6 +201,46 @@
     cluster.applied(fresh, 27).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_voter_is_added_and_another_one_removed() {
+    let mut cluster = Cluster::start(10).await;
+    let leader = cluster.leader(None).await;
+    cluster.propose(leader, 25).await;
+    let fresh = cluster.add("d");
+    cluster.start_member(fresh).expect("a new folder");
+    let node = cluster.members[leader].node();
+    let members = node.members(CONTROL_GROUP).expect("the group is known");
+    let added = VoterChange::Add(cluster.members[fresh].name.clone());
+    node.change_voters(CONTROL_GROUP, added).await.expect("the change starts");
+    wait_for("four voters", || members.borrow().voters.len() == 4).await;
+    let removed = cluster.members[(leader + 1) % 3].name.clone();
+    node.change_voters(CONTROL_GROUP, VoterChange::Remove(removed.clone())).await.expect("starts");
+    wait_for("three voters", || members.borrow().voters.len() == 3).await;
+    assert!(!members.borrow().voters.contains(&removed));
+    cluster.propose(leader, 1).await;
+    cluster.applied(fresh, 26).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replacement_by_an_instance_that_is_lost_as_well_is_ended() {
+    let mut cluster = Cluster::start(NO_SNAPSHOTS).await;
+    let leader = cluster.leader(None).await;
+    let fresh = cluster.add("d");
+    let (old, new) =
+        (cluster.members[(leader + 1) % 3].name.clone(), cluster.members[fresh].name.clone());
+    let node = cluster.members[leader].node();
+    let members = node.members(CONTROL_GROUP).expect("the group is known");
+    let change = VoterChange::Replace { old, new: new.clone() };
+    node.change_voters(CONTROL_GROUP, change).await.expect("the change starts");
+    wait_for("the learner", || members.borrow().learners.contains(&new)).await;
+    let end = VoterChange::Remove(new);
+    while node.change_voters(CONTROL_GROUP, end.clone()).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(members.borrow().voters.len(), 3);
+    wait_for("the end of the replacement", || members.borrow().replacement.is_none()).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_folder_of_another_instance_is_refused() {
     let mut cluster = Cluster::start(NO_SNAPSHOTS).await;
--- a/coriandergw/src/log_groups/voters.rs
+++ b/coriandergw/src/log_groups/voters.rs
@@ -7,6 +7,22 @@
 use crate::log_groups::core::ProposeFault;
 use crate::log_groups::node::LogNode;
 
+/// One change of a group's voters.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum VoterChange {
+    /// The instance becomes a voter once it has caught up.
+    Add(InstanceName),
+    /// The instance is no voter or learner any more.
+    Remove(InstanceName),
+    /// A new voter takes the place of an old one once it has caught up.
+    Replace {
+        /// The voter that leaves.
+        old: InstanceName,
+        /// The instance that becomes a voter.
+        new: InstanceName,
+    },
+}
+
 /// Whether the replacement of a voter has started in one group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StartedReplacement {
@@ -28,7 +44,8 @@
     async fn replace(&self, old: &InstanceName, new: &InstanceName) -> Vec<StartedReplacement> {
         let mut started = Vec::new();
         for group in self.groups() {
-            let result = self.replace_voter(group, old.clone(), new.clone()).await;
+            let change = VoterChange::Replace { old: old.clone(), new: new.clone() };
+            let result = self.change_voters(group, change).await;
             if result != Err(ProposeFault::NotLeader) {
                 started.push(StartedReplacement { group, result });
             }
--- a/coriandergw/src/result_code.rs
+++ b/coriandergw/src/result_code.rs
@@ -72,6 +72,12 @@
     NotFound = 1017, 404;
     /// The program reached its wall-time limit.
     WallTimeLimit = 1018, 409;
+    /// No route takes the host and path of the request.
+    NoRoute = 1019, 404;
+    /// The token budget of the program does not hold one more turn.
+    BudgetSpent = 1020, 402;
+    /// The body of the request did not arrive in time.
+    BodyTimeout = 1021, 408;
     /// The instance has more work than it can finish in time.
     Overloaded = 2001, 503;
     /// The call waited in the queue for longer than its class allows.
@@ -96,6 +102,8 @@
     Cancelled = 3004, 410;
     /// The instance failed internally.
     Internal = 3005, 500;
+    /// No endpoint's answer was whole in time; the request may have run.
+    AnswerLate = 3006, 504;
     /// The change was made against another revision than the current one.
     RevisionConflict = 4001, 412;
     /// The entry is not valid.
--- /dev/null
+++ b/coriandergw/src/roles/core.rs
@@ -0,0 +1,173 @@
+//! A core instance: holds the configuration, hears endpoints, tells everybody else.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use crate::context::Context;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::CONTROL_GROUP;
+use crate::ids::InstanceName;
+use crate::log_groups::node::LogNode;
+use crate::log_groups::node::LogOptions;
+use crate::log_groups::node::SNAPSHOT_EVERY_ENTRIES;
+use crate::roles::Base;
+use crate::roles::CLUSTER;
+use crate::roles::ProcessSettings;
+use crate::roles::StartError;
+use crate::roles::founders;
+use crate::roles::name_on_disk;
+use crate::roles::open_disk;
+use crate::roster::Presence;
+use crate::roster::Role;
+use crate::roster::board::Fixed;
+use crate::roster::poller::Roster;
+use crate::roster::server::RosterServer;
+use crate::storage::Disk;
+use crate::transport::Kind;
+use crate::versions::Versions;
+use crate::versions::machine::VersionsMachine;
+use crate::voter_set::driver::StewardDriver;
+use crate::voter_set::founding;
+
+/// How often the leader looks whether the journal group can be founded.
+const FOUND_EVERY: Duration = Duration::from_millis(200);
+
+/// A running core instance.
+pub struct CoreProcess {
+    /// What each feature is given first.
+    pub cx: Context,
+    /// Changes and reads the configuration.
+    pub versions: Versions,
+    /// What this instance heard.
+    pub board: Arc<RosterServer>,
+    /// What is known of the others.
+    pub roster: Arc<Roster>,
+    node: Arc<LogNode>,
+}
+
+impl CoreProcess {
+    /// Starts a core instance.
+    ///
+    /// # Errors
+    /// Fails if its address or its data folder cannot be used.
+    pub async fn start(settings: &ProcessSettings) -> Result<Self, StartError> {
+        let disk = open_disk(settings)?;
+        let name = name_on_disk(settings, Role::Core, &*disk)?;
+        let base = Base::start(settings, Role::Core, name.clone()).await?;
+        let voters = first_voters(settings, &name, &*disk)?;
+        let board = RosterServer::new(base.cx.clone(), settings.endpoint_silence);
+        base.transport.register(Kind::Roster, board.clone());
+        let (published, fixed) = watch::channel(Fixed::default());
+        let machine = VersionsMachine::new(published);
+        let options = LogOptions {
+            cluster: CLUSTER.to_owned(),
+            voters,
+            disk,
+            groups: vec![(CONTROL_GROUP, Box::new(machine))],
+            snapshot_every: SNAPSHOT_EVERY_ENTRIES,
+        };
+        let node = LogNode::start(base.cx.clone(), base.transport.clone(), options)?;
+        let versions = Versions::new(node.clone());
+        base.roster.update_presence(|presence| presence.ready = true);
+        base.poll(settings);
+        tokio::spawn(board.clone().look_for_silence());
+        tokio::spawn(publish(fixed, board.clone()));
+        let steward = StewardDriver {
+            cx: base.cx.clone(),
+            group: CONTROL_GROUP,
+            role: Role::Core,
+            wanted: settings.voters_wanted(),
+            node: node.clone(),
+            roster: base.roster.clone(),
+        };
+        tokio::spawn(steward.run());
+        let founder = Founder {
+            cx: base.cx.clone(),
+            versions: versions.clone(),
+            node: node.clone(),
+            roster: base.roster.clone(),
+            wanted: settings.voters_wanted(),
+        };
+        tokio::spawn(founder.run());
+        Ok(Self { cx: base.cx, versions, board, roster: base.roster, node })
+    }
+
+    /// Stops to take part in the log and frees the data folder.
+    pub async fn stop(&self) {
+        self.roster.update_presence(|presence| presence.leaving = true);
+        self.node.stop().await;
+    }
+}
+
+fn first_voters(
+    settings: &ProcessSettings,
+    name: &InstanceName,
+    disk: &dyn Disk,
+) -> Result<Vec<InstanceName>, StartError> {
+    if let Some(voters) = founders::read(disk)? {
+        return Ok(voters);
+    }
+    let mut voters = Vec::new();
+    if settings.is_first_start {
+        for address in settings.seed_addresses() {
+            voters.push(founders::first_name(address)?);
+        }
+    }
+    if !voters.contains(name) {
+        voters.clear();
+    }
+    founders::write(disk, &voters)?;
+    Ok(voters)
+}
+
+/// Hands what the control group fixed to the board.
+async fn publish(mut fixed: watch::Receiver<Fixed>, board: Arc<RosterServer>) {
+    loop {
+        let state = fixed.borrow_and_update().clone();
+        board.fix(state);
+        if fixed.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Fixes the first voters of the journal group while this instance leads the control group.
+struct Founder {
+    cx: Context,
+    versions: Versions,
+    node: Arc<LogNode>,
+    roster: Arc<Roster>,
+    wanted: usize,
+}
+
+impl Founder {
+    async fn run(self) {
+        let Some(leadership) = self.node.leadership(CONTROL_GROUP) else {
+            return;
+        };
+        let started = self.cx.clock.now();
+        loop {
+            tokio::time::sleep(FOUND_EVERY).await;
+            let now = self.cx.clock.now();
+            let (is_founded, living): (bool, Vec<Presence>) = self.roster.with_view(|view| {
+                (!view.first_journal_voters().is_empty(), view.living(Role::Journal, now))
+            });
+            if is_founded {
+                return;
+            }
+            let waited = now.since(started);
+            let Some(voters) = founding::first_voters(&living, self.wanted, waited) else {
+                continue;
+            };
+            if !leadership.borrow().is_leader {
+                continue;
+            }
+            let result = self.versions.found(&voters).await;
+            let detail = format!("journal voters={voters:?} result={:?}", result.err());
+            self.cx.events.record(EventNumber::ChangeDecided, Subject::default(), detail);
+        }
+    }
+}
--- /dev/null
+++ b/coriandergw/src/roles/journal.rs
@@ -0,0 +1,93 @@
+//! A journal instance: holds the budgets of programs.
+
+use std::sync::Arc;
+
+use crate::context::Context;
+use crate::ids::InstanceName;
+use crate::log_groups::node::LogNode;
+use crate::log_groups::node::LogOptions;
+use crate::log_groups::node::SNAPSHOT_EVERY_ENTRIES;
+use crate::roles::Base;
+use crate::roles::CLUSTER;
+use crate::roles::ProcessSettings;
+use crate::roles::StartError;
+use crate::roles::founders;
+use crate::roles::name_on_disk;
+use crate::roles::open_disk;
+use crate::roster::Role;
+use crate::roster::poller::Roster;
+use crate::storage::Disk;
+use crate::token_budgets::client::BUDGET_GROUP;
+use crate::token_budgets::machine::BudgetMachine;
+use crate::voter_set::driver::StewardDriver;
+
+/// A running journal instance.
+pub struct JournalProcess {
+    /// What each feature is given first.
+    pub cx: Context,
+    roster: Arc<Roster>,
+    node: Arc<LogNode>,
+}
+
+impl JournalProcess {
+    /// Starts a journal instance; waits until the first voters are fixed if it has no log yet.
+    ///
+    /// # Errors
+    /// Fails if its address or its data folder cannot be used.
+    pub async fn start(settings: &ProcessSettings) -> Result<Self, StartError> {
+        let disk = open_disk(settings)?;
+        let name = name_on_disk(settings, Role::Journal, &*disk)?;
+        let base = Base::start(settings, Role::Journal, name.clone()).await?;
+        base.poll(settings);
+        let voters = first_voters(&base.roster, &name, &*disk).await?;
+        let options = LogOptions {
+            cluster: CLUSTER.to_owned(),
+            voters,
+            disk,
+            groups: vec![(BUDGET_GROUP, Box::<BudgetMachine>::default())],
+            snapshot_every: SNAPSHOT_EVERY_ENTRIES,
+        };
+        let node = LogNode::start(base.cx.clone(), base.transport.clone(), options)?;
+        base.roster.update_presence(|presence| presence.ready = true);
+        let steward = StewardDriver {
+            cx: base.cx.clone(),
+            group: BUDGET_GROUP,
+            role: Role::Journal,
+            wanted: settings.voters_wanted(),
+            node: node.clone(),
+            roster: base.roster.clone(),
+        };
+        tokio::spawn(steward.run());
+        Ok(Self { cx: base.cx, roster: base.roster, node })
+    }
+
+    /// Stops to take part in the log and frees the data folder.
+    pub async fn stop(&self) {
+        self.roster.update_presence(|presence| presence.leaving = true);
+        self.node.stop().await;
+    }
+}
+
+async fn first_voters(
+    roster: &Roster,
+    name: &InstanceName,
+    disk: &dyn Disk,
+) -> Result<Vec<InstanceName>, StartError> {
+    if let Some(voters) = founders::read(disk)? {
+        return Ok(voters);
+    }
+    let mut changes = roster.changes();
+    let mut voters = loop {
+        let fixed = roster.with_view(|view| view.first_journal_voters().to_vec());
+        if !fixed.is_empty() {
+            break fixed;
+        }
+        // The sender is part of the roster.
+        let _ = changes.changed().await;
+    };
+    if !voters.contains(name) {
+        voters.clear();
+    }
+    founders::write(disk, &voters)?;
+    Ok(voters)
+}
--- /dev/null
+++ b/coriandergw/src/roster/board.rs
@@ -0,0 +1,225 @@
+//! What one core instance has heard, with a number for each change.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::clock::Timestamp;
+use crate::ids::EndpointName;
+use crate::ids::InstanceName;
+use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
+use crate::roster::Presence;
+
+/// How long a poll may wait for a change.
+pub const POLL_WAIT: Duration = Duration::from_millis(700);
+
+/// A process that has not polled for this long is not heard: one wait and a lost answer.
+pub const PRESENCE_SILENCE: Duration = Duration::from_millis(1_600);
+
+/// How long what is over is remembered, so that a late word of it is recognised.
+pub const MEMORY_OF_THE_GONE: Duration = Duration::from_secs(120);
+
+/// After this time an endpoint's word is told again though nothing but its count changed, so that
+/// two core instances that heard it agree on who heard it last.
+const REPEAT_AFTER: Duration = Duration::from_secs(3);
+
+/// Between two looks for silence; a longer gap means that this process itself stood still.
+const OWN_STALL: Duration = Duration::from_secs(1);
+
+/// The configuration in force and what else the control group fixed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Fixed {
+    /// The version of the configuration; 0 before the first one.
+    pub config_version: u64,
+    /// The configuration as the operator sent it.
+    pub config: Bytes,
+    /// The first voters of the journal group; empty until they are fixed.
+    pub first_journal_voters: Vec<InstanceName>,
+    /// Journal instances to be emptied, by the operator's name for the machine.
+    pub retiring: Vec<Arc<str>>,
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    value: T,
+    /// The number of the last change.
+    changed: u64,
+    heard_at: Timestamp,
+    told_at: Timestamp,
+}
+
+impl<T> Entry<T> {
+    fn new(value: T, changed: u64, now: Timestamp) -> Self {
+        Self { value, changed, heard_at: now, told_at: now }
+    }
+}
+
+/// A process as one core instance hears it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heard {
+    /// What it said of itself.
+    pub presence: Presence,
+    /// Whether it is heard.
+    pub heard: bool,
+}
+
+/// What changed after a cursor.
+#[derive(Debug, Default)]
+pub struct Changes {
+    /// The endpoints that changed.
+    pub endpoints: Vec<EndpointRecord>,
+    /// The processes that changed.
+    pub instances: Vec<Heard>,
+}
+
+/// Keeps what was heard.
+#[derive(Debug)]
+pub struct Board {
+    endpoint_silence: Duration,
+    last_change: u64,
+    endpoints: BTreeMap<EndpointName, Entry<EndpointRecord>>,
+    instances: BTreeMap<InstanceName, Entry<Heard>>,
+    fixed: Fixed,
+    looked_at: Timestamp,
+}
+
+impl Board {
+    /// Creates an empty board; an endpoint that says nothing for `endpoint_silence` is silent.
+    pub fn new(endpoint_silence: Duration, now: Timestamp) -> Self {
+        Self {
+            endpoint_silence,
+            last_change: 0,
+            endpoints: BTreeMap::new(),
+            instances: BTreeMap::new(),
+            fixed: Fixed::default(),
+            looked_at: now,
+        }
+    }
+
+    /// Returns the number of the last change.
+    pub fn last_change(&self) -> u64 {
+        self.last_change
+    }
+
+    /// Returns what the control group fixed.
+    pub fn fixed(&self) -> &Fixed {
+        &self.fixed
+    }
+
+    /// Takes in what the control group fixed; an older configuration does not replace a newer one.
+    pub fn fix(&mut self, fixed: Fixed) {
+        if fixed.config_version >= self.fixed.config_version && fixed != self.fixed {
+            self.fixed = fixed;
+            self.last_change += 1;
+        }
+    }
+
+    /// Takes in what an endpoint says; returns whether anything but its count changed.
+    pub fn announce(&mut self, record: EndpointRecord, now: Timestamp) -> bool {
+        let Some(entry) = self.endpoints.get_mut(&record.id) else {
+            self.last_change += 1;
+            let entry = Entry::new(record, self.last_change, now);
+            self.endpoints.insert(entry.value.id.clone(), entry);
+            return true;
+        };
+        // A repeated departure is acknowledged like the first.
+        if !record.supersedes(&entry.value) {
+            return false;
+        }
+        let is_news = !says_the_same(&entry.value, &record);
+        let is_due = now.since(entry.told_at) >= REPEAT_AFTER;
+        entry.value = record;
+        entry.heard_at = now;
+        if is_news || is_due {
+            self.last_change += 1;
+            entry.changed = self.last_change;
+            entry.told_at = now;
+        }
+        is_news
+    }
+
+    /// Marks an endpoint as gone that said so without anything else; returns whether it was known.
+    pub fn depart(&mut self, id: &EndpointName, started_ms: Option<u64>, now: Timestamp) -> bool {
+        let Some(entry) = self.endpoints.get(id) else {
+            return false;
+        };
+        let is_older = started_ms.is_some_and(|started| started < entry.value.started_ms);
+        if is_older {
+            return true;
+        }
+        let started_ms = started_ms.unwrap_or(entry.value.started_ms);
+        let state = EndpointState::Gone;
+        let record = EndpointRecord { state, started_ms, ..entry.value.clone() };
+        self.announce(record, now);
+        true
+    }
+
+    /// Takes in what a process says of itself; returns whether that is news.
+    pub fn note_presence(&mut self, presence: Presence, now: Timestamp) -> bool {
+        let heard = Heard { presence, heard: true };
+        let is_news = match self.instances.get_mut(&heard.presence.name) {
+            Some(entry) if entry.value == heard => {
+                entry.heard_at = now;
+                return false;
+            }
+            Some(entry) => !entry.value.heard,
+            None => true,
+        };
+        self.last_change += 1;
+        let entry = Entry::new(heard, self.last_change, now);
+        self.instances.insert(entry.value.presence.name.clone(), entry);
+        is_news
+    }
+
+    /// Finds who fell silent and forgets what is long over; returns the names that fell silent.
+    pub fn look_for_silence(&mut self, now: Timestamp) -> Vec<String> {
+        let gap = now.since(self.looked_at);
+        self.looked_at = now;
+        if gap > OWN_STALL {
+            // What did not arrive while this process stood still proves nothing.
+            self.endpoints.values_mut().for_each(|entry| entry.heard_at = entry.heard_at + gap);
+            self.instances.values_mut().for_each(|entry| entry.heard_at = entry.heard_at + gap);
+        }
+        let mut silent = Vec::new();
+        for entry in self.endpoints.values_mut() {
+            let is_over = now.since(entry.heard_at) > self.endpoint_silence;
+            if is_over && entry.value.state < EndpointState::Silent {
+                entry.value.state = EndpointState::Silent;
+                self.last_change += 1;
+                entry.changed = self.last_change;
+                silent.push(entry.value.id.to_string());
+            }
+        }
+        for entry in self.instances.values_mut() {
+            if entry.value.heard && now.since(entry.heard_at) > PRESENCE_SILENCE {
+                entry.value.heard = false;
+                self.last_change += 1;
+                entry.changed = self.last_change;
+                silent.push(entry.value.presence.name.to_string());
+            }
+        }
+        self.endpoints.retain(|_, entry| now.since(entry.heard_at) < MEMORY_OF_THE_GONE);
+        self.instances.retain(|_, entry| now.since(entry.heard_at) < MEMORY_OF_THE_GONE);
+        silent
+    }
+
+    /// Returns what changed after the change numbered `cursor`.
+    pub fn changes_after(&self, cursor: u64) -> Changes {
+        let endpoints = self.endpoints.values().filter(|entry| entry.changed > cursor);
+        let instances = self.instances.values().filter(|entry| entry.changed > cursor);
+        Changes {
+            endpoints: endpoints.map(|entry| entry.value.clone()).collect(),
+            instances: instances.map(|entry| entry.value.clone()).collect(),
+        }
+    }
+}
+
+/// Returns whether two records of an endpoint differ in nothing but their count.
+fn says_the_same(old: &EndpointRecord, new: &EndpointRecord) -> bool {
+    let cold_changed = (old.cold_ms == 0) != (new.cold_ms == 0);
+    let comparable = EndpointRecord { sequence: old.sequence, cold_ms: old.cold_ms, ..new.clone() };
+    comparable == *old && !cold_changed
+}
--- /dev/null
+++ b/coriandergw/src/roster/server.rs
@@ -0,0 +1,163 @@
+//! Answers polls on a core instance.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use prost::Message as _;
+use tokio::sync::watch;
+
+use crate::context::Context;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::ids::EndpointName;
+use crate::ids::InstanceName;
+use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
+use crate::roster::Presence;
+use crate::roster::board::Board;
+use crate::roster::board::Fixed;
+use crate::roster::board::Heard;
+use crate::roster::board::POLL_WAIT;
+use crate::roster::generated as raw;
+use crate::transport::Handler;
+
+/// How long changes are collected before polls are answered with them.
+const COLLECT: Duration = Duration::from_millis(3);
+
+/// How often silence is looked for.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// The board of this core instance and those who wait for its changes.
+pub struct RosterServer {
+    cx: Context,
+    start: u64,
+    board: Mutex<Board>,
+    changed: watch::Sender<u64>,
+}
+
+impl RosterServer {
+    /// Creates an empty board; an endpoint that says nothing for `endpoint_silence` is silent.
+    pub fn new(cx: Context, endpoint_silence: Duration) -> Arc<Self> {
+        let board = Mutex::new(Board::new(endpoint_silence, cx.clock.now()));
+        // Two processes at one address are told apart by it.
+        let start = cx.clock.wall().0.max(1);
+        Arc::new(Self { cx, start, board, changed: watch::Sender::new(0) })
+    }
+
+    fn with_board<T, F>(&self, action: F) -> T
+    where
+        F: FnOnce(&mut Board) -> T,
+    {
+        let mut board = self.board.lock().expect("not poisoned");
+        let result = action(&mut board);
+        let last = board.last_change();
+        drop(board);
+        self.changed.send_if_modified(|known| std::mem::replace(known, last) != last);
+        result
+    }
+
+    /// Takes in what an endpoint says of itself.
+    pub fn announce(&self, record: EndpointRecord) {
+        let now = self.cx.clock.now();
+        let (id, state) = (record.id.to_string(), record.state);
+        let detail = format!(
+            "state={state:?} service={} address={} started_ms={} sequence={}",
+            record.service, record.address, record.started_ms, record.sequence
+        );
+        if self.with_board(|board| board.announce(record, now)) {
+            let number = match state {
+                EndpointState::Ready => EventNumber::EndpointAnnounced,
+                _ => EventNumber::EndpointLeaving,
+            };
+            self.cx.events.record(number, Subject { peer: Some(id), ..Subject::default() }, detail);
+        }
+    }
+
+    /// Takes in that an endpoint is gone.
+    pub fn depart(&self, id: &EndpointName, started_ms: Option<u64>) {
+        let now = self.cx.clock.now();
+        let known = self.with_board(|board| board.depart(id, started_ms, now));
+        let subject = Subject { peer: Some(id.to_string()), ..Subject::default() };
+        let detail = format!("state=Gone known={known} started_ms={started_ms:?}");
+        self.cx.events.record(EventNumber::EndpointLeaving, subject, detail);
+    }
+
+    /// Takes in what the control group fixed.
+    pub fn fix(&self, fixed: Fixed) {
+        self.with_board(|board| board.fix(fixed));
+    }
+
+    /// Looks for silence until the process ends.
+    pub async fn look_for_silence(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            let now = self.cx.clock.now();
+            for name in self.with_board(|board| board.look_for_silence(now)) {
+                let subject = Subject { peer: Some(name), ..Subject::default() };
+                self.cx.events.record(EventNumber::EndpointSilent, subject, "not heard in time");
+            }
+        }
+    }
+
+    async fn wait_for_change(&self, poll: &raw::Poll) {
+        let has_news = |last: &u64| *last > poll.cursor;
+        if poll.core_start != self.start || has_news(&self.changed.borrow()) {
+            return;
+        }
+        let wait = Duration::from_millis(poll.wait_ms.into()).min(POLL_WAIT);
+        let mut changed = self.changed.subscribe();
+        let news = async {
+            // The sender lives as long as this server.
+            let _ = changed.wait_for(has_news).await;
+            tokio::time::sleep(COLLECT).await;
+        };
+        let _ = tokio::time::timeout(wait, news).await;
+    }
+
+    fn answer(&self, poll: &raw::Poll) -> raw::PollAnswer {
+        let board = self.board.lock().expect("not poisoned");
+        let cursor = if poll.core_start == self.start { poll.cursor } else { 0 };
+        let changes = board.changes_after(cursor);
+        let fixed = board.fixed();
+        let is_newer = fixed.config_version > poll.config_version;
+        let config = if is_newer { fixed.config.clone() } else { Bytes::new() };
+        raw::PollAnswer {
+            core_start: self.start,
+            cursor: board.last_change(),
+            endpoints: changes.endpoints.iter().map(Into::into).collect(),
+            instances: changes.instances.iter().map(encode_heard).collect(),
+            config_version: fixed.config_version,
+            config,
+            first_journal_voters: fixed
+                .first_journal_voters
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
+            retiring: fixed.retiring.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
+fn encode_heard(heard: &Heard) -> raw::Presence {
+    raw::Presence { heard: heard.heard, ..raw::Presence::from(&heard.presence) }
+}
+
+#[async_trait]
+impl Handler for RosterServer {
+    async fn handle(&self, _from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
+        let mut poll = raw::Poll::decode(payload).map_err(|cause| cause.to_string())?;
+        let presence = poll.presence.take().ok_or("a poll names no process")?;
+        let presence = Presence::try_from(presence).map_err(|cause| cause.to_string())?;
+        let now = self.cx.clock.now();
+        let name = presence.name.to_string();
+        if self.with_board(|board| board.note_presence(presence, now)) {
+            let subject = Subject { peer: Some(name), ..Subject::default() };
+            self.cx.events.record(EventNumber::InstanceRegistered, subject, "heard");
+        }
+        self.wait_for_change(&poll).await;
+        Ok(self.answer(&poll).encode_to_vec().into())
+    }
+}
--- /dev/null
+++ b/coriandergw/src/roster/view.rs
@@ -0,0 +1,242 @@
+//! What a process knows from the boards of the core instances.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::clock::Timestamp;
+use crate::ids::EndpointName;
+use crate::ids::InstanceName;
+use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
+use crate::roster::Presence;
+use crate::roster::Role;
+use crate::roster::board::Heard;
+use crate::roster::board::MEMORY_OF_THE_GONE;
+
+/// A core instance that has not answered for this long does not count any more.
+pub const CORE_SILENCE: Duration = Duration::from_millis(2_000);
+
+/// How long an endpoint may go unconfirmed after the core instance that told of it was lost.
+/// Endpoints repeat their announcement well within this time.
+pub const CONFIRMATION_LIMIT: Duration = Duration::from_millis(5_000);
+
+/// One answer of a core instance, parsed.
+#[derive(Debug, Clone, Default)]
+pub struct Answer {
+    /// The start of the core instance's process.
+    pub core_start: u64,
+    /// The number of its last change.
+    pub cursor: u64,
+    /// The endpoints that changed.
+    pub endpoints: Vec<EndpointRecord>,
+    /// The processes that changed.
+    pub instances: Vec<Heard>,
+    /// The version of the configuration that it has.
+    pub config_version: u64,
+    /// The configuration, if it is newer than the one that was asked with.
+    pub config: Option<Bytes>,
+    /// The first voters of the journal group.
+    pub first_journal_voters: Vec<InstanceName>,
+    /// Journal instances to be emptied.
+    pub retiring: Vec<Arc<str>>,
+}
+
+#[derive(Debug, Default)]
+struct CoreView {
+    start: u64,
+    cursor: u64,
+    answered_at: Timestamp,
+    instances: BTreeMap<InstanceName, Heard>,
+}
+
+#[derive(Debug)]
+struct Known {
+    record: EndpointRecord,
+    told_by: SocketAddr,
+    updated_at: Timestamp,
+    unconfirmed_since: Option<Timestamp>,
+}
+
+/// Merges the answers of all core instances.
+#[derive(Debug, Default)]
+pub struct View {
+    cores: BTreeMap<SocketAddr, CoreView>,
+    endpoints: BTreeMap<EndpointName, Known>,
+    config_version: u64,
+    config: Bytes,
+    first_journal_voters: Vec<InstanceName>,
+    retiring: Vec<Arc<str>>,
+}
+
+impl View {
+    /// Returns the start and the cursor to ask a core instance with.
+    pub fn position(&self, core: SocketAddr) -> (u64, u64) {
+        self.cores.get(&core).map_or((0, 0), |view| (view.start, view.cursor))
+    }
+
+    /// Takes in an answer of the core instance at `core`.
+    pub fn merge(&mut self, core: SocketAddr, answer: Answer, now: Timestamp) {
+        let view = self.cores.entry(core).or_default();
+        if view.start != answer.core_start {
+            *view = CoreView { start: answer.core_start, ..CoreView::default() };
+            self.unconfirm(core, now);
+        }
+        let view = self.cores.entry(core).or_default();
+        view.cursor = answer.cursor;
+        view.answered_at = now;
+        for heard in answer.instances {
+            view.instances.insert(heard.presence.name.clone(), heard);
+        }
+        for record in answer.endpoints {
+            self.merge_endpoint(core, record, now);
+        }
+        if let Some(config) = answer.config
+            && answer.config_version > self.config_version
+        {
+            self.config_version = answer.config_version;
+            self.config = config;
+        }
+        if !answer.first_journal_voters.is_empty() {
+            self.first_journal_voters = answer.first_journal_voters;
+        }
+        self.retiring = answer.retiring;
+    }
+
+    fn merge_endpoint(&mut self, core: SocketAddr, record: EndpointRecord, now: Timestamp) {
+        let known = self.endpoints.get(&record.id);
+        // Only the core instance that an endpoint talks to can tell that it fell silent.
+        let is_hearsay = |known: &Known| {
+            record.state == EndpointState::Silent
+                && known.told_by != core
+                && record.sequence <= known.record.sequence
+        };
+        let is_newer = |known: &Known| {
+            (record.supersedes(&known.record) || record == known.record) && !is_hearsay(known)
+        };
+        if known.is_none_or(is_newer) {
+            let known = Known { told_by: core, updated_at: now, unconfirmed_since: None, record };
+            self.endpoints.insert(known.record.id.clone(), known);
+        }
+    }
+
+    fn unconfirm(&mut self, core: SocketAddr, now: Timestamp) {
+        for known in self.endpoints.values_mut().filter(|known| known.told_by == core) {
+            known.unconfirmed_since.get_or_insert(now);
+        }
+    }
+
+    /// Drops what nobody vouches for any more; returns the endpoints that were dropped.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<EndpointName> {
+        let reachable: Vec<SocketAddr> = self.reachable_cores(now).collect();
+        if reachable.is_empty() {
+            // An instance without any core instance keeps what it knew.
+            return Vec::new();
+        }
+        let mut dropped = Vec::new();
+        self.endpoints.retain(|id, known| {
+            if !reachable.contains(&known.told_by) {
+                known.unconfirmed_since.get_or_insert(now);
+            }
+            let is_lost =
+                known.unconfirmed_since.is_some_and(|since| now.since(since) > CONFIRMATION_LIMIT);
+            let is_over = known.record.state >= EndpointState::Silent
+                && now.since(known.updated_at) > MEMORY_OF_THE_GONE;
+            if is_lost && known.record.state < EndpointState::Silent {
+                dropped.push(id.clone());
+            }
+            !is_lost && !is_over
+        });
+        dropped
+    }
+
+    fn reachable_cores(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> {
+        let is_reachable = move |view: &CoreView| now.since(view.answered_at) < CORE_SILENCE;
+        self.cores.iter().filter(move |(_, view)| is_reachable(view)).map(|(core, _)| *core)
+    }
+
+    /// Returns the endpoints of a service that may get work.
+    ///
+    /// Of two that claim one address only the later incarnation counts.
+    pub fn usable_endpoints(&self, service: &str) -> Vec<EndpointRecord> {
+        let ready = |known: &&Known| known.record.state == EndpointState::Ready;
+        let is_latest = |known: &&Known| {
+            let same_address = |other: &Known| {
+                other.record.address == known.record.address
+                    && other.record.started_ms > known.record.started_ms
+            };
+            !self.endpoints.values().any(same_address)
+        };
+        let of_service = |known: &&Known| &*known.record.service == service;
+        let usable = self.endpoints.values().filter(of_service).filter(ready).filter(is_latest);
+        usable.map(|known| known.record.clone()).collect()
+    }
+
+    /// Returns what is known of an endpoint.
+    pub fn endpoint(&self, id: &EndpointName) -> Option<&EndpointRecord> {
+        self.endpoints.get(id).map(|known| &known.record)
+    }
+
+    /// Returns the names of all services that endpoints belong to.
+    pub fn services(&self) -> Vec<Arc<str>> {
+        let mut names: Vec<Arc<str>> =
+            self.endpoints.values().map(|known| known.record.service.clone()).collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    /// Returns the processes of a role that some reachable core instance hears.
+    pub fn living(&self, role: Role, now: Timestamp) -> Vec<Presence> {
+        let reachable: Vec<SocketAddr> = self.reachable_cores(now).collect();
+        let counts = |core: &SocketAddr| reachable.is_empty() || reachable.contains(core);
+        let mut found: BTreeMap<InstanceName, Presence> = BTreeMap::new();
+        for (_, view) in self.cores.iter().filter(|(core, _)| counts(core)) {
+            let heard = view.instances.values().filter(|heard| heard.heard);
+            for Heard { presence, .. } in heard.filter(|heard| heard.presence.role == role) {
+                let newer = |known: &Presence| {
+                    (presence.group.term, presence.leaving) > (known.group.term, known.leaving)
+                };
+                if found.get(&presence.name).is_none_or(newer) {
+                    found.insert(presence.name.clone(), presence.clone());
+                }
+            }
+        }
+        found.into_values().collect()
+    }
+
+    /// Returns the leader of a role's group with the highest term that was told of.
+    pub fn leader(&self, role: Role) -> Option<Presence> {
+        let all = self.cores.values().flat_map(|view| view.instances.values());
+        let leaders = all.filter(|heard| heard.presence.role == role && heard.presence.group.leads);
+        leaders.max_by_key(|heard| heard.presence.group.term).map(|heard| heard.presence.clone())
+    }
+
+    /// Returns the addresses of all core instances that were ever told of.
+    pub fn core_names(&self) -> Vec<InstanceName> {
+        let all = self.cores.values().flat_map(|view| view.instances.values());
+        let cores = all.filter(|heard| heard.presence.role == Role::Core && heard.heard);
+        let mut names: Vec<InstanceName> = cores.map(|heard| heard.presence.name.clone()).collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    /// Returns the version of the configuration and the configuration.
+    pub fn config(&self) -> (u64, &Bytes) {
+        (self.config_version, &self.config)
+    }
+
+    /// Returns the first voters of the journal group; empty until they are fixed.
+    pub fn first_journal_voters(&self) -> &[InstanceName] {
+        &self.first_journal_voters
+    }
+
+    /// Returns the journal instances to be emptied.
+    pub fn retiring(&self) -> &[Arc<str>] {
+        &self.retiring
+    }
+}
--- /dev/null
+++ b/coriandergw/src/roster/wire.rs
@@ -0,0 +1,133 @@
+//! Conversions between the roster's types and its messages.
+
+use crate::ids::DataCentre;
+use crate::ids::EndpointName;
+use crate::ids::InstanceName;
+use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
+use crate::roster::GroupStatus;
+use crate::roster::Presence;
+use crate::roster::Role;
+use crate::roster::RosterFault;
+use crate::roster::generated as raw;
+
+fn fault(field: &'static str) -> RosterFault {
+    RosterFault { field }
+}
+
+/// Parses names; one that is not valid fails all.
+pub(super) fn names(raw: Vec<String>) -> Result<Vec<InstanceName>, RosterFault> {
+    let parsed = raw.into_iter().map(InstanceName::try_from).collect::<Result<_, _>>();
+    parsed.map_err(|_| fault("name of an instance"))
+}
+
+fn texts(names: &[InstanceName]) -> Vec<String> {
+    names.iter().map(ToString::to_string).collect()
+}
+
+const ROLES: [(Role, u32); 3] = [(Role::Entry, 1), (Role::Core, 2), (Role::Journal, 3)];
+
+const STATES: [(EndpointState, u32); 4] = [
+    (EndpointState::Ready, 1),
+    (EndpointState::Draining, 2),
+    (EndpointState::Gone, 3),
+    (EndpointState::Silent, 4),
+];
+
+fn number_of<T>(table: &[(T, u32)], value: T) -> u32
+where
+    T: Copy + PartialEq,
+{
+    table.iter().find(|(known, _)| *known == value).map_or(0, |(_, number)| *number)
+}
+
+fn value_of<T>(table: &[(T, u32)], number: u32) -> Option<T>
+where
+    T: Copy,
+{
+    table.iter().find(|(_, known)| *known == number).map(|(value, _)| *value)
+}
+
+impl From<&Presence> for raw::Presence {
+    fn from(presence: &Presence) -> Self {
+        let group = &presence.group;
+        Self {
+            name: presence.name.to_string(),
+            role: number_of(&ROLES, presence.role),
+            data_centre: presence.data_centre.to_string(),
+            node: presence.node.to_string(),
+            caller_address: presence.caller_address.map(|a| a.to_string()).unwrap_or_default(),
+            ready: presence.ready,
+            leaving: presence.leaving,
+            heard: true,
+            started_ms: presence.started_ms,
+            term: group.term,
+            leads: group.leads,
+            voters: texts(&group.voters),
+            learners: texts(&group.learners),
+            is_founder: presence.is_founder,
+        }
+    }
+}
+
+impl TryFrom<raw::Presence> for Presence {
+    type Error = RosterFault;
+
+    fn try_from(raw: raw::Presence) -> Result<Self, RosterFault> {
+        let caller_address = match raw.caller_address.as_str() {
+            "" => None,
+            text => Some(text.parse().map_err(|_| fault("address for callers"))?),
+        };
+        Ok(Self {
+            name: InstanceName::try_from(raw.name).map_err(|_| fault("name"))?,
+            role: value_of(&ROLES, raw.role).ok_or_else(|| fault("role"))?,
+            data_centre: DataCentre::try_from(raw.data_centre).map_err(|_| fault("data centre"))?,
+            node: raw.node.into(),
+            caller_address,
+            ready: raw.ready,
+            leaving: raw.leaving,
+            started_ms: raw.started_ms,
+            group: GroupStatus {
+                term: raw.term,
+                leads: raw.leads,
+                voters: names(raw.voters)?,
+                learners: names(raw.learners)?,
+            },
+            is_founder: raw.is_founder,
+        })
+    }
+}
+
+impl From<&EndpointRecord> for raw::Endpoint {
+    fn from(record: &EndpointRecord) -> Self {
+        Self {
+            id: record.id.to_string(),
+            service: record.service.to_string(),
+            address: record.address.to_string(),
+            data_centre: record.data_centre.to_string(),
+            slots: record.slots,
+            state: number_of(&STATES, record.state),
+            started_ms: record.started_ms,
+            sequence: record.sequence,
+            cold_ms: record.cold_ms,
+        }
+    }
+}
+
+impl TryFrom<raw::Endpoint> for EndpointRecord {
+    type Error = RosterFault;
+
+    fn try_from(raw: raw::Endpoint) -> Result<Self, RosterFault> {
+        Ok(Self {
+            id: EndpointName::try_from(raw.id).map_err(|_| fault("endpoint"))?,
+            service: raw.service.into(),
+            address: raw.address.parse().map_err(|_| fault("address of an endpoint"))?,
+            data_centre: raw.data_centre.into(),
+            slots: raw.slots,
+            state: value_of(&STATES, raw.state).ok_or_else(|| fault("state"))?,
+            started_ms: raw.started_ms,
+            sequence: raw.sequence,
+            cold_ms: raw.cold_ms,
+        })
+    }
+}
--- a/coriandergw/src/transport/mod.rs
+++ b/coriandergw/src/transport/mod.rs
@@ -17,6 +17,7 @@
 pub mod memory;
 pub mod peers;
 pub mod quic;
+pub mod tcp;
 pub mod tls;
 
 /// The largest payload of one message, in bytes.
@@ -40,6 +41,8 @@
     Events = 6,
     /// Requests about programs between homes and journal replicas.
     Programs = 7,
+    /// Polls of the roster: who lives, which endpoints there are, the configuration.
+    Roster = 8,
 }
 
 impl Kind {
@@ -52,6 +55,7 @@
         Kind::Endpoints,
         Kind::Events,
         Kind::Programs,
+        Kind::Roster,
     ];
 
     /// Returns the kind with this number on the wire.
--- /dev/null
+++ b/coriandergw/src/versions/machine.rs
@@ -0,0 +1,106 @@
+//! The state machine of the control group.
+
+use bytes::Bytes;
+use prost::Message as _;
+use tokio::sync::watch;
+
+use crate::ids::InstanceName;
+use crate::log_groups::RestoreError;
+use crate::log_groups::StateMachine;
+use crate::roster::board::Fixed;
+use crate::versions::generated as raw;
+
+/// Keeps the configuration with the highest version.
+pub struct VersionsMachine {
+    state: Fixed,
+    published: watch::Sender<Fixed>,
+}
+
+impl VersionsMachine {
+    /// Creates an empty state; `published` gets each new one.
+    pub fn new(published: watch::Sender<Fixed>) -> Self {
+        Self { state: Fixed::default(), published }
+    }
+
+    fn publish(&self) {
+        self.published.send_if_modified(|known| {
+            let changed = *known != self.state;
+            if changed {
+                known.clone_from(&self.state);
+            }
+            changed
+        });
+    }
+
+    fn apply_command(&mut self, command: raw::Command) {
+        match command.kind {
+            Some(raw::command::Kind::Put(raw::Put { version, document })) => {
+                if version > self.state.config_version {
+                    self.state.config_version = version;
+                    self.state.config = document;
+                }
+            }
+            Some(raw::command::Kind::Found(raw::Found { voters })) => {
+                if self.state.first_journal_voters.is_empty() {
+                    self.state.first_journal_voters = parse_names(voters);
+                }
+            }
+            Some(raw::command::Kind::Retire(raw::Retire { node })) => {
+                if !self.state.retiring.iter().any(|known| **known == *node) {
+                    self.state.retiring.push(node.into());
+                }
+            }
+            Some(raw::command::Kind::Read(_)) | None => {}
+        }
+    }
+}
+
+/// Names in the log were checked before they were proposed.
+fn parse_names(raw: Vec<String>) -> Vec<InstanceName> {
+    raw.into_iter().filter_map(|name| InstanceName::try_from(name).ok()).collect()
+}
+
+fn encode_state(state: &Fixed) -> Bytes {
+    let raw = raw::State {
+        version: state.config_version,
+        document: state.config.clone(),
+        first_journal_voters: state.first_journal_voters.iter().map(ToString::to_string).collect(),
+        retiring: state.retiring.iter().map(ToString::to_string).collect(),
+    };
+    raw.encode_to_vec().into()
+}
+
+/// Decodes the state that answers a command; `None` if it cannot be read.
+pub(super) fn decode_state(bytes: Bytes) -> Option<Fixed> {
+    let raw = raw::State::decode(bytes).ok()?;
+    Some(Fixed {
+        config_version: raw.version,
+        config: raw.document,
+        first_journal_voters: parse_names(raw.first_journal_voters),
+        retiring: raw.retiring.into_iter().map(Into::into).collect(),
+    })
+}
+
+impl StateMachine for VersionsMachine {
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Bytes {
+        // A command that cannot be read changes nothing, on every voter alike.
+        if let Ok(command) = raw::Command::decode(command) {
+            self.apply_command(command);
+            self.publish();
+        }
+        encode_state(&self.state)
+    }
+
+    fn snapshot(&self) -> Bytes {
+        encode_state(&self.state)
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        let state = decode_state(Bytes::copy_from_slice(snapshot));
+        self.state = state.ok_or_else(|| RestoreError {
+            reason: "the snapshot of the configuration cannot be read".to_owned(),
+        })?;
+        self.publish();
+        Ok(())
+    }
+}
--- a/testkit/tests/pages.rs
+++ b/testkit/tests/pages.rs
@@ -44,6 +44,7 @@
 fn all_sources() -> String {
     let mut found = String::new();
     sources(&repository().join("coriandergw/src"), &mut found);
+    sources(&repository().join("platform/src"), &mut found);
     found
 }
 
