perf(roster): leave frozen entry instances out of address answers sooner

An instance was left out 1.6 s after its last poll, and an answer was kept for 1 to 3 s more; what must not be repeated was lost there.

Background tasks and connections end with their process, which the tests of replaced core instances need.

--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::context::Context;
 use crate::events::EventNumber;
@@ -46,6 +47,7 @@
     /// What is known of the others.
     pub roster: Arc<Roster>,
     node: Arc<LogNode>,
+    _tasks: JoinSet<()>,
 }
 
 impl CoreProcess {
@@ -56,7 +58,7 @@
     pub async fn start(settings: &ProcessSettings) -> Result<Self, StartError> {
         let disk = open_disk(settings)?;
         let name = name_on_disk(settings, Role::Core, &*disk)?;
-        let base = Base::start(settings, Role::Core, name.clone()).await?;
+        let mut base = Base::start(settings, Role::Core, name.clone()).await?;
         let voters = first_voters(settings, &name, &*disk)?;
         let board = RosterServer::new(base.cx.clone(), settings.endpoint_silence);
         base.transport.register(Kind::Roster, board.clone());
@@ -73,8 +75,8 @@
         let versions = Versions::new(node.clone());
         base.roster.update_presence(|presence| presence.ready = true);
         base.poll(settings);
-        tokio::spawn(board.clone().look_for_silence());
-        tokio::spawn(publish(fixed, board.clone()));
+        base.tasks.spawn(board.clone().look_for_silence());
+        base.tasks.spawn(publish(fixed, board.clone()));
         let steward = StewardDriver {
             cx: base.cx.clone(),
             group: CONTROL_GROUP,
@@ -83,7 +85,7 @@
             node: node.clone(),
             roster: base.roster.clone(),
         };
-        tokio::spawn(steward.run());
+        base.tasks.spawn(steward.run());
         let founder = Founder {
             cx: base.cx.clone(),
             versions: versions.clone(),
@@ -91,8 +93,8 @@
             roster: base.roster.clone(),
             wanted: settings.voters_wanted(),
         };
-        tokio::spawn(founder.run());
-        Ok(Self { cx: base.cx, versions, board, roster: base.roster, node })
+        base.tasks.spawn(founder.run());
+        Ok(Self { versions, board, node, cx: base.cx, roster: base.roster, _tasks: base.tasks })
     }
 
     /// Stops to take part in the log and frees the data folder.
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 
 use crate::context::Context;
 use crate::forwarding::Dialect;
@@ -25,11 +26,14 @@
 use crate::token_budgets::client::BudgetClient;
 
 /// How long callers may keep an address answer.
-pub const ADDRESS_TTL: Duration = Duration::from_millis(1_000);
+pub const ADDRESS_TTL: Duration = Duration::from_millis(500);
 
 /// Some callers keep an answer this many times as long.
 const KEPT_TIMES: u32 = 3;
 
+/// How long the word of a leaving instance takes to reach all others, and look-ups take.
+const LEAVE_SLACK: Duration = Duration::from_millis(700);
+
 /// How long requests under way may take once no new ones are taken.
 const FINISH_LIMIT: Duration = Duration::from_millis(4_200);
 
@@ -43,6 +47,7 @@
     pub forwarder: Arc<Forwarder>,
     phase: watch::Sender<Phase>,
     serving: Mutex<Option<JoinHandle<()>>>,
+    _tasks: JoinSet<()>,
 }
 
 impl EntryProcess {
@@ -58,22 +63,22 @@
     ) -> Result<Self, StartError> {
         let address = SocketAddr::new(settings.ip, settings.port(Role::Entry));
         let name = name_of(address, &format!("{:08x}", rand::random::<u32>()))?;
-        let base = Base::start(settings, Role::Entry, name).await?;
+        let mut base = Base::start(settings, Role::Entry, name).await?;
         let listener = server::bind(callers)
             .await
             .map_err(|cause| StartError::Bind { address: callers, cause })?;
         base.poll(settings);
         let log = Arc::new(LogClient::new(base.transport.clone(), Vec::new()));
-        tokio::spawn(follow_journal(base.roster.clone(), log.clone()));
+        base.tasks.spawn(follow_journal(base.roster.clone(), log.clone()));
         let budgets = BudgetClient::start(base.cx.clone(), log);
         let roster = base.roster.clone();
         let forwarder = Forwarder::new(base.cx.clone(), dialect, reader, roster.clone(), budgets);
-        tokio::spawn(forwarder.clone().follow_roster());
-        tokio::spawn(tell_ready(roster.clone(), forwarder.clone()));
+        base.tasks.spawn(forwarder.clone().follow_roster());
+        base.tasks.spawn(tell_ready(roster.clone(), forwarder.clone()));
         let (phase, phases) = watch::channel(Phase::Serves);
         let serving = tokio::spawn(server::serve(listener, forwarder.clone(), phases));
         let serving = Mutex::new(Some(serving));
-        Ok(Self { cx: base.cx, roster, forwarder, phase, serving })
+        Ok(Self { cx: base.cx, roster, forwarder, phase, serving, _tasks: base.tasks })
     }
 
     /// Returns whether requests can be served.
@@ -86,7 +91,7 @@
     pub async fn stop(&self) {
         self.roster.update_presence(|presence| presence.leaving = true);
         self.forwarder.drain();
-        tokio::time::sleep(ADDRESS_TTL * KEPT_TIMES).await;
+        tokio::time::sleep(ADDRESS_TTL * KEPT_TIMES + LEAVE_SLACK).await;
         self.phase.send_replace(Phase::Finishes);
         // What takes longer is cut off by the end of the process.
         let serving = self.serving.lock().expect("not poisoned").take();
--- a/coriandergw/src/roles/journal.rs
+++ b/coriandergw/src/roles/journal.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use tokio::task::JoinSet;
+
 use crate::context::Context;
 use crate::ids::InstanceName;
 use crate::log_groups::node::LogNode;
@@ -27,6 +29,7 @@
     pub cx: Context,
     roster: Arc<Roster>,
     node: Arc<LogNode>,
+    _tasks: JoinSet<()>,
 }
 
 impl JournalProcess {
@@ -37,7 +40,7 @@
     pub async fn start(settings: &ProcessSettings) -> Result<Self, StartError> {
         let disk = open_disk(settings)?;
         let name = name_on_disk(settings, Role::Journal, &*disk)?;
-        let base = Base::start(settings, Role::Journal, name.clone()).await?;
+        let mut base = Base::start(settings, Role::Journal, name.clone()).await?;
         base.poll(settings);
         let voters = first_voters(&base.roster, &name, &*disk).await?;
         let options = LogOptions {
@@ -57,8 +60,8 @@
             node: node.clone(),
             roster: base.roster.clone(),
         };
-        tokio::spawn(steward.run());
-        Ok(Self { cx: base.cx, roster: base.roster, node })
+        base.tasks.spawn(steward.run());
+        Ok(Self { node, cx: base.cx, roster: base.roster, _tasks: base.tasks })
     }
 
     /// Stops to take part in the log and frees the data folder.
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -10,6 +10,7 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use tokio::task::JoinSet;
 
 use crate::clock::Clock;
 use crate::clock::SystemClock;
@@ -158,6 +159,8 @@
     pub transport: Arc<dyn Transport>,
     /// What is known of the others.
     pub roster: Arc<Roster>,
+    /// What runs in the background; ends with the process.
+    tasks: JoinSet<()>,
 }
 
 impl Base {
@@ -197,12 +200,12 @@
             is_founder: settings.is_first_start,
         };
         let roster = Roster::new(cx.clone(), presence);
-        Ok(Self { cx, transport, roster })
+        Ok(Self { cx, transport, roster, tasks: JoinSet::new() })
     }
 
-    fn poll(&self, settings: &ProcessSettings) {
+    fn poll(&mut self, settings: &ProcessSettings) {
         let (transport, seeds) = (self.transport.clone(), settings.seed_addresses());
-        tokio::spawn(self.roster.clone().run(transport, seeds));
+        self.tasks.spawn(self.roster.clone().run(transport, seeds));
     }
 }
 
--- /dev/null
+++ b/coriandergw/src/roles/tests/dishonest.rs
@@ -0,0 +1,132 @@
+//! Endpoints that break off, answer twice, answer for others or answer nonsense.
+
+use crate::roles::tests::endpoint::Endpoint;
+use crate::roles::tests::endpoint::Step;
+use crate::roles::tests::endpoint::answer;
+use crate::roles::tests::world::World;
+use crate::roles::tests::world::get;
+use crate::roles::tests::world::post;
+use crate::roles::tests::world::status;
+
+/// Misbehaves on the first request and answers all others.
+async fn bad_first(bad: fn(&str) -> Vec<Step>) -> Endpoint {
+    Endpoint::start(move |number, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        match number {
+            0 => bad(&attempt),
+            _ => vec![Step::Send(answer(&attempt, &format!("good {attempt}")))],
+        }
+    })
+    .await
+}
+
+fn truncated(attempt: &str) -> Vec<Step> {
+    let mut bytes = answer(attempt, "good but cut");
+    bytes.truncate(bytes.len() - 4);
+    vec![Step::Send(bytes), Step::Close]
+}
+
+fn nonsense(_attempt: &str) -> Vec<Step> {
+    vec![Step::Send(b"\x16\x03\x01 this is no answer\r\n\r\n".to_vec()), Step::Close]
+}
+
+fn of_another(_attempt: &str) -> Vec<Step> {
+    vec![Step::Send(answer("somebody-else", "good but foreign"))]
+}
+
+fn reset(_attempt: &str) -> Vec<Step> {
+    vec![Step::Reset]
+}
+
+fn unsigned(attempt: &str) -> Vec<Step> {
+    let head = format!("HTTP/1.1 200 OK\r\nattempt: {attempt}\r\ncontent-length: 4\r\n\r\nfake");
+    vec![Step::Send(head.into_bytes())]
+}
+
+const BAD: [fn(&str) -> Vec<Step>; 5] = [truncated, nonsense, of_another, reset, unsigned];
+
+#[tokio::test]
+async fn an_idempotent_request_is_repeated_until_its_own_whole_answer_comes() {
+    for bad in BAD {
+        let world = World::start().await;
+        let endpoint = bad_first(bad).await;
+        world.announce("a", "plain", &endpoint).await;
+        let reply = world.ask(&get("/safe/x", "t1", "")).await;
+        assert!(reply.ends_with("good t1"), "{reply}");
+        assert_eq!(endpoint.seen().len(), 2);
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_must_not_repeat_is_sent_once_and_never_said_not_to_have_run() {
+    for bad in BAD {
+        let world = World::start().await;
+        let endpoint = bad_first(bad).await;
+        world.announce("a", "plain", &endpoint).await;
+        let reply = world.ask(&post("/once/x", "t1", "", "pay")).await;
+        assert_eq!(status(&reply), "502", "{reply}");
+        assert!(reply.contains("\"not_run\":false"), "{reply}");
+        assert_eq!(endpoint.seen().len(), 1);
+    }
+}
+
+#[tokio::test]
+async fn bytes_after_an_answer_belong_to_nobody() {
+    let world = World::start().await;
+    let endpoint = bad_first(|attempt| {
+        let mut bytes = answer(attempt, "first");
+        bytes.extend(answer(attempt, "extra"));
+        vec![Step::Send(bytes)]
+    })
+    .await;
+    world.announce("a", "plain", &endpoint).await;
+    let first = world.ask(&post("/once/x", "t1", "", "pay")).await;
+    assert!(first.ends_with("first"), "{first}");
+    let second = world.ask(&get("/safe/x", "t2", "")).await;
+    assert!(second.ends_with("good t2"), "{second}");
+}
+
+#[tokio::test]
+async fn a_refusal_that_has_not_run_goes_to_another_endpoint() {
+    let world = World::start().await;
+    let refusing = || {
+        Endpoint::start(|_, seen| {
+            let attempt = seen.header("attempt").unwrap_or_default();
+            let head = format!(
+                "HTTP/1.1 421 Misdirected\r\nattempt: {attempt}\r\nnot-run: 1\r\n\
+                 content-length: 0\r\n\r\n"
+            );
+            vec![Step::Send(head.into_bytes())]
+        })
+    };
+    let good = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        vec![Step::Send(answer(&attempt, "good"))]
+    })
+    .await;
+    let (first, second) = (refusing().await, refusing().await);
+    world.announce("a", "plain", &first).await;
+    world.announce("b", "plain", &second).await;
+    world.announce("c", "plain", &good).await;
+    for attempt in ["t1", "t2", "t3", "t4"] {
+        let reply = world.ask(&post("/once/x", attempt, "", "pay")).await;
+        assert!(reply.ends_with("good"), "{reply}");
+    }
+    assert_eq!(good.seen().len(), 4);
+}
+
+#[tokio::test]
+async fn an_answer_that_comes_before_the_body_was_read_is_passed_on() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        vec![Step::Send(answer(&attempt, &format!("{} bytes", seen.body.len())))]
+    })
+    .await;
+    world.announce("a", "plain", &endpoint).await;
+    let body = "x".repeat(300_000);
+    let reply = world.ask(&post("/once/x", "t1", "", &body)).await;
+    assert!(reply.ends_with("300000 bytes"), "{reply}");
+    let reply = world.ask(&get("/safe/x", "t2", "")).await;
+    assert!(reply.ends_with("0 bytes"), "{reply}");
+}
--- /dev/null
+++ b/coriandergw/src/roles/tests/endpoint.rs
@@ -0,0 +1,167 @@
+//! An endpoint that follows a script, byte by byte.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use bytes::BytesMut;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+/// One request as it arrived.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    /// Returns the value of a header.
+    pub fn header(&self, name: &str) -> Option<String> {
+        let lines = self.head.lines().skip(1).filter_map(|line| line.split_once(':'));
+        let mut found = lines.filter(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.next().map(|(_, value)| value.trim().to_owned())
+    }
+
+    pub fn path(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or_default()
+    }
+}
+
+/// What an endpoint does with a request.
+pub enum Step {
+    Send(Vec<u8>),
+    /// Closes with a reset.
+    Reset,
+    /// Closes after what was sent.
+    Close,
+    /// Never does anything again.
+    Hang,
+}
+
+type Script = dyn Fn(usize, &Seen) -> Vec<Step> + Send + Sync;
+
+/// A scripted endpoint; the script gets the number of the request and the request.
+#[derive(Clone)]
+pub struct Endpoint {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    closed: Arc<Mutex<usize>>,
+}
+
+impl Endpoint {
+    pub async fn start<F>(script: F) -> Self
+    where
+        F: Fn(usize, &Seen) -> Vec<Step> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let address = listener.local_addr().expect("address");
+        let endpoint = Self { address, seen: Arc::default(), closed: Arc::default() };
+        let (served, script): (Self, Arc<Script>) = (endpoint.clone(), Arc::new(script));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (served, script) = (served.clone(), script.clone());
+                tokio::spawn(async move {
+                    served.serve(stream, script).await;
+                    *served.closed.lock().expect("not poisoned") += 1;
+                });
+            }
+        });
+        endpoint
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().expect("not poisoned").clone()
+    }
+
+    /// Returns how many connections have ended.
+    pub fn closed(&self) -> usize {
+        *self.closed.lock().expect("not poisoned")
+    }
+
+    async fn serve(&self, mut stream: TcpStream, script: Arc<Script>) {
+        let mut buf = BytesMut::new();
+        while let Some(request) = read_request(&mut stream, &mut buf).await {
+            let number = {
+                let mut seen = self.seen.lock().expect("not poisoned");
+                seen.push(request.clone());
+                seen.len() - 1
+            };
+            for step in script(number, &request) {
+                match step {
+                    Step::Send(bytes) => {
+                        if stream.write_all(&bytes).await.is_err() {
+                            return;
+                        }
+                    }
+                    Step::Close => return,
+                    Step::Reset => {
+                        let socket = socket2::SockRef::from(&stream);
+                        let _ = socket.set_linger(Some(std::time::Duration::ZERO));
+                        return;
+                    }
+                    Step::Hang => {
+                        // Ends when the peer goes away.
+                        let _ = stream.read(&mut [0; 1]).await;
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream, buf: &mut BytesMut) -> Option<Seen> {
+    let end = loop {
+        if let Some(at) = buf.windows(4).position(|window| window == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(buf).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8(buf.split_to(end).to_vec()).ok()?;
+    let mut request = Seen { head, body: Vec::new() };
+    let length = request.header("content-length").and_then(|text| text.parse().ok());
+    let length: usize = length.unwrap_or(0);
+    while buf.len() < length {
+        if stream.read_buf(buf).await.ok()? == 0 {
+            return None;
+        }
+    }
+    request.body = buf.split_to(length).to_vec();
+    Some(request)
+}
+
+/// Returns a signed answer with a length.
+pub fn answer(attempt: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\ncontent-length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+/// Returns the head of a signed stream in chunks.
+pub fn stream_head(attempt: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n\
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+/// Returns one chunk.
+pub fn chunk(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
+
+/// Returns an event.
+pub fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+/// Returns the end of a stream in chunks.
+pub fn last_chunk() -> Vec<u8> {
+    b"0\r\n\r\n".to_vec()
+}
--- /dev/null
+++ b/coriandergw/src/roles/tests/groups.rs
@@ -0,0 +1,83 @@
+//! Core instances that are lost, wiped and replaced.
+
+use crate::ids::InstanceName;
+use crate::roles::core::CoreProcess;
+use crate::roles::tests::world::Machine;
+use crate::roles::tests::world::Site;
+use crate::roles::tests::world::wait_for;
+use crate::roster::Role;
+use crate::roster::poller::Roster;
+use crate::versions::Versions;
+
+async fn put(versions: &Versions, version: u64) {
+    // A change without an answer is sent again, as operators do.
+    while versions.put(version, version.to_string().into()).await.is_err() {}
+}
+
+fn voters(roster: &Roster) -> Vec<InstanceName> {
+    roster.with_view(|view| view.leader(Role::Core)).map(|p| p.group.voters).unwrap_or_default()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_disks_lost_one_after_the_other_lose_no_configuration() {
+    let mut site = Site::new(3, 1).await;
+    let machines: Vec<Machine> = (0..3).map(|_| site.machine(true)).collect();
+    let mut cores = Vec::new();
+    for machine in &machines {
+        cores.push(CoreProcess::start(&machine.settings).await.expect("starts"));
+    }
+    put(&cores[0].versions, 7).await;
+    for _ in 0..2 {
+        let lost = cores.remove(0);
+        let lost_name = lost.cx.instance.clone();
+        lost.stop().await;
+        drop(lost);
+        // It comes back at another address with an empty disk.
+        let fresh = site.machine(false);
+        let replacement = CoreProcess::start(&fresh.settings).await.expect("starts");
+        let new_name = replacement.cx.instance.clone();
+        cores.push(replacement);
+        let is_replaced = || {
+            let voters = voters(&cores[0].roster);
+            voters.contains(&new_name) && !voters.contains(&lost_name) && voters.len() == 3
+        };
+        wait_for("the replacement of the voter", is_replaced).await;
+        std::mem::forget(fresh);
+    }
+    let fixed = loop {
+        if let Ok(fixed) = cores[2].versions.read().await {
+            break fixed;
+        }
+    };
+    assert_eq!(fixed.config_version, 7);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_lost_its_disk_is_a_new_member_at_the_same_address() {
+    let mut site = Site::new(3, 1).await;
+    let machines: Vec<Machine> = (0..3).map(|_| site.machine(true)).collect();
+    let mut cores = Vec::new();
+    for machine in &machines {
+        cores.push(CoreProcess::start(&machine.settings).await.expect("starts"));
+    }
+    put(&cores[0].versions, 7).await;
+    let lost = cores.pop().expect("three");
+    let lost_name = lost.cx.instance.clone();
+    lost.stop().await;
+    drop(lost);
+    let moved = site.machine(false);
+    let mut settings = machines[2].settings.clone();
+    // The address between instances stays bound by the process of this test.
+    settings.ip = moved.settings.ip;
+    settings.is_first_start = false;
+    settings.data_folder = moved.settings.data_folder.clone();
+    let wiped = CoreProcess::start(&settings).await.expect("starts");
+    let new_name = wiped.cx.instance.clone();
+    assert_ne!(new_name, lost_name);
+    let is_replaced = || {
+        let voters = voters(&cores[0].roster);
+        voters.contains(&new_name) && !voters.contains(&lost_name)
+    };
+    wait_for("the new incarnation as a voter", is_replaced).await;
+    put(&wiped.versions, 8).await;
+}
--- /dev/null
+++ b/coriandergw/src/roles/tests/routing.rs
@@ -0,0 +1,104 @@
+//! Routes, limits and connections of callers.
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+
+use crate::roles::tests::endpoint::Endpoint;
+use crate::roles::tests::endpoint::Step;
+use crate::roles::tests::endpoint::answer;
+use crate::roles::tests::world::World;
+use crate::roles::tests::world::get;
+use crate::roles::tests::world::post;
+use crate::roles::tests::world::status;
+use crate::roles::tests::world::wait_for;
+
+async fn echo() -> Endpoint {
+    Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        let body = format!("{} {}", seen.path(), String::from_utf8_lossy(&seen.body));
+        vec![Step::Send(answer(&attempt, &body))]
+    })
+    .await
+}
+
+#[tokio::test]
+async fn a_request_reaches_an_endpoint_unchanged_and_its_answer_comes_back() {
+    let world = World::start().await;
+    let endpoint = echo().await;
+    world.announce("a", "plain", &endpoint).await;
+    let reply = world.ask(&post("/once/x?y=1", "t1", "extra: kept\r\n", "body")).await;
+    assert!(reply.ends_with("/once/x?y=1 body"), "{reply}");
+    assert!(reply.contains("signed: yes"), "{reply}");
+    let seen = endpoint.seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].header("endpoint").as_deref(), Some("a"));
+    assert_eq!(seen[0].header("extra").as_deref(), Some("kept"));
+    assert_eq!(seen[0].header("connection"), None);
+}
+
+#[tokio::test]
+async fn an_instance_without_a_configuration_refuses_and_says_so() {
+    let world = World::start_without_configuration().await;
+    let reply = world.ask(&get("/safe/x", "t1", "")).await;
+    assert_eq!(status(&reply), "503", "{reply}");
+    assert!(reply.contains("retry-after"), "{reply}");
+}
+
+#[tokio::test]
+async fn what_no_route_takes_is_not_found() {
+    let world = World::start().await;
+    assert_eq!(status(&world.ask(&get("/unknown/x", "t1", "")).await), "404");
+}
+
+#[tokio::test]
+async fn without_endpoints_a_request_is_refused_at_once_as_not_run() {
+    let world = World::start().await;
+    let reply = world.ask(&get("/safe/x", "t1", "")).await;
+    assert_eq!(status(&reply), "503", "{reply}");
+    assert!(reply.contains("\"not_run\":true"), "{reply}");
+}
+
+#[tokio::test]
+async fn chunked_and_pipelined_requests_get_their_answers_in_order() {
+    let world = World::start().await;
+    let endpoint = echo().await;
+    world.announce("a", "plain", &endpoint).await;
+    let first = "POST /once/1 HTTP/1.1\r\nhost: host\r\nattempt: t1\r\n\
+                 transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    let second = get("/safe/2", "t2", "");
+    let reply = world.ask(&format!("{first}{second}")).await;
+    let (one, two) = (reply.find("/once/1 abcde"), reply.find("/safe/2 "));
+    assert!(one.is_some() && one < two, "{reply}");
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work_for_it() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, _| vec![Step::Hang]).await;
+    world.announce("a", "plain", &endpoint).await;
+    let mut stream = world.connect().await;
+    stream.write_all(get("/safe/x", "t1", "").as_bytes()).await.expect("sent");
+    wait_for("the request at the endpoint", || endpoint.seen().len() == 1).await;
+    drop(stream);
+    wait_for("the end of the work", || endpoint.closed() == 1).await;
+}
+
+#[tokio::test]
+async fn a_stopping_entry_finishes_what_it_has_begun() {
+    let world = World::start().await;
+    let endpoint = echo().await;
+    world.announce("a", "plain", &endpoint).await;
+    let mut open = world.connect().await;
+    let stopping = world.entry.stop();
+    let asking = async {
+        wait_for("the drain", || !world.entry.is_ready()).await;
+        let request = "GET /safe/x HTTP/1.1\r\nhost: host\r\nattempt: t1\r\n\r\n";
+        open.write_all(request.as_bytes()).await.expect("sent");
+        let mut reply = Vec::new();
+        open.read_to_end(&mut reply).await.expect("whole");
+        String::from_utf8_lossy(&reply).into_owned()
+    };
+    let ((), reply) = tokio::join!(stopping, asking);
+    assert!(reply.ends_with("/safe/x "), "{reply}");
+    assert!(reply.contains("connection: close"), "{reply}");
+}
--- /dev/null
+++ b/coriandergw/src/roles/tests/streams.rs
@@ -0,0 +1,97 @@
+//! Streams of events that break and go on.
+
+use crate::roles::tests::endpoint::Endpoint;
+use crate::roles::tests::endpoint::Seen;
+use crate::roles::tests::endpoint::Step;
+use crate::roles::tests::endpoint::chunk;
+use crate::roles::tests::endpoint::event;
+use crate::roles::tests::endpoint::last_chunk;
+use crate::roles::tests::endpoint::stream_head;
+use crate::roles::tests::world::World;
+use crate::roles::tests::world::event_ids;
+use crate::roles::tests::world::post;
+
+/// The events of a whole stream.
+const EVENTS: u64 = 6;
+
+/// Sends the events after the one that the request names, to the end.
+fn rest(seen: &Seen) -> Vec<Step> {
+    let attempt = seen.header("attempt").unwrap_or_default();
+    let after = seen.header("last-event").and_then(|id| id.parse().ok()).unwrap_or(0);
+    let mut bytes = stream_head(&attempt);
+    for id in after + 1..=EVENTS {
+        bytes.extend(chunk(&event(id)));
+    }
+    bytes.extend(last_chunk());
+    vec![Step::Send(bytes)]
+}
+
+/// Sends three events and half of the fourth, and breaks off.
+fn half(seen: &Seen) -> Vec<Step> {
+    let attempt = seen.header("attempt").unwrap_or_default();
+    let mut bytes = stream_head(&attempt);
+    for id in 1..=3 {
+        bytes.extend(chunk(&event(id)));
+    }
+    bytes.extend(chunk("id: 4\ndata: pie"));
+    vec![Step::Send(bytes), Step::Close]
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_within_an_event_goes_on_without_loss_or_repetition() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|number, seen| match number {
+        0 => half(seen),
+        _ => rest(seen),
+    })
+    .await;
+    world.announce("a", "engines", &endpoint).await;
+    let reply = world.ask(&post("/stream/x", "t1", "", "prompt")).await;
+    assert_eq!(event_ids(&reply), [1, 2, 3, 4, 5, 6], "{reply}");
+    assert!(reply.ends_with("0\r\n\r\n"), "{reply}");
+    let seen = endpoint.seen();
+    assert_eq!(seen.len(), 2);
+    assert_eq!(seen[1].header("last-event").as_deref(), Some("3"));
+    assert_eq!(seen[1].body, b"prompt");
+}
+
+#[tokio::test]
+async fn a_stream_that_must_not_repeat_does_not_look_complete_when_it_breaks() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, seen| half(seen)).await;
+    world.announce("a", "engines", &endpoint).await;
+    let reply = world.ask(&post("/fragile/x", "t1", "", "prompt")).await;
+    assert_eq!(event_ids(&reply), [1, 2, 3], "{reply}");
+    assert!(!reply.ends_with("0\r\n\r\n"), "{reply}");
+    assert_eq!(endpoint.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn events_that_the_caller_has_are_not_repeated_by_an_endpoint_that_starts_anew() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, seen| {
+        let without = Seen { head: seen.head.replace("last-event", "ignored"), ..seen.clone() };
+        rest(&without)
+    })
+    .await;
+    world.announce("a", "engines", &endpoint).await;
+    let reply = world.ask(&post("/stream/x", "t1", "last-event: 4\r\n", "prompt")).await;
+    assert_eq!(event_ids(&reply), [5, 6], "{reply}");
+}
+
+#[tokio::test]
+async fn the_turns_of_a_program_go_to_one_engine() {
+    let world = World::start().await;
+    let mut engines = Vec::new();
+    for name in ["a", "b", "c", "d"] {
+        let engine = Endpoint::start(|_, seen| rest(seen)).await;
+        world.announce(name, "engines", &engine).await;
+        engines.push(engine);
+    }
+    for attempt in 0..8 {
+        let more = "program: p1\r\n";
+        world.ask(&post("/stream/x", &format!("t{attempt}"), more, "prompt")).await;
+    }
+    let counts: Vec<usize> = engines.iter().map(|engine| engine.seen().len()).collect();
+    assert_eq!(counts.iter().max(), Some(&8), "{counts:?}");
+}
--- /dev/null
+++ b/coriandergw/src/roles/tests/world.rs
@@ -0,0 +1,289 @@
+//! Processes over loopback: one machine an address of 127.0.0.0/8.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::forwarding::AnswerHead;
+use crate::forwarding::CallHead;
+use crate::forwarding::Dialect;
+use crate::forwarding::HeadFault;
+use crate::forwarding::ProgramHead;
+use crate::forwarding::SendHead;
+use crate::forwarding::TokenUse;
+use crate::forwarding::forwarder::ConfigReader;
+use crate::ids::DataCentre;
+use crate::ids::EndpointName;
+use crate::roles::ProcessSettings;
+use crate::roles::core::CoreProcess;
+use crate::roles::entry::EntryProcess;
+use crate::roles::journal::JournalProcess;
+use crate::roles::tests::endpoint::Endpoint;
+use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
+use crate::routes::CallerLimits;
+use crate::routes::EngineTraits;
+use crate::routes::Repetition;
+use crate::routes::Route;
+use crate::routes::RouteTable;
+use crate::routes::Service;
+
+/// How long a condition may take before a test gives up.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+
+/// Waits until `condition` holds.
+pub async fn wait_for<F>(what: &str, condition: F)
+where
+    F: Fn() -> bool,
+{
+    let polled = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_LIMIT, polled).await.unwrap_or_else(|_| panic!("waited for {what}"));
+}
+
+/// Plain header names, as a deployment of our own might use them.
+struct PlainHeaders;
+
+fn text(headers: &HeaderMap, name: &str) -> Option<Arc<str>> {
+    Some(headers.get(name)?.to_str().ok()?.into())
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+impl Dialect for PlainHeaders {
+    fn read_call(&self, headers: &HeaderMap) -> Result<CallHead, HeadFault> {
+        Ok(CallHead {
+            attempt: text(headers, "attempt").ok_or(HeadFault { field: "attempt" })?,
+            deadline: number(headers, "deadline").map(Duration::from_millis),
+            program: text(headers, "program").map(|program| ProgramHead {
+                program,
+                budget: number(headers, "budget"),
+                time_left: None,
+            }),
+            tokens: number(headers, "output-max")
+                .map(|output_max| TokenUse { prompt: 10, output_max }),
+            affinity: None,
+            last_event: number(headers, "last-event"),
+        })
+    }
+
+    fn write_send(&self, headers: &mut HeaderMap, head: &SendHead) {
+        let endpoint = HeaderValue::try_from(head.endpoint.as_str()).expect("a header");
+        headers.insert("endpoint", endpoint);
+        if let Some(last_event) = head.last_event {
+            headers.insert("last-event", HeaderValue::from(last_event));
+        }
+    }
+
+    fn read_answer(&self, _status: StatusCode, headers: &HeaderMap) -> AnswerHead {
+        AnswerHead {
+            attempt: text(headers, "attempt"),
+            is_signed: headers.contains_key("signed"),
+            not_run: headers.contains_key("not-run"),
+            load: None,
+        }
+    }
+}
+
+/// Reads a configuration that is only its version: the routes are always those of the tests.
+struct TestConfig;
+
+fn route(name: &str, repetition: Repetition, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "host".into(),
+        prefix: format!("/{name}/").into(),
+        repetition,
+        timeout: Duration::from_secs(20),
+        target: Duration::from_millis(500),
+        target_gap: None,
+        priority: 0,
+        services: vec![(service.into(), 1)],
+        endpoints_max: 2,
+        sticky: false,
+    }
+}
+
+impl ConfigReader for TestConfig {
+    fn read(&self, document: &[u8]) -> Result<RouteTable, String> {
+        let version = std::str::from_utf8(document).ok().and_then(|text| text.parse().ok());
+        let version = version.ok_or("no version")?;
+        let routes = vec![
+            route("safe", Repetition::Idempotent, "plain"),
+            route("once", Repetition::Once, "plain"),
+            route("stream", Repetition::ResumableStream, "engines"),
+            route("fragile", Repetition::Stream, "engines"),
+        ];
+        let engine = EngineTraits { slots: 8, tokens_per_event: 3 };
+        let service =
+            |name: &str, engine| Service { name: name.into(), connections_max: 100, engine };
+        let services = vec![service("plain", None), service("engines", Some(engine))];
+        RouteTable::new(version, routes, services, CallerLimits::default())
+            .map_err(|fault| fault.to_string())
+    }
+}
+
+/// A machine of a test.
+pub struct Machine {
+    pub settings: ProcessSettings,
+    _folder: TempDir,
+}
+
+/// Machines at addresses that no other test uses.
+pub struct Site {
+    third: u8,
+    fourth: u8,
+    first_port: u16,
+    seeds: Vec<IpAddr>,
+    tolerated_losses: usize,
+}
+
+impl Site {
+    /// Creates a site whose first `seeds` machines are the seeds.
+    pub async fn new(seeds: u8, tolerated_losses: usize) -> Self {
+        let probe = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let port = probe.local_addr().expect("address").port();
+        // The port is free on 127.0.0.1 only, so the third byte keeps tests apart as well.
+        let third = rand::random_range(1..=250);
+        let first_port = port.min(60_000);
+        let ip = |fourth| IpAddr::V4(Ipv4Addr::new(127, 20, third, fourth));
+        let seeds = (1..=seeds).map(ip).collect();
+        Self { third, fourth: 0, first_port, seeds, tolerated_losses }
+    }
+
+    /// Adds a machine with an empty disk.
+    pub fn machine(&mut self, is_first_start: bool) -> Machine {
+        self.fourth += 1;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 20, self.third, self.fourth));
+        let folder = TempDir::new().expect("a folder");
+        let settings = ProcessSettings {
+            node: format!("machine-{}", self.fourth).into(),
+            data_centre: DataCentre::try_from("dc").expect("a name"),
+            ip,
+            first_port: self.first_port,
+            seeds: self.seeds.clone(),
+            data_folder: Some(folder.path().to_owned()),
+            is_first_start,
+            tolerated_losses: self.tolerated_losses,
+            endpoint_silence: Duration::from_secs(60),
+            caller_address: Some(SocketAddr::new(ip, self.first_port + 5)),
+        };
+        Machine { settings, _folder: folder }
+    }
+}
+
+/// One machine of each role, serving.
+pub struct World {
+    pub core: CoreProcess,
+    pub journal: JournalProcess,
+    pub entry: EntryProcess,
+    pub callers: SocketAddr,
+    _machine: Machine,
+}
+
+impl World {
+    /// Starts all roles on one machine and applies the configuration of the tests.
+    pub async fn start() -> Self {
+        let world = Self::start_without_configuration().await;
+        world.core.versions.put(1, "1".into()).await.expect("committed");
+        wait_for("the configuration", || world.entry.forwarder.is_ready()).await;
+        world
+    }
+
+    pub async fn start_without_configuration() -> Self {
+        let mut site = Site::new(1, 0).await;
+        let machine = site.machine(true);
+        let mut journal_settings = machine.settings.clone();
+        let folder = machine.settings.data_folder.clone().expect("a folder");
+        journal_settings.data_folder = Some(folder.join("journal"));
+        let core = CoreProcess::start(&machine.settings).await.expect("the core starts");
+        let journal = JournalProcess::start(&journal_settings).await.expect("the journal starts");
+        let callers = machine.settings.caller_address.expect("an address");
+        let (dialect, reader) = (Arc::new(PlainHeaders), Arc::new(TestConfig));
+        let entry = EntryProcess::start(&machine.settings, callers, dialect, reader).await;
+        let entry = entry.expect("the entry starts");
+        Self { core, journal, entry, callers, _machine: machine }
+    }
+
+    /// Announces an endpoint and waits until the entry instance knows it.
+    pub async fn announce(&self, id: &str, service: &str, endpoint: &Endpoint) {
+        let id = EndpointName::try_from(id).expect("a name");
+        self.core.board.announce(record(&id, service, endpoint.address));
+        let is_known = || self.entry.roster.with_view(|view| view.endpoint(&id).is_some());
+        wait_for("the endpoint", is_known).await;
+        // The forwarder follows the same change in a task of its own.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    /// Opens a caller's connection.
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.callers).await.expect("connected")
+    }
+
+    /// Sends one request on a connection of its own and returns the whole answer as text.
+    pub async fn ask(&self, request: &str) -> String {
+        let mut stream = self.connect().await;
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let mut answer = Vec::new();
+        // A connection that is cut ends the answer as well.
+        let _ = tokio::time::timeout(WAIT_LIMIT, stream.read_to_end(&mut answer)).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+}
+
+/// Returns what a ready endpoint says of itself.
+pub fn record(id: &EndpointName, service: &str, address: SocketAddr) -> EndpointRecord {
+    EndpointRecord {
+        id: id.clone(),
+        service: service.into(),
+        address,
+        data_centre: "dc".into(),
+        slots: 4,
+        state: EndpointState::Ready,
+        started_ms: 1,
+        sequence: 1,
+        cold_ms: 0,
+    }
+}
+
+/// Returns a request that ends its connection.
+pub fn get(path: &str, attempt: &str, more: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: host\r\nattempt: {attempt}\r\n{more}connection: close\r\n\r\n"
+    )
+}
+
+/// Returns a request with a body that ends its connection.
+pub fn post(path: &str, attempt: &str, more: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: host\r\nattempt: {attempt}\r\n{more}connection: close\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Returns the status of an answer.
+pub fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or_default()
+}
+
+/// Returns the numbers of the events in an answer, in order.
+pub fn event_ids(answer: &str) -> Vec<u64> {
+    let lines = answer.lines().filter_map(|line| line.strip_prefix("id: "));
+    lines.filter_map(|id| id.parse().ok()).collect()
+}
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::context::Context;
 use crate::events::EventNumber;
@@ -94,23 +94,18 @@
     ///
     /// A core process leaves itself out: what it heard, it tells itself through `own`.
     pub async fn run(self: Arc<Self>, transport: Arc<dyn Transport>, seeds: Vec<SocketAddr>) {
-        let mut polls: BTreeMap<SocketAddr, JoinHandle<()>> = BTreeMap::new();
+        let mut polls: BTreeMap<SocketAddr, AbortOnDropHandle<()>> = BTreeMap::new();
         loop {
             let mut wanted = seeds.clone();
             let told = self.with_view(View::core_names);
             wanted.extend(told.iter().filter_map(address_of));
             wanted.sort_unstable();
             wanted.dedup();
-            polls.retain(|core, poll| {
-                let keep = wanted.contains(core);
-                if !keep {
-                    poll.abort();
-                }
-                keep
-            });
+            polls.retain(|core, _| wanted.contains(core));
             for core in wanted {
                 polls.entry(core).or_insert_with(|| {
-                    tokio::spawn(self.clone().poll_forever(transport.clone(), core))
+                    let poll = self.clone().poll_forever(transport.clone(), core);
+                    AbortOnDropHandle::new(tokio::spawn(poll))
                 });
             }
             tokio::time::sleep(REVIEW_EVERY).await;
--- a/coriandergw/src/transport/tcp.rs
+++ b/coriandergw/src/transport/tcp.rs
@@ -21,7 +21,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::ids::InstanceName;
 use crate::transport::Handler;
@@ -78,6 +80,7 @@
     name: InstanceName,
     handlers: Arc<Handlers>,
     links: Arc<Links>,
+    _accepting: AbortOnDropHandle<()>,
 }
 
 impl TcpTransport {
@@ -88,13 +91,13 @@
     pub async fn start(name: InstanceName, listen: SocketAddr) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind(listen).await?;
         let handlers = Arc::<Handlers>::default();
-        let transport = Arc::new(Self {
-            name: name.clone(),
-            handlers: handlers.clone(),
+        let accepting = tokio::spawn(accept(listener, name.clone(), handlers.clone()));
+        Ok(Arc::new(Self {
+            name,
+            handlers,
             links: Arc::default(),
-        });
-        tokio::spawn(accept(listener, name, handlers));
-        Ok(transport)
+            _accepting: AbortOnDropHandle::new(accepting),
+        }))
     }
 
     fn enqueue(&self, to: &InstanceName, outbound: Outbound) -> Result<(), TransportError> {
@@ -308,11 +311,17 @@
 }
 
 async fn accept(listener: TcpListener, own: InstanceName, handlers: Arc<Handlers>) {
+    // Connections end with the transport.
+    let mut connections = JoinSet::new();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                tokio::spawn(serve(stream, own.clone(), handlers.clone()));
+                connections.spawn(serve(stream, own.clone(), handlers.clone()));
             }
             Err(cause) => {
                 log::warn!("a connection of another instance was not accepted: {cause}");
