--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -1,1 +1,212 @@
+//! The board of a core instance and the view that is merged from several.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::ids::DataCentre;
+use crate::ids::EndpointName;
+use crate::ids::InstanceName;
+use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
+use crate::roster::GroupStatus;
+use crate::roster::Presence;
+use crate::roster::Role;
+use crate::roster::board::Board;
+use crate::roster::board::Fixed;
+use crate::roster::board::Heard;
+use crate::roster::board::PRESENCE_SILENCE;
+use crate::roster::view::Answer;
+use crate::roster::view::CONFIRMATION_LIMIT;
+use crate::roster::view::View;
+
+const SILENCE: Duration = Duration::from_millis(4_000);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn core(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 7_000))
+}
+
+fn record(id: &str, started_ms: u64, sequence: u64, state: EndpointState) -> EndpointRecord {
+    EndpointRecord {
+        id: EndpointName::try_from(id).expect("a name"),
+        service: "models".into(),
+        address: SocketAddr::from(([10, 1, 0, 1], 8_000)),
+        data_centre: "dc".into(),
+        slots: 4,
+        state,
+        started_ms,
+        sequence,
+        cold_ms: 0,
+    }
+}
+
+fn presence(name: &str) -> Presence {
+    Presence {
+        name: InstanceName::try_from(name).expect("a name"),
+        role: Role::Entry,
+        data_centre: DataCentre::try_from("dc").expect("a name"),
+        node: "machine".into(),
+        caller_address: None,
+        ready: true,
+        leaving: false,
+        started_ms: 1,
+        group: GroupStatus::default(),
+        is_founder: false,
+    }
+}
+
+fn told(start: u64, endpoints: Vec<EndpointRecord>) -> Answer {
+    Answer { core_start: start, endpoints, ..Answer::default() }
+}
+
+fn usable(view: &View) -> Vec<String> {
+    view.usable_endpoints("models").iter().map(|record| record.id.to_string()).collect()
+}
+
+#[test]
+fn a_late_word_of_an_endpoint_changes_nothing() {
+    let mut board = Board::new(SILENCE, at(0));
+    assert!(board.announce(record("a", 5, 3, EndpointState::Draining), at(0)));
+    assert!(!board.announce(record("a", 5, 2, EndpointState::Ready), at(10)));
+    assert!(!board.announce(record("a", 4, 9, EndpointState::Ready), at(20)));
+    let changes = board.changes_after(0);
+    assert_eq!(changes.endpoints, [record("a", 5, 3, EndpointState::Draining)]);
+}
+
+#[test]
+fn a_departure_is_final_for_its_incarnation_only() {
+    let mut board = Board::new(SILENCE, at(0));
+    board.announce(record("a", 5, 3, EndpointState::Ready), at(0));
+    let id = EndpointName::try_from("a").expect("a name");
+    assert!(board.depart(&id, Some(5), at(1)));
+    board.announce(record("a", 5, 9, EndpointState::Ready), at(2));
+    assert_eq!(board.changes_after(0).endpoints[0].state, EndpointState::Gone);
+    board.announce(record("a", 6, 1, EndpointState::Ready), at(3));
+    assert_eq!(board.changes_after(0).endpoints[0].state, EndpointState::Ready);
+    // The departure of the incarnation before arrives late.
+    board.depart(&id, Some(5), at(4));
+    assert_eq!(board.changes_after(0).endpoints[0].state, EndpointState::Ready);
+}
+
+#[test]
+fn a_silent_endpoint_and_a_silent_instance_are_told_once() {
+    let mut board = Board::new(SILENCE, at(0));
+    board.announce(record("a", 5, 3, EndpointState::Ready), at(0));
+    board.note_presence(presence("10.0.0.9:1/0"), at(0));
+    let mut silent = Vec::new();
+    for millis in (0..6_000).step_by(100) {
+        silent.extend(board.look_for_silence(at(millis)));
+    }
+    assert_eq!(silent, ["10.0.0.9:1/0", "a"]);
+    assert!(board.note_presence(presence("10.0.0.9:1/0"), at(6_000)), "it is news again");
+}
+
+#[test]
+fn an_instance_that_stood_still_does_not_find_all_others_silent() {
+    let mut board = Board::new(SILENCE, at(0));
+    board.announce(record("a", 5, 3, EndpointState::Ready), at(0));
+    board.note_presence(presence("10.0.0.9:1/0"), at(0));
+    assert!(board.look_for_silence(at(7_000)).is_empty());
+    let later = at(7_000) + PRESENCE_SILENCE + Duration::from_millis(100);
+    let mut now = at(7_000);
+    let mut silent = Vec::new();
+    while now < later {
+        now = now + Duration::from_millis(100);
+        silent.extend(board.look_for_silence(now));
+    }
+    assert_eq!(silent, ["10.0.0.9:1/0"]);
+}
+
+#[test]
+fn an_older_configuration_does_not_replace_a_newer_one() {
+    let mut board = Board::new(SILENCE, at(0));
+    let fixed = |version| Fixed { config_version: version, ..Fixed::default() };
+    board.fix(fixed(4));
+    board.fix(fixed(3));
+    assert_eq!(board.fixed().config_version, 4);
+    let mut view = View::default();
+    let answer = |version| Answer {
+        core_start: 1,
+        config_version: version,
+        config: Some("text".into()),
+        ..Answer::default()
+    };
+    view.merge(core(1), answer(4), at(0));
+    view.merge(core(2), answer(3), at(1));
+    assert_eq!(view.config().0, 4);
+}
+
+#[test]
+fn the_latest_word_counts_whichever_core_instance_tells_it_first() {
+    let mut view = View::default();
+    view.merge(core(1), told(1, vec![record("a", 5, 9, EndpointState::Draining)]), at(0));
+    view.merge(core(2), told(1, vec![record("a", 5, 8, EndpointState::Ready)]), at(1));
+    assert!(usable(&view).is_empty());
+    view.merge(core(2), told(1, vec![record("a", 6, 1, EndpointState::Ready)]), at(2));
+    assert_eq!(usable(&view), ["a"]);
+}
+
+#[test]
+fn a_core_instance_that_an_endpoint_left_cannot_call_it_silent() {
+    let mut view = View::default();
+    view.merge(core(1), told(1, vec![record("a", 5, 3, EndpointState::Ready)]), at(0));
+    view.merge(core(2), told(1, vec![record("a", 5, 4, EndpointState::Ready)]), at(10));
+    view.merge(core(1), told(1, vec![record("a", 5, 4, EndpointState::Silent)]), at(20));
+    assert_eq!(usable(&view), ["a"]);
+    view.merge(core(2), told(1, vec![record("a", 5, 4, EndpointState::Silent)]), at(30));
+    assert!(usable(&view).is_empty());
+}
+
+#[test]
+fn of_two_endpoints_at_one_address_the_later_incarnation_counts() {
+    let mut view = View::default();
+    let both =
+        vec![record("a", 5, 3, EndpointState::Ready), record("b", 7, 1, EndpointState::Ready)];
+    view.merge(core(1), told(1, both), at(0));
+    assert_eq!(usable(&view), ["b"]);
+}
+
+#[test]
+fn endpoints_of_a_lost_core_instance_are_dropped_unless_another_one_tells_of_them() {
+    let mut view = View::default();
+    let both = vec![
+        record("a", 5, 3, EndpointState::Ready),
+        EndpointRecord { address: core(77), ..record("b", 5, 3, EndpointState::Ready) },
+    ];
+    view.merge(core(1), told(1, both), at(0));
+    // The process of the core instance is another one, which has not heard them.
+    view.merge(core(1), told(2, Vec::new()), at(100));
+    view.merge(core(2), told(1, vec![record("a", 5, 4, EndpointState::Ready)]), at(200));
+    let end = at(200) + CONFIRMATION_LIMIT;
+    view.merge(core(2), told(1, Vec::new()), end);
+    let dropped: Vec<String> = view.expire(end).iter().map(ToString::to_string).collect();
+    assert_eq!(dropped, ["b"]);
+    assert_eq!(usable(&view), ["a"]);
+}
+
+#[test]
+fn an_instance_without_any_core_instance_keeps_what_it_knew() {
+    let mut view = View::default();
+    view.merge(core(1), told(1, vec![record("a", 5, 3, EndpointState::Ready)]), at(0));
+    assert!(view.expire(at(60_000)).is_empty());
+    assert_eq!(usable(&view), ["a"]);
+}
+
+#[test]
+fn an_instance_lives_while_any_reachable_core_instance_hears_it() {
+    let mut view = View::default();
+    let heard = |heard| Answer {
+        core_start: 1,
+        instances: vec![Heard { presence: presence("10.0.0.9:1/0"), heard }],
+        ..Answer::default()
+    };
+    view.merge(core(1), heard(false), at(0));
+    view.merge(core(2), heard(true), at(0));
+    assert_eq!(view.living(Role::Entry, at(10)).len(), 1);
+    view.merge(core(2), heard(false), at(20));
+    assert!(view.living(Role::Entry, at(30)).is_empty());
+}
--- a/coriandergw/src/token_budgets/tests.rs
+++ b/coriandergw/src/token_budgets/tests.rs
@@ -1,1 +1,79 @@
+//! The state machine of budgets.
 
+use prost::Message as _;
+
+use crate::log_groups::StateMachine;
+use crate::token_budgets::generated as raw;
+use crate::token_budgets::machine::BudgetMachine;
+
+fn reserve(machine: &mut BudgetMachine, turn: &str, budget: u64, tokens: u64) -> bool {
+    let reserve = raw::Reserve { program: "p".to_owned(), turn: turn.to_owned(), budget, tokens };
+    let command = raw::Command { reserves: vec![reserve], ..raw::Command::default() };
+    let answer = machine.apply(1, &command.encode_to_vec());
+    raw::Answer::decode(answer).expect("an answer").verdicts[0].granted
+}
+
+fn settle(machine: &mut BudgetMachine, turn: &str, tokens: u64, wall_ms: u64) {
+    let settle = raw::Settle { program: "p".to_owned(), turn: turn.to_owned(), tokens };
+    let command = raw::Command { settles: vec![settle], wall_ms, ..raw::Command::default() };
+    machine.apply(1, &command.encode_to_vec());
+}
+
+#[test]
+fn what_is_reserved_and_not_settled_counts_as_spent() {
+    let mut machine = BudgetMachine::default();
+    assert!(reserve(&mut machine, "a", 20, 10));
+    assert!(reserve(&mut machine, "b", 20, 10));
+    assert!(!reserve(&mut machine, "c", 20, 10));
+    settle(&mut machine, "a", 4, 0);
+    assert!(!reserve(&mut machine, "c", 20, 10));
+    assert!(reserve(&mut machine, "c", 20, 6));
+}
+
+#[test]
+fn a_repeated_reservation_or_settlement_counts_once() {
+    let mut machine = BudgetMachine::default();
+    assert!(reserve(&mut machine, "a", 20, 10));
+    assert!(reserve(&mut machine, "a", 20, 10));
+    settle(&mut machine, "a", 5, 0);
+    settle(&mut machine, "a", 5, 0);
+    assert!(reserve(&mut machine, "b", 20, 15));
+}
+
+#[test]
+fn a_reservation_that_arrives_after_its_withdrawal_is_not_granted() {
+    let mut machine = BudgetMachine::default();
+    settle(&mut machine, "a", 0, 0);
+    assert!(!reserve(&mut machine, "a", 20, 10));
+    assert!(reserve(&mut machine, "b", 20, 20));
+}
+
+#[test]
+fn a_snapshot_holds_all_that_matters() {
+    let mut machine = BudgetMachine::default();
+    assert!(reserve(&mut machine, "a", 20, 10));
+    settle(&mut machine, "b", 5, 0);
+    let mut restored = BudgetMachine::default();
+    restored.restore(&machine.snapshot()).expect("valid");
+    assert_eq!(restored.snapshot(), machine.snapshot());
+    assert!(!reserve(&mut restored, "c", 20, 6));
+    assert!(!reserve(&mut restored, "b", 20, 1));
+    assert!(restored.restore(b"\xff\xff\xff").is_err());
+}
+
+#[test]
+fn a_program_is_forgotten_only_long_after_its_last_turn() {
+    let mut machine = BudgetMachine::default();
+    settle(&mut machine, "a", 20, 1_000);
+    // Others keep the time going.
+    let others = |machine: &mut BudgetMachine, wall_ms: u64| {
+        for _ in 0..600 {
+            let command = raw::Command { wall_ms, ..raw::Command::default() };
+            machine.apply(1, &command.encode_to_vec());
+        }
+    };
+    others(&mut machine, 200_000);
+    assert!(!reserve(&mut machine, "b", 20, 1));
+    others(&mut machine, 600_000);
+    assert!(reserve(&mut machine, "c", 20, 20));
+}
