--- a/coriandergw/src/events/mod.rs
+++ b/coriandergw/src/events/mod.rs
@@ -11,12 +11,15 @@
 use serde::Serialize;
 
 use crate::clock::Clock;
+use crate::clock::Timestamp;
+use crate::events::limit::LineLimit;
 use crate::ids::CallId;
 use crate::ids::EntryName;
 use crate::ids::InstanceName;
 use crate::ids::ProgramId;
 
 pub mod file;
+mod limit;
 pub mod log_output;
 pub mod merge;
 mod number;
@@ -81,6 +84,8 @@
     clock: Arc<dyn Clock>,
     kept: Mutex<Kept>,
     kept_max: usize,
+    /// Bounds the log lines, where they are bounded.
+    limit: Option<Mutex<LineLimit>>,
     writer: Option<SyncSender<Event>>,
 }
 
@@ -93,7 +98,14 @@
 impl Recorder {
     /// Creates an empty recorder that keeps events in memory only.
     pub fn new(instance: InstanceName, clock: Arc<dyn Clock>) -> Self {
-        Self { instance, clock, kept: Mutex::default(), kept_max: KEPT_EVENTS, writer: None }
+        Self {
+            instance,
+            clock,
+            kept: Mutex::default(),
+            kept_max: KEPT_EVENTS,
+            limit: None,
+            writer: None,
+        }
     }
 
     /// Keeps fewer events in memory than [`KEPT_EVENTS`].
@@ -102,6 +114,12 @@
         self
     }
 
+    /// Bounds the log lines of each event number.
+    pub fn limit_lines(mut self) -> Self {
+        self.limit = Some(Mutex::default());
+        self
+    }
+
     /// Creates a recorder that goes on from the events in a folder and adds to them.
     ///
     /// # Errors
@@ -115,7 +133,7 @@
         let next_sequence = events.back().map_or(0, |event| event.sequence + 1);
         let writer = Some(file::start_writer(folder)?);
         let kept = Mutex::new(Kept { next_sequence, events });
-        Ok(Self { instance, clock, kept, kept_max: KEPT_EVENTS, writer })
+        Ok(Self { instance, clock, kept, kept_max: KEPT_EVENTS, limit: None, writer })
     }
 
     /// Records an event.
@@ -143,7 +161,14 @@
             let _ = writer.try_send(event.clone());
         }
         drop(kept);
-        write_log_line(number, &event);
+        let Some(limit) = &self.limit else {
+            return write_log_line(number, &event, 0);
+        };
+        let now = Timestamp(event.monotonic_us);
+        let admitted = limit.lock().expect("not poisoned").admit(event.number, now);
+        if let Some(left_out) = admitted {
+            write_log_line(number, &event, left_out);
+        }
     }
 
     /// Returns the kept events that `wanted` selects, oldest first.
@@ -156,7 +181,7 @@
     }
 }
 
-fn write_log_line(number: EventNumber, event: &Event) {
+fn write_log_line(number: EventNumber, event: &Event, left_out: u64) {
     let level = match number.severity() {
         Severity::Debug => log::Level::Debug,
         Severity::Info => log::Level::Info,
@@ -166,7 +191,10 @@
     if !log::log_enabled!(level) {
         return;
     }
-    let pairs = log_pairs(number, event);
+    let mut pairs = log_pairs(number, event);
+    if left_out > 0 {
+        pairs.push(("left_out", Value::from(left_out)));
+    }
     log::logger().log(
         &log::Record::builder()
             .level(level)
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -58,6 +58,8 @@
     SettingsReloaded = 107, Info;
     /// Changed settings are not valid; the ones before stay in force.
     SettingsRefused = 108, Error;
+    /// The process did not run for a while: frozen, starved or held up by its disk.
+    ProcessStalled = 109, Warning;
     /// Other keys are in use between instances.
     KeysReloaded = 105, Info;
     /// New keys could not be used; the old ones stay in use.
@@ -96,6 +98,8 @@
     CoreRegained = 224, Info;
     /// The journal group did not answer a command.
     JournalLost = 225, Warning;
+    /// A core instance does not hear another instance any more.
+    InstanceSilent = 226, Warning;
     /// The instance became the leader of a log group.
     LogLeaderElected = 200, Info;
     /// The instance stopped leading a log group.
--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -67,6 +67,11 @@
 }
 
 impl Answer {
+    /// Returns whether the connection had served another request before.
+    pub(super) fn is_reused(&self) -> bool {
+        self.connection.is_reused
+    }
+
     /// Gives the connection back after the whole answer was read.
     pub(super) fn finish(self, pool: &Pool, now: Timestamp) {
         if !self.closes {
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -226,6 +226,7 @@
         started: Instant,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let table = self.table.load_full().ok_or_else(|| {
+            Report::no_configuration(&self.cx, &req);
             let message = "this instance has no configuration yet";
             Refusal::not_run(ResultCode::StaleConfiguration, message).retry_after(RETRY_SOON)
         })?;
@@ -428,7 +429,11 @@
                 Ok(answer) if answer.status.is_success() && !answer.head.is_signed => {
                     self.note_lost(plan, &id, "the endpoint did not vouch for the answer")?;
                 }
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    let used = if answer.is_reused() { "again" } else { "first" };
+                    self.cx.metrics.endpoint_connections.with_label_values(&[used]).inc();
+                    return Ok(answer);
+                }
                 Err(Failure::NotSent { reason }) => {
                     // An idle connection that was closed says nothing about the endpoint.
                     if fresh_only || !self.has_idle(&id) {
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyper::Request;
 use tokio::time::Instant;
 
 use crate::context::Context;
@@ -11,6 +12,7 @@
 use crate::forwarding::attempt::Answer;
 use crate::ids::EndpointName;
 use crate::result_code::Refusal;
+use crate::routes::Repetition;
 use crate::routes::Route;
 
 /// Collects the decisions on one request.
@@ -21,6 +23,8 @@
     route: Arc<str>,
     service: Arc<str>,
     config_version: u64,
+    /// The kind of route, a label of the metrics.
+    kind: &'static str,
     started: Instant,
     reserved: Option<Instant>,
     first_event: Option<Instant>,
@@ -41,6 +45,12 @@
             route: route.name.clone(),
             service: service.clone(),
             config_version,
+            kind: match route.repetition {
+                Repetition::Idempotent => "idempotent",
+                Repetition::Once => "once",
+                Repetition::ResumableStream => "resumable stream",
+                Repetition::Stream => "stream",
+            },
             started,
             reserved: None,
             first_event: None,
@@ -64,6 +74,20 @@
         at.map_or(0, |at| (at - self.started).as_millis())
     }
 
+    /// Adds the times of the request to the histograms.
+    fn time(&self, cx: &Context, outcome: &str) {
+        let total = self.started.elapsed().as_secs_f64();
+        cx.metrics.request_seconds.with_label_values(&[self.kind, outcome]).observe(total);
+        let observe = |at: Option<Instant>, step: &str| {
+            if let Some(at) = at {
+                let seconds = (at - self.started).as_secs_f64();
+                cx.metrics.step_seconds.with_label_values(&[step]).observe(seconds);
+            }
+        };
+        observe(self.reserved, "reserved");
+        observe(self.first_event, "first event");
+    }
+
     fn record(&self, cx: &Context, number: EventNumber, peer: Option<String>, outcome: &str) {
         let detail = format!(
             "request={} program={} route={} service={} config={} sends={} reserved_ms={} \
@@ -85,6 +109,8 @@
     pub(super) fn ended(&self, cx: &Context, answer: &Answer, events: u64) {
         let outcome = format!("status={} events={events}", answer.status.as_u16());
         let peer = Some(answer.endpoint.id.to_string());
+        let status = answer.status.as_str();
+        self.time(cx, status);
         self.record(cx, EventNumber::RequestEnded, peer, &outcome);
     }
 
@@ -97,7 +123,9 @@
             refusal.retry_after.map_or(0, |delay| delay.as_millis()),
             refusal.message
         );
-        cx.metrics.refusals.with_label_values(&[&refusal.code.to_string()]).inc();
+        let code = refusal.code.to_string();
+        cx.metrics.refusals.with_label_values(&[&code]).inc();
+        self.time(cx, &code);
         self.record(cx, EventNumber::RequestRefused, None, &outcome);
     }
 
@@ -110,9 +138,17 @@
 
     /// A stream was broken off towards the caller.
     pub(super) fn broken_off(&self, cx: &Context, events: u64, reason: &str) {
+        self.time(cx, "broken off");
         self.record(cx, EventNumber::StreamBrokenOff, None, &format!("events={events} {reason}"));
     }
 
+    /// A request came before the first configuration.
+    pub(super) fn no_configuration<B>(cx: &Context, req: &Request<B>) {
+        cx.metrics.refusals.with_label_values(&["no configuration"]).inc();
+        let detail = format!("config=0 path={}", req.uri().path());
+        cx.events.record(EventNumber::RequestUnrouted, Subject::default(), detail);
+    }
+
     /// No route takes a request.
     pub(super) fn no_route(cx: &Context, config_version: u64, host: &str, path: &str) {
         cx.metrics.refusals.with_label_values(&["no route"]).inc();
@@ -122,6 +158,9 @@
 
     /// A configuration was taken into use, or could not be.
     pub(super) fn config_applied(cx: &Context, version: u64, fault: Option<&str>) {
+        if fault.is_none() {
+            cx.metrics.states.with_label_values(&["config_version"]).set(version as i64);
+        }
         let detail = format!("version={version} {}", fault.unwrap_or("in force"));
         let number = match fault {
             None => EventNumber::ConfigApplied,
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -33,6 +33,12 @@
     pub orders: IntCounterVec,
     /// Trees of programs read back from the journal.
     pub trees_read_back: IntCounter,
+    /// Seconds from a forwarded request's arrival to its end, by kind of route and outcome.
+    pub request_seconds: HistogramVec,
+    /// Seconds from a forwarded request's arrival to a step of it.
+    pub step_seconds: HistogramVec,
+    /// Connections to endpoints, opened or used again.
+    pub endpoint_connections: IntCounterVec,
     /// Partitions held and similar states, by name.
     pub states: IntGaugeVec,
     /// Messages of control traffic by kind and direction.
@@ -89,6 +95,21 @@
                 "cgw_prefix_tokens_recomputed_total",
                 "Prompt tokens that had to be computed again",
             )?,
+            request_seconds: histogram(
+                "cgw_request_seconds",
+                "Seconds from a forwarded request's arrival to its end",
+                &["kind", "outcome"],
+            )?,
+            step_seconds: histogram(
+                "cgw_request_step_seconds",
+                "Seconds from a forwarded request's arrival to a step of it",
+                &["step"],
+            )?,
+            endpoint_connections: counters(
+                "cgw_endpoint_connections_total",
+                "Connections to endpoints, opened or used again",
+                &["use"],
+            )?,
             refusals: counters("cgw_refusals_total", "Refusals by result code", &["code"])?,
             retries: counters("cgw_retries_total", "Retries by kind of call", &["kind"])?,
             orders: counters("cgw_orders_total", "Orders to engines", &["kind", "result"])?,
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -15,7 +15,9 @@
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::context::Context;
+use crate::events::EventNumber;
 use crate::events::Recorder;
+use crate::events::Subject;
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
 use crate::log_groups::node::LogStartError;
@@ -42,6 +44,12 @@
 /// The events that a process keeps in memory; its machine may be small.
 const KEPT_EVENTS: usize = 2_000;
 
+/// How often a process looks whether it stood still.
+const STALL_LOOK: Duration = Duration::from_millis(500);
+
+/// A delay beyond this is reported, in milliseconds: others find an instance silent by then.
+const STALL_REPORT_MS: u64 = 400;
+
 /// What a process of the entry path needs to know.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProcessSettings {
@@ -174,7 +182,8 @@
         name: InstanceName,
     ) -> Result<Self, StartError> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
-        let events = Recorder::new(name.clone(), clock.clone()).keep_at_most(KEPT_EVENTS);
+        let events =
+            Recorder::new(name.clone(), clock.clone()).keep_at_most(KEPT_EVENTS).limit_lines();
         let metrics = Metrics::new().map_err(|cause| StartError::Metrics { cause })?;
         let cx = Context {
             instance: name.clone(),
@@ -200,7 +209,9 @@
             is_founder: settings.is_first_start,
         };
         let roster = Roster::new(cx.clone(), presence);
-        Ok(Self { cx, transport, roster, tasks: JoinSet::new() })
+        let mut tasks = JoinSet::new();
+        tasks.spawn(notice_stalls(cx.clone()));
+        Ok(Self { cx, transport, roster, tasks })
     }
 
     fn poll(&mut self, settings: &ProcessSettings) {
@@ -209,6 +220,22 @@
     }
 }
 
+/// Reports when this process did not run for long: frozen, starved, or held up by a disk.
+async fn notice_stalls(cx: Context) {
+    let mut looked_at = cx.clock.wall().0;
+    loop {
+        tokio::time::sleep(STALL_LOOK).await;
+        let now = cx.clock.wall().0;
+        // The time of day also counts what a suspended machine's steady clock leaves out.
+        let late_ms = now.saturating_sub(looked_at + STALL_LOOK.as_millis() as u64);
+        looked_at = now;
+        if late_ms > STALL_REPORT_MS {
+            let detail = format!("late_ms={late_ms}");
+            cx.events.record(EventNumber::ProcessStalled, Subject::default(), detail);
+        }
+    }
+}
+
 fn open_disk(settings: &ProcessSettings) -> Result<Arc<dyn Disk>, StartError> {
     let folder = settings.data_folder.clone().ok_or(StartError::NoDisk)?;
     match FileDisk::open(&folder) {
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -190,7 +190,7 @@
 /// One machine of each role, serving.
 pub struct World {
     pub core: CoreProcess,
-    pub journal: JournalProcess,
+    _journal: JournalProcess,
     pub entry: EntryProcess,
     pub callers: SocketAddr,
     _machine: Machine,
@@ -217,7 +217,7 @@
         let (dialect, reader) = (Arc::new(PlainHeaders), Arc::new(TestConfig));
         let entry = EntryProcess::start(&machine.settings, callers, dialect, reader).await;
         let entry = entry.expect("the entry starts");
-        Self { core, journal, entry, callers, _machine: machine }
+        Self { core, _journal: journal, entry, callers, _machine: machine }
     }
 
     /// Announces an endpoint and waits until the entry instance knows it.
--- a/coriandergw/src/roster/board.rs
+++ b/coriandergw/src/roster/board.rs
@@ -68,6 +68,15 @@
     pub heard: bool,
 }
 
+/// Who fell silent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Silent {
+    /// An endpoint.
+    Endpoint(EndpointName),
+    /// An instance.
+    Instance(InstanceName),
+}
+
 /// What changed after a cursor.
 #[derive(Debug, Default)]
 pub struct Changes {
@@ -176,8 +185,8 @@
         is_news
     }
 
-    /// Finds who fell silent and forgets what is long over; returns the names that fell silent.
-    pub fn look_for_silence(&mut self, now: Timestamp) -> Vec<String> {
+    /// Finds who fell silent and forgets what is long over; returns who fell silent.
+    pub fn look_for_silence(&mut self, now: Timestamp) -> Vec<Silent> {
         let gap = now.since(self.looked_at);
         self.looked_at = now;
         if gap > OWN_STALL {
@@ -192,7 +201,7 @@
                 entry.value.state = EndpointState::Silent;
                 self.last_change += 1;
                 entry.changed = self.last_change;
-                silent.push(entry.value.id.to_string());
+                silent.push(Silent::Endpoint(entry.value.id.clone()));
             }
         }
         for entry in self.instances.values_mut() {
@@ -200,7 +209,7 @@
                 entry.value.heard = false;
                 self.last_change += 1;
                 entry.changed = self.last_change;
-                silent.push(entry.value.presence.name.to_string());
+                silent.push(Silent::Instance(entry.value.presence.name.clone()));
             }
         }
         self.endpoints.retain(|_, entry| now.since(entry.heard_at) < MEMORY_OF_THE_GONE);
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -21,6 +21,7 @@
 use crate::roster::board::Fixed;
 use crate::roster::board::Heard;
 use crate::roster::board::POLL_WAIT;
+use crate::roster::board::Silent;
 use crate::roster::generated as raw;
 use crate::transport::Handler;
 
@@ -95,9 +96,13 @@
         loop {
             tokio::time::sleep(LOOK_EVERY).await;
             let now = self.cx.clock.now();
-            for name in self.with_board(|board| board.look_for_silence(now)) {
+            for silent in self.with_board(|board| board.look_for_silence(now)) {
+                let (number, name) = match silent {
+                    Silent::Endpoint(id) => (EventNumber::EndpointSilent, id.to_string()),
+                    Silent::Instance(name) => (EventNumber::InstanceSilent, name.to_string()),
+                };
                 let subject = Subject { peer: Some(name), ..Subject::default() };
-                self.cx.events.record(EventNumber::EndpointSilent, subject, "not heard in time");
+                self.cx.events.record(number, subject, "not heard in time");
             }
         }
     }
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -16,6 +16,7 @@
 use crate::roster::board::Fixed;
 use crate::roster::board::Heard;
 use crate::roster::board::PRESENCE_SILENCE;
+use crate::roster::board::Silent;
 use crate::roster::view::Answer;
 use crate::roster::view::CONFIRMATION_LIMIT;
 use crate::roster::view::View;
@@ -101,7 +102,8 @@
     for millis in (0..6_000).step_by(100) {
         silent.extend(board.look_for_silence(at(millis)));
     }
-    assert_eq!(silent, ["10.0.0.9:1/0", "a"]);
+    let id = EndpointName::try_from("a").expect("a name");
+    assert_eq!(silent, [Silent::Instance(presence("10.0.0.9:1/0").name), Silent::Endpoint(id)]);
     assert!(board.note_presence(presence("10.0.0.9:1/0"), at(6_000)), "it is news again");
 }
 
@@ -118,7 +120,7 @@
         now = now + Duration::from_millis(100);
         silent.extend(board.look_for_silence(now));
     }
-    assert_eq!(silent, ["10.0.0.9:1/0"]);
+    assert_eq!(silent, [Silent::Instance(presence("10.0.0.9:1/0").name)]);
 }
 
 #[test]
