perf(roster): polls carry what a process is only when it changed and wake nobody without news

Change: a core instance remembers what a process is; an answer that brings nothing changes nothing; polls wait 250 ms, silence after 600 ms.

--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -101,15 +101,13 @@
     }
 }
 
+/// How often a starting instance looks whether it can route requests.
+const READY_LOOK: Duration = Duration::from_millis(10);
+
 /// Tells the roster once requests can be routed.
 async fn tell_ready(roster: Arc<Roster>, forwarder: Arc<Forwarder>) {
-    let mut changes = roster.changes();
     while !forwarder.is_ready() {
-        if changes.changed().await.is_err() {
-            return;
-        }
-        // The forwarder follows the same changes.
-        tokio::task::yield_now().await;
+        tokio::time::sleep(READY_LOOK).await;
     }
     roster.update_presence(|presence| presence.ready = true);
 }
--- a/coriandergw/src/roster/board.rs
+++ b/coriandergw/src/roster/board.rs
@@ -14,12 +14,12 @@
 use crate::roster::Presence;
 
 /// How long a poll may wait for a change.
-pub const POLL_WAIT: Duration = Duration::from_millis(150);
+pub const POLL_WAIT: Duration = Duration::from_millis(250);
 
 /// A process that has not polled for this long is not heard: one wait, one repetition of a lost
 /// packet and a slow machine. Callers keep sending to a frozen instance until it is left out, and
 /// what must not be repeated is lost there, so this is short.
-pub const PRESENCE_SILENCE: Duration = Duration::from_millis(450);
+pub const PRESENCE_SILENCE: Duration = Duration::from_millis(600);
 
 /// How long what is over is remembered, so that a late word of it is recognised.
 pub const MEMORY_OF_THE_GONE: Duration = Duration::from_secs(120);
@@ -168,6 +168,12 @@
         true
     }
 
+    /// Takes in a sign of life of a process; returns whether it is known and was heard before.
+    pub fn note_alive(&mut self, name: &InstanceName, now: Timestamp) -> bool {
+        let entry = self.instances.get_mut(name).filter(|entry| entry.value.heard);
+        entry.map(|entry| entry.heard_at = now).is_some()
+    }
+
     /// Takes in what a process says of itself; returns whether that is news.
     pub fn note_presence(&mut self, presence: Presence, now: Timestamp) -> bool {
         let heard = Heard { presence, heard: true };
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -2,7 +2,7 @@
 /// Asks a core instance for what changed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Poll {
-    /// What the asking process is.
+    /// What the asking process is; left out while the core instance knows it.
     #[prost(message, optional, tag = "1")]
     pub presence: ::core::option::Option<Presence>,
     /// The start of the core instance that the cursor belongs to.
@@ -40,6 +40,9 @@
     /// Journal instances that are to be emptied, by the operator's name for them.
     #[prost(string, repeated, tag = "8")]
     pub retiring: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Whether the core instance does not know what the asking process is.
+    #[prost(bool, tag = "9")]
+    pub wants_presence: bool,
 }
 /// One process of the system.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -131,20 +131,28 @@
         };
         let mut presence = self.presence.subscribe();
         let mut is_lost = true;
+        // What the core instance knows of this process.
+        let mut told = None;
         loop {
-            let poll = self.poll_message(core, presence.borrow_and_update().clone());
+            let latest = presence.borrow_and_update().clone();
+            let news = (told.as_ref() != Some(&latest)).then(|| latest.clone());
+            let poll = self.poll_message(core, news);
             let timeout = POLL_WAIT + ANSWER_SLACK;
             let call = transport.call(&peer, Kind::Roster, poll, timeout);
             let answered = tokio::select! {
                 answered = call => answered.map_err(|cause| cause.to_string()),
                 // What changed here is told at once; an answer under way is asked for again.
-                _ = presence.changed() => continue,
+                _ = presence.changed() => {
+                    told = None;
+                    continue;
+                }
             };
             let merged = answered.and_then(|bytes| self.merge(core, bytes));
             if is_lost != merged.is_err() {
                 is_lost = merged.is_err();
                 self.report(&peer, merged.as_ref().err());
             }
+            told = merged.as_ref().ok().filter(|known| **known).map(|_| latest);
             if merged.is_err() {
                 transport.reconnect(&peer);
                 tokio::time::sleep(FAILURE_PAUSE).await;
@@ -162,11 +170,11 @@
         }
     }
 
-    fn poll_message(&self, core: SocketAddr, presence: Presence) -> Bytes {
+    fn poll_message(&self, core: SocketAddr, presence: Option<Presence>) -> Bytes {
         let view = self.view.lock().expect("not poisoned");
         let (core_start, cursor) = view.position(core);
         let poll = raw::Poll {
-            presence: Some(raw::Presence::from(&presence)),
+            presence: presence.as_ref().map(raw::Presence::from),
             core_start,
             cursor,
             config_version: view.config().0,
@@ -175,13 +183,16 @@
         poll.encode_to_vec().into()
     }
 
-    fn merge(&self, core: SocketAddr, bytes: Bytes) -> Result<(), String> {
+    /// Takes in an answer; returns whether the core instance knows this process.
+    fn merge(&self, core: SocketAddr, bytes: Bytes) -> Result<bool, String> {
         let raw = raw::PollAnswer::decode(bytes).map_err(|cause| cause.to_string())?;
+        let is_known = !raw.wants_presence;
         let answer = Answer::try_from(raw).map_err(|cause| cause.to_string())?;
         let now = self.cx.clock.now();
-        self.view.lock().expect("not poisoned").merge(core, answer, now);
-        self.note_change();
-        Ok(())
+        if self.view.lock().expect("not poisoned").merge(core, answer, now) {
+            self.note_change();
+        }
+        Ok(is_known)
     }
 }
 
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -107,6 +107,15 @@
         }
     }
 
+    fn hear(&self, presence: Presence) {
+        let now = self.cx.clock.now();
+        let name = presence.name.to_string();
+        if self.with_board(|board| board.note_presence(presence, now)) {
+            let subject = Subject { peer: Some(name), ..Subject::default() };
+            self.cx.events.record(EventNumber::InstanceRegistered, subject, "heard");
+        }
+    }
+
     async fn wait_for_change(&self, poll: &raw::Poll) {
         let has_news = |last: &u64| *last > poll.cursor;
         if poll.core_start != self.start || has_news(&self.changed.borrow()) {
@@ -142,6 +151,7 @@
                 .map(ToString::to_string)
                 .collect(),
             retiring: fixed.retiring.iter().map(ToString::to_string).collect(),
+            wants_presence: false,
         }
     }
 }
@@ -152,17 +162,22 @@
 
 #[async_trait]
 impl Handler for RosterServer {
-    async fn handle(&self, _from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
+    async fn handle(&self, from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
         let mut poll = raw::Poll::decode(payload).map_err(|cause| cause.to_string())?;
-        let presence = poll.presence.take().ok_or("a poll names no process")?;
-        let presence = Presence::try_from(presence).map_err(|cause| cause.to_string())?;
-        let now = self.cx.clock.now();
-        let name = presence.name.to_string();
-        if self.with_board(|board| board.note_presence(presence, now)) {
-            let subject = Subject { peer: Some(name), ..Subject::default() };
-            self.cx.events.record(EventNumber::InstanceRegistered, subject, "heard");
+        let is_known = match poll.presence.take() {
+            Some(presence) => {
+                self.hear(Presence::try_from(presence).map_err(|cause| cause.to_string())?);
+                true
+            }
+            None => {
+                let now = self.cx.clock.now();
+                self.with_board(|board| board.note_alive(from, now))
+            }
+        };
+        if is_known {
+            self.wait_for_change(&poll).await;
         }
-        self.wait_for_change(&poll).await;
-        Ok(self.answer(&poll).encode_to_vec().into())
+        let answer = raw::PollAnswer { wants_presence: !is_known, ..self.answer(&poll) };
+        Ok(answer.encode_to_vec().into())
     }
 }
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -190,6 +190,19 @@
     assert_eq!(usable(&view), ["a"]);
 }
 
+#[test]
+fn a_core_instance_that_is_cut_off_does_not_take_back_what_another_one_told() {
+    let mut view = View::default();
+    let retiring = |nodes: &[&str]| Answer {
+        core_start: 1,
+        retiring: nodes.iter().map(|node| (*node).into()).collect(),
+        ..Answer::default()
+    };
+    assert!(view.merge(core(1), retiring(&["m"]), at(0)));
+    assert!(!view.merge(core(2), retiring(&[]), at(1)));
+    assert_eq!(view.retiring().len(), 1);
+}
+
 #[test]
 fn an_instance_without_any_core_instance_keeps_what_it_knew() {
     let mut view = View::default();
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -78,8 +78,13 @@
         self.cores.get(&core).map_or((0, 0), |view| (view.start, view.cursor))
     }
 
-    /// Takes in an answer of the core instance at `core`.
-    pub fn merge(&mut self, core: SocketAddr, answer: Answer, now: Timestamp) {
+    /// Takes in an answer of the core instance at `core`; returns whether it brought anything.
+    pub fn merge(&mut self, core: SocketAddr, answer: Answer, now: Timestamp) -> bool {
+        let is_news = !answer.endpoints.is_empty()
+            || !answer.instances.is_empty()
+            || answer.config_version > self.config_version
+            || (!answer.first_journal_voters.is_empty() && self.first_journal_voters.is_empty())
+            || answer.retiring.len() > self.retiring.len();
         let view = self.cores.entry(core).or_default();
         if view.start != answer.core_start {
             *view = CoreView { start: answer.core_start, ..CoreView::default() };
@@ -103,7 +108,11 @@
         if !answer.first_journal_voters.is_empty() {
             self.first_journal_voters = answer.first_journal_voters;
         }
-        self.retiring = answer.retiring;
+        // The list only grows; a core instance that is cut off knows an older one.
+        if answer.retiring.len() > self.retiring.len() {
+            self.retiring = answer.retiring;
+        }
+        is_news
     }
 
     fn merge_endpoint(&mut self, core: SocketAddr, record: EndpointRecord, now: Timestamp) {
