--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -36,6 +36,8 @@
     NotSent {
         /// Why not.
         reason: String,
+        /// Whether it was to go over an idle connection, which the endpoint may close at any time.
+        was_idle: bool,
     },
     /// The request may have run.
     #[display("lost: {reason}")]
@@ -108,9 +110,7 @@
         let pooled = self.pool.take(id, *address, self.idle_limit, self.now);
         let mut connection = match pooled {
             Some(connection) => connection,
-            None => pool::connect(*address)
-                .await
-                .map_err(|cause| Failure::NotSent { reason: cause.to_string() })?,
+            None => pool::connect(*address).await.map_err(|cause| not_sent(cause, false))?,
         };
         let req = self.request(outgoing, id)?;
         let sending = connection.sender.try_send_request(req);
@@ -120,7 +120,7 @@
             Ok(Err(mut cause)) => {
                 // The library hands the request back if it has not written any of it.
                 return Err(match cause.take_message() {
-                    Some(_) => Failure::NotSent { reason: cause.into_error().to_string() },
+                    Some(_) => not_sent(cause.into_error(), connection.is_reused),
                     None => Failure::Lost { reason: cause.into_error().to_string() },
                 });
             }
@@ -160,7 +160,7 @@
     ) -> Result<Request<Full<Bytes>>, Failure> {
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         if time_left.is_zero() {
-            return Err(Failure::NotSent { reason: "no time is left".to_owned() });
+            return Err(not_sent("no time is left", false));
         }
         let head = SendHead {
             endpoint: endpoint.clone(),
@@ -177,6 +177,13 @@
     }
 }
 
+fn not_sent<R>(reason: R, was_idle: bool) -> Failure
+where
+    R: ToString,
+{
+    Failure::NotSent { reason: reason.to_string(), was_idle }
+}
+
 fn lost(reason: &str) -> Failure {
     Failure::Lost { reason: reason.to_owned() }
 }
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -13,7 +13,6 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header;
@@ -24,14 +23,10 @@
 use crate::forwarding::CallHead;
 use crate::forwarding::Dialect;
 use crate::forwarding::attempt::Answer;
-use crate::forwarding::attempt::Attempt;
-use crate::forwarding::attempt::Failure;
 use crate::forwarding::attempt::Outgoing;
 use crate::forwarding::choice;
-use crate::forwarding::choice::Candidate;
 use crate::forwarding::headers;
 use crate::forwarding::loads::Loads;
-use crate::forwarding::pool::IDLE_LIMIT_ONCE;
 use crate::forwarding::pool::Pool;
 use crate::forwarding::pool::SharedPool;
 use crate::forwarding::refusal;
@@ -45,27 +40,14 @@
 use crate::result_code::ResultCode;
 use crate::roster::EndpointRecord;
 use crate::roster::poller::Roster;
-use crate::routes::Repetition;
 use crate::routes::Route;
 use crate::routes::RouteTable;
 use crate::token_budgets::TurnKey;
 use crate::token_budgets::Verdict;
 use crate::token_budgets::client::BudgetClient;
 
-/// How often one request is sent at most, refusals of full endpoints included.
-const SENDS_MAX: u32 = 8;
-
-/// How often all endpoints are tried before a request is refused.
-const ROUNDS_MAX: u32 = 3;
-
-/// The wait before all endpoints are tried again: about one short request.
-const ROUND_PAUSE: Duration = Duration::from_millis(25);
-
-/// The first wait for an idempotent answer, as a multiple of the route's target.
-const FIRST_WAIT_TARGETS: u32 = 2;
-
 /// When a caller should come back after a refusal that passes quickly.
-const RETRY_SOON: Duration = Duration::from_millis(200);
+pub(super) const RETRY_SOON: Duration = Duration::from_millis(200);
 
 /// How long the journal may take for a reservation; well above an election of its leader.
 const RESERVE_LIMIT: Duration = Duration::from_millis(2_500);
@@ -82,7 +64,7 @@
     fn read(&self, document: &[u8]) -> Result<RouteTable, String>;
 }
 
-type Endpoints = HashMap<Arc<str>, Vec<EndpointRecord>>;
+pub(super) type Endpoints = HashMap<Arc<str>, Vec<EndpointRecord>>;
 
 /// Forwards requests.
 pub struct Forwarder {
@@ -94,7 +76,7 @@
     reader: Arc<dyn ConfigReader>,
     budgets: BudgetClient,
     table: ArcSwapOption<RouteTable>,
-    endpoints: ArcSwap<Endpoints>,
+    pub(super) endpoints: ArcSwap<Endpoints>,
     drains: AtomicBool,
 }
 
@@ -374,178 +356,6 @@
         answer.finish(&self.pool, self.cx.clock.now());
         res
     }
-
-    /// Notes that an attempt may have run; fails if the request must not be sent again.
-    pub(super) fn note_lost(
-        &self,
-        plan: &mut Plan,
-        endpoint: &EndpointName,
-        reason: &str,
-    ) -> Result<(), Refusal> {
-        self.loads.note_failure(endpoint, self.cx.clock.now());
-        plan.report.failed(&self.cx, endpoint, reason);
-        if !plan.ran_on.contains(endpoint) {
-            plan.ran_on.push(endpoint.clone());
-        }
-        let message = format!("the answer of endpoint {endpoint} was lost: {reason}");
-        if !plan.route.repetition.may_repeat() {
-            return Err(Refusal::may_have_run(ResultCode::OutcomeUnknown, message));
-        }
-        if Instant::now() >= plan.deadline {
-            return Err(Refusal::may_have_run(ResultCode::AnswerLate, message));
-        }
-        Ok(())
-    }
-
-    /// Sends the request until an endpoint answers it.
-    pub(super) async fn answered(
-        &self,
-        plan: &mut Plan,
-        outgoing: &Outgoing,
-        last_event: Option<u64>,
-    ) -> Result<Answer, Refusal> {
-        let mut excluded: Vec<EndpointName> = Vec::new();
-        let mut rounds_left = ROUNDS_MAX - 1;
-        let mut fresh_only = false;
-        for sends in 0..SENDS_MAX {
-            let Some(endpoint) = self.choose(plan, outgoing, &excluded) else {
-                if rounds_left == 0 || Instant::now() + ROUND_PAUSE >= plan.deadline {
-                    return Err(self.no_endpoint(plan));
-                }
-                rounds_left -= 1;
-                excluded.clear();
-                tokio::time::sleep(ROUND_PAUSE).await;
-                continue;
-            };
-            let id = endpoint.id.clone();
-            let attempt = self.attempt(plan, endpoint, last_event, sends, fresh_only);
-            plan.report.note_send();
-            match attempt.send(outgoing).await {
-                Ok(answer) if answer.head.not_run => {
-                    self.note_not_run(plan, &answer);
-                    excluded.push(id);
-                    fresh_only = false;
-                }
-                Ok(answer) if answer.status.is_success() && !answer.head.is_signed => {
-                    self.note_lost(plan, &id, "the endpoint did not vouch for the answer")?;
-                }
-                Ok(answer) => {
-                    let used = if answer.is_reused() { "again" } else { "first" };
-                    self.cx.metrics.endpoint_connections.with_label_values(&[used]).inc();
-                    return Ok(answer);
-                }
-                Err(Failure::NotSent { reason }) => {
-                    // An idle connection that was closed says nothing about the endpoint.
-                    if fresh_only || !self.has_idle(&id) {
-                        self.loads.note_failure(&id, self.cx.clock.now());
-                        plan.ran_on.retain(|ran_on| *ran_on != id);
-                        excluded.push(id.clone());
-                    }
-                    plan.report.failed(&self.cx, &id, &reason);
-                    fresh_only = !fresh_only;
-                }
-                Err(Failure::Lost { reason }) => {
-                    self.note_lost(plan, &id, &reason)?;
-                    fresh_only = true;
-                }
-            }
-            if Instant::now() >= plan.deadline {
-                break;
-            }
-        }
-        Err(self.no_endpoint(plan))
-    }
-
-    fn has_idle(&self, endpoint: &EndpointName) -> bool {
-        self.pool.has_idle(endpoint)
-    }
-
-    fn note_not_run(&self, plan: &mut Plan, answer: &Answer) {
-        let now = self.cx.clock.now();
-        let id = &answer.endpoint.id;
-        match answer.status {
-            StatusCode::MISDIRECTED_REQUEST => self.loads.note_failure(id, now),
-            _ => self.loads.note_full(id, now),
-        }
-        if let Some(load) = answer.head.load {
-            self.loads.note_report(id, load, now);
-        }
-        plan.report.failed(&self.cx, id, &format!("not run, status {}", answer.status.as_u16()));
-    }
-
-    fn no_endpoint(&self, plan: &Plan) -> Refusal {
-        let service = &plan.service;
-        let code = if self.endpoints.load().get(service).is_none_or(Vec::is_empty) {
-            ResultCode::NoEndpoint
-        } else {
-            ResultCode::Overloaded
-        };
-        if !plan.ran_on.is_empty() {
-            let message = format!("no endpoint of {service} answered");
-            return Refusal::may_have_run(ResultCode::AnswerLate, message);
-        }
-        let message = format!("no endpoint of {service} has room");
-        Refusal::not_run(code, message).retry_after(RETRY_SOON)
-    }
-
-    fn choose(
-        &self,
-        plan: &Plan,
-        outgoing: &Outgoing,
-        excluded: &[EndpointName],
-    ) -> Option<EndpointRecord> {
-        let now = self.cx.clock.now();
-        let endpoints = self.endpoints.load();
-        let known = endpoints.get(&plan.service)?;
-        let is_full = plan.ran_on.len() >= plan.route.endpoints_max as usize;
-        let may_take = |record: &&EndpointRecord| {
-            !excluded.contains(&record.id) && (!is_full || plan.ran_on.contains(&record.id))
-        };
-        let candidate = |record: &EndpointRecord| Candidate {
-            record: record.clone(),
-            load: self.loads.get(&record.id),
-        };
-        let mut candidates: Vec<Candidate> = known.iter().filter(may_take).map(candidate).collect();
-        if plan.is_engine {
-            choice::order_engines(&mut candidates, &plan.key, now);
-        } else {
-            let affinity = outgoing.head.affinity.as_deref().filter(|_| plan.route.sticky);
-            choice::order_plain(&mut candidates, affinity, rand::random(), now);
-        }
-        candidates.into_iter().next().map(|candidate| candidate.record)
-    }
-
-    fn attempt(
-        &self,
-        plan: &Plan,
-        endpoint: EndpointRecord,
-        last_event: Option<u64>,
-        sends: u32,
-        fresh_only: bool,
-    ) -> Attempt<'_> {
-        let idle_limit = match plan.route.repetition {
-            _ if fresh_only => Duration::ZERO,
-            Repetition::Once | Repetition::Stream => IDLE_LIMIT_ONCE,
-            _ => Duration::MAX,
-        };
-        let first_wait = plan.route.target * FIRST_WAIT_TARGETS;
-        let head_deadline = match plan.route.repetition {
-            Repetition::Idempotent if sends == 0 => plan.deadline.min(Instant::now() + first_wait),
-            _ => plan.deadline,
-        };
-        Attempt {
-            pool: &self.pool,
-            dialect: &*self.dialect,
-            in_flight: self.loads.begin(&endpoint.id),
-            endpoint,
-            deadline: plan.deadline,
-            head_deadline,
-            idle_limit,
-            last_event,
-            urgency: plan.is_engine.then_some(plan.route.priority),
-            now: self.cx.clock.now(),
-        }
-    }
 }
 
 async fn collect(body: &mut Incoming) -> Result<Bytes, hyper::Error> {
--- a/coriandergw/src/roles/tests/groups.rs
+++ b/coriandergw/src/roles/tests/groups.rs
@@ -4,9 +4,9 @@
 use crate::roles::core::CoreProcess;
 use crate::roles::tests::world::Machine;
 use crate::roles::tests::world::Site;
-use crate::roles::tests::world::wait_for;
 use crate::roster::Role;
 use crate::roster::poller::Roster;
+use crate::test_support::wait_for;
 use crate::versions::Versions;
 
 async fn put(versions: &Versions, version: u64) {
@@ -14,6 +14,16 @@
     while versions.put(version, version.to_string().into()).await.is_err() {}
 }
 
+/// Starts the first three core instances of a site.
+async fn three_cores(site: &mut Site) -> (Vec<Machine>, Vec<CoreProcess>) {
+    let machines: Vec<Machine> = (0..3).map(|_| site.machine(true)).collect();
+    let mut cores = Vec::new();
+    for machine in &machines {
+        cores.push(CoreProcess::start(&machine.settings).await.expect("starts"));
+    }
+    (machines, cores)
+}
+
 fn voters(roster: &Roster) -> Vec<InstanceName> {
     roster.with_view(|view| view.leader(Role::Core)).map(|p| p.group.voters).unwrap_or_default()
 }
@@ -21,11 +31,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn two_disks_lost_one_after_the_other_lose_no_configuration() {
     let mut site = Site::new(3, 1).await;
-    let machines: Vec<Machine> = (0..3).map(|_| site.machine(true)).collect();
-    let mut cores = Vec::new();
-    for machine in &machines {
-        cores.push(CoreProcess::start(&machine.settings).await.expect("starts"));
-    }
+    let (_machines, mut cores) = three_cores(&mut site).await;
     put(&cores[0].versions, 7).await;
     for _ in 0..2 {
         let lost = cores.remove(0);
@@ -55,11 +61,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_that_lost_its_disk_is_a_new_member_at_the_same_address() {
     let mut site = Site::new(3, 1).await;
-    let machines: Vec<Machine> = (0..3).map(|_| site.machine(true)).collect();
-    let mut cores = Vec::new();
-    for machine in &machines {
-        cores.push(CoreProcess::start(&machine.settings).await.expect("starts"));
-    }
+    let (machines, mut cores) = three_cores(&mut site).await;
     put(&cores[0].versions, 7).await;
     let lost = cores.pop().expect("three");
     let lost_name = lost.cx.instance.clone();
--- a/coriandergw/src/roles/tests/routing.rs
+++ b/coriandergw/src/roles/tests/routing.rs
@@ -10,7 +10,7 @@
 use crate::roles::tests::world::get;
 use crate::roles::tests::world::post;
 use crate::roles::tests::world::status;
-use crate::roles::tests::world::wait_for;
+use crate::test_support::wait_for;
 
 async fn echo() -> Endpoint {
     Endpoint::start(|_, seen| {
--- a/coriandergw/src/test_support.rs
+++ b/coriandergw/src/test_support.rs
@@ -1,6 +1,7 @@
 //! Builds what the tests of several features share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use proptest::test_runner::Config as ProptestConfig;
 use proptest::test_runner::RngSeed;
@@ -93,3 +94,19 @@
         stage: Arc::default(),
     }
 }
+
+/// How long a condition may take before a test gives up.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
+
+/// Waits until `condition` holds.
+pub async fn wait_for<F>(what: &str, condition: F)
+where
+    F: Fn() -> bool,
+{
+    let polled = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_LIMIT, polled).await.unwrap_or_else(|_| panic!("waited for {what}"));
+}
--- a/coriandergw/src/transport/tcp.rs
+++ b/coriandergw/src/transport/tcp.rs
@@ -19,6 +19,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
@@ -258,9 +259,7 @@
                     if live.wants_probe(Instant::now()) {
                         Frame::bare(FrameKind::Probe, 0).put(&mut out);
                     }
-                    let write = tokio::time::timeout(PROBE_ANSWER, writer.write_all(&out));
-                    write.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
-                    out.clear();
+                    write_out(&mut writer, &mut out).await?;
                 }
                 read = reader.read_buf(&mut incoming) => {
                     if read? == 0 {
@@ -277,6 +276,14 @@
     }
 }
 
+/// Writes what was collected; a peer that takes nothing for long is given up.
+async fn write_out(writer: &mut OwnedWriteHalf, out: &mut BytesMut) -> std::io::Result<()> {
+    let write = tokio::time::timeout(PROBE_ANSWER, writer.write_all(out));
+    write.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
+    out.clear();
+    Ok(())
+}
+
 async fn sleep_until(deadline: Option<Instant>) {
     match deadline {
         Some(deadline) => tokio::time::sleep_until(deadline).await,
@@ -371,9 +378,7 @@
                     let Ok(frame) = rx.try_recv() else { break };
                     frame.put(&mut out);
                 }
-                let write = tokio::time::timeout(PROBE_ANSWER, writer.write_all(&out));
-                write.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
-                out.clear();
+                write_out(&mut writer, &mut out).await?;
             }
             read = reader.read_buf(&mut incoming) => {
                 if read? == 0 {
