--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -157,7 +157,7 @@
         }
     }
 
-    /// Takes in the configuration and the endpoints that the roster knows.
+    /// Applies the configuration and the endpoints that the roster knows.
     fn refresh(&self) {
         let (version, document) = self.roster.with_view(|view| {
             let (version, document) = view.config();
--- a/coriandergw/src/forwarding/loads.rs
+++ b/coriandergw/src/forwarding/loads.rs
@@ -60,22 +60,22 @@
         InFlight { loads: self.clone(), endpoint: endpoint.clone() }
     }
 
-    /// Takes in what an endpoint reports.
+    /// Records a reported load.
     pub fn note_report(&self, endpoint: &EndpointName, report: ReportedLoad, now: Timestamp) {
         self.with(endpoint, |load| load.reported = Some((report, now)));
     }
 
-    /// Takes in that an endpoint answered soundly.
+    /// Records a success.
     pub fn note_success(&self, endpoint: &EndpointName) {
         self.with(endpoint, |load| load.failures = 0);
     }
 
-    /// Takes in that an endpoint has no room.
+    /// Records a refusal of a full endpoint.
     pub fn note_full(&self, endpoint: &EndpointName, now: Timestamp) {
         self.with(endpoint, |load| load.rests_until = load.rests_until.max(now + FULL_REST));
     }
 
-    /// Takes in that an endpoint failed.
+    /// Records a failure.
     pub fn note_failure(&self, endpoint: &EndpointName, now: Timestamp) {
         self.with(endpoint, |load| {
             let rest = REST_FIRST * 2u32.pow(load.failures.min(5));
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -108,7 +108,7 @@
         Err(self.no_endpoint(plan))
     }
 
-    /// Takes in what one attempt gave; returns the answer if it is to be passed on.
+    /// Evaluates the result of one attempt; returns the answer if it is to be passed on.
     fn note_result(
         &self,
         plan: &mut Plan,
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -31,7 +31,7 @@
 /// Some callers keep an answer this many times as long.
 const KEPT_TIMES: u32 = 3;
 
-/// How long the word of a leaving instance takes to reach all others, and look-ups take.
+/// How long it takes until all instances know that this one is leaving, and a look-up takes.
 const LEAVE_SLACK: Duration = Duration::from_millis(700);
 
 /// How long requests under way may take once no new ones are taken.
--- a/coriandergw/src/roster/board.rs
+++ b/coriandergw/src/roster/board.rs
@@ -21,10 +21,11 @@
 /// what must not be repeated is lost there, so this is short.
 pub const PRESENCE_SILENCE: Duration = Duration::from_millis(600);
 
-/// How long what is over is remembered, so that a late word of it is recognised.
+/// How long departed endpoints and instances are remembered, so that late messages of theirs are
+/// recognised.
 pub const MEMORY_OF_THE_GONE: Duration = Duration::from_secs(120);
 
-/// After this time an endpoint's word is told again though nothing but its count changed, so that
+/// An unchanged announcement is published again after this time with its latest sequence, so that
 /// two core instances that heard it agree on who heard it last.
 const REPEAT_AFTER: Duration = Duration::from_secs(3);
 
@@ -120,7 +121,7 @@
         &self.fixed
     }
 
-    /// Takes in what the control group fixed; an older configuration does not replace a newer one.
+    /// Applies the state of the control group; an older configuration does not replace a newer one.
     pub fn fix(&mut self, fixed: Fixed) {
         if fixed.config_version >= self.fixed.config_version && fixed != self.fixed {
             self.fixed = fixed;
@@ -128,7 +129,7 @@
         }
     }
 
-    /// Takes in what an endpoint says; returns whether anything but its count changed.
+    /// Records an announcement; returns whether anything but its sequence changed.
     pub fn announce(&mut self, record: EndpointRecord, now: Timestamp) -> bool {
         let Some(entry) = self.endpoints.get_mut(&record.id) else {
             self.last_change += 1;
@@ -168,13 +169,13 @@
         true
     }
 
-    /// Takes in a sign of life of a process; returns whether it is known and was heard before.
+    /// Records a poll without a description; returns whether the process is known and alive.
     pub fn note_alive(&mut self, name: &InstanceName, now: Timestamp) -> bool {
         let entry = self.instances.get_mut(name).filter(|entry| entry.value.heard);
         entry.map(|entry| entry.heard_at = now).is_some()
     }
 
-    /// Takes in what a process says of itself; returns whether that is news.
+    /// Records a process's description of itself; returns whether it is new or alive again.
     pub fn note_presence(&mut self, presence: Presence, now: Timestamp) -> bool {
         let heard = Heard { presence, heard: true };
         let is_news = match self.instances.get_mut(&heard.presence.name) {
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -70,7 +70,7 @@
     /// The start of the process, in milliseconds since the Unix epoch.
     #[prost(uint64, tag = "9")]
     pub started_ms: u64,
-    /// What it knows of its group; only a leader's word counts.
+    /// What it knows of its group; only a leader's report counts.
     #[prost(uint64, tag = "10")]
     pub term: u64,
     #[prost(bool, tag = "11")]
--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -38,7 +38,7 @@
 pub struct GroupStatus {
     /// The term of the group.
     pub term: u64,
-    /// Whether it leads; only a leader's word on the members counts.
+    /// Whether it leads; only a leader's report of the members counts.
     pub leads: bool,
     /// The voters.
     pub voters: Vec<InstanceName>,
@@ -111,7 +111,7 @@
     /// Returns whether this record is to replace `old`.
     ///
     /// A later incarnation replaces an earlier one. Within one, a departure is final, and a later
-    /// word replaces an earlier one.
+    /// record replaces an earlier one.
     pub fn supersedes(&self, old: &EndpointRecord) -> bool {
         if self.started_ms != old.started_ms {
             return self.started_ms > old.started_ms;
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -183,7 +183,7 @@
         poll.encode_to_vec().into()
     }
 
-    /// Takes in an answer; returns whether the core instance knows this process.
+    /// Merges an answer; returns whether the core instance knows this process.
     fn merge(&self, core: SocketAddr, bytes: Bytes) -> Result<bool, String> {
         let raw = raw::PollAnswer::decode(bytes).map_err(|cause| cause.to_string())?;
         let is_known = !raw.wants_presence;
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -60,7 +60,7 @@
         result
     }
 
-    /// Takes in what an endpoint says of itself.
+    /// Records an endpoint's announcement.
     pub fn announce(&self, record: EndpointRecord) {
         let now = self.cx.clock.now();
         let (id, state) = (record.id.to_string(), record.state);
@@ -77,7 +77,7 @@
         }
     }
 
-    /// Takes in that an endpoint is gone.
+    /// Records an endpoint's departure.
     pub fn depart(&self, id: &EndpointName, started_ms: Option<u64>) {
         let now = self.cx.clock.now();
         let known = self.with_board(|board| board.depart(id, started_ms, now));
@@ -86,7 +86,7 @@
         self.cx.events.record(EventNumber::EndpointLeaving, subject, detail);
     }
 
-    /// Takes in what the control group fixed.
+    /// Applies the state of the control group.
     pub fn fix(&self, fixed: Fixed) {
         self.with_board(|board| board.fix(fixed));
     }
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -20,7 +20,7 @@
 /// A core instance that has not answered for this long does not count any more.
 pub const CORE_SILENCE: Duration = Duration::from_millis(2_000);
 
-/// How long an endpoint may go unconfirmed after the core instance that told of it was lost.
+/// How long an endpoint may go unconfirmed after the core instance that reported it was lost.
 /// Endpoints repeat their announcement well within this time.
 pub const CONFIRMATION_LIMIT: Duration = Duration::from_millis(5_000);
 
@@ -78,7 +78,7 @@
         self.cores.get(&core).map_or((0, 0), |view| (view.start, view.cursor))
     }
 
-    /// Takes in an answer of the core instance at `core`; returns whether it brought anything.
+    /// Merges an answer of the core instance at `core`; returns whether anything changed.
     pub fn merge(&mut self, core: SocketAddr, answer: Answer, now: Timestamp) -> bool {
         let is_news = !answer.endpoints.is_empty()
             || !answer.instances.is_empty()
@@ -217,14 +217,14 @@
         found.into_values().collect()
     }
 
-    /// Returns the leader of a role's group with the highest term that was told of.
+    /// Returns the leader of a role's group with the highest reported term.
     pub fn leader(&self, role: Role) -> Option<Presence> {
         let all = self.cores.values().flat_map(|view| view.instances.values());
         let leaders = all.filter(|heard| heard.presence.role == role && heard.presence.group.leads);
         leaders.max_by_key(|heard| heard.presence.group.term).map(|heard| heard.presence.clone())
     }
 
-    /// Returns the addresses of all core instances that were ever told of.
+    /// Returns the addresses of all core instances that were ever reported.
     pub fn core_names(&self) -> Vec<InstanceName> {
         let all = self.cores.values().flat_map(|view| view.instances.values());
         let cores = all.filter(|heard| heard.presence.role == Role::Core && heard.heard);
