fix(forwarding): do not say "not run" after a lost send whose endpoint is gone

Cause: whether a request may have run was derived from the list of endpoints that it may still run on, and an endpoint that refuses a connection leaves that list. A lost send, then a refused connection, ended as 503 with not_run true. Found on rereading the change; the test failed with 503 before and gets 504 now.

Change: a flag of its own on the plan. Only idempotent requests and resumable streams were affected, as others are never sent again.

--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -89,7 +89,9 @@
     pub(super) deadline: Instant,
     /// What groups requests that do well at one endpoint.
     pub(super) key: Arc<str>,
-    /// The endpoints on which it may have run.
+    /// Whether any endpoint may have run it.
+    pub(super) may_have_run: bool,
+    /// The living endpoints on which it may have run.
     pub(super) ran_on: Vec<EndpointName>,
     pub(super) report: Report,
 }
@@ -267,6 +269,7 @@
             service,
             deadline,
             key,
+            may_have_run: false,
             ran_on: Vec::new(),
             report,
             route,
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -62,6 +62,7 @@
     ) -> Result<(), Refusal> {
         self.loads.note_failure(endpoint, self.cx.clock.now());
         plan.report.failed(&self.cx, endpoint, reason);
+        plan.may_have_run = true;
         if !plan.ran_on.contains(endpoint) {
             plan.ran_on.push(endpoint.clone());
         }
@@ -170,7 +171,7 @@
         } else {
             ResultCode::Overloaded
         };
-        if !plan.ran_on.is_empty() {
+        if plan.may_have_run {
             let message = format!("no endpoint of {service} answered");
             return Refusal::may_have_run(ResultCode::AnswerLate, message);
         }
--- a/coriandergw/src/roles/tests/dishonest.rs
+++ b/coriandergw/src/roles/tests/dishonest.rs
@@ -130,3 +130,13 @@
     let reply = world.ask(&get("/safe/x", "t2", "")).await;
     assert!(reply.ends_with("0 bytes"), "{reply}");
 }
+
+#[tokio::test]
+async fn a_request_whose_endpoint_is_gone_after_a_lost_send_is_not_said_not_to_have_run() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start_once(|_, _| vec![Step::Reset]).await;
+    world.announce("a", "plain", &endpoint).await;
+    let reply = world.ask(&get("/safe/x", "t1", "")).await;
+    assert_eq!(endpoint.seen().len(), 1);
+    assert!(reply.contains("\"not_run\":false"), "{reply}");
+}
--- a/coriandergw/src/roles/tests/endpoint.rs
+++ b/coriandergw/src/roles/tests/endpoint.rs
@@ -72,6 +72,24 @@
         endpoint
     }
 
+    /// Starts an endpoint that takes one connection and listens no more.
+    pub async fn start_once<F>(script: F) -> Self
+    where
+        F: Fn(usize, &Seen) -> Vec<Step> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let address = listener.local_addr().expect("address");
+        let endpoint = Self { address, seen: Arc::default(), closed: Arc::default() };
+        let (served, script): (Self, Arc<Script>) = (endpoint.clone(), Arc::new(script));
+        tokio::spawn(async move {
+            if let Ok((stream, _)) = listener.accept().await {
+                drop(listener);
+                served.serve(stream, script).await;
+            }
+        });
+        endpoint
+    }
+
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.lock().expect("not poisoned").clone()
     }
