fix(log-groups): send entries again to a voter that lost its log unnoticed

Cause: a voter whose folder was emptied starts as a first voter and refuses entries from index 1 on. A leader that knew it before ignores a refusal below what the voter once confirmed, so the voter stays empty and counts for nothing; with another voter lost no command commits. A leader elected after the loss starts with no such knowledge, which is why the known red test failed only where one instance led the other group all along (logs of a red run: e3 leads group 1 from 24.87 on, e1 is emptied at 26.8). Ruled out: the heartbeat lists that are left out, and the driver's deadlines: both groups share them and the other one commits. Change: a refusal always sets the leader's knowledge back, which can only delay a commit; a follower that is told of committed entries that it does not hold refuses at once, so it catches up with the next heartbeat and not with the next command. Test: a_voter_without_its_log_catches_up_under_the_leader_that_knew_it, red before.

--- a/coriandergw/src/log_groups/core/follower.rs
+++ b/coriandergw/src/log_groups/core/follower.rs
@@ -79,7 +79,13 @@
         }
         self.commit_known = self.commit_known.max(commit);
         self.advance_follower_commit();
-        self.answer_term(from, sent_at, Body::HeartbeatAnswer);
+        let last_index = self.log.last_index();
+        let body = match commit > last_index {
+            // The log was lost: the leader knows that this member once held more.
+            true => Body::AppendRefused { next: last_index + 1 },
+            false => Body::HeartbeatAnswer,
+        };
+        self.answer_term(from, sent_at, body);
     }
 
     /// Commits what the leader committed, as far as it is synced here.
--- a/coriandergw/src/log_groups/core/progress.rs
+++ b/coriandergw/src/log_groups/core/progress.rs
@@ -81,14 +81,11 @@
 
     /// Goes back to where the member's log may agree.
     pub(super) fn refuse(&mut self, next: u64) {
-        if !self.counts {
-            // A member that lost its log may hold less than it once confirmed.
-            self.matched = self.matched.min(next.saturating_sub(1));
-        }
-        if next > self.matched {
-            self.next = next.min(self.next);
-            self.in_flight = None;
-        }
+        // A member that lost its log holds less than it once confirmed. A refusal that is late asks
+        // for entries that the member has already, which it confirms again.
+        self.matched = self.matched.min(next.saturating_sub(1));
+        self.next = next.min(self.next);
+        self.in_flight = None;
     }
 
     pub(super) fn confirm_chunk(&mut self, index: u64, received: u64) {
--- a/coriandergw/src/log_groups/core/simulation.rs
+++ b/coriandergw/src/log_groups/core/simulation.rs
@@ -371,6 +371,12 @@
         member.lost = true;
     }
 
+    /// Stops a member that then loses its log and does not know it, as after a deleted folder.
+    pub fn forget_log(&mut self, at: usize) {
+        self.lose_log(at);
+        self.members[at].lost = false;
+    }
+
     fn restart(&mut self, at: usize) {
         let (local, seed) = (self.local(at), self.rng.random());
         let member = &mut self.members[at];
--- a/coriandergw/src/log_groups/core/tests.rs
+++ b/coriandergw/src/log_groups/core/tests.rs
@@ -214,6 +214,25 @@
     assert!(simulation.acknowledged() > before, "two whole voters make a quorum");
 }
 
+#[test]
+fn a_voter_without_its_log_catches_up_under_the_leader_that_knew_it() {
+    let mut simulation = Simulation::new(SEED);
+    simulation.run(&Action::Pass { slots: 100 });
+    simulation.run(&Action::Propose);
+    simulation.run(&Action::Pass { slots: 20 });
+    let leader = simulation.leader().expect("nothing failed");
+    let (emptied, stopped) = ((leader + 1) % 3, (leader + 2) % 3);
+    simulation.forget_log(emptied);
+    simulation.run(&Action::Restart { member: emptied });
+    simulation.run(&Action::Pass { slots: 40 });
+    simulation.run(&Action::Crash { member: stopped });
+    let before = simulation.acknowledged();
+    simulation.run(&Action::Propose);
+    simulation.run(&Action::Pass { slots: 40 });
+    assert_eq!(simulation.leader(), Some(leader));
+    assert!(simulation.acknowledged() > before, "the emptied voter does not take the entries");
+}
+
 #[test]
 fn a_new_voter_counts_only_once_it_has_caught_up() {
     let mut simulation = Simulation::new(SEED);
