perf(roster): notice a frozen entry instance within a quarter of a second; serve sooner after a restart

Change: entry instances send signs of life each 50 ms to three core instances, chosen by rendezvous hashing, beside their polls. A watcher finds one silent after 220 ms, and what a watcher said counts for 330 ms. Polls wait 200 ms in place of 250. A core instance that stood still for 150 ms reads what has arrived before it judges.

Change: a core instance keeps the last configuration in force on its disk and tells entry instances of it at once; reads and changes still wait for the group. A request at an instance that has just started waits a third of its time for the configuration and for the first endpoint of its service. Polls that fail are repeated after 25 ms, doubled up to 400, in place of 200. A proposal without known voters waits for them. Ruled out: writing endpoints to the disk (they announce themselves within 1.2 s, and a written one may be gone). Tests: the board and the view with signs of life, rendezvous hashing, the warm-up, a request at a starting instance, a core instance without a quorum.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -176,4 +176,6 @@
     ChangeDecided = 512, Info;
     /// An operator's read was answered.
     ReadDecided = 513, Info;
+    /// The configuration last in force could not be read from or written to the disk.
+    LastConfigFailed = 514, Error;
 }
--- a/coriandergw/src/forwarding/choice.rs
+++ b/coriandergw/src/forwarding/choice.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Timestamp;
 use crate::forwarding::loads::Load;
+use crate::rendezvous::hash_of;
 use crate::roster::EndpointRecord;
 
 /// How long a reported load tells anything: a few requests of usual length.
@@ -42,17 +43,6 @@
     }
 }
 
-/// Mixes a key and a name to a number that is the same on all instances.
-pub fn hash_of(key: &str, name: &str) -> u64 {
-    // FNV-1a with a final mix: cheap, and stable across processes and versions.
-    let bytes = key.bytes().chain([0xff]).chain(name.bytes());
-    let mixed = bytes.fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
-    let mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    mixed ^ (mixed >> 33)
-}
-
 /// Orders engines for a program: the one that its key belongs to first, unless it is too busy.
 ///
 /// All instances agree on the order of sound engines without a message, so that a program's prompt
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::context::Context;
@@ -24,7 +25,6 @@
 use crate::forwarding::Dialect;
 use crate::forwarding::attempt::Answer;
 use crate::forwarding::attempt::Outgoing;
-use crate::forwarding::choice;
 use crate::forwarding::headers;
 use crate::forwarding::loads::Loads;
 use crate::forwarding::pool::Pool;
@@ -35,7 +35,10 @@
 use crate::forwarding::relay::Relay;
 use crate::forwarding::report::Report;
 use crate::forwarding::turn::Turn;
+use crate::forwarding::warm_up::WARM_UP;
+use crate::forwarding::warm_up::WarmUp;
 use crate::ids::EndpointName;
+use crate::rendezvous::hash_of;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 use crate::roster::EndpointRecord;
@@ -77,6 +80,9 @@
     budgets: BudgetClient,
     table: ArcSwapOption<RouteTable>,
     pub(super) endpoints: ArcSwap<Endpoints>,
+    /// Counts how often the routes and endpoints were taken from the roster.
+    refreshes: watch::Sender<u64>,
+    warm_up: WarmUp,
     drains: AtomicBool,
 }
 
@@ -118,6 +124,7 @@
         reader: Arc<dyn ConfigReader>,
         roster: Arc<Roster>,
         budgets: BudgetClient,
+        warm_up: WarmUp,
     ) -> Arc<Self> {
         Arc::new(Self {
             cx,
@@ -129,6 +136,8 @@
             budgets,
             table: ArcSwapOption::empty(),
             endpoints: ArcSwap::default(),
+            refreshes: watch::Sender::default(),
+            warm_up,
             drains: AtomicBool::new(false),
         })
     }
@@ -179,6 +188,34 @@
         self.pool.sweep(is_known, self.cx.clock.now());
         self.loads.retain(is_known);
         self.endpoints.store(Arc::new(endpoints));
+        self.refreshes.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until `is_known` holds after a refresh, as long as a request with this time left may
+    /// wait for it; what is not known then is refused by the caller.
+    async fn await_news<F>(&self, time_left: Duration, is_known: F)
+    where
+        F: Fn() -> bool,
+    {
+        if is_known() {
+            return;
+        }
+        if let Some(limit) = self.warm_up.limit(time_left, Instant::now()) {
+            let mut refreshes = self.refreshes.subscribe();
+            let known = refreshes.wait_for(|_| is_known());
+            let _ = tokio::time::timeout_at(limit, known).await;
+        }
+    }
+
+    /// Waits for the first endpoint of a service at an instance that has just started.
+    pub(super) async fn first_endpoint(&self, plan: &Plan) {
+        let time_left = plan.deadline.saturating_duration_since(Instant::now());
+        self.await_news(time_left, || self.has_endpoints(&plan.service)).await;
+    }
+
+    /// Returns whether any endpoint of a service may get work.
+    pub(super) fn has_endpoints(&self, service: &str) -> bool {
+        self.endpoints.load().get(service).is_some_and(|known| !known.is_empty())
     }
 
     fn take_config(&self, version: u64, document: &[u8]) {
@@ -209,6 +246,11 @@
         req: Request<Incoming>,
         started: Instant,
     ) -> Result<Response<AnswerBody>, Refusal> {
+        if !self.is_ready() {
+            let head = self.dialect.read_call(req.headers()).ok();
+            let time_left = head.and_then(|head| head.deadline).unwrap_or(WARM_UP);
+            self.await_news(time_left, || self.is_ready()).await;
+        }
         let table = self.table.load_full().ok_or_else(|| {
             Report::no_configuration(&self.cx, &req);
             let message = "this instance has no configuration yet";
@@ -247,7 +289,7 @@
         let program = head.program.as_ref().map(|program| program.program.clone());
         let key = program.clone().or_else(|| head.affinity.clone());
         let key = key.unwrap_or_else(|| head.attempt.clone());
-        let service = route.service_for(choice::hash_of(&key, "")).cloned();
+        let service = route.service_for(hash_of(&key, "")).cloned();
         let service = service.ok_or_else(|| {
             Refusal::not_run(ResultCode::NoEndpoint, "the route goes to no service")
         })?;
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -25,6 +25,7 @@
 mod sending;
 pub mod server;
 mod turn;
+pub mod warm_up;
 
 /// The program that a request belongs to.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -86,6 +86,7 @@
         outgoing: &Outgoing,
         last_event: Option<u64>,
     ) -> Result<Answer, Refusal> {
+        self.first_endpoint(plan).await;
         let mut tries = Tries::default();
         for sends in 0..SENDS_MAX {
             let Some(endpoint) = self.choose(plan, outgoing, &tries.excluded) else {
@@ -166,10 +167,9 @@
 
     fn no_endpoint(&self, plan: &Plan) -> Refusal {
         let service = &plan.service;
-        let code = if self.endpoints.load().get(service).is_none_or(Vec::is_empty) {
-            ResultCode::NoEndpoint
-        } else {
-            ResultCode::Overloaded
+        let code = match self.has_endpoints(service) {
+            true => ResultCode::Overloaded,
+            false => ResultCode::NoEndpoint,
         };
         if plan.may_have_run {
             let message = format!("no endpoint of {service} answered");
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod placement;
 pub mod programs;
 pub mod queueing;
+pub mod rendezvous;
 pub mod result_code;
 pub mod roles;
 pub mod roster;
--- a/coriandergw/src/log_groups/client.rs
+++ b/coriandergw/src/log_groups/client.rs
@@ -53,7 +53,12 @@
 impl LogClient {
     /// Creates a client that tries the given voters.
     pub fn new(transport: Arc<dyn Transport>, voters: Vec<InstanceName>) -> Self {
-        Self { transport, voters: RwLock::new(voters), local: None, leaders: watch::Sender::default() }
+        Self {
+            transport,
+            voters: RwLock::new(voters),
+            local: None,
+            leaders: watch::Sender::default(),
+        }
     }
 
     /// Makes the client ask the log node of its own instance without the transport.
@@ -177,7 +182,14 @@
             return Err(ProposeError::NotProposed { reason });
         }
         let mut attempts = Attempts::new();
-        while let Some(target) = self.target(group, &mut attempts) {
+        loop {
+            let Some(target) = self.target(group, &mut attempts) else {
+                // The voters are told soon after a start.
+                if attempts.wait(false).await {
+                    continue;
+                }
+                break;
+            };
             // An instance that was cut off or froze does not answer; its successor does.
             let outcome = tokio::select! {
                 biased;
--- a/coriandergw/src/log_groups/core/tests.rs
+++ b/coriandergw/src/log_groups/core/tests.rs
@@ -105,10 +105,7 @@
     ]
 }
 
-fn run_schedule(
-    mut simulation: Simulation,
-    actions: &[Action],
-) -> Result<usize, TestCaseError> {
+fn run_schedule(mut simulation: Simulation, actions: &[Action]) -> Result<usize, TestCaseError> {
     let run = || {
         actions.iter().for_each(|action| simulation.run(action));
         simulation.settle();
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -19,12 +19,14 @@
 use crate::roles::ProcessSettings;
 use crate::roles::StartError;
 use crate::roles::founders;
+use crate::roles::last_config;
 use crate::roles::name_on_disk;
 use crate::roles::open_disk;
 use crate::roster::Presence;
 use crate::roster::Role;
 use crate::roster::board::Fixed;
 use crate::roster::poller::Roster;
+use crate::roster::pulses::PulseHandler;
 use crate::roster::server::RosterServer;
 use crate::storage::Disk;
 use crate::transport::Kind;
@@ -62,12 +64,16 @@
         let voters = first_voters(settings, &name, &*disk)?;
         let board = RosterServer::new(base.cx.clone(), settings.endpoint_silence);
         base.transport.register(Kind::Roster, board.clone());
+        base.transport.register(Kind::Pulse, Arc::new(PulseHandler { board: board.clone() }));
+        if let Some(fixed) = last_config::read(&base.cx, &*disk) {
+            board.fix(fixed);
+        }
         let (published, fixed) = watch::channel(Fixed::default());
         let machine = VersionsMachine::new(published);
         let options = LogOptions {
             cluster: CLUSTER.to_owned(),
             voters,
-            disk,
+            disk: disk.clone(),
             groups: vec![(CONTROL_GROUP, Box::new(machine))],
             snapshot_every: SNAPSHOT_EVERY_ENTRIES,
             has_leases: false,
@@ -77,7 +83,7 @@
         base.roster.update_presence(|presence| presence.ready = true);
         base.poll(settings);
         base.tasks.spawn(board.clone().look_for_silence());
-        base.tasks.spawn(publish(fixed, board.clone()));
+        base.tasks.spawn(publish(base.cx.clone(), fixed, board.clone(), disk));
         let steward = StewardDriver {
             cx: base.cx.clone(),
             group: CONTROL_GROUP,
@@ -126,11 +132,19 @@
     Ok(voters)
 }
 
-/// Hands what the control group fixed to the board.
-async fn publish(mut fixed: watch::Receiver<Fixed>, board: Arc<RosterServer>) {
+/// Hands what the control group fixed to the board, and keeps it for the next start.
+async fn publish(
+    cx: Context,
+    mut fixed: watch::Receiver<Fixed>,
+    board: Arc<RosterServer>,
+    disk: Arc<dyn Disk>,
+) {
     loop {
         let state = fixed.borrow_and_update().clone();
-        board.fix(state);
+        board.fix(state.clone());
+        if state.config_version > 0 {
+            last_config::write(&cx, disk.clone(), &state).await;
+        }
         if fixed.changed().await.is_err() {
             return;
         }
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::forwarding::Dialect;
@@ -15,6 +16,7 @@
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::server;
 use crate::forwarding::server::Phase;
+use crate::forwarding::warm_up::WarmUp;
 use crate::log_groups::client::LogClient;
 use crate::roles::Base;
 use crate::roles::ProcessSettings;
@@ -22,6 +24,7 @@
 use crate::roles::name_of;
 use crate::roster::Role;
 use crate::roster::poller::Roster;
+use crate::roster::pulses::send_pulses;
 use crate::token_budgets::client::BUDGET_GROUP;
 use crate::token_budgets::client::BudgetClient;
 
@@ -69,10 +72,13 @@
             .map_err(|cause| StartError::Bind { address: callers, cause })?;
         base.poll(settings);
         let log = Arc::new(LogClient::new(base.transport.clone(), Vec::new()));
+        base.tasks.spawn(send_pulses(base.roster.clone(), base.transport.clone()));
         base.tasks.spawn(follow_journal(base.roster.clone(), log.clone()));
         let budgets = BudgetClient::start(base.cx.clone(), log);
         let roster = base.roster.clone();
-        let forwarder = Forwarder::new(base.cx.clone(), dialect, reader, roster.clone(), budgets);
+        let warm_up = WarmUp::new(Instant::now(), settings.warm_up);
+        let cx = base.cx.clone();
+        let forwarder = Forwarder::new(cx, dialect, reader, roster.clone(), budgets, warm_up);
         base.tasks.spawn(forwarder.clone().follow_roster());
         base.tasks.spawn(tell_ready(roster.clone(), forwarder.clone()));
         let (phase, phases) = watch::channel(Phase::Serves);
--- /dev/null
+++ b/coriandergw/src/roles/last_config.rs
@@ -0,0 +1,43 @@
+//! The configuration that was last in force, on the disk of a core instance.
+//!
+//! After a restart of all instances the group that decides it needs an election before it can tell
+//! what is in force. Until then entry instances go by this file; reads and changes wait for the group.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::context::Context;
+use crate::events::EventNumber;
+use crate::events::Subject;
+use crate::roster::board::Fixed;
+use crate::storage::Disk;
+use crate::versions::machine;
+
+/// The file that holds it.
+const FILE: &str = "last-config.bin";
+
+/// Reads what was last in force; nothing if the disk has none or it cannot be read.
+pub fn read(cx: &Context, disk: &dyn Disk) -> Option<Fixed> {
+    match disk.read(FILE) {
+        Ok(bytes) => machine::decode_state(Bytes::from(bytes?)),
+        Err(cause) => {
+            report(cx, &format!("{FILE} was not read: {cause}"));
+            None
+        }
+    }
+}
+
+/// Writes what is in force now, without holding up the caller's thread.
+pub async fn write(cx: &Context, disk: Arc<dyn Disk>, fixed: &Fixed) {
+    let bytes = machine::encode_state(fixed);
+    let writing = tokio::task::spawn_blocking(move || disk.replace(FILE, &bytes));
+    let result = writing.await.map_err(std::io::Error::other).flatten();
+    if let Err(cause) = result {
+        report(cx, &format!("{FILE} was not written: {cause}"));
+    }
+}
+
+fn report(cx: &Context, cause: &str) {
+    cx.events.record(EventNumber::LastConfigFailed, Subject::default(), cause);
+}
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -37,6 +37,7 @@
 pub mod entry;
 pub mod founders;
 pub mod journal;
+mod last_config;
 
 /// The name that data folders and messages of the log carry.
 const CLUSTER: &str = "coriandergw";
@@ -73,6 +74,8 @@
     pub endpoint_silence: Duration,
     /// Where callers connect, if this process takes any.
     pub caller_address: Option<SocketAddr>,
+    /// How long after the start requests may wait for the configuration and for endpoints.
+    pub warm_up: Duration,
 }
 
 impl ProcessSettings {
@@ -207,6 +210,7 @@
             started_ms: clock.wall().0,
             group: GroupStatus::default(),
             is_founder: settings.is_first_start,
+            watchers: Vec::new(),
         };
         let roster = Roster::new(cx.clone(), presence);
         let mut tasks = JoinSet::new();
--- a/coriandergw/src/roles/tests/groups.rs
+++ b/coriandergw/src/roles/tests/groups.rs
@@ -24,6 +24,27 @@
     (machines, cores)
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_starts_without_a_quorum_tells_the_last_configuration_and_reads_nothing() {
+    let mut site = Site::new(3, 1).await;
+    let (machines, cores) = three_cores(&mut site).await;
+    put(&cores[0].versions, 7).await;
+    let knows_it = || cores.iter().all(|core| core.board.config_version() == 7);
+    wait_for("the configuration on all boards", knows_it).await;
+    let file = machines[0].settings.data_folder.as_ref().expect("a folder").join("last-config.bin");
+    wait_for("the configuration on the disk", || file.exists()).await;
+    for core in cores {
+        core.stop().await;
+    }
+    // The addresses stay bound by the processes of this test.
+    let moved = site.machine(false);
+    let mut settings = machines[0].settings.clone();
+    settings.ip = moved.settings.ip;
+    let restarted = CoreProcess::start(&settings).await.expect("starts");
+    assert_eq!(restarted.board.config_version(), 7);
+    assert!(restarted.versions.read().await.is_err(), "nobody can be sure that it is the newest");
+}
+
 fn voters(roster: &Roster) -> Vec<InstanceName> {
     roster.with_view(|view| view.leader(Role::Core)).map(|p| p.group.voters).unwrap_or_default()
 }
--- a/coriandergw/src/roles/tests/routing.rs
+++ b/coriandergw/src/roles/tests/routing.rs
@@ -58,6 +58,20 @@
     assert!(reply.contains("\"not_run\":true"), "{reply}");
 }
 
+#[tokio::test]
+async fn a_request_at_an_instance_that_has_just_started_waits_for_what_it_needs() {
+    let world = World::start_cold().await;
+    let endpoint = echo().await;
+    let request = get("/safe/x", "t1", "");
+    let asking = world.ask(&request);
+    let telling = async {
+        world.core.versions.put(1, "1".into()).await.expect("committed");
+        world.announce("a", "plain", &endpoint).await;
+    };
+    let (reply, ()) = tokio::join!(asking, telling);
+    assert_eq!(status(&reply), "200", "{reply}");
+}
+
 #[tokio::test]
 async fn chunked_and_pipelined_requests_get_their_answers_in_order() {
     let world = World::start().await;
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -168,6 +168,7 @@
             tolerated_losses: self.tolerated_losses,
             endpoint_silence: Duration::from_secs(60),
             caller_address: Some(SocketAddr::new(ip, self.first_port + 5)),
+            warm_up: Duration::ZERO,
         };
         Machine { settings, _folder: folder }
     }
@@ -192,8 +193,19 @@
     }
 
     pub async fn start_without_configuration() -> Self {
+        Self::start_machine(Duration::ZERO).await
+    }
+
+    /// Starts all roles without a configuration; requests may wait for what the entry instance
+    /// still has to hear, longer than any test takes.
+    pub async fn start_cold() -> Self {
+        Self::start_machine(WAIT_LIMIT).await
+    }
+
+    async fn start_machine(warm_up: Duration) -> Self {
         let mut site = Site::new(1, 0).await;
-        let machine = site.machine(true);
+        let mut machine = site.machine(true);
+        machine.settings.warm_up = warm_up;
         let mut journal_settings = machine.settings.clone();
         let folder = machine.settings.data_folder.clone().expect("a folder");
         journal_settings.data_folder = Some(folder.join("journal"));
--- a/coriandergw/src/roster/board.rs
+++ b/coriandergw/src/roster/board.rs
@@ -14,13 +14,17 @@
 use crate::roster::Presence;
 
 /// How long a poll may wait for a change.
-pub const POLL_WAIT: Duration = Duration::from_millis(250);
+pub const POLL_WAIT: Duration = Duration::from_millis(200);
 
 /// A process that has not polled for this long is not heard: one wait, one repetition of a lost
 /// packet and a slow machine. Callers keep sending to a frozen instance until it is left out, and
 /// what must not be repeated is lost there, so this is short.
 pub const PRESENCE_SILENCE: Duration = Duration::from_millis(600);
 
+/// An instance that sent signs of life to this core instance and stopped is not heard after this:
+/// four signs and a little scheduling delay.
+pub const PULSE_SILENCE: Duration = Duration::from_millis(220);
+
 /// How long departed endpoints and instances are remembered, so that late messages of theirs are
 /// recognised.
 pub const MEMORY_OF_THE_GONE: Duration = Duration::from_secs(120);
@@ -29,8 +33,9 @@
 /// two core instances that heard it agree on who heard it last.
 const REPEAT_AFTER: Duration = Duration::from_secs(3);
 
-/// Between two looks for silence; a longer gap means that this process itself stood still.
-const OWN_STALL: Duration = Duration::from_secs(1);
+/// Between two looks for silence; a longer gap means that this process itself stood still, and what
+/// others sent meanwhile is still to be read.
+const OWN_STALL: Duration = Duration::from_millis(150);
 
 /// The configuration in force and what else the control group fixed.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -52,11 +57,13 @@
     changed: u64,
     heard_at: Timestamp,
     told_at: Timestamp,
+    /// Whether signs of life come between the polls.
+    pulses: bool,
 }
 
 impl<T> Entry<T> {
     fn new(value: T, changed: u64, now: Timestamp) -> Self {
-        Self { value, changed, heard_at: now, told_at: now }
+        Self { value, changed, heard_at: now, told_at: now, pulses: false }
     }
 }
 
@@ -175,6 +182,22 @@
         entry.map(|entry| entry.heard_at = now).is_some()
     }
 
+    /// Records a sign of life; returns whether the process was silent before.
+    pub fn note_pulse(&mut self, name: &InstanceName, now: Timestamp) -> bool {
+        let Some(entry) = self.instances.get_mut(name) else {
+            return false;
+        };
+        entry.heard_at = now;
+        entry.pulses = true;
+        let is_news = !entry.value.heard;
+        if is_news {
+            entry.value.heard = true;
+            self.last_change += 1;
+            entry.changed = self.last_change;
+        }
+        is_news
+    }
+
     /// Records a process's description of itself; returns whether it is new or alive again.
     pub fn note_presence(&mut self, presence: Presence, now: Timestamp) -> bool {
         let heard = Heard { presence, heard: true };
@@ -187,7 +210,8 @@
             None => true,
         };
         self.last_change += 1;
-        let entry = Entry::new(heard, self.last_change, now);
+        let pulses = self.instances.get(&heard.presence.name).is_some_and(|entry| entry.pulses);
+        let entry = Entry { pulses, ..Entry::new(heard, self.last_change, now) };
         self.instances.insert(entry.value.presence.name.clone(), entry);
         is_news
     }
@@ -212,8 +236,11 @@
             }
         }
         for entry in self.instances.values_mut() {
-            if entry.value.heard && now.since(entry.heard_at) > PRESENCE_SILENCE {
+            let limit = if entry.pulses { PULSE_SILENCE } else { PRESENCE_SILENCE };
+            if entry.value.heard && now.since(entry.heard_at) > limit {
                 entry.value.heard = false;
+                // A core instance that is no watcher any more goes by the polls.
+                entry.pulses = false;
                 self.last_change += 1;
                 entry.changed = self.last_change;
                 silent.push(Silent::Instance(entry.value.presence.name.clone()));
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -82,6 +82,9 @@
     /// Whether it had an empty disk at the first start of the whole system.
     #[prost(bool, tag = "14")]
     pub is_founder: bool,
+    /// The core instances to which it sends signs of life between its polls.
+    #[prost(string, repeated, tag = "15")]
+    pub watchers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// One endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -18,6 +18,7 @@
 #[allow(missing_docs, clippy::all)]
 mod generated;
 pub mod poller;
+pub mod pulses;
 pub mod server;
 pub mod view;
 mod wire;
@@ -69,6 +70,8 @@
     pub group: GroupStatus,
     /// Whether it had an empty disk when the whole system started for the first time.
     pub is_founder: bool,
+    /// The core instances that it sends signs of life to; they notice soon when it falls silent.
+    pub watchers: Vec<InstanceName>,
 }
 
 /// Whether an endpoint may get work.
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -31,8 +31,9 @@
 /// How long an answer may take beyond the wait that was asked for.
 const ANSWER_SLACK: Duration = Duration::from_millis(600);
 
-/// The wait after a poll that failed.
-const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+/// The wait after a poll that failed, doubled with each further one up to the longest: instances that
+/// start together find each other soon, and one that is lost for long costs little.
+const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(25), Duration::from_millis(400));
 
 /// How often the list of core instances is looked at and what is lost is dropped.
 const REVIEW_EVERY: Duration = Duration::from_millis(250);
@@ -133,6 +134,7 @@
         let mut is_lost = true;
         // What the core instance knows of this process.
         let mut told = None;
+        let mut pause = FAILURE_PAUSE.0;
         loop {
             let latest = presence.borrow_and_update().clone();
             let news = (told.as_ref() != Some(&latest)).then(|| latest.clone());
@@ -153,10 +155,13 @@
                 self.report(&peer, merged.as_ref().err());
             }
             told = merged.as_ref().ok().filter(|known| **known).map(|_| latest);
-            if merged.is_err() {
-                transport.reconnect(&peer);
-                tokio::time::sleep(FAILURE_PAUSE).await;
+            if merged.is_ok() {
+                pause = FAILURE_PAUSE.0;
+                continue;
             }
+            transport.reconnect(&peer);
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(FAILURE_PAUSE.1);
         }
     }
 
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -91,6 +91,11 @@
         self.with_board(|board| board.fix(fixed));
     }
 
+    /// Returns the version of the configuration that polls are answered with.
+    pub fn config_version(&self) -> u64 {
+        self.with_board(|board| board.fixed().config_version)
+    }
+
     /// Looks for silence until the process ends.
     pub async fn look_for_silence(self: Arc<Self>) {
         loop {
@@ -116,6 +121,15 @@
         }
     }
 
+    /// Records a sign of life.
+    pub(super) fn note_pulse(&self, from: &InstanceName) {
+        let now = self.cx.clock.now();
+        if self.with_board(|board| board.note_pulse(from, now)) {
+            let subject = Subject { peer: Some(from.to_string()), ..Subject::default() };
+            self.cx.events.record(EventNumber::InstanceRegistered, subject, "heard again");
+        }
+    }
+
     async fn wait_for_change(&self, poll: &raw::Poll) {
         let has_news = |last: &u64| *last > poll.cursor;
         if poll.core_start != self.start || has_news(&self.changed.borrow()) {
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -57,6 +57,7 @@
         started_ms: 1,
         group: GroupStatus::default(),
         is_founder: false,
+        watchers: Vec::new(),
     }
 }
 
@@ -225,3 +226,70 @@
     view.merge(core(2), heard(false), at(20));
     assert!(view.living(Role::Entry, at(30)).is_empty());
 }
+
+/// Looks for silence each 50 ms, as a core instance does; returns when `name` fell silent.
+fn silent_at(board: &mut Board, name: &str, from: u64, to: u64) -> Option<u64> {
+    let silent = Silent::Instance(presence(name).name);
+    (from..to).step_by(50).find(|millis| board.look_for_silence(at(*millis)).contains(&silent))
+}
+
+#[test]
+fn a_frozen_instance_that_sent_signs_of_life_falls_silent_after_a_few_of_them() {
+    let mut board = Board::new(SILENCE, at(0));
+    let (pulsing, polling) = ("10.0.0.8:1/0", "10.0.0.9:1/0");
+    board.note_presence(presence(pulsing), at(0));
+    board.note_presence(presence(polling), at(0));
+    for millis in (0..=1_000).step_by(50) {
+        board.note_pulse(&presence(pulsing).name, at(millis));
+        board.note_alive(&presence(polling).name, at(millis));
+        assert!(board.look_for_silence(at(millis)).is_empty());
+    }
+    assert_eq!(silent_at(&mut board, pulsing, 1_050, 3_000), Some(1_250));
+    assert_eq!(silent_at(&mut board, polling, 1_300, 3_000), Some(1_650));
+    assert!(board.note_pulse(&presence(pulsing).name, at(3_000)), "it is heard again");
+    assert!(board.changes_after(0).instances.iter().any(|heard| heard.heard));
+}
+
+#[test]
+fn a_core_instance_that_stood_still_reads_signs_of_life_before_it_judges() {
+    let mut board = Board::new(SILENCE, at(0));
+    let name = "10.0.0.8:1/0";
+    board.note_presence(presence(name), at(0));
+    board.note_pulse(&presence(name).name, at(0));
+    assert!(board.look_for_silence(at(400)).is_empty());
+    assert_eq!(silent_at(&mut board, name, 450, 3_000), Some(650));
+}
+
+#[test]
+fn watchers_that_are_heard_decide_whether_an_instance_lives() {
+    let watched = |heard| Answer {
+        core_start: 1,
+        instances: vec![Heard {
+            presence: Presence {
+                watchers: [1, 2].map(|last| name_of(core(last))).to_vec(),
+                ..presence("10.0.0.9:1/0")
+            },
+            heard,
+        }],
+        ..Answer::default()
+    };
+    let lives = |view: &View, millis| !view.living(Role::Entry, at(millis)).is_empty();
+    let mut view = View::default();
+    for last in 1..=3 {
+        view.merge(core(last), watched(true), at(0));
+    }
+    view.merge(core(1), watched(false), at(300));
+    assert!(lives(&view, 310), "the other watcher was heard lately and hears it");
+    // The other watcher was lost together with the instance; the third one goes by polls.
+    view.merge(core(3), watched(true), at(500));
+    assert!(!lives(&view, 500));
+    view.merge(core(1), watched(true), at(600));
+    assert!(lives(&view, 610));
+    // Without any watcher, what another core instance says counts.
+    view.merge(core(3), watched(true), at(1_500));
+    assert!(lives(&view, 1_500));
+}
+
+fn name_of(address: SocketAddr) -> InstanceName {
+    InstanceName::try_from(format!("{address}/0")).expect("a name")
+}
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -16,10 +16,16 @@
 use crate::roster::Role;
 use crate::roster::board::Heard;
 use crate::roster::board::MEMORY_OF_THE_GONE;
+use crate::roster::board::POLL_WAIT;
+use crate::transport::tcp::address_of;
 
 /// A core instance that has not answered for this long does not count any more.
 pub const CORE_SILENCE: Duration = Duration::from_millis(2_000);
 
+/// What a core instance last said of an instance that it watches counts for this long: it answers
+/// polls more often, so it was lost itself or is out of reach afterwards.
+pub const WATCHER_SILENCE: Duration = Duration::from_millis(POLL_WAIT.as_millis() as u64 + 130);
+
 /// How long an endpoint may go unconfirmed after the core instance that reported it was lost.
 /// Endpoints repeat their announcement well within this time.
 pub const CONFIRMATION_LIMIT: Duration = Duration::from_millis(5_000);
@@ -198,7 +204,19 @@
         names
     }
 
-    /// Returns the processes of a role that some reachable core instance hears.
+    /// Returns what the watchers of an instance say of it, as far as they were heard lately.
+    fn is_watched(&self, presence: &Presence, now: Timestamp) -> Option<bool> {
+        let says = |view: &CoreView| {
+            let heard = view.instances.get(&presence.name)?.heard;
+            (now.since(view.answered_at) < WATCHER_SILENCE).then_some(heard)
+        };
+        let watchers = presence.watchers.iter().filter_map(address_of);
+        let said = watchers.filter_map(|watcher| says(self.cores.get(&watcher)?));
+        said.reduce(|some_hears, hears| some_hears || hears)
+    }
+
+    /// Returns the processes of a role that are heard: by a watcher, where it has any that are
+    /// reachable, or else by some reachable core instance.
     pub fn living(&self, role: Role, now: Timestamp) -> Vec<Presence> {
         let reachable: Vec<SocketAddr> = self.reachable_cores(now).collect();
         let counts = |core: &SocketAddr| reachable.is_empty() || reachable.contains(core);
@@ -214,7 +232,8 @@
                 }
             }
         }
-        found.into_values().collect()
+        let is_silent = |presence: &Presence| self.is_watched(presence, now) == Some(false);
+        found.into_values().filter(|presence| !is_silent(presence)).collect()
     }
 
     /// Returns the leader of a role's group with the highest reported term.
--- a/coriandergw/src/roster/wire.rs
+++ b/coriandergw/src/roster/wire.rs
@@ -66,6 +66,7 @@
             voters: texts(&group.voters),
             learners: texts(&group.learners),
             is_founder: presence.is_founder,
+            watchers: texts(&presence.watchers),
         }
     }
 }
@@ -94,6 +95,7 @@
                 learners: names(raw.learners)?,
             },
             is_founder: raw.is_founder,
+            watchers: names(raw.watchers)?,
         })
     }
 }
--- a/coriandergw/src/transport/mod.rs
+++ b/coriandergw/src/transport/mod.rs
@@ -43,6 +43,8 @@
     Programs = 7,
     /// Polls of the roster: who lives, which endpoints there are, the configuration.
     Roster = 8,
+    /// Signs of life of an instance between its polls of the roster.
+    Pulse = 9,
 }
 
 impl Kind {
@@ -56,6 +58,7 @@
         Kind::Events,
         Kind::Programs,
         Kind::Roster,
+        Kind::Pulse,
     ];
 
     /// Returns the kind with this number on the wire.
--- a/coriandergw/src/versions/machine.rs
+++ b/coriandergw/src/versions/machine.rs
@@ -60,7 +60,8 @@
     raw.into_iter().filter_map(|name| InstanceName::try_from(name).ok()).collect()
 }
 
-fn encode_state(state: &Fixed) -> Bytes {
+/// Encodes the state as snapshots and answers carry it.
+pub fn encode_state(state: &Fixed) -> Bytes {
     let raw = raw::State {
         version: state.config_version,
         document: state.config.clone(),
@@ -71,7 +72,7 @@
 }
 
 /// Decodes the state that answers a command; `None` if it cannot be read.
-pub(super) fn decode_state(bytes: Bytes) -> Option<Fixed> {
+pub fn decode_state(bytes: Bytes) -> Option<Fixed> {
     let raw = raw::State::decode(bytes).ok()?;
     Some(Fixed {
         config_version: raw.version,
--- a/coriandergw/src/voter_set/tests.rs
+++ b/coriandergw/src/voter_set/tests.rs
@@ -35,6 +35,7 @@
         started_ms: 1,
         group: GroupStatus::default(),
         is_founder: true,
+        watchers: Vec::new(),
     }
 }
 
