--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -236,6 +236,18 @@
         found.into_values().filter(|presence| !is_silent(presence)).collect()
     }
 
+    /// Returns the addresses that callers may be told of: entry instances that are heard, ready and
+    /// not leaving.
+    pub fn caller_addresses(&self, now: Timestamp) -> Vec<SocketAddr> {
+        let living = self.living(Role::Entry, now);
+        let usable = living.iter().filter(|presence| presence.ready && !presence.leaving);
+        let mut addresses: Vec<SocketAddr> =
+            usable.filter_map(|presence| presence.caller_address).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
     /// Returns the leader of a role's group with the highest reported term.
     pub fn leader(&self, role: Role) -> Option<Presence> {
         let all = self.cores.values().flat_map(|view| view.instances.values());
