perf(directory): do not send callers to an instance that is cut off

Change: a core instance that reaches neither most voters of the control group nor half of the entry instances names no addresses, and callers ask the next one. A split core still answers as long as both halves hear the entry instances. Also: callers may keep an answer for 0.5 s in place of 0.3: while a core instance is frozen each question to it costs a second. Tests: the view of a cut off, a split and a decimated system.

--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -55,6 +55,10 @@
 /// How long the journal may take for a reservation; well above an election of its leader.
 const RESERVE_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// How long the journal may take for a reservation at an instance that is cut off from the control
+/// group: the journal answers at once if it can be reached at all.
+const RESERVE_LIMIT_CUT_OFF: Duration = Duration::from_millis(300);
+
 /// The largest answer that is collected before it is passed on, in bytes.
 const COLLECT_MAX_BYTES: u64 = 1 << 20;
 
@@ -344,7 +348,12 @@
     ) -> Result<(), Refusal> {
         let budget = head.program.as_ref().and_then(|program| program.budget).unwrap_or_default();
         let tokens = head.tokens.map_or(0, |tokens| tokens.output_max);
-        let limit = plan.deadline.min(Instant::now() + RESERVE_LIMIT);
+        let now = self.cx.clock.now();
+        let patience = match self.roster.with_view(|view| view.reaches_quorum(now)) {
+            true => RESERVE_LIMIT,
+            false => RESERVE_LIMIT_CUT_OFF,
+        };
+        let limit = plan.deadline.min(Instant::now() + patience);
         let reserved = tokio::time::timeout_at(limit, turn.reserve(budget, tokens)).await;
         plan.report.note_reserved();
         match reserved {
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -29,7 +29,7 @@
 use crate::token_budgets::client::BudgetClient;
 
 /// How long callers may keep an address answer.
-pub const ADDRESS_TTL: Duration = Duration::from_millis(300);
+pub const ADDRESS_TTL: Duration = Duration::from_millis(500);
 
 /// Some callers keep an answer this many times as long.
 const KEPT_TIMES: u32 = 3;
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -293,3 +293,58 @@
 fn name_of(address: SocketAddr) -> InstanceName {
     InstanceName::try_from(format!("{address}/0")).expect("a name")
 }
+
+/// What a core instance tells of the control group and of entry instances at these addresses.
+fn told_of(voters: &[u8], heard: &[u8], silent: &[u8]) -> Answer {
+    let voters = voters.iter().map(|last| name_of(core(*last))).collect();
+    let group = GroupStatus { term: 1, leads: true, voters, ..GroupStatus::default() };
+    let leader = Presence { role: Role::Core, group, ..presence("10.0.0.1:7000/0") };
+    let entry = |last: &u8| Presence {
+        caller_address: Some(SocketAddr::from(([10, 0, 0, *last], 80))),
+        ..presence(&format!("10.0.0.{last}:1/0"))
+    };
+    let entries = |lasts: &[u8], heard| {
+        let one = |last| Heard { presence: entry(last), heard };
+        lasts.iter().map(one).collect::<Vec<_>>()
+    };
+    let mut instances = vec![Heard { presence: leader, heard: true }];
+    instances.extend(entries(heard, true));
+    instances.extend(entries(silent, false));
+    Answer { core_start: 1, instances, ..Answer::default() }
+}
+
+#[test]
+fn a_core_instance_that_is_cut_off_names_no_addresses() {
+    let mut view = View::default();
+    for last in 1..=3 {
+        view.merge(core(last), told_of(&[1, 2, 3], &[1, 2, 3, 4], &[]), at(0));
+    }
+    assert_eq!(view.caller_addresses(at(10)).map(|all| all.len()), Some(4));
+    assert!(view.reaches_quorum(at(10)));
+    // Only the process on the same machine is heard, and of the core instances only the own one.
+    view.merge(core(1), told_of(&[1, 2, 3], &[1], &[2, 3, 4]), at(2_500));
+    assert!(!view.reaches_quorum(at(2_500)));
+    assert_eq!(view.caller_addresses(at(2_500)), None);
+}
+
+#[test]
+fn a_split_core_still_names_the_entry_instances_that_all_its_halves_hear() {
+    let mut view = View::default();
+    for last in 1..=4 {
+        view.merge(core(last), told_of(&[1, 2, 3, 4], &[1, 2, 3, 4], &[]), at(0));
+    }
+    for last in 1..=2 {
+        view.merge(core(last), told_of(&[1, 2, 3, 4], &[1, 2, 3, 4], &[]), at(2_500));
+    }
+    assert!(!view.reaches_quorum(at(2_500)));
+    assert_eq!(view.caller_addresses(at(2_500)).map(|all| all.len()), Some(4));
+}
+
+#[test]
+fn after_the_loss_of_most_entry_instances_the_others_are_named() {
+    let mut view = View::default();
+    for last in 1..=3 {
+        view.merge(core(last), told_of(&[1, 2, 3], &[4], &[1, 2, 3]), at(0));
+    }
+    assert_eq!(view.caller_addresses(at(10)).map(|all| all.len()), Some(1));
+}
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -1,6 +1,7 @@
 //! What a process knows from the boards of the core instances.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +23,10 @@
 /// A core instance that has not answered for this long does not count any more.
 pub const CORE_SILENCE: Duration = Duration::from_millis(2_000);
 
+/// A voter of the control group that has not answered a poll for this long does not count towards the
+/// quorum that an instance reaches: three polls.
+pub const QUORUM_SILENCE: Duration = Duration::from_millis(3 * POLL_WAIT.as_millis() as u64);
+
 /// What a core instance last said of an instance that it watches counts for this long: it answers
 /// polls more often, so it was lost itself or is out of reach afterwards.
 pub const WATCHER_SILENCE: Duration = Duration::from_millis(POLL_WAIT.as_millis() as u64 + 130);
@@ -236,16 +241,36 @@
         found.into_values().filter(|presence| !is_silent(presence)).collect()
     }
 
+    /// Returns whether most voters of the control group answer; also while no leader was heard of.
+    pub fn reaches_quorum(&self, now: Timestamp) -> bool {
+        let Some(leader) = self.leader(Role::Core) else {
+            return true;
+        };
+        let voters = &leader.group.voters;
+        let answers = |voter: &InstanceName| {
+            let view = address_of(voter).and_then(|address| self.cores.get(&address));
+            view.is_some_and(|view| now.since(view.answered_at) < QUORUM_SILENCE)
+        };
+        voters.iter().filter(|voter| answers(voter)).count() * 2 > voters.len()
+    }
+
     /// Returns the addresses that callers may be told of: entry instances that are heard, ready and
     /// not leaving.
-    pub fn caller_addresses(&self, now: Timestamp) -> Vec<SocketAddr> {
+    ///
+    /// `None` at an instance that is cut off: it reaches neither most of the control group nor half
+    /// of the entry instances, so that those it hears are cut off as well.
+    pub fn caller_addresses(&self, now: Timestamp) -> Option<BTreeSet<SocketAddr>> {
+        let usable = |presence: &Presence| {
+            presence.caller_address.filter(|_| presence.ready && !presence.leaving)
+        };
         let living = self.living(Role::Entry, now);
-        let usable = living.iter().filter(|presence| presence.ready && !presence.leaving);
-        let mut addresses: Vec<SocketAddr> =
-            usable.filter_map(|presence| presence.caller_address).collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses
+        let addresses: BTreeSet<SocketAddr> = living.iter().filter_map(usable).collect();
+        let all = self.cores.values().flat_map(|view| view.instances.values());
+        let entries = all.filter(|heard| heard.presence.role == Role::Entry);
+        let known: BTreeSet<SocketAddr> =
+            entries.filter_map(|heard| usable(&heard.presence)).collect();
+        let hears_few = addresses.len() * 2 < known.len();
+        (!hears_few || self.reaches_quorum(now)).then_some(addresses)
     }
 
     /// Returns the leader of a role's group with the highest reported term.
