--- a/coriandergw/src/forwarding/choice.rs
+++ b/coriandergw/src/forwarding/choice.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Timestamp;
 use crate::forwarding::loads::Load;
+use crate::ids::EndpointName;
 use crate::rendezvous::hash_of;
 use crate::roster::EndpointRecord;
 
@@ -43,18 +44,25 @@
     }
 }
 
-/// Orders engines for a program: the one that its key belongs to first, unless it is too busy.
+/// Orders engines for a program: the one that the journal placed it on, then the one that its key belongs
+/// to unless it is too busy. One that failed lately comes last.
 ///
 /// All instances agree on the order of sound engines without a message, so that a program's prompt
 /// and those of its sub-agents stay where they are cached.
-pub fn order_engines(candidates: &mut [Candidate], key: &str, now: Timestamp) {
+pub fn order_engines(
+    candidates: &mut [Candidate],
+    key: &str,
+    home: Option<&EndpointName>,
+    now: Timestamp,
+) {
     let loads: f64 = candidates.iter().map(|candidate| candidate.estimated(now)).sum();
     let mean = loads / candidates.len().max(1) as f64;
     let bound = mean * ENGINE_EXCESS + ENGINE_SLACK;
     candidates.sort_by_cached_key(|candidate| {
         let is_busy = candidate.estimated(now) > bound;
         let place = hash_of(key, candidate.record.id.as_str());
-        (candidate.rests(now), is_busy, std::cmp::Reverse(place))
+        let is_elsewhere = home != Some(&candidate.record.id);
+        (candidate.rests(now), is_elsewhere, is_busy, std::cmp::Reverse(place))
     });
 }
 
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -45,6 +45,7 @@
 use crate::roster::poller::Roster;
 use crate::routes::Route;
 use crate::routes::RouteTable;
+use crate::token_budgets::Reservation;
 use crate::token_budgets::TurnKey;
 use crate::token_budgets::Verdict;
 use crate::token_budgets::client::BudgetClient;
@@ -99,6 +100,8 @@
     pub(super) deadline: Instant,
     /// What groups requests that do well at one endpoint.
     pub(super) key: Arc<str>,
+    /// The engine that the journal placed the turn on.
+    pub(super) home: Option<EndpointName>,
     /// Whether any endpoint may have run it.
     pub(super) may_have_run: bool,
     /// The living endpoints on which it may have run.
@@ -113,6 +116,7 @@
             route: self.route.clone(),
             service: self.service.clone(),
             key: self.key.clone(),
+            home: self.home.take(),
             ran_on: std::mem::take(&mut self.ran_on),
             report: self.report.clone(),
             ..*self
@@ -315,6 +319,7 @@
             service,
             deadline,
             key,
+            home: None,
             may_have_run: false,
             ran_on: Vec::new(),
             report,
@@ -354,10 +359,15 @@
             false => RESERVE_LIMIT_CUT_OFF,
         };
         let limit = plan.deadline.min(Instant::now() + patience);
-        let reserved = tokio::time::timeout_at(limit, turn.reserve(budget, tokens)).await;
+        let engines = self.engines_for(plan);
+        let asked = Reservation { budget, tokens, engines };
+        let reserved = tokio::time::timeout_at(limit, turn.reserve(asked)).await;
         plan.report.note_reserved();
         match reserved {
-            Ok(Ok(Verdict::Granted { .. })) => Ok(()),
+            Ok(Ok(Verdict::Granted { engine, .. })) => {
+                plan.home = engine;
+                Ok(())
+            }
             Ok(Ok(Verdict::Denied { left })) => {
                 turn.forget();
                 let message = format!("the budget of {budget} tokens has {left} left");
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -52,6 +52,10 @@
         }
         let (status, mut headers) = (answer.status, answer.headers.clone());
         headers.remove(header::CONTENT_LENGTH);
+        let mut turn = turn;
+        if let Some(turn) = &mut turn {
+            turn.runs_at(&answer.endpoint.id);
+        }
         let relay = Self {
             cutter: EventCutter::after(outgoing.head.last_event),
             forwarder,
@@ -153,6 +157,9 @@
         if answer.status != StatusCode::OK {
             return Err(format!("the resumed stream got status {}", answer.status.as_u16()));
         }
+        if let Some(turn) = &mut self.turn {
+            turn.runs_at(&answer.endpoint.id);
+        }
         self.answer = Some(answer);
         Ok(())
     }
--- a/coriandergw/src/forwarding/tests.rs
+++ b/coriandergw/src/forwarding/tests.rs
@@ -37,7 +37,7 @@
 }
 
 fn first_engine(mut candidates: Vec<Candidate>, key: &str) -> String {
-    order_engines(&mut candidates, key, NOW);
+    order_engines(&mut candidates, key, None, NOW);
     candidates[0].record.id.to_string()
 }
 
@@ -133,3 +133,18 @@
     cutter.drop_rest();
     assert!(!cutter.has_rest());
 }
+
+// Pattern: a burst of programs; the journal sees all turns and this instance a few.
+#[test]
+fn the_engine_that_the_journal_chose_comes_first_unless_it_failed_lately() {
+    let home = EndpointName::try_from("e2").expect("a name");
+    let first = |mut candidates: Vec<Candidate>| {
+        order_engines(&mut candidates, "p", Some(&home), NOW);
+        candidates[0].record.id.clone()
+    };
+    let mut candidates = idle(4);
+    candidates[2].load.in_flight = 40;
+    assert_eq!(first(candidates.clone()), home);
+    candidates[2].load.rests_until = NOW + Duration::from_millis(1);
+    assert_ne!(first(candidates), home);
+}
--- a/coriandergw/src/forwarding/turn.rs
+++ b/coriandergw/src/forwarding/turn.rs
@@ -1,6 +1,8 @@
 //! The reservation of one turn and its settlement.
 
+use crate::ids::EndpointName;
 use crate::token_budgets::BudgetError;
+use crate::token_budgets::Reservation;
 use crate::token_budgets::TurnKey;
 use crate::token_budgets::Verdict;
 use crate::token_budgets::client::BudgetClient;
@@ -10,26 +12,24 @@
     client: BudgetClient,
     key: TurnKey,
     tokens: u64,
+    /// The engine that ran it last.
+    engine: Option<EndpointName>,
     is_reserved: bool,
 }
 
 impl Turn {
     /// Creates the guard of a turn that is not reserved yet.
     pub(super) fn new(client: BudgetClient, key: TurnKey) -> Self {
-        Self { client, key, tokens: 0, is_reserved: false }
+        Self { client, key, tokens: 0, engine: None, is_reserved: false }
     }
 
     /// Reserves the most that the turn may generate.
     ///
     /// # Errors
     /// Fails if the journal did not answer; dropping the guard then withdraws the reservation.
-    pub(super) async fn reserve(
-        &mut self,
-        budget: u64,
-        tokens: u64,
-    ) -> Result<Verdict, BudgetError> {
+    pub(super) async fn reserve(&mut self, asked: Reservation) -> Result<Verdict, BudgetError> {
         self.is_reserved = true;
-        self.client.reserve(self.key.clone(), budget, tokens).await
+        self.client.reserve(self.key.clone(), asked).await
     }
 
     /// Notes that nothing is reserved.
@@ -37,6 +37,11 @@
         self.is_reserved = false;
     }
 
+    /// Notes the engine that runs the turn from now on.
+    pub(super) fn runs_at(&mut self, engine: &EndpointName) {
+        self.engine = Some(engine.clone());
+    }
+
     /// Counts tokens that are handed to the caller.
     pub(super) fn hand_out(&mut self, tokens: u64) {
         self.tokens += tokens;
@@ -46,7 +51,7 @@
 impl Drop for Turn {
     fn drop(&mut self) {
         if self.is_reserved {
-            self.client.settle(self.key.clone(), self.tokens);
+            self.client.settle(self.key.clone(), self.tokens, self.engine.take());
         }
     }
 }
--- a/coriandergw/src/token_budgets/client.rs
+++ b/coriandergw/src/token_budgets/client.rs
@@ -12,10 +12,12 @@
 use crate::context::Context;
 use crate::events::EventNumber;
 use crate::events::Subject;
+use crate::ids::EndpointName;
 use crate::ids::GroupId;
 use crate::log_groups::ProposeError;
 use crate::log_groups::ReplicatedLog;
 use crate::token_budgets::BudgetError;
+use crate::token_budgets::Reservation;
 use crate::token_budgets::TurnKey;
 use crate::token_budgets::Verdict;
 use crate::token_budgets::generated as raw;
@@ -41,8 +43,8 @@
 type Reply = oneshot::Sender<Result<Verdict, BudgetError>>;
 
 enum Request {
-    Reserve { key: TurnKey, budget: u64, tokens: u64, reply: Reply },
-    Settle { key: TurnKey, tokens: u64 },
+    Reserve { key: TurnKey, asked: Reservation, reply: Reply },
+    Settle { key: TurnKey, tokens: u64, engine: Option<EndpointName> },
 }
 
 /// Reserves and settles tokens.
@@ -64,23 +66,18 @@
     ///
     /// # Errors
     /// Fails if the journal did not answer; whoever stops to wait settles the turn with nothing.
-    pub async fn reserve(
-        &self,
-        key: TurnKey,
-        budget: u64,
-        tokens: u64,
-    ) -> Result<Verdict, BudgetError> {
+    pub async fn reserve(&self, key: TurnKey, asked: Reservation) -> Result<Verdict, BudgetError> {
         let (reply, verdict) = oneshot::channel();
         let stopped = |_| BudgetError { reason: "the process is stopping".to_owned() };
-        let request = Request::Reserve { key, budget, tokens, reply };
+        let request = Request::Reserve { key, asked, reply };
         self.tx.send(request).map_err(|_| stopped(()))?;
         verdict.await.map_err(|_| stopped(()))?
     }
 
-    /// Replaces a reservation by what was handed out.
-    pub fn settle(&self, key: TurnKey, tokens: u64) {
+    /// Replaces a reservation by what was handed out, and tells the engine that ran the turn.
+    pub fn settle(&self, key: TurnKey, tokens: u64, engine: Option<EndpointName>) {
         // The task ends only with the process; the reservation then counts as spent.
-        let _ = self.tx.send(Request::Settle { key, tokens });
+        let _ = self.tx.send(Request::Settle { key, tokens, engine });
     }
 }
 
@@ -93,14 +90,18 @@
 impl Batch {
     fn add(&mut self, request: Request) {
         match request {
-            Request::Reserve { key, budget, tokens, reply } => {
+            Request::Reserve { key, asked, reply } => {
                 let (program, turn) = (key.program.to_string(), key.turn.to_string());
-                self.command.reserves.push(raw::Reserve { program, turn, budget, tokens });
+                let Reservation { budget, tokens, engines } = asked;
+                let engines = engines.iter().map(ToString::to_string).collect();
+                let reserve = raw::Reserve { program, turn, budget, tokens, engines };
+                self.command.reserves.push(reserve);
                 self.replies.push(reply);
             }
-            Request::Settle { key, tokens } => {
+            Request::Settle { key, tokens, engine } => {
                 let (program, turn) = (key.program.to_string(), key.turn.to_string());
-                self.command.settles.push(raw::Settle { program, turn, tokens });
+                let engine = engine.map(|engine| engine.to_string()).unwrap_or_default();
+                self.command.settles.push(raw::Settle { program, turn, tokens, engine });
             }
         }
     }
@@ -222,7 +223,9 @@
 impl From<raw::Verdict> for Verdict {
     fn from(raw: raw::Verdict) -> Self {
         match raw.granted {
-            true => Self::Granted { left: raw.left },
+            true => {
+                Self::Granted { left: raw.left, engine: EndpointName::try_from(raw.engine).ok() }
+            }
             false => Self::Denied { left: raw.left },
         }
     }
--- a/coriandergw/src/token_budgets/generated.rs
+++ b/coriandergw/src/token_budgets/generated.rs
@@ -21,6 +21,9 @@
     pub budget: u64,
     #[prost(uint64, tag = "4")]
     pub tokens: u64,
+    /// The engines that might run the turn, best first.
+    #[prost(string, repeated, tag = "5")]
+    pub engines: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// Replaces a reservation by what was handed out.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -31,6 +34,9 @@
     pub turn: ::prost::alloc::string::String,
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
+    /// The engine that ran it; empty if none did.
+    #[prost(string, tag = "4")]
+    pub engine: ::prost::alloc::string::String,
 }
 /// Which of the reservations were granted, in order.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -38,13 +44,16 @@
     #[prost(message, repeated, tag = "1")]
     pub verdicts: ::prost::alloc::vec::Vec<Verdict>,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Verdict {
     #[prost(bool, tag = "1")]
     pub granted: bool,
     /// What is left of the budget after it.
     #[prost(uint64, tag = "2")]
     pub left: u64,
+    /// The engine that the turn is best sent to; empty if none was proposed.
+    #[prost(string, tag = "3")]
+    pub engine: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Snapshot {
@@ -69,6 +78,9 @@
     /// Turns that were settled lately, so that a repeated settlement counts once.
     #[prost(string, repeated, tag = "5")]
     pub settled: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The engine that ran its last turn, which has its prompt cached.
+    #[prost(string, tag = "6")]
+    pub engine: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reservation {
@@ -76,4 +88,10 @@
     pub turn: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub tokens: u64,
+    /// The engine that it was placed on.
+    #[prost(string, tag = "3")]
+    pub engine: ::prost::alloc::string::String,
+    /// The time of its command, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub since_ms: u64,
 }
--- a/coriandergw/src/token_budgets/machine.rs
+++ b/coriandergw/src/token_budgets/machine.rs
@@ -8,6 +8,7 @@
 
 use crate::log_groups::RestoreError;
 use crate::log_groups::StateMachine;
+use crate::token_budgets::engine_loads::EngineLoads;
 use crate::token_budgets::generated as raw;
 
 /// A program that was not used for this long is forgotten, in milliseconds. Programs return within
@@ -26,6 +27,8 @@
     used_at_ms: u64,
     reservations: BTreeMap<String, u64>,
     settled: VecDeque<String>,
+    /// The engine that ran its last turn.
+    engine: Option<String>,
 }
 
 impl Program {
@@ -66,6 +69,7 @@
 #[derive(Debug, Default)]
 pub struct BudgetMachine {
     programs: BTreeMap<String, Program>,
+    loads: EngineLoads,
     wall_ms: u64,
     commands: u64,
 }
@@ -73,9 +77,9 @@
 impl BudgetMachine {
     fn apply_command(&mut self, command: raw::Command) -> raw::Answer {
         self.wall_ms = self.wall_ms.max(command.wall_ms);
+        self.loads.expire(self.wall_ms);
         for settle in command.settles {
-            let program = self.program(settle.program);
-            program.settle(&settle.turn, settle.tokens);
+            self.settle(settle);
         }
         let verdicts = command.reserves.into_iter().map(|reserve| self.reserve(reserve)).collect();
         self.commands += 1;
@@ -92,12 +96,41 @@
         program
     }
 
+    fn settle(&mut self, settle: raw::Settle) {
+        let raw::Settle { program: id, turn, tokens, engine } = settle;
+        self.loads.end(&id, &turn);
+        let program = self.program(id);
+        program.settle(&turn, tokens);
+        if !engine.is_empty() {
+            program.engine = Some(engine);
+        }
+    }
+
     fn reserve(&mut self, reserve: raw::Reserve) -> raw::Verdict {
-        let raw::Reserve { program, turn, budget, tokens } = reserve;
-        let program = self.program(program);
+        let raw::Reserve { program: id, turn, budget, tokens, engines } = reserve;
+        let program = self.program(id.clone());
         let granted = program.reserve(&turn, budget, tokens);
         let used = program.spent.saturating_add(program.reserved());
-        raw::Verdict { granted, left: budget.saturating_sub(used) }
+        let home = program.engine.clone();
+        let engine = match granted {
+            true => self.place(&id, &turn, home, &engines),
+            false => String::new(),
+        };
+        raw::Verdict { granted, left: budget.saturating_sub(used), engine }
+    }
+
+    /// Returns the engine for a turn and counts it there; empty if no engine is known.
+    fn place(&mut self, id: &str, turn: &str, home: Option<String>, engines: &[String]) -> String {
+        if let Some((engine, _)) = self.loads.running(id, turn) {
+            return engine.to_owned();
+        }
+        let Some(engine) = self.loads.choose(home.as_deref(), engines) else {
+            return String::new();
+        };
+        self.loads.begin(id, turn, &engine, self.wall_ms);
+        // Turns that the program begins meanwhile go where this one is.
+        self.program(id.to_owned()).engine = Some(engine.clone());
+        engine
     }
 
     fn forget(&mut self) {
@@ -123,9 +156,15 @@
             reservations: program
                 .reservations
                 .iter()
-                .map(|(turn, tokens)| raw::Reservation { turn: turn.clone(), tokens: *tokens })
+                .map(|(turn, tokens)| {
+                    let running = self.loads.running(id, turn);
+                    let (engine, since_ms) = running.unwrap_or_default();
+                    let (turn, engine) = (turn.clone(), engine.to_owned());
+                    raw::Reservation { turn, tokens: *tokens, engine, since_ms }
+                })
                 .collect(),
             settled: program.settled.iter().cloned().collect(),
+            engine: program.engine.clone().unwrap_or_default(),
         };
         let programs = self.programs.iter().map(encode).collect();
         let snapshot = raw::Snapshot { programs, wall_ms: self.wall_ms, commands: self.commands };
@@ -135,7 +174,10 @@
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
         let raw = raw::Snapshot::decode(snapshot)
             .map_err(|cause| RestoreError { reason: cause.to_string() })?;
-        let decode = |raw: raw::Program| {
+        let mut running = Vec::new();
+        let mut decode = |raw: raw::Program| {
+            let counted = raw.reservations.iter().filter(|one| !one.engine.is_empty());
+            running.extend(counted.map(|one| (one.since_ms, raw.id.clone(), one.clone())));
             let reservations =
                 raw.reservations.into_iter().map(|one| (one.turn, one.tokens)).collect();
             let program = Program {
@@ -143,10 +185,16 @@
                 used_at_ms: raw.used_at_ms,
                 reservations,
                 settled: raw.settled.into(),
+                engine: (!raw.engine.is_empty()).then_some(raw.engine),
             };
             (raw.id, program)
         };
-        self.programs = raw.programs.into_iter().map(decode).collect();
+        self.programs = raw.programs.into_iter().map(&mut decode).collect();
+        running.sort_by_key(|(since_ms, ..)| *since_ms);
+        self.loads = EngineLoads::default();
+        for (since_ms, program, one) in running {
+            self.loads.begin(&program, &one.turn, &one.engine, since_ms);
+        }
         self.wall_ms = raw.wall_ms;
         self.commands = raw.commands;
         Ok(())
--- a/coriandergw/src/token_budgets/mod.rs
+++ b/coriandergw/src/token_budgets/mod.rs
@@ -9,7 +9,10 @@
 use derive_more::Display;
 use derive_more::Error;
 
+use crate::ids::EndpointName;
+
 pub mod client;
+mod engine_loads;
 #[allow(missing_docs, clippy::all)]
 mod generated;
 pub mod machine;
@@ -23,13 +26,26 @@
     pub turn: Arc<str>,
 }
 
+/// What a turn asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reservation {
+    /// The budget of its program, in tokens.
+    pub budget: u64,
+    /// The most that it may generate, in tokens.
+    pub tokens: u64,
+    /// The engines that might run it, best first.
+    pub engines: Vec<EndpointName>,
+}
+
 /// What became of a reservation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Verdict {
     /// The tokens are reserved.
     Granted {
         /// What is left of the budget.
         left: u64,
+        /// The engine that the turn is best sent to, where any were proposed.
+        engine: Option<EndpointName>,
     },
     /// The budget does not hold the turn.
     Denied {
--- a/coriandergw/src/token_budgets/tests.rs
+++ b/coriandergw/src/token_budgets/tests.rs
@@ -7,14 +7,16 @@
 use crate::token_budgets::machine::BudgetMachine;
 
 fn reserve(machine: &mut BudgetMachine, turn: &str, budget: u64, tokens: u64) -> bool {
-    let reserve = raw::Reserve { program: "p".to_owned(), turn: turn.to_owned(), budget, tokens };
+    let (program, turn) = ("p".to_owned(), turn.to_owned());
+    let reserve = raw::Reserve { program, turn, budget, tokens, engines: Vec::new() };
     let command = raw::Command { reserves: vec![reserve], ..raw::Command::default() };
     let answer = machine.apply(1, &command.encode_to_vec());
     raw::Answer::decode(answer).expect("an answer").verdicts[0].granted
 }
 
 fn settle(machine: &mut BudgetMachine, turn: &str, tokens: u64, wall_ms: u64) {
-    let settle = raw::Settle { program: "p".to_owned(), turn: turn.to_owned(), tokens };
+    let (program, turn) = ("p".to_owned(), turn.to_owned());
+    let settle = raw::Settle { program, turn, tokens, engine: String::new() };
     let command = raw::Command { settles: vec![settle], wall_ms, ..raw::Command::default() };
     machine.apply(1, &command.encode_to_vec());
 }
@@ -77,3 +79,47 @@
     others(&mut machine, 600_000);
     assert!(reserve(&mut machine, "c", 20, 20));
 }
+
+/// Reserves with engines to choose from; returns the one chosen.
+fn place(machine: &mut BudgetMachine, program: &str, turn: &str, engines: &[&str]) -> String {
+    let engines = engines.iter().map(ToString::to_string).collect();
+    let (program, turn) = (program.to_owned(), turn.to_owned());
+    let reserve = raw::Reserve { program, turn, budget: 1_000, tokens: 1, engines };
+    let command = raw::Command { reserves: vec![reserve], ..raw::Command::default() };
+    let answer = machine.apply(1, &command.encode_to_vec());
+    raw::Answer::decode(answer).expect("an answer").verdicts[0].engine.clone()
+}
+
+fn ran(machine: &mut BudgetMachine, program: &str, turn: &str, engine: &str) {
+    let (program, turn) = (program.to_owned(), turn.to_owned());
+    let settle = raw::Settle { program, turn, tokens: 1, engine: engine.to_owned() };
+    let command = raw::Command { settles: vec![settle], ..raw::Command::default() };
+    machine.apply(1, &command.encode_to_vec());
+}
+
+#[test]
+fn turns_go_to_the_engine_with_the_fewest_and_then_stay_with_their_program() {
+    let mut machine = BudgetMachine::default();
+    assert_eq!(place(&mut machine, "p1", "a", &["x", "y"]), "x");
+    assert_eq!(place(&mut machine, "p1", "a", &["y"]), "x", "a repeated command counts once");
+    assert_eq!(place(&mut machine, "p2", "a", &["x", "y"]), "y");
+    ran(&mut machine, "p1", "a", "x");
+    assert_eq!(place(&mut machine, "p3", "a", &["y", "x"]), "x");
+    assert_eq!(place(&mut machine, "p1", "b", &["z"]), "x", "its prompt is cached there");
+    // The engine was gone and another one ran the turn.
+    ran(&mut machine, "p1", "b", "z");
+    assert_eq!(place(&mut machine, "p1", "c", &["x"]), "z");
+}
+
+#[test]
+fn a_snapshot_holds_where_turns_run() {
+    let mut machine = BudgetMachine::default();
+    place(&mut machine, "p1", "a", &["x", "y"]);
+    place(&mut machine, "p2", "a", &["x", "y"]);
+    place(&mut machine, "p3", "a", &["x", "y"]);
+    let mut restored = BudgetMachine::default();
+    restored.restore(&machine.snapshot()).expect("valid");
+    assert_eq!(restored.snapshot(), machine.snapshot());
+    assert_eq!(place(&mut restored, "p4", "a", &["x", "y"]), "y");
+    assert_eq!(place(&mut restored, "p2", "b", &["x"]), "y");
+}
