--- a/coriandergw/src/cli/mod.rs
+++ b/coriandergw/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod client;
 mod dev;
 mod entry;
+mod follow;
 mod keys;
 mod run;
 mod status;
@@ -36,6 +37,7 @@
   coriandergw status --json
   coriandergw voters e3 e5
   coriandergw timeline --program p-… --svg timeline.svg
+  coriandergw follow --request 697a3eb9bfeea870 logs/*
 
 Exit codes: 0 done, 1 failed, 2 invalid command line or settings, 3 another change came first.";
 
@@ -63,6 +65,8 @@
     Status(status::Arguments),
     #[options(help = "show the events of all instances in causal order")]
     Timeline(timeline::Arguments),
+    #[options(help = "tell from logs what became of a request or program")]
+    Follow(follow::Arguments),
     #[options(help = "replace a store instance that is lost for good")]
     Voters(voters::Arguments),
     #[options(help = "print the version")]
@@ -78,6 +82,7 @@
         Some(Command::Check(arguments)) => check::check(&arguments),
         Some(Command::Keys(arguments)) => keys::keys(&arguments),
         Some(Command::Entry(arguments)) => entry::entry(&arguments),
+        Some(Command::Follow(arguments)) => follow::follow(&arguments),
         Some(Command::Status(arguments)) => status::status(&arguments),
         Some(Command::Timeline(arguments)) => timeline::timeline(&arguments),
         Some(Command::Voters(arguments)) => voters::voters(&arguments),
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dispatch;
 pub mod endpoints;
 pub mod events;
+pub mod follow;
 pub mod forwarding;
 pub mod http_server;
 pub mod ids;
