perf(forwarding): bound the connections to an endpoint by this instance's share; find core instances sooner after a restart

Cause, connections: the limit of a service was read and not enforced; an endpoint that becomes slow would collect connections of all instances until it resets some, and what was sent on them may have run. Change: an instance has at most its share of the requests at one endpoint: the limit divided by the entry instances that take work. Change: up to 100 ms. Tests: the share; the pause has none of its own.

--- a/coriandergw/src/forwarding/choice.rs
+++ b/coriandergw/src/forwarding/choice.rs
@@ -44,6 +44,14 @@
     }
 }
 
+/// Returns how many of the connections that an endpoint accepts are for one of `entries` instances.
+///
+/// Each connection carries one request at a time, so this bounds the requests of one instance as well.
+pub fn share_of(connections_max: u32, entries: usize) -> u32 {
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    (connections_max / entries.max(1)).max(1)
+}
+
 /// Orders engines for a program: the one that the journal placed it on, then the one that its key belongs
 /// to unless it is too busy. One that failed lately comes last.
 ///
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use crate::forwarding::Dialect;
 use crate::forwarding::attempt::Answer;
 use crate::forwarding::attempt::Outgoing;
+use crate::forwarding::choice;
 use crate::forwarding::headers;
 use crate::forwarding::loads::Loads;
 use crate::forwarding::pool::Pool;
@@ -85,6 +87,8 @@
     budgets: BudgetClient,
     table: ArcSwapOption<RouteTable>,
     pub(super) endpoints: ArcSwap<Endpoints>,
+    /// The entry instances that take work, this one among them.
+    entries: AtomicUsize,
     /// Counts how often the routes and endpoints were taken from the roster.
     refreshes: watch::Sender<u64>,
     warm_up: WarmUp,
@@ -100,6 +104,8 @@
     pub(super) deadline: Instant,
     /// What groups requests that do well at one endpoint.
     pub(super) key: Arc<str>,
+    /// The connections that this instance may have to one endpoint of the service.
+    pub(super) connections: u32,
     /// The engine that the journal placed the turn on.
     pub(super) home: Option<EndpointName>,
     /// Whether any endpoint may have run it.
@@ -144,6 +150,7 @@
             budgets,
             table: ArcSwapOption::empty(),
             endpoints: ArcSwap::default(),
+            entries: AtomicUsize::new(1),
             refreshes: watch::Sender::default(),
             warm_up,
             drains: AtomicBool::new(false),
@@ -186,6 +193,12 @@
         if version > known {
             self.take_config(version, &document);
         }
+        let now = self.cx.clock.now();
+        let entries = self.roster.with_view(|view| view.caller_addresses(now));
+        // An instance that is cut off goes by what it knew.
+        if let Some(entries) = entries {
+            self.entries.store(entries.len().max(1), Ordering::Relaxed);
+        }
         let endpoints: Endpoints = self.roster.with_view(|view| {
             let usable = |service: Arc<str>| (service.clone(), view.usable_endpoints(&service));
             view.services().into_iter().map(usable).collect()
@@ -193,7 +206,7 @@
         let is_known = |endpoint: &EndpointName| {
             endpoints.values().flatten().any(|record| record.id == *endpoint)
         };
-        self.pool.sweep(is_known, self.cx.clock.now());
+        self.pool.sweep(is_known, now);
         self.loads.retain(is_known);
         self.endpoints.store(Arc::new(endpoints));
         self.refreshes.send_modify(|count| *count += 1);
@@ -301,7 +314,9 @@
         let service = service.ok_or_else(|| {
             Refusal::not_run(ResultCode::NoEndpoint, "the route goes to no service")
         })?;
-        let engine = table.service(&service).and_then(|service| service.engine);
+        let known_service = table.service(&service);
+        let engine = known_service.and_then(|service| service.engine);
+        let connections_max = known_service.map_or(u32::MAX, |service| service.connections_max);
         let turn = match (&program, head.tokens) {
             (Some(program), Some(_)) if route.repetition.is_stream() => {
                 let key = TurnKey { program: program.clone(), turn: head.attempt.clone() };
@@ -320,6 +335,7 @@
             deadline,
             key,
             home: None,
+            connections: choice::share_of(connections_max, self.entries.load(Ordering::Relaxed)),
             may_have_run: false,
             ran_on: Vec::new(),
             report,
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -214,7 +214,9 @@
             record: record.clone(),
             load: self.loads.get(&record.id),
         };
-        let mut candidates: Vec<Candidate> = known.iter().filter(may_take).map(candidate).collect();
+        let has_connections = |candidate: &Candidate| candidate.load.in_flight < plan.connections;
+        let mut candidates: Vec<Candidate> =
+            known.iter().filter(may_take).map(candidate).filter(has_connections).collect();
         if plan.is_engine {
             choice::order_engines(&mut candidates, &plan.key, plan.home.as_ref(), now);
         } else {
--- a/coriandergw/src/forwarding/tests.rs
+++ b/coriandergw/src/forwarding/tests.rs
@@ -9,6 +9,7 @@
 use crate::forwarding::choice::Candidate;
 use crate::forwarding::choice::order_engines;
 use crate::forwarding::choice::order_plain;
+use crate::forwarding::choice::share_of;
 use crate::forwarding::events::EventCutter;
 use crate::forwarding::loads::Load;
 use crate::ids::EndpointName;
@@ -148,3 +149,11 @@
     candidates[2].load.rests_until = NOW + Duration::from_millis(1);
     assert_ne!(first(candidates), home);
 }
+
+// Pattern: an endpoint that becomes slow collects requests of all instances until it resets connections.
+#[test]
+fn the_connections_of_an_endpoint_are_shared_between_the_instances() {
+    assert_eq!(share_of(110, 9), 12);
+    assert_eq!(share_of(110, 0), 110);
+    assert_eq!(share_of(4, 69), 1, "each instance may reach it at all");
+}
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -33,7 +33,7 @@
 
 /// The wait after a poll that failed, doubled with each further one up to the longest: instances that
 /// start together find each other soon, and one that is lost for long costs little.
-const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(25), Duration::from_millis(400));
+const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(25), Duration::from_millis(100));
 
 /// How often the list of core instances is looked at and what is lost is dropped.
 const REVIEW_EVERY: Duration = Duration::from_millis(250);
