--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -370,10 +370,8 @@
         let budget = head.program.as_ref().and_then(|program| program.budget).unwrap_or_default();
         let tokens = head.tokens.map_or(0, |tokens| tokens.output_max);
         let now = self.cx.clock.now();
-        let patience = match self.roster.with_view(|view| view.reaches_quorum(now)) {
-            true => RESERVE_LIMIT,
-            false => RESERVE_LIMIT_CUT_OFF,
-        };
+        let in_touch = self.roster.with_view(|view| view.reaches_quorum(now));
+        let patience = if in_touch { RESERVE_LIMIT } else { RESERVE_LIMIT_CUT_OFF };
         let limit = plan.deadline.min(Instant::now() + patience);
         let engines = self.engines_for(plan);
         let asked = Reservation { budget, tokens, engines };
@@ -381,6 +379,7 @@
         plan.report.note_reserved();
         match reserved {
             Ok(Ok(Verdict::Granted { engine, .. })) => {
+                plan.report.note_placed(engine.as_ref());
                 plan.home = engine;
                 Ok(())
             }
@@ -394,7 +393,10 @@
                     .retry_after(RETRY_SOON))
             }
             Err(_) => {
-                let message = "the journal did not answer in time";
+                let message = format!(
+                    "the journal did not answer within {} ms; control group in reach: {in_touch}",
+                    patience.as_millis()
+                );
                 Err(Refusal::not_run(ResultCode::NoQuorum, message).retry_after(RETRY_SOON))
             }
         }
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -27,6 +27,8 @@
     kind: &'static str,
     started: Instant,
     reserved: Option<Instant>,
+    /// Where the journal placed the turn.
+    placed: Option<EndpointName>,
     first_event: Option<Instant>,
     sends: u32,
 }
@@ -53,6 +55,7 @@
             },
             started,
             reserved: None,
+            placed: None,
             first_event: None,
             sends: 0,
         }
@@ -62,6 +65,10 @@
         self.reserved = Some(Instant::now());
     }
 
+    pub(super) fn note_placed(&mut self, engine: Option<&EndpointName>) {
+        self.placed = engine.cloned();
+    }
+
     pub(super) fn note_first_event(&mut self) {
         self.first_event = Some(Instant::now());
     }
@@ -90,13 +97,14 @@
 
     fn record(&self, cx: &Context, number: EventNumber, peer: Option<String>, outcome: &str) {
         let detail = format!(
-            "request={} program={} route={} service={} config={} sends={} reserved_ms={} \
+            "request={} program={} route={} service={} config={} placed={} sends={} reserved_ms={} \
              first_event_ms={} total_ms={} {outcome}",
             self.attempt,
             self.program.as_deref().unwrap_or("-"),
             self.route,
             self.service,
             self.config_version,
+            self.placed.as_ref().map_or("-", EndpointName::as_str),
             self.sends,
             self.since_start(self.reserved),
             self.since_start(self.first_event),
--- a/coriandergw/src/token_budgets/generated.rs
+++ b/coriandergw/src/token_budgets/generated.rs
@@ -6,7 +6,8 @@
     pub reserves: ::prost::alloc::vec::Vec<Reserve>,
     #[prost(message, repeated, tag = "2")]
     pub settles: ::prost::alloc::vec::Vec<Settle>,
-    /// The wall time at the sender, in milliseconds; only used to forget old programs.
+    /// The wall time at the sender, in milliseconds; used to forget old programs and turns that never
+    /// ended.
     #[prost(uint64, tag = "3")]
     pub wall_ms: u64,
 }
