fix(roles): report a damaged file of the last configuration; name what watchers say

Found on reading the change again: a file that cannot be decoded was passed over without a line. Also the reason for the life of address answers, and a name. Tests: writing and reading, a damaged file.

--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -28,7 +28,8 @@
 use crate::token_budgets::client::BUDGET_GROUP;
 use crate::token_budgets::client::BudgetClient;
 
-/// How long callers may keep an address answer.
+/// How long callers may keep an address answer: they use a lost entry instance for that long, and each
+/// question to a lost core instance costs them a second.
 pub const ADDRESS_TTL: Duration = Duration::from_millis(500);
 
 /// Some callers keep an answer this many times as long.
--- a/coriandergw/src/roles/last_config.rs
+++ b/coriandergw/src/roles/last_config.rs
@@ -19,13 +19,15 @@
 
 /// Reads what was last in force; nothing if the disk has none or it cannot be read.
 pub fn read(cx: &Context, disk: &dyn Disk) -> Option<Fixed> {
-    match disk.read(FILE) {
-        Ok(bytes) => machine::decode_state(Bytes::from(bytes?)),
-        Err(cause) => {
-            report(cx, &format!("{FILE} was not read: {cause}"));
-            None
+    let fixed = match disk.read(FILE) {
+        Ok(None) => return None,
+        Ok(Some(bytes)) => {
+            machine::decode_state(Bytes::from(bytes)).ok_or_else(|| "it is damaged".to_owned())
         }
-    }
+        Err(cause) => Err(cause.to_string()),
+    };
+    let report = |cause: &String| report(cx, &format!("{FILE} was not read: {cause}"));
+    fixed.inspect_err(report).ok()
 }
 
 /// Writes what is in force now, without holding up the caller's thread.
@@ -41,3 +43,6 @@
 fn report(cx: &Context, cause: &str) {
     cx.events.record(EventNumber::LastConfigFailed, Subject::default(), cause);
 }
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -209,8 +209,8 @@
         names
     }
 
-    /// Returns what the watchers of an instance say of it, as far as they were heard lately.
-    fn is_watched(&self, presence: &Presence, now: Timestamp) -> Option<bool> {
+    /// Returns whether a watcher hears an instance; `None` if none of its watchers was heard lately.
+    fn watchers_hear(&self, presence: &Presence, now: Timestamp) -> Option<bool> {
         let says = |view: &CoreView| {
             let heard = view.instances.get(&presence.name)?.heard;
             (now.since(view.answered_at) < WATCHER_SILENCE).then_some(heard)
@@ -237,7 +237,7 @@
                 }
             }
         }
-        let is_silent = |presence: &Presence| self.is_watched(presence, now) == Some(false);
+        let is_silent = |presence: &Presence| self.watchers_hear(presence, now) == Some(false);
         found.into_values().filter(|presence| !is_silent(presence)).collect()
     }
 
