test(forwarding): ask that a hidden request does not run

Cause: smuggled requests were refused by the HTTP library alone, without a test of ours. Change: two lengths at once, a length beside chunks, and a request in a body. Both tests passed at once; no code changed.

--- a/coriandergw/src/roles/tests/dishonest.rs
+++ b/coriandergw/src/roles/tests/dishonest.rs
@@ -140,3 +140,44 @@
     assert_eq!(endpoint.seen().len(), 1);
     assert!(reply.contains("\"not_run\":false"), "{reply}");
 }
+
+/// Sends bytes that hide a second request in the body of a first one; returns the paths that ran.
+async fn ran_after(raw: &str) -> (String, Vec<String>) {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        vec![Step::Send(answer(&attempt, "done"))]
+    })
+    .await;
+    world.announce("a", "plain", &endpoint).await;
+    let reply = world.ask(raw).await;
+    (reply, endpoint.seen().iter().map(|seen| seen.path().to_owned()).collect())
+}
+
+#[tokio::test]
+async fn a_request_hidden_behind_two_lengths_does_not_run() {
+    let hidden =
+        "GET /safe/hidden HTTP/1.1\r\nhost: host\r\nattempt: t2\r\nconnection: close\r\n\r\n";
+    let head = "POST /once/x HTTP/1.1\r\nhost: host\r\nattempt: t1\r\n";
+    let both = format!(
+        "{head}content-length: {}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
+        hidden.len() + 5
+    );
+    let (reply, ran) = ran_after(&both).await;
+    assert!(!ran.contains(&"/safe/hidden".to_owned()), "{reply}");
+    let two_lengths =
+        format!("{head}content-length: 0\r\ncontent-length: {}\r\n\r\n{hidden}", hidden.len());
+    let (reply, ran) = ran_after(&two_lengths).await;
+    assert!(ran.is_empty(), "{reply}");
+}
+
+#[tokio::test]
+async fn a_request_hidden_in_a_body_is_part_of_the_body() {
+    let hidden = "GET /safe/hidden HTTP/1.1\r\nhost: host\r\nattempt: t2\r\n\r\n";
+    let raw = format!(
+        "POST /once/x HTTP/1.1\r\nhost: host\r\nattempt: t1\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{hidden}",
+        hidden.len()
+    );
+    let (reply, ran) = ran_after(&raw).await;
+    assert_eq!(ran, ["/once/x"], "{reply}");
+}
