fix(roles): keep the newer configuration on the disk while the log is read again

Found on reading the change again: after a restart the replayed states passed by the writer of the last configuration as well, so an older one could replace the newer file until the log had caught up; a second loss of power then would have told it. The board refuses what is older already; its answer now decides about the disk too. Test: the board says whether it took a state (it did not tell before).

--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -141,8 +141,8 @@
 ) {
     loop {
         let state = fixed.borrow_and_update().clone();
-        board.fix(state.clone());
-        if state.config_version > 0 {
+        // While the log is read again, states come by that are older than what the disk told.
+        if board.fix(state.clone()) {
             last_config::write(&cx, disk.clone(), &state).await;
         }
         if fixed.changed().await.is_err() {
--- a/coriandergw/src/roster/board.rs
+++ b/coriandergw/src/roster/board.rs
@@ -129,11 +129,14 @@
     }
 
     /// Applies the state of the control group; an older configuration does not replace a newer one.
-    pub fn fix(&mut self, fixed: Fixed) {
-        if fixed.config_version >= self.fixed.config_version && fixed != self.fixed {
+    /// Returns whether anything changed.
+    pub fn fix(&mut self, fixed: Fixed) -> bool {
+        let is_news = fixed.config_version >= self.fixed.config_version && fixed != self.fixed;
+        if is_news {
             self.fixed = fixed;
             self.last_change += 1;
         }
+        is_news
     }
 
     /// Records an announcement; returns whether anything but its sequence changed.
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -86,9 +86,9 @@
         self.cx.events.record(EventNumber::EndpointLeaving, subject, detail);
     }
 
-    /// Applies the state of the control group.
-    pub fn fix(&self, fixed: Fixed) {
-        self.with_board(|board| board.fix(fixed));
+    /// Applies the state of the control group; returns whether anything changed.
+    pub fn fix(&self, fixed: Fixed) -> bool {
+        self.with_board(|board| board.fix(fixed))
     }
 
     /// Returns the version of the configuration that polls are answered with.
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -128,8 +128,8 @@
 fn an_older_configuration_does_not_replace_a_newer_one() {
     let mut board = Board::new(SILENCE, at(0));
     let fixed = |version| Fixed { config_version: version, ..Fixed::default() };
-    board.fix(fixed(4));
-    board.fix(fixed(3));
+    assert!(board.fix(fixed(4)));
+    assert!(!board.fix(fixed(3)), "what is older is neither told nor kept on the disk");
     assert_eq!(board.fixed().config_version, 4);
     let mut view = View::default();
     let answer = |version| Answer {
