refactor(forwarding): reserve in a file of its own, build candidates in one place

Candidates were built alike in two functions. Whether the control group is in reach no longer copies its leader's description for each turn. No behaviour changes.

--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -47,21 +47,12 @@
 use crate::roster::poller::Roster;
 use crate::routes::Route;
 use crate::routes::RouteTable;
-use crate::token_budgets::Reservation;
 use crate::token_budgets::TurnKey;
-use crate::token_budgets::Verdict;
 use crate::token_budgets::client::BudgetClient;
 
 /// When a caller should come back after a refusal that passes quickly.
 pub(super) const RETRY_SOON: Duration = Duration::from_millis(200);
 
-/// How long the journal may take for a reservation; well above an election of its leader.
-const RESERVE_LIMIT: Duration = Duration::from_millis(2_500);
-
-/// How long the journal may take for a reservation at an instance that is cut off from the control
-/// group: the journal answers at once if it can be reached at all.
-const RESERVE_LIMIT_CUT_OFF: Duration = Duration::from_millis(300);
-
 /// The largest answer that is collected before it is passed on, in bytes.
 const COLLECT_MAX_BYTES: u64 = 1 << 20;
 
@@ -82,7 +73,7 @@
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) pool: SharedPool,
     pub(super) loads: Arc<Loads>,
-    roster: Arc<Roster>,
+    pub(super) roster: Arc<Roster>,
     reader: Arc<dyn ConfigReader>,
     budgets: BudgetClient,
     table: ArcSwapOption<RouteTable>,
@@ -360,48 +351,6 @@
         self.run_plain(plan, outgoing).await
     }
 
-    /// Reserves the most that the turn may generate.
-    async fn reserve(
-        &self,
-        plan: &mut Plan,
-        head: &CallHead,
-        turn: &mut Turn,
-    ) -> Result<(), Refusal> {
-        let budget = head.program.as_ref().and_then(|program| program.budget).unwrap_or_default();
-        let tokens = head.tokens.map_or(0, |tokens| tokens.output_max);
-        let now = self.cx.clock.now();
-        let in_touch = self.roster.with_view(|view| view.reaches_quorum(now));
-        let patience = if in_touch { RESERVE_LIMIT } else { RESERVE_LIMIT_CUT_OFF };
-        let limit = plan.deadline.min(Instant::now() + patience);
-        let engines = self.engines_for(plan);
-        let asked = Reservation { budget, tokens, engines };
-        let reserved = tokio::time::timeout_at(limit, turn.reserve(asked)).await;
-        plan.report.note_reserved();
-        match reserved {
-            Ok(Ok(Verdict::Granted { engine, .. })) => {
-                plan.report.note_placed(engine.as_ref());
-                plan.home = engine;
-                Ok(())
-            }
-            Ok(Ok(Verdict::Denied { left })) => {
-                turn.forget();
-                let message = format!("the budget of {budget} tokens has {left} left");
-                Err(Refusal::not_run(ResultCode::BudgetSpent, message))
-            }
-            Ok(Err(cause)) => {
-                Err(Refusal::not_run(ResultCode::NoQuorum, cause.to_string())
-                    .retry_after(RETRY_SOON))
-            }
-            Err(_) => {
-                let message = format!(
-                    "the journal did not answer within {} ms; control group in reach: {in_touch}",
-                    patience.as_millis()
-                );
-                Err(Refusal::not_run(ResultCode::NoQuorum, message).retry_after(RETRY_SOON))
-            }
-        }
-    }
-
     /// Runs a request whose answer is passed on as a whole.
     async fn run_plain(
         self: Arc<Self>,
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -22,6 +22,7 @@
 mod refusal;
 mod relay;
 mod report;
+mod reserving;
 mod sending;
 pub mod server;
 mod turn;
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -27,9 +27,6 @@
 /// How often all endpoints are tried before a request is refused.
 const ROUNDS_MAX: u32 = 3;
 
-/// The engines that the journal chooses from: with three, the busiest one of many is close to the mean.
-const ENGINES_PROPOSED: usize = 3;
-
 /// The wait before all endpoints are tried again: about one short request.
 const ROUND_PAUSE: Duration = Duration::from_millis(25);
 
@@ -182,19 +179,9 @@
         Refusal::not_run(code, message).retry_after(RETRY_SOON)
     }
 
-    /// Returns the engines that the journal may place a turn on, best first.
-    pub(super) fn engines_for(&self, plan: &Plan) -> Vec<EndpointName> {
-        let now = self.cx.clock.now();
-        let endpoints = self.endpoints.load();
-        let known = endpoints.get(&plan.service).map(Vec::as_slice).unwrap_or_default();
-        let load = |record: &EndpointRecord| self.loads.get(&record.id);
-        let mut candidates: Vec<Candidate> = known
-            .iter()
-            .map(|record| Candidate { record: record.clone(), load: load(record) })
-            .collect();
-        choice::order_engines(&mut candidates, &plan.key, None, now);
-        let best = candidates.into_iter().take(ENGINES_PROPOSED);
-        best.map(|candidate| candidate.record.id).collect()
+    /// Returns an endpoint with what is known of its load.
+    pub(super) fn candidate(&self, record: &EndpointRecord) -> Candidate {
+        Candidate { record: record.clone(), load: self.loads.get(&record.id) }
     }
 
     fn choose(
@@ -210,13 +197,13 @@
         let may_take = |record: &&EndpointRecord| {
             !excluded.contains(&record.id) && (!is_full || plan.ran_on.contains(&record.id))
         };
-        let candidate = |record: &EndpointRecord| Candidate {
-            record: record.clone(),
-            load: self.loads.get(&record.id),
-        };
         let has_connections = |candidate: &Candidate| candidate.load.in_flight < plan.connections;
-        let mut candidates: Vec<Candidate> =
-            known.iter().filter(may_take).map(candidate).filter(has_connections).collect();
+        let mut candidates: Vec<Candidate> = known
+            .iter()
+            .filter(may_take)
+            .map(|record| self.candidate(record))
+            .filter(has_connections)
+            .collect();
         if plan.is_engine {
             choice::order_engines(&mut candidates, &plan.key, plan.home.as_ref(), now);
         } else {
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -243,7 +243,7 @@
 
     /// Returns whether most voters of the control group answer; also while no leader was heard of.
     pub fn reaches_quorum(&self, now: Timestamp) -> bool {
-        let Some(leader) = self.leader(Role::Core) else {
+        let Some(leader) = self.find_leader(Role::Core) else {
             return true;
         };
         let voters = &leader.group.voters;
@@ -275,9 +275,13 @@
 
     /// Returns the leader of a role's group with the highest reported term.
     pub fn leader(&self, role: Role) -> Option<Presence> {
+        self.find_leader(role).cloned()
+    }
+
+    fn find_leader(&self, role: Role) -> Option<&Presence> {
         let all = self.cores.values().flat_map(|view| view.instances.values());
         let leaders = all.filter(|heard| heard.presence.role == role && heard.presence.group.leads);
-        leaders.max_by_key(|heard| heard.presence.group.term).map(|heard| heard.presence.clone())
+        leaders.max_by_key(|heard| heard.presence.group.term).map(|heard| &heard.presence)
     }
 
     /// Returns the addresses of all core instances that were ever reported.
