--- a/coriandergw/src/token_budgets/engine_loads.rs
+++ b/coriandergw/src/token_budgets/engine_loads.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use crate::token_budgets::TurnKey;
+
 /// A program stays at its engine until that has this many turns more than another candidate: reading the
 /// program's prompt again elsewhere delays the turns there as much as several more turns.
 const HOME_ADVANTAGE: u64 = 6;
@@ -20,18 +22,15 @@
 struct Running {
     engine: String,
     since_ms: u64,
-    number: u64,
 }
 
 /// The turns that run on each engine.
 #[derive(Debug, Default)]
 pub struct EngineLoads {
     turns: BTreeMap<String, u64>,
-    /// The running turns by program and turn.
-    running: BTreeMap<(String, String), Running>,
+    running: BTreeMap<TurnKey, Running>,
     /// The begun turns in order, to find those that count no more.
-    begun: VecDeque<(u64, u64, (String, String))>,
-    next_number: u64,
+    begun: VecDeque<(u64, TurnKey)>,
 }
 
 impl EngineLoads {
@@ -54,39 +53,32 @@
     }
 
     /// Counts a turn that begins.
-    pub fn begin(&mut self, program: &str, turn: &str, engine: &str, since_ms: u64) {
-        let key = (program.to_owned(), turn.to_owned());
-        let number = self.next_number;
-        self.next_number += 1;
+    pub fn begin(&mut self, key: TurnKey, engine: &str, since_ms: u64) {
         *self.turns.entry(engine.to_owned()).or_default() += 1;
-        self.running.insert(key.clone(), Running { engine: engine.to_owned(), since_ms, number });
-        self.begun.push_back((since_ms, number, key));
+        self.begun.push_back((since_ms, key.clone()));
+        self.running.insert(key, Running { engine: engine.to_owned(), since_ms });
     }
 
     /// Counts a turn that ended.
-    pub fn end(&mut self, program: &str, turn: &str) {
-        let key = (program.to_owned(), turn.to_owned());
-        if let Some(running) = self.running.remove(&key) {
+    pub fn end(&mut self, key: &TurnKey) {
+        if let Some(running) = self.running.remove(key) {
             self.count_down(&running.engine);
         }
     }
 
     /// Returns the engine and the begin of a turn that counts as running.
-    pub fn running(&self, program: &str, turn: &str) -> Option<(&str, u64)> {
-        let running = self.running.get(&(program.to_owned(), turn.to_owned()))?;
-        Some((&running.engine, running.since_ms))
+    pub fn running(&self, key: &TurnKey) -> Option<(&str, u64)> {
+        self.running.get(key).map(|running| (running.engine.as_str(), running.since_ms))
     }
 
     /// Drops the turns that count no more.
     pub fn expire(&mut self, now_ms: u64) {
-        while let Some((since_ms, ..)) = self.begun.front()
-            && now_ms.saturating_sub(*since_ms) > COUNTED_FOR_MS
-        {
-            let Some((_, number, key)) = self.begun.pop_front() else {
-                return;
-            };
-            if self.running.get(&key).is_some_and(|running| running.number == number) {
-                self.end(&key.0, &key.1);
+        let is_over =
+            |(since_ms, _): &mut (u64, TurnKey)| now_ms.saturating_sub(*since_ms) > COUNTED_FOR_MS;
+        while let Some((since_ms, key)) = self.begun.pop_front_if(is_over) {
+            // One that ended and began again counts from its later begin.
+            if self.running.get(&key).is_some_and(|running| running.since_ms == since_ms) {
+                self.end(&key);
             }
         }
     }
--- a/coriandergw/src/token_budgets/engine_loads/tests.rs
+++ b/coriandergw/src/token_budgets/engine_loads/tests.rs
@@ -10,6 +10,10 @@
 
 const ENGINES: usize = 12;
 
+fn key(program: &str, turn: &str) -> TurnKey {
+    TurnKey { program: program.into(), turn: turn.into() }
+}
+
 fn engines() -> Vec<InstanceName> {
     (0..ENGINES).map(|n| InstanceName::try_from(format!("e{n}")).unwrap()).collect()
 }
@@ -29,11 +33,11 @@
     for n in 0..4_000 {
         if under_way.len() == 120 {
             let ended: String = under_way.swap_remove(rng.random_range(0..120));
-            loads.end(&ended, "turn");
+            loads.end(&key(&ended, "turn"));
         }
         let program = format!("p{n}");
         let engine = loads.choose(None, &candidates(&program, proposed)).unwrap();
-        loads.begin(&program, "turn", &engine, 0);
+        loads.begin(key(&program, "turn"), &engine, 0);
         under_way.push(program);
         let turns = engines().iter().map(|engine| loads.turns(engine.as_str())).max();
         most = most.max(turns.unwrap_or_default());
@@ -55,10 +59,10 @@
     let proposed = vec!["a".to_owned(), "b".to_owned()];
     assert_eq!(loads.choose(Some("home"), &proposed).as_deref(), Some("home"));
     for n in 0..HOME_ADVANTAGE {
-        loads.begin("others", &n.to_string(), "home", 0);
+        loads.begin(key("others", &n.to_string()), "home", 0);
     }
     assert_eq!(loads.choose(Some("home"), &proposed).as_deref(), Some("home"));
-    loads.begin("others", "one more", "home", 0);
+    loads.begin(key("others", "one more"), "home", 0);
     assert_eq!(loads.choose(Some("home"), &proposed).as_deref(), Some("a"));
     assert_eq!(loads.choose(Some("home"), &[]).as_deref(), Some("home"));
     assert_eq!(loads.choose(None, &[]), None);
@@ -67,13 +71,13 @@
 #[test]
 fn turns_of_a_lost_entry_instance_do_not_count_for_ever() {
     let mut loads = EngineLoads::default();
-    loads.begin("p", "lost", "a", 1_000);
-    loads.begin("p", "later", "a", 4_000);
+    loads.begin(key("p", "lost"), "a", 1_000);
+    loads.begin(key("p", "later"), "a", 4_000);
     loads.expire(1_000 + COUNTED_FOR_MS);
     assert_eq!(loads.turns("a"), 2);
     loads.expire(1_001 + COUNTED_FOR_MS);
     assert_eq!(loads.turns("a"), 1);
-    loads.end("p", "lost");
-    loads.end("p", "later");
+    loads.end(&key("p", "lost"));
+    loads.end(&key("p", "later"));
     assert_eq!(loads.turns("a"), 0);
 }
--- a/coriandergw/src/token_budgets/machine.rs
+++ b/coriandergw/src/token_budgets/machine.rs
@@ -8,6 +8,7 @@
 
 use crate::log_groups::RestoreError;
 use crate::log_groups::StateMachine;
+use crate::token_budgets::TurnKey;
 use crate::token_budgets::engine_loads::EngineLoads;
 use crate::token_budgets::generated as raw;
 
@@ -98,7 +99,7 @@
 
     fn settle(&mut self, settle: raw::Settle) {
         let raw::Settle { program: id, turn, tokens, engine } = settle;
-        self.loads.end(&id, &turn);
+        self.loads.end(&key_of(&id, &turn));
         let program = self.program(id);
         program.settle(&turn, tokens);
         if !engine.is_empty() {
@@ -121,13 +122,14 @@
 
     /// Returns the engine for a turn and counts it there; empty if no engine is known.
     fn place(&mut self, id: &str, turn: &str, home: Option<String>, engines: &[String]) -> String {
-        if let Some((engine, _)) = self.loads.running(id, turn) {
+        let key = key_of(id, turn);
+        if let Some((engine, _)) = self.loads.running(&key) {
             return engine.to_owned();
         }
         let Some(engine) = self.loads.choose(home.as_deref(), engines) else {
             return String::new();
         };
-        self.loads.begin(id, turn, &engine, self.wall_ms);
+        self.loads.begin(key, &engine, self.wall_ms);
         // Turns that the program begins meanwhile go where this one is.
         self.program(id.to_owned()).engine = Some(engine.clone());
         engine
@@ -139,6 +141,10 @@
     }
 }
 
+fn key_of(program: &str, turn: &str) -> TurnKey {
+    TurnKey { program: program.into(), turn: turn.into() }
+}
+
 impl StateMachine for BudgetMachine {
     fn apply(&mut self, _index: u64, command: &[u8]) -> Bytes {
         // A command that cannot be read changes nothing, on every voter alike.
@@ -157,7 +163,7 @@
                 .reservations
                 .iter()
                 .map(|(turn, tokens)| {
-                    let running = self.loads.running(id, turn);
+                    let running = self.loads.running(&key_of(id, turn));
                     let (engine, since_ms) = running.unwrap_or_default();
                     let (turn, engine) = (turn.clone(), engine.to_owned());
                     raw::Reservation { turn, tokens: *tokens, engine, since_ms }
@@ -193,7 +199,7 @@
         running.sort_by_key(|(since_ms, ..)| *since_ms);
         self.loads = EngineLoads::default();
         for (since_ms, program, one) in running {
-            self.loads.begin(&program, &one.turn, &one.engine, since_ms);
+            self.loads.begin(key_of(&program, &one.turn), &one.engine, since_ms);
         }
         self.wall_ms = raw.wall_ms;
         self.commands = raw.commands;
--- a/coriandergw/src/token_budgets/mod.rs
+++ b/coriandergw/src/token_budgets/mod.rs
@@ -18,7 +18,7 @@
 pub mod machine;
 
 /// One turn of a program.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TurnKey {
     /// The program, as its caller names it.
     pub program: Arc<str>,
