fix(endpoints): keep what other sponsors announced of an endpoint

Cause: a sponsor sends an announcement once. The directory ignored it while the endpoint's last renewal at this instance was fresh, and replaced it when the endpoint renewed here once.

Change: announcements of other sponsors are kept until they are withdrawn or the sponsor's lease ends, and the latest valid one takes over when the current source ends.

--- a/coriandergw/src/endpoints/directory.rs
+++ b/coriandergw/src/endpoints/directory.rs
@@ -71,6 +71,9 @@
 #[derive(Debug, Default)]
 struct State {
     endpoints: HashMap<EndpointName, KnownEndpoint>,
+    /// What sponsors announced of endpoints whose current source is another one. A sponsor sends an
+    /// announcement only once, so it is kept until the sponsor withdraws it or its lease ends.
+    other_sources: HashMap<EndpointName, BTreeMap<InstanceName, KnownEndpoint>>,
     groups: HashMap<GroupKey, Group>,
     sponsors: BTreeMap<InstanceName, SponsorLease>,
     changes: Vec<LocalChange>,
@@ -98,8 +101,8 @@
         changed
     }
 
-    /// Records an announcement from a sponsor, unless the endpoint has renewed at this instance
-    /// within the last 2 renewal intervals.
+    /// Records an announcement from a sponsor. While the endpoint has renewed at this instance
+    /// within the last 2 renewal intervals, the announcement is only kept for later.
     pub fn upsert_sponsored(
         &self,
         sponsor: &InstanceName,
@@ -110,23 +113,25 @@
         let renews_here = state.endpoints.get(&announcement.name).is_some_and(|known| {
             known.source == Source::Local && now.since(known.heard_at) <= RENEWAL_INTERVAL * 2
         });
-        if renews_here {
-            return;
-        }
-        state.insert(KnownEndpoint {
+        let sponsored = KnownEndpoint {
             announcement: Arc::new(announcement),
             heard_at: now,
             source: Source::Sponsor(sponsor.clone()),
-        });
+        };
+        match renews_here {
+            true => state.keep_other_source(sponsored),
+            false => state.insert(sponsored),
+        }
     }
 
     /// Removes an endpoint that `sponsor` reports as gone, unless it now renews elsewhere.
-    pub fn remove_sponsored(&self, sponsor: &InstanceName, name: &EndpointName) {
+    pub fn remove_sponsored(&self, sponsor: &InstanceName, name: &EndpointName, now: Timestamp) {
         let mut state = self.state.write().expect("not poisoned");
+        state.drop_other_source(sponsor, name);
         let is_sponsor =
             state.endpoints.get(name).is_some_and(|known| known.is_sponsored_by(sponsor));
         if is_sponsor {
-            state.remove(name);
+            state.replace_by_other_source(name, now);
         }
     }
 
@@ -140,7 +145,7 @@
         let kept: Vec<EndpointName> = all.iter().map(|one| one.name.clone()).collect();
         for name in self.sponsored_names(sponsor) {
             if !kept.contains(&name) {
-                self.remove_sponsored(sponsor, &name);
+                self.remove_sponsored(sponsor, &name, now);
             }
         }
         for announcement in all {
@@ -155,19 +160,24 @@
         state.sponsors.insert(sponsor.clone(), renewed);
     }
 
-    /// Removes endpoints whose announcement or sponsor lease has expired, and returns their names.
+    /// Removes endpoints whose announcement or sponsor lease has expired and that no other sponsor
+    /// announces, and returns their names.
     pub fn expire(&self, now: Timestamp) -> Vec<EndpointName> {
         let mut state = self.state.write().expect("not poisoned");
+        state.expire_other_sources(now);
+        let mut removed = Vec::new();
         let expired: Vec<KnownEndpoint> =
             state.endpoints.values().filter(|known| !state.is_valid(known, now)).cloned().collect();
         for known in &expired {
             let name = known.announcement.name.clone();
-            state.remove(&name);
+            if !state.replace_by_other_source(&name, now) {
+                removed.push(name.clone());
+            }
             if known.source == Source::Local {
                 state.changes.push(LocalChange::Gone(name));
             }
         }
-        expired.into_iter().map(|known| known.announcement.name.clone()).collect()
+        removed
     }
 
     /// Takes the changes to the local endpoints since the last call.
@@ -228,8 +238,10 @@
     }
 
     fn sponsored_names(&self, sponsor: &InstanceName) -> Vec<EndpointName> {
-        let sponsored = self.sponsored(sponsor);
-        sponsored.into_iter().map(|announcement| announcement.name.clone()).collect()
+        let state = self.state.read().expect("not poisoned");
+        let current = state.endpoints.iter().filter(|(_, known)| known.is_sponsored_by(sponsor));
+        let other = state.other_sources.iter().filter(|(_, kept)| kept.contains_key(sponsor));
+        current.map(|(name, _)| name).chain(other.map(|(name, _)| name)).cloned().collect()
     }
 }
 
@@ -250,8 +262,56 @@
         }
     }
 
+    fn keep_other_source(&mut self, known: KnownEndpoint) {
+        if let Source::Sponsor(sponsor) = &known.source {
+            let kept = self.other_sources.entry(known.announcement.name.clone()).or_default();
+            kept.insert(sponsor.clone(), known);
+        }
+    }
+
+    fn drop_other_source(&mut self, sponsor: &InstanceName, name: &EndpointName) {
+        let Some(kept) = self.other_sources.get_mut(name) else {
+            return;
+        };
+        kept.remove(sponsor);
+        if kept.is_empty() {
+            self.other_sources.remove(name);
+        }
+    }
+
+    fn expire_other_sources(&mut self, now: Timestamp) {
+        let mut others = std::mem::take(&mut self.other_sources);
+        others.retain(|_, kept| {
+            kept.retain(|_, known| self.is_valid(known, now));
+            !kept.is_empty()
+        });
+        self.other_sources = others;
+    }
+
+    /// Replaces the current source of an endpoint by the sponsor that announced it last; without
+    /// any valid one the endpoint is removed. Returns whether the endpoint is still known.
+    fn replace_by_other_source(&mut self, name: &EndpointName, now: Timestamp) -> bool {
+        let kept = self.other_sources.get(name).into_iter().flat_map(BTreeMap::values);
+        let valid = kept.filter(|known| self.is_valid(known, now));
+        let latest = valid.max_by_key(|known| known.heard_at).cloned();
+        self.remove(name);
+        let Some(latest) = latest else {
+            return false;
+        };
+        self.insert(latest);
+        true
+    }
+
     fn insert(&mut self, known: KnownEndpoint) {
         let name = known.announcement.name.clone();
+        if let Source::Sponsor(sponsor) = &known.source {
+            self.drop_other_source(sponsor, &name);
+        }
+        if let Some(before) =
+            self.endpoints.get(&name).filter(|before| before.source != known.source)
+        {
+            self.keep_other_source(before.clone());
+        }
         let before = self.endpoints.insert(name.clone(), known.clone());
         let before_keys = before.as_ref().map(group_keys).unwrap_or_default();
         let after_keys = group_keys(&known);
--- a/coriandergw/src/endpoints/directory/tests.rs
+++ b/coriandergw/src/endpoints/directory/tests.rs
@@ -76,8 +76,53 @@
         directory.renew_sponsor(&instance(sponsor), LEASE, Timestamp::from_millis(1));
         directory.upsert_sponsored(&instance(sponsor), engine("a", "m"), Timestamp::from_millis(1));
     }
-    directory.remove_sponsored(&instance("i2"), &"a".try_into().unwrap());
+    let (name, now) = ("a".try_into().unwrap(), Timestamp::from_millis(2));
+    directory.remove_sponsored(&instance("i2"), &name, now);
     assert_eq!(candidate_names(&directory, "m", 2), ["a"]);
     directory.replace_sponsored(&instance("i3"), Vec::new(), Timestamp::from_millis(2));
     assert!(candidate_names(&directory, "m", 3).is_empty());
 }
+
+#[test]
+fn an_endpoint_that_moves_to_another_sponsor_stays_listed_when_it_stops_renewing_here() {
+    let directory = Directory::default();
+    directory.renew_sponsor(&instance("i2"), LEASE, Timestamp::from_millis(1));
+    directory.announce(engine("a", "m"), Timestamp::from_millis(1));
+    // The sponsor sends the announcement once, while the last renewal here is fresh.
+    directory.upsert_sponsored(&instance("i2"), engine("a", "m"), Timestamp::from_millis(100));
+    assert!(directory.expire(Timestamp::from_millis(1_600)).is_empty());
+    assert_eq!(candidate_names(&directory, "m", 1_600), ["a"]);
+    assert_eq!(directory.local().len(), 0);
+    let gone = LocalChange::Gone("a".try_into().unwrap());
+    assert!(directory.take_changes().contains(&gone), "the others are told that it left here");
+}
+
+#[test]
+fn an_endpoint_that_renews_here_once_stays_listed_by_its_sponsor() {
+    let directory = Directory::default();
+    directory.renew_sponsor(&instance("i2"), LEASE, Timestamp::from_millis(1));
+    directory.upsert_sponsored(&instance("i2"), engine("a", "m"), Timestamp::from_millis(1));
+    directory.announce(engine("a", "m"), Timestamp::from_millis(100));
+    directory.expire(Timestamp::from_millis(1_700));
+    assert_eq!(candidate_names(&directory, "m", 1_700), ["a"]);
+    let (name, now) = ("a".try_into().unwrap(), Timestamp::from_millis(1_701));
+    directory.remove_sponsored(&instance("i2"), &name, now);
+    assert!(candidate_names(&directory, "m", 1_701).is_empty());
+}
+
+#[test]
+fn a_sponsor_that_withdraws_an_endpoint_while_it_renews_here_is_not_used_later() {
+    for withdraw_all in [false, true] {
+        let directory = Directory::default();
+        directory.renew_sponsor(&instance("i2"), LEASE, Timestamp::from_millis(1));
+        directory.announce(engine("a", "m"), Timestamp::from_millis(1));
+        directory.upsert_sponsored(&instance("i2"), engine("a", "m"), Timestamp::from_millis(100));
+        let (sponsor, now) = (instance("i2"), Timestamp::from_millis(200));
+        match withdraw_all {
+            true => directory.replace_sponsored(&sponsor, Vec::new(), now),
+            false => directory.remove_sponsored(&sponsor, &"a".try_into().unwrap(), now),
+        }
+        assert_eq!(directory.expire(Timestamp::from_millis(1_600)).len(), 1);
+        assert!(candidate_names(&directory, "m", 1_600).is_empty());
+    }
+}
--- a/coriandergw/src/endpoints/gossip.rs
+++ b/coriandergw/src/endpoints/gossip.rs
@@ -288,7 +288,7 @@
             self.directory.upsert_sponsored(&state.sponsor, announcement, now);
         }
         for name in delta.gone {
-            self.directory.remove_sponsored(&state.sponsor, &name.try_into()?);
+            self.directory.remove_sponsored(&state.sponsor, &name.try_into()?, now);
         }
         Ok(())
     }
