fix(roles): release the data folder when a core instance stops

Cause: CoreProcess::stop waited for the log's task only.

Change: stop ends that task between two writes and waits for it.

--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -2,10 +2,12 @@
 //! both to the other instances.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::context::Context;
 use crate::events::EventNumber;
@@ -50,6 +52,9 @@
     /// This instance's view of the other instances.
     pub roster: Arc<Roster>,
     node: Arc<LogNode>,
+    /// Writes each configuration in force to the disk until `stop_storing` turns true.
+    storing: Mutex<Option<AbortOnDropHandle<()>>>,
+    stop_storing: watch::Sender<bool>,
     _tasks: JoinSet<()>,
 }
 
@@ -85,11 +90,13 @@
         base.roster.update_presence(|presence| presence.ready = true);
         base.start_polling(settings);
         base.tasks.spawn(roster_server.clone().expire_silent());
-        base.tasks.spawn(apply_and_store(
+        let stop_storing = watch::Sender::new(false);
+        let storing = tokio::spawn(apply_and_store(
             base.cx.clone(),
             config_states,
             roster_server.clone(),
             disk,
+            stop_storing.subscribe(),
         ));
         let voter_set_controller = VoterSetController {
             cx: base.cx.clone(),
@@ -114,6 +121,8 @@
             node,
             cx: base.cx,
             roster: base.roster,
+            storing: Mutex::new(Some(AbortOnDropHandle::new(storing))),
+            stop_storing,
             _tasks: base.tasks,
         })
     }
@@ -122,6 +131,12 @@
     pub async fn stop(&self) {
         self.roster.update_presence(|presence| presence.leaving = true);
         self.node.stop().await;
+        self.stop_storing.send_replace(true);
+        // A write that is under way holds the folder until it ends.
+        let storing = self.storing.lock().expect("not poisoned").take();
+        if let Some(Err(cause)) = async { Some(storing?.await) }.await {
+            log::error!("the task that stores the configuration failed: {cause}");
+        }
     }
 }
 
@@ -153,6 +168,7 @@
     mut config_states: watch::Receiver<ConfigState>,
     roster_server: Arc<RosterServer>,
     disk: Arc<dyn Disk>,
+    mut stop: watch::Receiver<bool>,
 ) {
     loop {
         let state = config_states.borrow_and_update().clone();
@@ -160,8 +176,9 @@
         if roster_server.apply_config_state(state.clone()) {
             last_config::write(&cx, disk.clone(), &state).await;
         }
-        if config_states.changed().await.is_err() {
-            return;
+        tokio::select! {
+            changed = config_states.changed() => if changed.is_err() { return },
+            _ = stop.wait_for(|is_stopped| *is_stopped) => return,
         }
     }
 }
--- a/coriandergw/src/roles/tests/groups.rs
+++ b/coriandergw/src/roles/tests/groups.rs
@@ -6,6 +6,7 @@
 use crate::roles::tests::world::Site;
 use crate::roster::Role;
 use crate::roster::poller::Roster;
+use crate::storage::file_disk::FileDisk;
 use crate::test_support::wait_for;
 use crate::versions::Versions;
 
@@ -48,6 +49,21 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_core_instance_has_released_its_data_folder() {
+    let mut site = Site::new(1, 0).await;
+    for version in 1..=20 {
+        let machine = site.machine(true);
+        let mut settings = machine.settings.clone();
+        settings.seeds = vec![settings.ip];
+        let core = CoreProcess::start(&settings).await.expect("starts");
+        put_until_committed(&core.versions, version).await;
+        core.stop().await;
+        let folder = settings.data_folder.as_ref().expect("a folder");
+        FileDisk::open(folder).expect("the folder is not locked");
+    }
+}
+
 fn voters(roster: &Roster) -> Vec<InstanceName> {
     roster.with_view(|view| view.leader(Role::Core)).map(|p| p.group.voters).unwrap_or_default()
 }
