feat(roles): run core processes without a disk as directory instances; poll less

Each change of an entry instance was sent to every other entry instance, which uses none of it.

One without a data folder runs as a directory instance: it answers address look-ups, redirects announcements and changes to a core instance, and names the core instances to processes that have it as a seed. It has no vote, and what it reports of other instances counts as evidence for nobody. - Presences of entry instances go only to processes that answer look-ups; the others get their number. - Repeated announcements are sent with the next response and end no poll; the endpoint table is rebuilt only after a change, in one pass.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -56,6 +56,8 @@
     DrainLimitReached = 104, Warning;
     /// The settings were read again.
     SettingsReloaded = 107, Info;
+    /// The settings do not allow the whole role; the process does the part that remains.
+    RoleReduced = 110, Warning;
     /// Changed settings are not valid; the ones before stay in force.
     SettingsRefused = 108, Error;
     /// The process did not run for a while: frozen, starved or held up by its disk.
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -1,6 +1,6 @@
 //! Handles a request from routing and token reservation to the response.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -45,6 +45,7 @@
 use crate::result_code::ResultCode;
 use crate::roster::EndpointRecord;
 use crate::roster::poller::Roster;
+use crate::roster::view::RosterView;
 use crate::routes::Route;
 use crate::routes::RouteTable;
 use crate::token_budgets::TurnKey;
@@ -66,7 +67,7 @@
 }
 
 /// The usable endpoints by service.
-pub(super) type Endpoints = HashMap<Arc<str>, Vec<EndpointRecord>>;
+pub(super) type Endpoints = BTreeMap<Arc<str>, Vec<EndpointRecord>>;
 
 /// Forwards callers' requests to endpoints; the roster provides the configuration and the
 /// endpoints.
@@ -191,15 +192,12 @@
             self.apply_config(version, &document);
         }
         let now = self.cx.clock.now();
-        let entry_instances = self.roster.with_view(|view| view.caller_addresses(now));
+        let entry_instances = self.roster.with_view(|view| view.entry_instances(now));
         // An instance that has lost contact with the control group keeps the last known value.
         if let Some(entry_instances) = entry_instances {
-            self.entry_instances.store(entry_instances.len().max(1), Ordering::Relaxed);
+            self.entry_instances.store(entry_instances.max(1), Ordering::Relaxed);
         }
-        let endpoints: Endpoints = self.roster.with_view(|view| {
-            let usable = |service: Arc<str>| (service.clone(), view.usable_endpoints(&service));
-            view.services().into_iter().map(usable).collect()
-        });
+        let endpoints: Endpoints = self.roster.with_view(RosterView::usable_endpoints);
         let is_known = |endpoint: &EndpointName| {
             endpoints.values().flatten().any(|record| record.id == *endpoint)
         };
@@ -234,7 +232,7 @@
     }
 
     /// Returns whether the service has any usable endpoint.
-    pub(super) fn has_endpoints(&self, service: &str) -> bool {
+    pub fn has_endpoints(&self, service: &str) -> bool {
         self.endpoints.load().get(service).is_some_and(|known| !known.is_empty())
     }
 
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -1,7 +1,7 @@
-//! The processes of the entry path: entry, core and journal.
+//! The processes of the entry path: entry, core, directory and journal.
 //!
 //! Each role runs as one process. Processes discover each other through the seed addresses, which
-//! are those of the first core instances.
+//! are those of core or directory instances.
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -35,6 +35,7 @@
 use crate::transport::tcp::TcpTransport;
 
 pub mod core;
+pub mod directory;
 pub mod entry;
 pub mod founders;
 pub mod journal;
@@ -64,9 +65,10 @@
     pub ip: IpAddr,
     /// First port for traffic between instances; each role adds its own offset.
     pub first_port: u16,
-    /// Addresses of the core instances to contact first.
+    /// Addresses of the core or directory instances to contact first.
     pub seeds: Vec<IpAddr>,
-    /// Folder for persistent files; required for the core and journal roles.
+    /// Folder for persistent files; required for the core and journal roles. Without one, a
+    /// directory instance takes the place of a core instance.
     pub data_folder: Option<PathBuf>,
     /// Whether the whole system is being started for the first time, with empty disks.
     pub is_first_start: bool,
@@ -84,14 +86,15 @@
     /// Returns the port of a role, which is the same on all machines.
     fn port(&self, role: Role) -> u16 {
         let offset = match role {
-            Role::Core => 0,
+            // A directory instance takes the place of a core instance on a machine without a disk.
+            Role::Core | Role::Directory => 0,
             Role::Entry => 1,
             Role::Journal => 2,
         };
         self.first_port + offset
     }
 
-    /// Returns the addresses of the core instances whose roster is polled first.
+    /// Returns the addresses of the instances whose roster is polled first.
     fn seed_addresses(&self) -> Vec<SocketAddr> {
         let port = self.port(Role::Core);
         self.seeds.iter().map(|ip| SocketAddr::new(*ip, port)).collect()
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -2,6 +2,7 @@
 //! faulty.
 
 mod budgets;
+mod directory;
 mod dishonest;
 mod endpoint;
 mod groups;
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -43,13 +43,19 @@
     /// Whether the core instance does not know what the asking process is.
     #[prost(bool, tag = "9")]
     pub wants_presence: bool,
+    /// Whether the answering process has no disk and only names the core instances.
+    #[prost(bool, tag = "10")]
+    pub is_directory: bool,
+    /// How many entry instances accept callers' requests, as the core instance hears it.
+    #[prost(uint32, tag = "11")]
+    pub entry_instances: u32,
 }
 /// One process of the system.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Presence {
     #[prost(string, tag = "1")]
     pub name: ::prost::alloc::string::String,
-    /// Entry 1, core 2, journal 3.
+    /// Entry 1, core 2, journal 3, directory 4.
     #[prost(uint32, tag = "2")]
     pub role: u32,
     #[prost(string, tag = "3")]
--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -4,6 +4,13 @@
 //! process, and the response carries the changes since its last poll. A core instance keeps a
 //! [`state::RosterState`]; each process merges the responses of all core instances into a
 //! [`view::RosterView`].
+//!
+//! Entry instances outnumber all others. Their presences go only to the processes that answer
+//! address look-ups, so that the cost of an entry instance does not grow with their number.
+//! Repeated announcements of an endpoint are sent along with other changes and wake no poll.
+//!
+//! A directory instance has no disk and no vote. It is polled only by processes that have it as a
+//! seed, and its responses name the core instances that it reaches.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,6 +40,8 @@
     Core,
     /// Stores the budgets of programs.
     Journal,
+    /// Answers address look-ups and names the core instances to others, without a disk.
+    Directory,
 }
 
 /// The state of the log group that a process is a member of, as that process sees it.
@@ -125,6 +134,15 @@
         }
         self.state == EndpointState::Gone || (self.sequence, self.state) > (old.sequence, old.state)
     }
+
+    /// Returns whether two records of an endpoint differ at most in the sequence number and in the
+    /// remaining warm-up time; `false` if the warm-up began or ended.
+    pub fn is_equivalent(&self, other: &EndpointRecord) -> bool {
+        let cold_changed = (self.cold_ms == 0) != (other.cold_ms == 0);
+        let (sequence, cold_ms) = (self.sequence, self.cold_ms);
+        let comparable = EndpointRecord { sequence, cold_ms, ..other.clone() };
+        comparable == *self && !cold_changed
+    }
 }
 
 /// A field of a received roster message is invalid.
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -229,6 +229,8 @@
             config: (!raw.config.is_empty()).then_some(raw.config),
             first_journal_voters: wire::parse_names(raw.first_journal_voters)?,
             retiring: raw.retiring.into_iter().map(Into::into).collect(),
+            is_directory: raw.is_directory,
+            entry_instances: raw.entry_instances as usize,
         })
     }
 }
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -18,7 +18,9 @@
 use crate::roster::EndpointState;
 use crate::roster::Presence;
 use crate::roster::generated as raw;
+use crate::roster::state::Audience;
 use crate::roster::state::ConfigState;
+use crate::roster::state::LastChanges;
 use crate::roster::state::POLL_WAIT;
 use crate::roster::state::ReportedPresence;
 use crate::roster::state::RosterState;
@@ -35,18 +37,28 @@
 pub struct RosterServer {
     cx: Context,
     start: u64,
+    is_directory: bool,
     roster: Mutex<RosterState>,
-    changed: watch::Sender<u64>,
+    changed: watch::Sender<LastChanges>,
 }
 
 impl RosterServer {
-    /// Creates a server with an empty state. An endpoint that sends no announcement for
-    /// `endpoint_silence` is considered silent.
+    /// Creates the server of a core instance with an empty state. An endpoint that sends no
+    /// announcement for `endpoint_silence` is considered silent.
     pub fn new(cx: Context, endpoint_silence: Duration) -> Arc<Self> {
+        Self::create(cx, endpoint_silence, false)
+    }
+
+    /// Creates the server of a directory instance, which no endpoint announces itself to.
+    pub fn of_directory(cx: Context) -> Arc<Self> {
+        Self::create(cx, Duration::MAX, true)
+    }
+
+    fn create(cx: Context, endpoint_silence: Duration, is_directory: bool) -> Arc<Self> {
         let roster = Mutex::new(RosterState::new(endpoint_silence, cx.clock.now()));
         // The start time distinguishes successive processes at the same address.
         let start = cx.clock.wall().0.max(1);
-        Arc::new(Self { cx, start, roster, changed: watch::Sender::new(0) })
+        Arc::new(Self { cx, start, is_directory, roster, changed: watch::Sender::default() })
     }
 
     fn with_state<T, F>(&self, action: F) -> T
@@ -55,7 +67,7 @@
     {
         let mut roster = self.roster.lock().expect("not poisoned");
         let result = action(&mut roster);
-        let last = roster.last_change();
+        let last = roster.last_changes();
         drop(roster);
         self.changed.send_if_modified(|known| std::mem::replace(known, last) != last);
         result
@@ -114,7 +126,8 @@
         }
     }
 
-    fn record_presence(&self, presence: Presence) {
+    /// Records the presence of a process, which counts as heard now.
+    pub fn record_presence(&self, presence: Presence) {
         let now = self.cx.clock.now();
         let name = presence.name.to_string();
         if self.with_state(|roster| roster.note_presence(presence, now)) {
@@ -136,8 +149,8 @@
         }
     }
 
-    async fn wait_for_change(&self, poll: &raw::Poll) {
-        let has_changes = |last: &u64| *last > poll.cursor;
+    async fn wait_for_change(&self, poll: &raw::Poll, audience: Audience) {
+        let has_changes = |last: &LastChanges| last.relevant_to(audience) > poll.cursor;
         if poll.core_start != self.start || has_changes(&self.changed.borrow()) {
             return;
         }
@@ -151,10 +164,10 @@
         let _ = tokio::time::timeout(wait, batch).await;
     }
 
-    fn answer(&self, poll: &raw::Poll) -> raw::PollAnswer {
+    fn answer(&self, poll: &raw::Poll, audience: Audience) -> raw::PollAnswer {
         let roster = self.roster.lock().expect("not poisoned");
         let cursor = if poll.core_start == self.start { poll.cursor } else { 0 };
-        let changes = roster.changes_after(cursor);
+        let changes = roster.changes_after(cursor, audience);
         let config_state = roster.config_state();
         let has_newer_config = config_state.config_version > poll.config_version;
         let config = if has_newer_config { config_state.config.clone() } else { Bytes::new() };
@@ -172,6 +185,8 @@
                 .collect(),
             retiring: config_state.retiring.iter().map(ToString::to_string).collect(),
             wants_presence: false,
+            is_directory: self.is_directory,
+            entry_instances: roster.entry_instances() as u32,
         }
     }
 }
@@ -184,22 +199,25 @@
 impl Handler for RosterServer {
     async fn handle(&self, from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
         let mut poll = raw::Poll::decode(payload).map_err(|cause| cause.to_string())?;
-        let is_known = match poll.presence.take() {
+        let role = match poll.presence.take() {
             Some(presence) => {
-                self.record_presence(
-                    Presence::try_from(presence).map_err(|cause| cause.to_string())?,
-                );
-                true
+                let presence = Presence::try_from(presence).map_err(|cause| cause.to_string())?;
+                let role = presence.role;
+                self.record_presence(presence);
+                Some(role)
             }
             None => {
                 let now = self.cx.clock.now();
                 self.with_state(|roster| roster.note_alive(from, now))
             }
         };
-        if is_known {
-            self.wait_for_change(&poll).await;
+        // A process of unknown role gets everything, since its cursor advances with this response.
+        let audience = role.map_or(Audience::AddressSource, Audience::from);
+        if role.is_some() {
+            self.wait_for_change(&poll, audience).await;
         }
-        let answer = raw::PollAnswer { wants_presence: !is_known, ..self.answer(&poll) };
+        let answer =
+            raw::PollAnswer { wants_presence: role.is_none(), ..self.answer(&poll, audience) };
         Ok(answer.encode_to_vec().into())
     }
 }
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -12,6 +12,7 @@
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
 use crate::roster::Presence;
+use crate::roster::Role;
 
 /// The longest time that a poll waits for a change.
 pub const POLL_WAIT: Duration = Duration::from_millis(200);
@@ -86,6 +87,52 @@
     Instance(InstanceName),
 }
 
+/// Which processes are told of a change, and whether it ends their waiting polls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChangeScope {
+    /// A repeated announcement: sent with the next response to any process.
+    Refresh,
+    /// A change of an entry instance: ends the polls of processes that answer address look-ups.
+    EntryInstance,
+    /// Any other change: ends the polls of all processes.
+    General,
+}
+
+/// What a polling process needs to know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// A process that answers address look-ups, and so needs all instances.
+    AddressSource,
+    /// Any other process, which needs no presences of entry instances.
+    Other,
+}
+
+impl From<Role> for Audience {
+    fn from(role: Role) -> Self {
+        match role {
+            Role::Core | Role::Directory => Self::AddressSource,
+            Role::Entry | Role::Journal => Self::Other,
+        }
+    }
+}
+
+/// The numbers of the last changes that end waiting polls; 0 before the first one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LastChanges {
+    general: u64,
+    entry_instance: u64,
+}
+
+impl LastChanges {
+    /// Returns the number of the last change that ends a poll of the given audience.
+    pub fn relevant_to(&self, audience: Audience) -> u64 {
+        match audience {
+            Audience::AddressSource => self.general.max(self.entry_instance),
+            Audience::Other => self.general,
+        }
+    }
+}
+
 /// The changes after a cursor.
 #[derive(Debug, Default)]
 pub struct Changes {
@@ -100,6 +147,7 @@
 pub struct RosterState {
     endpoint_silence: Duration,
     last_change: u64,
+    last_changes: LastChanges,
     endpoints: BTreeMap<EndpointName, Tracked<EndpointRecord>>,
     instances: BTreeMap<InstanceName, Tracked<ReportedPresence>>,
     config_state: ConfigState,
@@ -113,6 +161,7 @@
         Self {
             endpoint_silence,
             last_change: 0,
+            last_changes: LastChanges::default(),
             endpoints: BTreeMap::new(),
             instances: BTreeMap::new(),
             config_state: ConfigState::default(),
@@ -125,6 +174,31 @@
         self.last_change
     }
 
+    /// Returns the numbers of the last changes that end waiting polls.
+    pub fn last_changes(&self) -> LastChanges {
+        self.last_changes
+    }
+
+    /// Numbers a change; returns the number.
+    fn next_change(&mut self, scope: ChangeScope) -> u64 {
+        self.last_change += 1;
+        match scope {
+            ChangeScope::Refresh => {}
+            ChangeScope::EntryInstance => self.last_changes.entry_instance = self.last_change,
+            ChangeScope::General => self.last_changes.general = self.last_change,
+        }
+        self.last_change
+    }
+
+    /// Returns how many entry instances are heard, ready and not leaving.
+    pub fn entry_instances(&self) -> usize {
+        let accepts = |reported: &ReportedPresence| {
+            let presence = &reported.presence;
+            reported.heard && presence.role == Role::Entry && presence.ready && !presence.leaving
+        };
+        self.instances.values().filter(|entry| accepts(&entry.value)).count()
+    }
+
     /// Returns the last applied state of the control group.
     pub fn config_state(&self) -> &ConfigState {
         &self.config_state
@@ -137,7 +211,7 @@
             && config_state != self.config_state;
         if is_changed {
             self.config_state = config_state;
-            self.last_change += 1;
+            self.next_change(ChangeScope::General);
         }
         is_changed
     }
@@ -146,27 +220,44 @@
     /// remaining warm-up time. The start or end of the warm-up counts as such a change.
     pub fn announce(&mut self, record: EndpointRecord, now: Timestamp) -> bool {
         let Some(entry) = self.endpoints.get_mut(&record.id) else {
-            self.last_change += 1;
-            let entry = Tracked::new(record, self.last_change, now);
-            self.endpoints.insert(entry.value.id.clone(), entry);
+            let number = self.next_change(ChangeScope::General);
+            self.endpoints.insert(record.id.clone(), Tracked::new(record, number, now));
             return true;
         };
         // A repeated departure is ignored here, but acknowledged like the first one.
         if !record.supersedes(&entry.value) {
             return false;
         }
-        let is_changed = !is_equivalent(&entry.value, &record);
+        let is_changed = !entry.value.is_equivalent(&record);
         let is_due = now.since(entry.published_at) >= REPUBLISH_INTERVAL;
+        let id = record.id.clone();
         entry.value = record;
         entry.heard_at = now;
         if is_changed || is_due {
-            self.last_change += 1;
-            entry.changed = self.last_change;
-            entry.published_at = now;
+            let scope = if is_changed { ChangeScope::General } else { ChangeScope::Refresh };
+            self.publish_endpoint(&id, scope, now);
         }
         is_changed
     }
 
+    fn publish_endpoint(&mut self, id: &EndpointName, scope: ChangeScope, now: Timestamp) {
+        let number = self.next_change(scope);
+        if let Some(entry) = self.endpoints.get_mut(id) {
+            entry.changed = number;
+            entry.published_at = now;
+        }
+    }
+
+    fn publish_instance(&mut self, name: &InstanceName) {
+        let Some(role) = self.instances.get(name).map(|entry| entry.value.presence.role) else {
+            return;
+        };
+        let number = self.next_change(scope_of(role));
+        if let Some(entry) = self.instances.get_mut(name) {
+            entry.changed = number;
+        }
+    }
+
     /// Marks an endpoint as gone on a departure message that carries no full record; returns
     /// whether the endpoint was known.
     pub fn depart(&mut self, id: &EndpointName, started_ms: Option<u64>, now: Timestamp) -> bool {
@@ -184,10 +275,12 @@
         true
     }
 
-    /// Records a poll without a presence; returns whether the process is known and not silent.
-    pub fn note_alive(&mut self, name: &InstanceName, now: Timestamp) -> bool {
-        let entry = self.instances.get_mut(name).filter(|entry| entry.value.heard);
-        entry.map(|entry| entry.heard_at = now).is_some()
+    /// Records a poll without a presence; returns the role of the process, or `None` if it is
+    /// unknown or silent.
+    pub fn note_alive(&mut self, name: &InstanceName, now: Timestamp) -> Option<Role> {
+        let entry = self.instances.get_mut(name).filter(|entry| entry.value.heard)?;
+        entry.heard_at = now;
+        Some(entry.value.presence.role)
     }
 
     /// Records a heartbeat; returns whether it came from a known process that was silent before.
@@ -200,8 +293,7 @@
         let is_changed = !entry.value.heard;
         if is_changed {
             entry.value.heard = true;
-            self.last_change += 1;
-            entry.changed = self.last_change;
+            self.publish_instance(name);
         }
         is_changed
     }
@@ -217,9 +309,9 @@
             Some(entry) => !entry.value.heard,
             None => true,
         };
-        self.last_change += 1;
+        let number = self.next_change(scope_of(reported.presence.role));
         let pulses = self.instances.get(&reported.presence.name).is_some_and(|entry| entry.pulses);
-        let entry = Tracked { pulses, ..Tracked::new(reported, self.last_change, now) };
+        let entry = Tracked { pulses, ..Tracked::new(reported, number, now) };
         self.instances.insert(entry.value.presence.name.clone(), entry);
         is_newly_heard
     }
@@ -239,8 +331,6 @@
             let is_overdue = now.since(entry.heard_at) > self.endpoint_silence;
             if is_overdue && entry.value.state < EndpointState::Silent {
                 entry.value.state = EndpointState::Silent;
-                self.last_change += 1;
-                entry.changed = self.last_change;
                 silent.push(SilentPeer::Endpoint(entry.value.id.clone()));
             }
         }
@@ -250,20 +340,29 @@
                 entry.value.heard = false;
                 // If this core instance is no longer a watcher, only polls count from now on.
                 entry.pulses = false;
-                self.last_change += 1;
-                entry.changed = self.last_change;
                 silent.push(SilentPeer::Instance(entry.value.presence.name.clone()));
             }
         }
+        for peer in &silent {
+            match peer {
+                SilentPeer::Endpoint(id) => self.publish_endpoint(id, ChangeScope::General, now),
+                SilentPeer::Instance(name) => self.publish_instance(name),
+            }
+        }
         self.endpoints.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         self.instances.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         silent
     }
 
-    /// Returns the endpoints and processes that changed after change number `cursor`.
-    pub fn changes_after(&self, cursor: u64) -> Changes {
+    /// Returns the endpoints and the processes that changed after change number `cursor`, as far as
+    /// the audience needs them.
+    pub fn changes_after(&self, cursor: u64, audience: Audience) -> Changes {
+        let is_needed = |reported: &ReportedPresence| {
+            audience == Audience::AddressSource || reported.presence.role != Role::Entry
+        };
         let endpoints = self.endpoints.values().filter(|entry| entry.changed > cursor);
         let instances = self.instances.values().filter(|entry| entry.changed > cursor);
+        let instances = instances.filter(|entry| is_needed(&entry.value));
         Changes {
             endpoints: endpoints.map(|entry| entry.value.clone()).collect(),
             instances: instances.map(|entry| entry.value.clone()).collect(),
@@ -271,10 +370,9 @@
     }
 }
 
-/// Returns whether two records of an endpoint differ at most in the sequence number and in the
-/// remaining warm-up time; `false` if the warm-up began or ended.
-fn is_equivalent(old: &EndpointRecord, new: &EndpointRecord) -> bool {
-    let cold_changed = (old.cold_ms == 0) != (new.cold_ms == 0);
-    let comparable = EndpointRecord { sequence: old.sequence, cold_ms: old.cold_ms, ..new.clone() };
-    comparable == *old && !cold_changed
+fn scope_of(role: Role) -> ChangeScope {
+    match role {
+        Role::Entry => ChangeScope::EntryInstance,
+        Role::Core | Role::Journal | Role::Directory => ChangeScope::General,
+    }
 }
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -12,6 +12,7 @@
 use crate::roster::GroupStatus;
 use crate::roster::Presence;
 use crate::roster::Role;
+use crate::roster::state::Audience;
 use crate::roster::state::ConfigState;
 use crate::roster::state::PRESENCE_SILENCE_LIMIT;
 use crate::roster::state::ReportedPresence;
@@ -66,7 +67,8 @@
 }
 
 fn usable(view: &RosterView) -> Vec<String> {
-    view.usable_endpoints("models").iter().map(|record| record.id.to_string()).collect()
+    let usable = view.usable_endpoints();
+    usable.get("models").into_iter().flatten().map(|record| record.id.to_string()).collect()
 }
 
 #[test]
@@ -75,7 +77,7 @@
     assert!(roster.announce(record("a", 5, 3, EndpointState::Draining), time_at(0)));
     assert!(!roster.announce(record("a", 5, 2, EndpointState::Ready), time_at(10)));
     assert!(!roster.announce(record("a", 4, 9, EndpointState::Ready), time_at(20)));
-    let changes = roster.changes_after(0);
+    let changes = roster.changes_after(0, Audience::AddressSource);
     assert_eq!(changes.endpoints, [record("a", 5, 3, EndpointState::Draining)]);
 }
 
@@ -86,12 +88,21 @@
     let id = EndpointName::try_from("a").expect("a name");
     assert!(roster.depart(&id, Some(5), time_at(1)));
     roster.announce(record("a", 5, 9, EndpointState::Ready), time_at(2));
-    assert_eq!(roster.changes_after(0).endpoints[0].state, EndpointState::Gone);
+    assert_eq!(
+        roster.changes_after(0, Audience::AddressSource).endpoints[0].state,
+        EndpointState::Gone
+    );
     roster.announce(record("a", 6, 1, EndpointState::Ready), time_at(3));
-    assert_eq!(roster.changes_after(0).endpoints[0].state, EndpointState::Ready);
+    assert_eq!(
+        roster.changes_after(0, Audience::AddressSource).endpoints[0].state,
+        EndpointState::Ready
+    );
     // The departure of the previous incarnation arrives late.
     roster.depart(&id, Some(5), time_at(4));
-    assert_eq!(roster.changes_after(0).endpoints[0].state, EndpointState::Ready);
+    assert_eq!(
+        roster.changes_after(0, Audience::AddressSource).endpoints[0].state,
+        EndpointState::Ready
+    );
 }
 
 #[test]
@@ -296,7 +307,13 @@
         roster.note_pulse(&presence(pulsing).name, time_at(3_000)),
         "the heartbeat ends the silence"
     );
-    assert!(roster.changes_after(0).instances.iter().any(|reported| reported.heard));
+    assert!(
+        roster
+            .changes_after(0, Audience::AddressSource)
+            .instances
+            .iter()
+            .any(|reported| reported.heard)
+    );
 }
 
 #[test]
@@ -407,3 +424,75 @@
     }
     assert_eq!(view.caller_addresses(time_at(10)).map(|all| all.len()), Some(1));
 }
+
+#[test]
+fn presences_of_entry_instances_are_sent_only_to_processes_that_answer_look_ups() {
+    let mut roster = RosterState::new(ENDPOINT_SILENCE, time_at(0));
+    let journal = Presence { role: Role::Journal, ..presence("10.0.0.2:1/0") };
+    roster.note_presence(journal, time_at(0));
+    let before = roster.last_changes();
+    for last in 10..60 {
+        roster.note_presence(presence(&format!("10.0.0.{last}:1/0")), time_at(0));
+    }
+    let after = roster.last_changes();
+    assert_eq!(before.relevant_to(Audience::Other), after.relevant_to(Audience::Other));
+    assert!(after.relevant_to(Audience::AddressSource) > 1);
+    assert_eq!(roster.changes_after(0, Audience::Other).instances.len(), 1);
+    assert_eq!(roster.changes_after(0, Audience::AddressSource).instances.len(), 51);
+    assert_eq!(roster.entry_instances(), 50);
+    assert_eq!(Audience::from(Role::Entry), Audience::Other);
+    assert_eq!(Audience::from(Role::Directory), Audience::AddressSource);
+}
+
+#[test]
+fn a_repeated_announcement_ends_no_poll_but_is_sent_with_the_next_response() {
+    let mut roster = RosterState::new(ENDPOINT_SILENCE, time_at(0));
+    roster.announce(record("a", 5, 1, EndpointState::Ready), time_at(0));
+    let (last, cursor) = (roster.last_changes(), roster.last_change());
+    for sequence in 2..=6 {
+        roster.announce(record("a", 5, sequence, EndpointState::Ready), time_at(sequence * 1_000));
+    }
+    assert_eq!(roster.last_changes(), last);
+    let sent = roster.changes_after(cursor, Audience::Other).endpoints;
+    assert_eq!(sent.len(), 1);
+    // The process that receives it has nothing to recompute.
+    let mut view = RosterView::default();
+    let first = response(1, vec![record("a", 5, 1, EndpointState::Ready)]);
+    assert!(view.merge(core_address(1), first, time_at(0)));
+    assert!(!view.merge(core_address(1), response(1, sent), time_at(5_000)));
+    let draining = response(1, vec![record("a", 5, 7, EndpointState::Draining)]);
+    assert!(view.merge(core_address(1), draining, time_at(6_000)));
+}
+
+#[test]
+fn the_report_of_a_directory_instance_is_no_evidence_of_silence() {
+    let mut view = RosterView::default();
+    for last in 1..=3 {
+        view.merge(core_address(last), group_response(&[1, 2, 3], &[1, 2], &[]), time_at(0));
+    }
+    let directory = PollAnswer { is_directory: true, ..group_response(&[1, 2, 3], &[], &[1, 2]) };
+    view.merge(core_address(9), directory.clone(), time_at(100));
+    assert_eq!(view.living(Role::Entry, time_at(110)).len(), 2);
+    // With all core instances unreachable, their last reports count, not the directory's.
+    view.merge(core_address(9), directory, time_at(9_000));
+    assert_eq!(view.living(Role::Entry, time_at(9_010)).len(), 2);
+    assert!(view.core_names().contains(&name_of(core_address(1))));
+}
+
+#[test]
+fn the_number_of_entry_instances_comes_from_the_core_instance_that_hears_most() {
+    let counted = |entry_instances, instances: &PollAnswer| PollAnswer {
+        entry_instances,
+        ..instances.clone()
+    };
+    let group = group_response(&[1, 2, 3], &[], &[]);
+    let mut view = RosterView::default();
+    assert_eq!(view.entry_instances(time_at(0)), None);
+    for (last, count) in [(1, 170), (2, 176), (3, 40)] {
+        view.merge(core_address(last), counted(count, &group), time_at(0));
+    }
+    assert_eq!(view.entry_instances(time_at(10)), Some(176));
+    // Only the partitioned core instance answers.
+    view.merge(core_address(3), counted(40, &group), time_at(2_500));
+    assert_eq!(view.entry_instances(time_at(2_500)), None);
+}
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,6 +57,10 @@
     pub first_journal_voters: Vec<InstanceName>,
     /// The journal instances to be emptied, by the operator's name for the machine.
     pub retiring: Vec<Arc<str>>,
+    /// Whether a directory instance answered, which only names the core instances.
+    pub is_directory: bool,
+    /// How many entry instances accept callers' requests, as the core instance hears it.
+    pub entry_instances: usize,
 }
 
 #[derive(Debug, Default)]
@@ -63,6 +68,8 @@
     start: u64,
     cursor: u64,
     answered_at: Timestamp,
+    is_directory: bool,
+    entry_instances: usize,
     instances: BTreeMap<InstanceName, ReportedPresence>,
 }
 
@@ -94,8 +101,7 @@
 
     /// Merges a response of the core instance at `core`; returns whether it carried any change.
     pub fn merge(&mut self, core: SocketAddr, answer: PollAnswer, now: Timestamp) -> bool {
-        let is_changed = !answer.endpoints.is_empty()
-            || !answer.instances.is_empty()
+        let mut is_changed = !answer.instances.is_empty()
             || answer.config_version > self.config_version
             || (!answer.first_journal_voters.is_empty() && self.first_journal_voters.is_empty())
             || answer.retiring.len() > self.retiring.len();
@@ -107,11 +113,13 @@
         let view = self.cores.entry(core).or_default();
         view.cursor = answer.cursor;
         view.answered_at = now;
+        view.is_directory = answer.is_directory;
+        view.entry_instances = answer.entry_instances;
         for reported in answer.instances {
             view.instances.insert(reported.presence.name.clone(), reported);
         }
         for record in answer.endpoints {
-            self.merge_endpoint(core, record, now);
+            is_changed |= self.merge_endpoint(core, record, now);
         }
         if let Some(config) = answer.config
             && answer.config_version > self.config_version
@@ -129,7 +137,9 @@
         is_changed
     }
 
-    fn merge_endpoint(&mut self, core: SocketAddr, record: EndpointRecord, now: Timestamp) {
+    /// Merges a record; returns whether it changed more than the sequence number and the remaining
+    /// warm-up time.
+    fn merge_endpoint(&mut self, core: SocketAddr, record: EndpointRecord, now: Timestamp) -> bool {
         let known = self.endpoints.get(&record.id);
         // Only the core instance that an endpoint announces itself to can detect its silence.
         let is_stale_silence = |known: &KnownEndpoint| {
@@ -140,7 +150,9 @@
         let is_newer = |known: &KnownEndpoint| {
             (record.supersedes(&known.record) || record == known.record) && !is_stale_silence(known)
         };
-        if known.is_none_or(is_newer) {
+        let is_changed = known.is_none_or(|known| !known.record.is_equivalent(&record));
+        let is_merged = known.is_none_or(is_newer);
+        if is_merged {
             let known = KnownEndpoint {
                 reported_by: core,
                 updated_at: now,
@@ -149,6 +161,7 @@
             };
             self.endpoints.insert(known.record.id.clone(), known);
         }
+        is_merged && is_changed
     }
 
     fn mark_unconfirmed(&mut self, core: SocketAddr, now: Timestamp) {
@@ -183,26 +196,34 @@
     }
 
     fn reachable_cores(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> {
-        let is_reachable = move |view: &CoreView| now.since(view.answered_at) < CORE_SILENCE_LIMIT;
+        let is_reachable = move |view: &CoreView| {
+            !view.is_directory && now.since(view.answered_at) < CORE_SILENCE_LIMIT
+        };
         self.cores.iter().filter(move |(_, view)| is_reachable(view)).map(|(core, _)| *core)
     }
 
-    /// Returns the endpoints of a service that requests may be sent to.
+    /// Returns the endpoints that requests may be sent to, by service.
     ///
     /// If several endpoints claim the same address, only the one that started last is returned.
-    pub fn usable_endpoints(&self, service: &str) -> Vec<EndpointRecord> {
-        let is_ready = |known: &&KnownEndpoint| known.record.state == EndpointState::Ready;
-        let is_latest = |known: &&KnownEndpoint| {
-            let is_newer_at_address = |other: &KnownEndpoint| {
-                other.record.address == known.record.address
-                    && other.record.started_ms > known.record.started_ms
-            };
-            !self.endpoints.values().any(is_newer_at_address)
+    pub fn usable_endpoints(&self) -> BTreeMap<Arc<str>, Vec<EndpointRecord>> {
+        let mut latest_start: HashMap<SocketAddr, u64> = HashMap::new();
+        for EndpointRecord { address, started_ms, .. } in self.records() {
+            let latest = latest_start.entry(*address).or_default();
+            *latest = (*latest).max(*started_ms);
+        }
+        let is_usable = |record: &&EndpointRecord| {
+            record.state == EndpointState::Ready
+                && latest_start.get(&record.address) == Some(&record.started_ms)
         };
-        let is_of_service = |known: &&KnownEndpoint| &*known.record.service == service;
-        let usable =
-            self.endpoints.values().filter(is_of_service).filter(is_ready).filter(is_latest);
-        usable.map(|known| known.record.clone()).collect()
+        let mut usable: BTreeMap<Arc<str>, Vec<EndpointRecord>> = BTreeMap::new();
+        for record in self.records().filter(is_usable) {
+            usable.entry(record.service.clone()).or_default().push(record.clone());
+        }
+        usable
+    }
+
+    fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.endpoints.values().map(|known| &known.record)
     }
 
     /// Returns the current record of an endpoint, whatever its state.
@@ -210,15 +231,6 @@
         self.endpoints.get(id).map(|known| &known.record)
     }
 
-    /// Returns the names of all services that have known endpoints, sorted.
-    pub fn services(&self) -> Vec<Arc<str>> {
-        let mut names: Vec<Arc<str>> =
-            self.endpoints.values().map(|known| known.record.service.clone()).collect();
-        names.sort_unstable();
-        names.dedup();
-        names
-    }
-
     /// Returns whether any watcher of an instance hears it; `None` if none of its watchers has
     /// answered within [`WATCHER_SILENCE_LIMIT`].
     fn watchers_hear(&self, presence: &Presence, now: Timestamp) -> Option<bool> {
@@ -239,8 +251,9 @@
     pub fn living(&self, role: Role, now: Timestamp) -> Vec<Presence> {
         let reachable: Vec<SocketAddr> = self.reachable_cores(now).collect();
         let is_counted = |core: &SocketAddr| reachable.is_empty() || reachable.contains(core);
+        let cores = self.cores.iter().filter(|(_, view)| !view.is_directory);
         let mut found: BTreeMap<InstanceName, Presence> = BTreeMap::new();
-        for (_, view) in self.cores.iter().filter(|(core, _)| is_counted(core)) {
+        for (_, view) in cores.filter(|(core, _)| is_counted(core)) {
             let heard = view.instances.values().filter(|reported| reported.heard);
             for ReportedPresence { presence, .. } in
                 heard.filter(|reported| reported.presence.role == role)
@@ -291,6 +304,15 @@
         (!hears_minority || self.reaches_quorum(now)).then_some(addresses)
     }
 
+    /// Returns how many entry instances accept callers' requests: the highest count that a
+    /// reachable core instance reports. Returns `None` on a partitioned instance, which reaches no
+    /// majority of the control group and so hears of few instances.
+    pub fn entry_instances(&self, now: Timestamp) -> Option<usize> {
+        let reachable = self.reachable_cores(now).filter_map(|core| self.cores.get(&core));
+        let highest = reachable.map(|view| view.entry_instances).max();
+        highest.filter(|_| self.reaches_quorum(now))
+    }
+
     /// Returns the process with the highest term among those of a role that report themselves as
     /// leader of their group.
     pub fn leader(&self, role: Role) -> Option<Presence> {
--- a/coriandergw/src/roster/wire.rs
+++ b/coriandergw/src/roster/wire.rs
@@ -25,7 +25,8 @@
     names.iter().map(ToString::to_string).collect()
 }
 
-const ROLES: [(Role, u32); 3] = [(Role::Entry, 1), (Role::Core, 2), (Role::Journal, 3)];
+const ROLES: [(Role, u32); 4] =
+    [(Role::Entry, 1), (Role::Core, 2), (Role::Journal, 3), (Role::Directory, 4)];
 
 const STATES: [(EndpointState, u32); 4] = [
     (EndpointState::Ready, 1),
