feat(forwarding): send nothing more to an endpoint that says in an answer that it leaves

An instance that is cut off from the core did not learn of it otherwise, and its roster went on listing the endpoint as ready.

The forwarder keeps the statement for that incarnation and leaves the endpoint out at once, whatever the roster, another configuration or a repeated announcement says, until a later incarnation is announced. It is not passed on to other instances.

Result: roles/tests/leaving.rs (an instance whose core stopped included) and forwarding/leaving/tests.rs pass. They were not run on the code before, which does not know the header.

--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -28,6 +28,7 @@
 use crate::forwarding::attempt::UpstreamResponse;
 use crate::forwarding::choice;
 use crate::forwarding::headers;
+use crate::forwarding::leaving::LeavingEndpoints;
 use crate::forwarding::loads::Loads;
 use crate::forwarding::pool::Pool;
 use crate::forwarding::pool::SharedPool;
@@ -81,6 +82,7 @@
     budgets: BudgetClient,
     table: ArcSwapOption<RouteTable>,
     pub(super) endpoints: ArcSwap<Endpoints>,
+    leaving: LeavingEndpoints,
     /// The number of entry instances (those that serve callers) that accept requests, including
     /// this one.
     entry_instances: AtomicUsize,
@@ -147,6 +149,7 @@
             budgets,
             table: ArcSwapOption::empty(),
             endpoints: ArcSwap::default(),
+            leaving: LeavingEndpoints::default(),
             entry_instances: AtomicUsize::new(1),
             refreshes: watch::Sender::default(),
             warm_up,
@@ -197,7 +200,13 @@
         if let Some(entry_instances) = entry_instances {
             self.entry_instances.store(entry_instances.max(1), Ordering::Relaxed);
         }
-        let endpoints: Endpoints = self.roster.with_view(RosterView::usable_endpoints);
+        let mut endpoints: Endpoints = self.roster.with_view(RosterView::usable_endpoints);
+        let is_listed =
+            |id: &EndpointName| self.roster.with_view(|view| view.endpoint(id).is_some());
+        self.leaving.expire(is_listed, now);
+        for records in endpoints.values_mut() {
+            records.retain(|record| !self.leaving.is_leaving(record));
+        }
         let is_known = |endpoint: &EndpointName| {
             endpoints.values().flatten().any(|record| record.id == *endpoint)
         };
@@ -207,6 +216,14 @@
         self.refreshes.send_modify(|count| *count += 1);
     }
 
+    /// Sends no more requests to an endpoint that stated in an answer that it is leaving.
+    pub(super) fn note_leaving(&self, endpoint: &EndpointRecord) {
+        if self.leaving.note(endpoint, self.cx.clock.now()) {
+            RequestReport::endpoint_leaving(&self.cx, endpoint);
+            self.refresh();
+        }
+    }
+
     /// Waits until `is_known` holds after a roster update, for at most as long as a request with
     /// this remaining time may wait during warm-up.
     ///
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -17,6 +17,7 @@
 mod events;
 pub mod forwarder;
 mod headers;
+mod leaving;
 pub mod loads;
 mod pool;
 mod refusal;
@@ -102,6 +103,8 @@
     pub not_run: bool,
     /// The endpoint's current load, if reported.
     pub load: Option<ReportedLoad>,
+    /// Whether the endpoint states that it is shutting down.
+    pub is_leaving: bool,
 }
 
 /// A request header that is missing or cannot be parsed.
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -12,6 +12,7 @@
 use crate::forwarding::attempt::UpstreamResponse;
 use crate::ids::EndpointName;
 use crate::result_code::Refusal;
+use crate::roster::EndpointRecord;
 use crate::routes::RetryPolicy;
 use crate::routes::Route;
 
@@ -165,6 +166,13 @@
         cx.events.record(EventNumber::RequestUnrouted, Subject::default(), detail);
     }
 
+    /// Records that an endpoint stated in an answer that it is leaving.
+    pub(super) fn endpoint_leaving(cx: &Context, endpoint: &EndpointRecord) {
+        let subject = Subject { peer: Some(endpoint.id.to_string()), ..Subject::default() };
+        let detail = format!("stated in an answer, started_ms={}", endpoint.started_ms);
+        cx.events.record(EventNumber::EndpointLeaving, subject, detail);
+    }
+
     /// Records that a configuration was applied, or that it was rejected because of `fault`.
     pub(super) fn config_applied(cx: &Context, version: u64, fault: Option<&str>) {
         if fault.is_none() {
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -129,6 +129,11 @@
         id: &EndpointName,
         result: Result<UpstreamResponse, Failure>,
     ) -> Result<Option<UpstreamResponse>, Refusal> {
+        if let Ok(response) = &result
+            && response.head.is_leaving
+        {
+            self.note_leaving(&response.endpoint);
+        }
         let required_new_connection = std::mem::take(&mut retries.new_connection_only);
         match result {
             Ok(response) if response.head.not_run => {
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -6,6 +6,7 @@
 mod dishonest;
 mod endpoint;
 mod groups;
+mod leaving;
 mod routing;
 mod streams;
 mod world;
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -82,6 +82,7 @@
             is_signed: headers.contains_key("signed"),
             not_run: headers.contains_key("not-run"),
             load: None,
+            is_leaving: headers.contains_key("leaving"),
         }
     }
 }
