fix(roles): keep departures that another core instance acknowledged

Cause: a core instance keeps announcements in memory.

Change: each core instance records the departures that it sees at the others.

Result: a_departure_outlives_the_core_instance_that_acknowledged_it passes; on the code before, the process that starts lists the endpoint as ready.

--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -90,6 +90,7 @@
         base.roster.update_presence(|presence| presence.ready = true);
         base.start_polling(settings);
         base.tasks.spawn(roster_server.clone().expire_silent());
+        base.tasks.spawn(keep_departures(base.roster.clone(), roster_server.clone()));
         let stop_storing = watch::Sender::new(false);
         let storing = tokio::spawn(apply_and_store(
             base.cx.clone(),
@@ -183,6 +184,23 @@
     }
 }
 
+/// Records the departures of endpoints that other core instances acknowledged.
+///
+/// A core instance keeps announcements in memory only. Without a copy, a departure would be unknown
+/// once the instance that acknowledged it restarts, and a process that starts then would use the
+/// endpoint as an older announcement at another core instance lists it.
+async fn keep_departures(roster: Arc<Roster>, roster_server: Arc<RosterServer>) {
+    let mut changes = roster.changes();
+    loop {
+        for record in roster.with_view(|view| view.departing_endpoints()) {
+            roster_server.announce(record);
+        }
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Commits the first voters of the journal group if this instance leads the control group; stops
 /// once the roster shows that the group is founded.
 struct JournalGroupFounder {
--- a/coriandergw/src/roles/tests/groups.rs
+++ b/coriandergw/src/roles/tests/groups.rs
@@ -1,9 +1,14 @@
 //! Tests of core instances that fail, lose their disks and are replaced.
 
+use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::roles::core::CoreProcess;
+use crate::roles::directory::DirectoryProcess;
 use crate::roles::tests::world::Machine;
 use crate::roles::tests::world::Site;
+use crate::roles::tests::world::record;
+use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
 use crate::roster::Role;
 use crate::roster::poller::Roster;
 use crate::storage::file_disk::FileDisk;
@@ -64,6 +69,35 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_departure_outlives_the_core_instance_that_acknowledged_it() {
+    let mut site = Site::new(3, 1).await;
+    let (machines, mut cores) = three_cores(&mut site).await;
+    let id = EndpointName::try_from("a").expect("a name");
+    let ready = record(&id, "plain", ([10, 0, 0, 1], 80).into());
+    let draining = EndpointRecord { state: EndpointState::Draining, sequence: 2, ..ready.clone() };
+    cores[1].roster_server.announce(ready);
+    cores[0].roster_server.announce(draining);
+    let others_know = || {
+        cores[1..].iter().all(|core| {
+            let state = core.roster.with_view(|view| view.endpoint(&id).map(|one| one.state));
+            state == Some(EndpointState::Draining)
+        })
+    };
+    wait_for("the departure at the others", others_know).await;
+    let lost = cores.remove(0);
+    lost.stop().await;
+    drop(lost);
+    // A process that starts now knows only the remaining core instances.
+    let mut started = site.machine(false);
+    started.settings.data_folder = None;
+    started.settings.seeds = machines[1..].iter().map(|machine| machine.settings.ip).collect();
+    let started = DirectoryProcess::start(&started.settings).await.expect("it starts");
+    let state = || started.roster.with_view(|view| view.endpoint(&id).map(|one| one.state));
+    let has_departed = || state() == Some(EndpointState::Draining);
+    wait_for("the departure at the process that started", has_departed).await;
+}
+
 fn voters(roster: &Roster) -> Vec<InstanceName> {
     roster.with_view(|view| view.leader(Role::Core)).map(|p| p.group.voters).unwrap_or_default()
 }
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -222,6 +222,12 @@
         usable
     }
 
+    /// Returns the endpoints that announced their departure.
+    pub fn departing_endpoints(&self) -> Vec<EndpointRecord> {
+        let is_departing = |state| matches!(state, EndpointState::Draining | EndpointState::Gone);
+        self.records().filter(|record| is_departing(record.state)).cloned().collect()
+    }
+
     fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
         self.endpoints.values().map(|known| &known.record)
     }
