fix(forwarding): treat a success that names no request as lost

Cause: a second, late copy of an answer is told from the next answer on its connection by the attempt that it echoes. A success without that echo was passed on to whoever came next.

Change: such a response counts as lost; its connection is not used again.

Result: without_attempt and the late copy without an attempt fail on the code before. The tests of a slow stream, of a stream that only sends single bytes and of a planned stop under load passed at once.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -132,10 +132,15 @@
         };
         let (parts, body) = response.into_parts();
         let head = self.header_codec.read_response(parts.status, &parts.headers);
-        if let Some(attempt) = &head.attempt
-            && *attempt != upstream_request.head.attempt
-        {
-            return Err(lost("the response belongs to another request"));
+        match &head.attempt {
+            Some(attempt) if *attempt != upstream_request.head.attempt => {
+                return Err(lost("the response belongs to another request"));
+            }
+            // Only the attempt tells a late copy of an earlier response from this one.
+            None if parts.status.is_success() => {
+                return Err(lost("the response does not state its request"));
+            }
+            _ => {}
         }
         if let Some(seconds) = headers::keep_alive_seconds(&parts.headers) {
             // The endpoint's idle timer started when it sent the response, slightly before the
--- a/coriandergw/src/roles/tests/dishonest.rs
+++ b/coriandergw/src/roles/tests/dishonest.rs
@@ -43,7 +43,13 @@
     vec![Step::Send(head.into_bytes())]
 }
 
-const FAULTS: [fn(&str) -> Vec<Step>; 5] = [truncated, not_http, wrong_attempt, reset, unsigned];
+fn without_attempt(_attempt: &str) -> Vec<Step> {
+    let head = "HTTP/1.1 200 OK\r\nsigned: yes\r\ncontent-length: 4\r\n\r\nfake";
+    vec![Step::Send(head.as_bytes().to_vec())]
+}
+
+const FAULTS: [fn(&str) -> Vec<Step>; 6] =
+    [truncated, not_http, wrong_attempt, reset, unsigned, without_attempt];
 
 #[tokio::test]
 async fn an_idempotent_request_is_repeated_until_its_own_whole_answer_comes() {
@@ -86,6 +92,34 @@
     assert!(second.ends_with("good t2"), "{second}");
 }
 
+// A second copy of an answer comes late, when the connection already carries the next request.
+#[tokio::test]
+async fn a_late_second_copy_of_an_answer_does_not_reach_the_next_caller() {
+    for states_attempt in [true, false] {
+        let world = World::start().await;
+        let endpoint = Endpoint::start(move |number, seen| {
+            let attempt = seen.header("attempt").unwrap_or_default();
+            let copy = match states_attempt {
+                true => answer("t1", "of t1"),
+                false => {
+                    b"HTTP/1.1 200 OK\r\nsigned: yes\r\ncontent-length: 5\r\n\r\nof t1".to_vec()
+                }
+            };
+            match number {
+                1 => vec![Step::Send(copy), Step::Send(answer(&attempt, "of t2"))],
+                _ => vec![Step::Send(answer(&attempt, &format!("of {attempt}")))],
+            }
+        })
+        .await;
+        world.announce("a", "plain", &endpoint).await;
+        let first = world.ask(&get("/safe/x", "t1", "")).await;
+        assert!(first.ends_with("of t1"), "{first}");
+        let second = world.ask(&get("/safe/x", "t2", "")).await;
+        assert!(second.ends_with("of t2"), "{second}");
+        assert_eq!(endpoint.seen().len(), 3, "the second request was sent again");
+    }
+}
+
 #[tokio::test]
 async fn a_refusal_that_has_not_run_goes_to_another_endpoint() {
     let world = World::start().await;
--- a/coriandergw/src/roles/tests/endpoint.rs
+++ b/coriandergw/src/roles/tests/endpoint.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use tokio::io::AsyncReadExt;
@@ -33,6 +34,8 @@
 /// One step of an endpoint's response to a request.
 pub enum Step {
     Send(Vec<u8>),
+    /// Sends nothing for a while.
+    Wait(Duration),
     /// Resets the connection.
     Reset,
     /// Closes the connection after the bytes sent so far.
@@ -114,10 +117,11 @@
                             return;
                         }
                     }
+                    Step::Wait(pause) => tokio::time::sleep(pause).await,
                     Step::Close => return,
                     Step::Reset => {
                         let socket = socket2::SockRef::from(&stream);
-                        let _ = socket.set_linger(Some(std::time::Duration::ZERO));
+                        let _ = socket.set_linger(Some(Duration::ZERO));
                         return;
                     }
                     Step::Hang => {
--- a/coriandergw/src/roles/tests/routing.rs
+++ b/coriandergw/src/roles/tests/routing.rs
@@ -1,7 +1,11 @@
 //! Tests of routing and of callers' connections.
 
+use std::time::Duration;
+
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 use crate::roles::tests::endpoint::Endpoint;
 use crate::roles::tests::endpoint::Step;
@@ -116,3 +120,60 @@
     assert!(reply.ends_with("/safe/x "), "{reply}");
     assert!(reply.contains("connection: close"), "{reply}");
 }
+
+/// Sends requests on one connection until the instance closes it; returns the attempts that got no
+/// whole answer.
+async fn ask_until_closed(mut stream: TcpStream, caller: usize) -> Vec<String> {
+    for number in 0.. {
+        let attempt = format!("t{caller}-{number}");
+        let request = format!("GET /once/x HTTP/1.1\r\nhost: host\r\nattempt: {attempt}\r\n\r\n");
+        if stream.write_all(request.as_bytes()).await.is_err() {
+            return vec![attempt];
+        }
+        let mut reply = Vec::new();
+        while !reply.ends_with(b"done") {
+            let read = stream.read_buf(&mut reply).await;
+            if read.is_err() || read.is_ok_and(|count| count == 0) {
+                return vec![attempt];
+            }
+        }
+        if String::from_utf8_lossy(&reply).contains("connection: close") {
+            break;
+        }
+    }
+    Vec::new()
+}
+
+// A planned stop under load: callers send on open connections until these are closed.
+#[tokio::test]
+async fn a_stopping_entry_answers_every_request_that_it_passed_on() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        vec![Step::Wait(Duration::from_millis(20)), Step::Send(answer(&attempt, "done"))]
+    })
+    .await;
+    world.announce("a", "plain", &endpoint).await;
+    let mut callers = JoinSet::new();
+    for caller in 0..24 {
+        callers.spawn(ask_until_closed(world.connect().await, caller));
+    }
+    wait_for("some load", || endpoint.seen().len() > 100).await;
+    // New connections come during the whole stop as well.
+    let arriving = async {
+        for caller in 100.. {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            match TcpStream::connect(world.callers).await {
+                Ok(stream) => callers.spawn(ask_until_closed(stream, caller)),
+                Err(_) => return callers,
+            };
+        }
+        callers
+    };
+    let ((), callers) = tokio::join!(world.entry.stop(), arriving);
+    let unanswered: Vec<String> = callers.join_all().await.into_iter().flatten().collect();
+    let passed_on: Vec<String> =
+        endpoint.seen().iter().filter_map(|seen| seen.header("attempt")).collect();
+    let cut: Vec<&String> = unanswered.iter().filter(|one| passed_on.contains(one)).collect();
+    assert_eq!(cut, Vec::<&String>::new(), "{} were not passed on", unanswered.len());
+}
--- a/coriandergw/src/roles/tests/streams.rs
+++ b/coriandergw/src/roles/tests/streams.rs
@@ -1,5 +1,7 @@
 //! Tests of event streams that are interrupted and resumed.
 
+use std::time::Duration;
+
 use crate::roles::tests::endpoint::Endpoint;
 use crate::roles::tests::endpoint::Seen;
 use crate::roles::tests::endpoint::Step;
@@ -10,6 +12,10 @@
 use crate::roles::tests::world::World;
 use crate::roles::tests::world::event_ids;
 use crate::roles::tests::world::post;
+use crate::test_support::wait_for;
+
+/// Pause between two events of a slow stream; longer than the target of the route.
+const SLOW_GAP: Duration = Duration::from_millis(700);
 
 /// Number of events in a complete stream.
 const EVENTS: u64 = 6;
@@ -95,3 +101,43 @@
     let counts: Vec<usize> = engines.iter().map(|engine| engine.seen().len()).collect();
     assert_eq!(counts.iter().max(), Some(&8), "{counts:?}");
 }
+
+#[tokio::test]
+async fn a_slow_stream_is_passed_on_whole() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        let mut steps = vec![Step::Send(stream_head(&attempt))];
+        for id in 1..=EVENTS {
+            steps.extend([Step::Wait(SLOW_GAP), Step::Send(chunk(&event(id)))]);
+        }
+        steps.push(Step::Send(last_chunk()));
+        steps
+    })
+    .await;
+    world.announce("a", "engines", &endpoint).await;
+    let reply = world.ask(&post("/fragile/x", "t1", "deadline: 15000\r\n", "prompt")).await;
+    assert_eq!(event_ids(&reply), [1, 2, 3, 4, 5, 6], "{reply}");
+    assert!(reply.ends_with("0\r\n\r\n"), "{reply}");
+}
+
+// The bytes that still arrive do not extend the time that the stream may take.
+#[tokio::test]
+async fn a_stream_that_sends_single_bytes_without_an_event_ends_at_the_deadline() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        let mut steps = vec![Step::Send(stream_head(&attempt)), Step::Send(chunk(&event(1)))];
+        // Longer than the test may take.
+        for _ in 0..2_000 {
+            steps.extend([Step::Wait(Duration::from_millis(50)), Step::Send(chunk(":"))]);
+        }
+        steps
+    })
+    .await;
+    world.announce("a", "engines", &endpoint).await;
+    let reply = world.ask(&post("/stream/x", "t1", "deadline: 600\r\n", "prompt")).await;
+    assert_eq!(event_ids(&reply), [1], "{reply}");
+    assert!(!reply.ends_with("0\r\n\r\n"), "it does not look complete: {reply}");
+    wait_for("the end of the connection to the endpoint", || endpoint.closed() == 1).await;
+}
