feat(forwarding): prefer a few near endpoints for calls without an engine

Change: an instance prefers six endpoints of a service, first those of its own data centre, then by rendezvous hashing. Another one is used once the preferred ones have two more requests. Services with up to six endpoints are served as before.

Result: the tests of many small instances pass: six endpoints an instance, at most 1.5 times the mean at one endpoint, no other request moves when an endpoint is lost.

--- a/coriandergw/src/forwarding/choice.rs
+++ b/coriandergw/src/forwarding/choice.rs
@@ -22,6 +22,14 @@
 /// load.
 const ENGINE_OVERLOAD_SLACK: f64 = 6.0;
 
+/// The number of endpoints of a service without engines that an instance prefers. With many
+/// instances and endpoints, each pair exchanges too few requests to keep a connection open; a few
+/// preferred endpoints reuse theirs and still spread the requests of one instance.
+pub const PREFERRED_ENDPOINTS: usize = 6;
+
+/// How many more requests a preferred endpoint may have than another one before that one is used.
+const OTHER_ENDPOINT_PENALTY: f64 = 2.0;
+
 /// An endpoint that a request may be sent to.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointCandidate {
@@ -29,6 +37,8 @@
     pub record: EndpointRecord,
     /// The load of the endpoint as this instance knows it.
     pub load: Load,
+    /// Whether it is one of the [`PREFERRED_ENDPOINTS`] of this instance.
+    pub is_preferred: bool,
 }
 
 impl EndpointCandidate {
@@ -86,8 +96,22 @@
     });
 }
 
+/// Orders the endpoints of a service for an instance: first those in its data centre, then by
+/// rendezvous hashing. The first [`PREFERRED_ENDPOINTS`] are the preferred ones.
+///
+/// The hash gives each endpoint a similar number of instances that prefer it, and the loss of an
+/// endpoint moves only the requests that went there.
+pub fn order_by_preference(records: &mut [EndpointRecord], own: &str, data_centre: &str) {
+    records.sort_by_cached_key(|record| {
+        let is_far = &*record.data_centre != data_centre;
+        (is_far, std::cmp::Reverse(hash_of(own, record.id.as_str())))
+    });
+}
+
 /// Orders the endpoints of a service without engines by their estimated load per slot.
 ///
+/// Endpoints that are not preferred count as having [`OTHER_ENDPOINT_PENALTY`] more requests.
+///
 /// `seed` breaks ties differently for each request, so that instances with the same information do
 /// not all choose the same endpoint. The endpoint that `affinity` hashes to gets a bonus of less
 /// than one request.
@@ -110,10 +134,11 @@
             hash_of(&seed_text, candidate.record.id.as_str()) as f64 / u64::MAX as f64;
         let affinity_bonus =
             if preferred.as_ref() == Some(&candidate.record.id) { 0.9 } else { 0.0 };
+        let distance_penalty = if candidate.is_preferred { 0.0 } else { OTHER_ENDPOINT_PENALTY };
         let cold_start_penalty = if candidate.record.cold_ms > 0 { 1.0 } else { 0.0 };
-        let score = (candidate.estimated(now) + tie_breaker * 0.5 + cold_start_penalty
-            - affinity_bonus)
-            / slots;
+        let penalty = distance_penalty + cold_start_penalty;
+        let score =
+            (candidate.estimated(now) + tie_breaker * 0.5 + penalty - affinity_bonus) / slots;
         (candidate.is_backing_off(now), sort_key(score))
     });
 }
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -67,7 +67,7 @@
     fn read(&self, document: &[u8]) -> Result<RouteTable, String>;
 }
 
-/// The usable endpoints by service.
+/// The usable endpoints by service, each in the order of [`choice::order_by_preference`].
 pub(super) type Endpoints = BTreeMap<Arc<str>, Vec<EndpointRecord>>;
 
 /// Forwards callers' requests to endpoints; the roster provides the configuration and the
@@ -204,8 +204,10 @@
         let is_listed =
             |id: &EndpointName| self.roster.with_view(|view| view.endpoint(id).is_some());
         self.leaving.expire(is_listed, now);
+        let own = self.cx.instance.as_str();
         for records in endpoints.values_mut() {
             records.retain(|record| !self.leaving.is_leaving(record));
+            choice::order_by_preference(records, own, self.cx.data_centre.as_str());
         }
         let is_known = |endpoint: &EndpointName| {
             endpoints.values().flatten().any(|record| record.id == *endpoint)
--- a/coriandergw/src/forwarding/reserving.rs
+++ b/coriandergw/src/forwarding/reserving.rs
@@ -76,7 +76,7 @@
         let endpoints = self.endpoints.load();
         let known = endpoints.get(&plan.service).map(Vec::as_slice).unwrap_or_default();
         let mut candidates: Vec<EndpointCandidate> =
-            known.iter().map(|record| self.candidate(record)).collect();
+            known.iter().enumerate().map(|(at, record)| self.candidate(at, record)).collect();
         choice::order_engines(&mut candidates, &plan.key, None, self.cx.clock.now());
         let best = candidates.into_iter().take(PROPOSED_ENGINES_MAX);
         best.map(|candidate| candidate.record.id).collect()
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -201,9 +201,14 @@
         Refusal::not_run(code, message).retry_after(TRANSIENT_RETRY_AFTER)
     }
 
-    /// Returns an endpoint together with its known load.
-    pub(super) fn candidate(&self, record: &EndpointRecord) -> EndpointCandidate {
-        EndpointCandidate { record: record.clone(), load: self.loads.get(&record.id) }
+    /// Returns an endpoint together with its known load; `position` is its place in the order of
+    /// preference.
+    pub(super) fn candidate(&self, position: usize, record: &EndpointRecord) -> EndpointCandidate {
+        EndpointCandidate {
+            record: record.clone(),
+            load: self.loads.get(&record.id),
+            is_preferred: position < choice::PREFERRED_ENDPOINTS,
+        }
     }
 
     fn choose(
@@ -216,7 +221,7 @@
         let endpoints = self.endpoints.load();
         let known = endpoints.get(&plan.service)?;
         let is_endpoint_limit_reached = plan.ran_on.len() >= plan.route.endpoints_max as usize;
-        let is_allowed = |record: &&EndpointRecord| {
+        let is_allowed = |(_, record): &(usize, &EndpointRecord)| {
             !excluded.contains(&record.id)
                 && (!is_endpoint_limit_reached || plan.ran_on.contains(&record.id))
         };
@@ -224,8 +229,9 @@
             |candidate: &EndpointCandidate| candidate.load.in_flight < plan.connection_limit;
         let mut candidates: Vec<EndpointCandidate> = known
             .iter()
+            .enumerate()
             .filter(is_allowed)
-            .map(|record| self.candidate(record))
+            .map(|(position, record)| self.candidate(position, record))
             .filter(has_free_connection)
             .collect();
         if plan.is_engine {
--- a/coriandergw/src/forwarding/tests.rs
+++ b/coriandergw/src/forwarding/tests.rs
@@ -7,8 +7,10 @@
 use crate::clock::Timestamp;
 use crate::forwarding::ReportedLoad;
 use crate::forwarding::choice::EndpointCandidate;
+use crate::forwarding::choice::PREFERRED_ENDPOINTS;
 use crate::forwarding::choice::connection_share;
 use crate::forwarding::choice::order_by_load;
+use crate::forwarding::choice::order_by_preference;
 use crate::forwarding::choice::order_engines;
 use crate::forwarding::events::EventSplitter;
 use crate::forwarding::loads::Load;
@@ -30,7 +32,7 @@
         sequence: 1,
         cold_ms: 0,
     };
-    EndpointCandidate { record, load }
+    EndpointCandidate { record, load, is_preferred: true }
 }
 
 fn idle(count: usize) -> Vec<EndpointCandidate> {
@@ -160,3 +162,81 @@
     assert_eq!(connection_share(110, 0), 110);
     assert_eq!(connection_share(4, 69), 1, "each instance may open at least one connection");
 }
+
+/// The number of many small instances, their data centres and the endpoints before which they stand.
+const MANY_INSTANCES: (usize, usize, usize) = (176, 6, 28);
+
+/// Returns the endpoints in the order of preference of one of many small instances.
+fn preference_of(instance: usize) -> Vec<EndpointRecord> {
+    let (_, data_centres, endpoints) = MANY_INSTANCES;
+    let data_centre = |number: usize| format!("dc-{}", number % data_centres);
+    let record = |number: usize| EndpointRecord {
+        data_centre: data_centre(number).into(),
+        ..candidate(number, Load::default()).record
+    };
+    let mut records: Vec<EndpointRecord> = (0..endpoints).map(record).collect();
+    order_by_preference(&mut records, &format!("instance-{instance}"), &data_centre(instance));
+    records
+}
+
+// Many small instances: each one sends few requests to each endpoint, so that no connection is used
+// twice unless an instance keeps to a few endpoints.
+#[test]
+fn many_small_instances_keep_to_a_few_endpoints_each_and_load_all_alike() {
+    let (instances, _, endpoints) = MANY_INSTANCES;
+    let mut pairs = 0;
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for instance in 0..instances {
+        let mut used: BTreeMap<String, usize> = BTreeMap::new();
+        for request in 0..60 {
+            let position_and_record = preference_of(instance).into_iter().enumerate();
+            let mut candidates: Vec<EndpointCandidate> = position_and_record
+                .map(|(position, record)| EndpointCandidate {
+                    record,
+                    load: Load::default(),
+                    is_preferred: position < PREFERRED_ENDPOINTS,
+                })
+                .collect();
+            let seed = instance * 60 + request;
+            order_by_load(&mut candidates, None, seed as u64, NOW);
+            *used.entry(candidates[0].record.id.to_string()).or_default() += 1;
+        }
+        pairs += used.len();
+        for (endpoint, count) in used {
+            *counts.entry(endpoint).or_default() += count;
+        }
+    }
+    assert_eq!(pairs, instances * PREFERRED_ENDPOINTS);
+    let mean = instances * 60 / endpoints;
+    let most = counts.values().max().copied().unwrap_or_default();
+    assert_eq!(counts.len(), endpoints);
+    assert!(most * 2 <= mean * 3, "{most} requests at one endpoint, {mean} in the mean");
+}
+
+// A burst at a few endpoints: an instance leaves its preferred ones once they are busier.
+#[test]
+fn other_endpoints_take_over_when_the_preferred_ones_are_busier() {
+    let with_load = |in_flight| {
+        let load = Load { in_flight, ..Load::default() };
+        let mut candidates = vec![candidate(0, load), candidate(1, load)];
+        candidates.push(EndpointCandidate { is_preferred: false, ..candidate(2, Load::default()) });
+        order_by_load(&mut candidates, None, 1, NOW);
+        candidates[0].record.id.to_string()
+    };
+    assert_ne!(with_load(1), "e2");
+    assert_eq!(with_load(3), "e2");
+}
+
+#[test]
+fn the_loss_of_an_endpoint_moves_only_the_requests_that_went_there() {
+    let mut moved = 0;
+    for instance in 0..MANY_INSTANCES.0 {
+        let before = preference_of(instance);
+        let lost = &before[0].id;
+        let after: Vec<&EndpointRecord> = before.iter().filter(|one| one.id != *lost).collect();
+        let kept = before[1..PREFERRED_ENDPOINTS].iter();
+        let is_kept = |one: &EndpointRecord| after[..PREFERRED_ENDPOINTS].contains(&one);
+        moved += kept.filter(|one| !is_kept(one)).count();
+    }
+    assert_eq!(moved, 0);
+}
