fix(forwarding): record the load that an ordinary response reports

Cause: only refusals recorded the reported load, so calls without an engine were spread without it.

Change: a buffered response records it too.

--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -419,8 +419,12 @@
         *res.status_mut() = response.status;
         *res.headers_mut() = response.headers.clone();
         res.headers_mut().remove(header::CONTENT_LENGTH);
+        let now = self.cx.clock.now();
         self.loads.note_success(&response.endpoint.id);
-        response.finish(&self.pool, self.cx.clock.now());
+        if let Some(load) = response.head.load {
+            self.loads.note_report(&response.endpoint.id, load, now);
+        }
+        response.finish(&self.pool, now);
         res
     }
 }
--- a/coriandergw/src/roles/tests/routing.rs
+++ b/coriandergw/src/roles/tests/routing.rs
@@ -6,6 +6,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::roles::tests::endpoint::Endpoint;
 use crate::roles::tests::endpoint::Step;
@@ -121,6 +122,40 @@
     assert!(reply.contains("connection: close"), "{reply}");
 }
 
+// A burst of short calls: an endpoint that reports many requests is left alone for a moment.
+#[tokio::test]
+async fn a_call_goes_to_an_endpoint_that_did_not_report_to_be_busy() {
+    let world = World::start().await;
+    let reporting = |running: u32| {
+        Endpoint::start(move |_, seen| {
+            let attempt = seen.header("attempt").unwrap_or_default();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\nrunning: {running}\r\n\
+                 content-length: 2\r\n\r\nok"
+            );
+            vec![Step::Send(head.into_bytes())]
+        })
+    };
+    let busy = reporting(9).await;
+    world.announce("a", "plain", &busy).await;
+    let idle = reporting(0).await;
+    world.announce("b", "plain", &idle).await;
+    // Counts only requests that ended while the last report was too fresh for its weight to matter.
+    let mut reported_at = Instant::now();
+    let mut counted = 0;
+    while counted < 15 {
+        let before = busy.seen().len();
+        world.ask(&get("/safe/x", "t1", "")).await;
+        let is_fresh = before > 0 && reported_at.elapsed() < Duration::from_millis(200);
+        if busy.seen().len() > before {
+            assert!(!is_fresh, "sent to the busy endpoint after {counted} requests");
+            reported_at = Instant::now();
+        } else if is_fresh {
+            counted += 1;
+        }
+    }
+}
+
 /// Sends requests on one connection until the instance closes it; returns the attempts that got no
 /// whole answer.
 async fn ask_until_closed(mut stream: TcpStream, caller: usize) -> Vec<String> {
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -18,6 +18,7 @@
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::HeaderError;
 use crate::forwarding::ProgramHeaders;
+use crate::forwarding::ReportedLoad;
 use crate::forwarding::RequestHeaders;
 use crate::forwarding::ResponseHeaders;
 use crate::forwarding::TokenDemand;
@@ -81,7 +82,8 @@
             attempt: text(headers, "attempt"),
             is_signed: headers.contains_key("signed"),
             not_run: headers.contains_key("not-run"),
-            load: None,
+            load: number(headers, "running")
+                .map(|running| ReportedLoad { running: running as u32, ..ReportedLoad::default() }),
             is_leaving: headers.contains_key("leaving"),
         }
     }
