test(roster): simulate rosters and views of up to 400 processes under faults

What: RosterState and RosterView over a simulated network: core instances that restart without memory or freeze, processes that restart, freeze with answers on their way or are cut off, lost answers, late announcements, endpoints that drain, depart at once or start again, configurations throughout. Checked at every process after each step: the configuration never goes back; in touch, a departed endpoint is not listed 2 s after its acknowledgement, a live one is listed, and the configuration is in force in 2 s.

With the copies of departures off, it fails (an endpoint listed 5.5 s after it left); with the comparison of versions in merge off, it fails (version 1 after 4).

--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -155,5 +155,9 @@
     pub field: &'static str,
 }
 
+#[cfg(test)]
+mod simulation;
+#[cfg(test)]
+mod simulation_tests;
 #[cfg(test)]
 mod tests;
