feat(testkit): run a fault soak of real processes from cgw-bench

Programs run on the processes of a cluster behind the fault-injecting proxies while the seed's faults strike from outside, in series and overlapping: killed, stopped and restarted, frozen, links blocked, one-way, slow or lossy, callers' connections slow, cut, silent or closed at once. At most one of the instances that keep the data has a fault at a time. Each call's end must be accounted for by a fault or the budget; the audit of what callers and endpoints saw follows.

--- a/testkit/src/bin/cgw-bench/commands.rs
+++ b/testkit/src/bin/cgw-bench/commands.rs
@@ -24,6 +24,8 @@
 use testkit::proxy::Direction;
 use testkit::proxy::Faults;
 use testkit::proxy::Proxy;
+use testkit::soak;
+use testkit::soak::SoakOptions;
 use tokio::io::AsyncBufReadExt;
 use tokio::io::BufReader;
 
@@ -248,19 +250,44 @@
 pub struct SoakArguments {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "instances", default = "9")]
-    instances: usize,
-    #[options(help = "seconds", default = "900")]
-    seconds: u64,
-    #[options(help = "the seed", default = "1")]
+    #[options(help = "processes of the cluster, at least 3", default = "9")]
+    processes: usize,
+    #[options(help = "minutes that faults strike for each seed", default = "1.0")]
+    minutes: f64,
+    #[options(help = "the first seed", default = "1")]
     seed: u64,
+    #[options(help = "how many seeds to run, one after the other", default = "1")]
+    seeds: u64,
+    #[options(help = "programs that run at once", default = "12")]
+    callers: usize,
     #[options(help = "print JSON")]
     json: bool,
 }
 
-/// Mixes load and faults.
-pub async fn soak(_arguments: SoakArguments) -> Result<(), String> {
-    Err("the soak is not there yet".to_owned())
+/// Mixes load and faults; a seed that fails keeps its logs and does not stop the others.
+pub async fn soak(arguments: SoakArguments) -> Result<(), String> {
+    let mut failed_seeds = Vec::new();
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let options = SoakOptions {
+            seed,
+            length: Duration::try_from_secs_f64(arguments.minutes * 60.0).map_err(failed)?,
+            processes: arguments.processes,
+            callers: arguments.callers,
+        };
+        // A broken promise panics in the task; its message has gone to standard error.
+        let soak = tokio::spawn(soak::run(options, |fault| eprintln!("{fault}")));
+        match soak.await {
+            Ok(report) => print(arguments.json, &serde_json::to_value(report).map_err(failed)?),
+            Err(_) => {
+                print(arguments.json, &json!({"seed": seed, "failed": true}));
+                failed_seeds.push(seed);
+            }
+        }
+    }
+    match failed_seeds.is_empty() {
+        true => Ok(()),
+        false => Err(format!("seeds that failed: {failed_seeds:?}")),
+    }
 }
 
 /// The arguments of `capacity`.
--- a/testkit/src/cluster/mod.rs
+++ b/testkit/src/cluster/mod.rs
@@ -255,9 +255,17 @@
     }
 
     fn set_all_links(&self, name: &str, faults: Faults) {
+        self.set_links(name, faults, true);
+    }
+
+    /// Sets the faults of everything that an instance sends to the others, and with `both_ways` also
+    /// of what they send to it.
+    pub fn set_links(&self, name: &str, faults: Faults, both_ways: bool) {
         for other in self.instances.keys().filter(|other| *other != name) {
             self.set_link(name, other, faults);
-            self.set_link(other, name, faults);
+            if both_ways {
+                self.set_link(other, name, faults);
+            }
         }
     }
 }
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod proxy;
 pub mod report;
 pub mod sequence;
+pub mod soak;
 pub mod testbed;
 pub mod wait;
