perf(roster): publish an endpoint only when it changes; keep all that hear it

Each endpoint was published again each 3 s with its latest sequence number, which went to every process: by arithmetic 1,000 records a second to each of 320.

Change: a repeated announcement is not published at all. It was needed because an endpoint that moved between core instances, or whose delayed announcement reached another one, would be reported silent by that one. Now a view keeps the core instances that heard an endpoint; it is silent once each of them says so, and confirmed while one of them is reachable and has not restarted.

--- a/coriandergw/src/roster/simulation.rs
+++ b/coriandergw/src/roster/simulation.rs
@@ -51,6 +51,13 @@
 /// milliseconds: an endpoint finds another core instance, and a lost report is forgotten.
 const CALM_MS: u64 = 8_000;
 
+/// The longest delay of an announcement, in milliseconds.
+const DELAY_MAX_MS: u64 = 6_000;
+
+/// The time after the crash of an endpoint from which no view may list it, in milliseconds: a delayed
+/// announcement may arrive, and its silence is noticed after that.
+const CRASH_MS: u64 = DELAY_MAX_MS + 4 * HEARTBEAT_MS + 1_000;
+
 /// How long an endpoint serves after the acknowledgement of its departure, in milliseconds.
 const LEAVING_MS: u64 = 3_000;
 
@@ -94,6 +101,8 @@
     state: EndpointState,
     /// When a core instance acknowledged its departure.
     departed_at: Option<u64>,
+    /// When it ended without a word.
+    crashed_at: Option<u64>,
     ready_since: u64,
 }
 
@@ -170,6 +179,7 @@
             next_heartbeat: rng.random_range(0..HEARTBEAT_MS),
             state: EndpointState::Ready,
             departed_at: None,
+            crashed_at: None,
             ready_since: 0,
         };
         let endpoints = (0..size.endpoints).map(endpoint).collect();
@@ -248,7 +258,7 @@
         let number = self.rng.random_range(0..self.size.processes);
         let duration = self.rng.random_range(200..3_000);
         let end = self.now_ms + duration;
-        let fault = self.rng.random_range(0..6);
+        let fault = self.rng.random_range(0..7);
         self.trace(&format!("fault {fault}: core {core}, process {number}, until {end} ms"));
         match fault {
             0 => {
@@ -284,10 +294,14 @@
                 self.processes[number].cut.insert(core, end);
                 self.processes[number].disturbed_at = end;
             }
-            _ => {
+            5 => {
                 let number = self.rng.random_range(0..self.size.endpoints);
                 self.leave_or_restart(number);
             }
+            _ => {
+                let number = self.rng.random_range(0..self.size.endpoints);
+                self.endpoints[number].crashed_at.get_or_insert(self.now_ms);
+            }
         }
     }
 
@@ -298,6 +312,7 @@
         let sponsor_runs = self.runs(self.endpoints[number].sponsor);
         let endpoint = &mut self.endpoints[number];
         match endpoint.state {
+            _ if endpoint.crashed_at.is_some() => {}
             EndpointState::Ready if leaves_at_once && sponsor_runs => {
                 // Departs without draining first, and sends nothing more.
                 endpoint.state = EndpointState::Gone;
@@ -391,7 +406,8 @@
     fn send_heartbeat(&mut self, number: usize) {
         let (now, now_ms) = (self.now(), self.now_ms);
         let sponsor = self.endpoints[number].sponsor;
-        if self.endpoints[number].state == EndpointState::Gone {
+        let endpoint = &self.endpoints[number];
+        if endpoint.state == EndpointState::Gone || endpoint.crashed_at.is_some() {
             return;
         }
         if !self.runs(sponsor) {
@@ -401,7 +417,7 @@
             return;
         }
         let is_delayed = self.rng.random_bool(0.03);
-        let delay = self.rng.random_range(500..6_000);
+        let delay = self.rng.random_range(500..DELAY_MAX_MS);
         let other = self.rng.random_range(0..self.size.cores);
         let endpoint = &mut self.endpoints[number];
         endpoint.sequence += 1;
@@ -567,6 +583,12 @@
         for endpoint in &self.endpoints {
             let is_settled = self.now_ms > calm_since.max(endpoint.ready_since) + CALM_MS;
             let id = endpoint.record().id;
+            if let Some(crashed_at) = endpoint.crashed_at {
+                let is_late = self.now_ms > calm_since.max(crashed_at) + CRASH_MS;
+                let is_listed = usable.get(&id) == Some(&endpoint.started_ms);
+                assert!(!is_late || !is_listed, "{} lists {id}, which crashed", process.name);
+                continue;
+            }
             assert!(
                 endpoint.state != EndpointState::Ready || !is_settled || usable.contains_key(&id),
                 "{} does not list {id} at {} ms: it knows {:?}; the core instances know {:?}",
--- a/coriandergw/src/roster/simulation_tests.rs
+++ b/coriandergw/src/roster/simulation_tests.rs
@@ -13,7 +13,7 @@
         println!("seed {seed}");
         let mut simulation = Simulation::new(size, seed);
         simulation.run_with_faults(12_000);
-        simulation.run_calm(10_000);
+        simulation.run_calm(16_000);
     }
 }
 
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -38,10 +38,6 @@
 /// recognised.
 pub const GONE_RETENTION: Duration = Duration::from_secs(120);
 
-/// An unchanged announcement is published again after this time with its latest sequence number, so
-/// that two core instances that received it agree on which of them received it last.
-const REPUBLISH_INTERVAL: Duration = Duration::from_secs(3);
-
 /// The longest normal gap between two silence checks. A longer gap means that this process itself
 /// was stalled, and that messages sent by others meanwhile are still unread.
 const MAX_CHECK_GAP: Duration = Duration::from_millis(150);
@@ -65,14 +61,13 @@
     /// The number of the last change.
     changed: u64,
     heard_at: Timestamp,
-    published_at: Timestamp,
     /// Whether heartbeats are received between the polls.
     pulses: bool,
 }
 
 impl<T> Tracked<T> {
     fn new(value: T, changed: u64, now: Timestamp) -> Self {
-        Self { value, changed, heard_at: now, published_at: now, pulses: false }
+        Self { value, changed, heard_at: now, pulses: false }
     }
 }
 
@@ -94,14 +89,12 @@
     Instance(InstanceName),
 }
 
-/// Which processes are told of a change, and whether it ends their waiting polls.
+/// Which processes are told of a change, which ends their waiting polls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ChangeScope {
-    /// A repeated announcement: sent with the next response to any process.
-    Refresh,
-    /// A change of an entry instance: ends the polls of processes that answer address look-ups.
+    /// A change of an entry instance: sent to processes that answer address look-ups.
     EntryInstance,
-    /// Any other change: ends the polls of all processes.
+    /// Any other change: sent to all processes.
     General,
 }
 
@@ -198,7 +191,6 @@
     fn next_change(&mut self, scope: ChangeScope) -> u64 {
         self.last_change += 1;
         match scope {
-            ChangeScope::Refresh => {}
             ChangeScope::EntryInstance => self.last_changes.entry_instance = self.last_change,
             ChangeScope::General => self.last_changes.general = self.last_change,
         }
@@ -235,8 +227,9 @@
     /// remaining warm-up time. The start or end of the warm-up counts as such a change.
     pub fn announce(&mut self, record: EndpointRecord, now: Timestamp) -> bool {
         let Some(entry) = self.endpoints.get_mut(&record.id) else {
-            let number = self.next_change(ChangeScope::General);
-            self.endpoints.insert(record.id.clone(), Tracked::new(record, number, now));
+            let id = record.id.clone();
+            self.endpoints.insert(id.clone(), Tracked::new(record, 0, now));
+            self.publish_endpoint(&id);
             return true;
         };
         // A repeated departure is ignored here, but acknowledged like the first one.
@@ -244,22 +237,19 @@
             return false;
         }
         let is_changed = !entry.value.is_equivalent(&record);
-        let is_due = now.since(entry.published_at) >= REPUBLISH_INTERVAL;
         let id = record.id.clone();
         entry.value = record;
         entry.heard_at = now;
-        if is_changed || is_due {
-            let scope = if is_changed { ChangeScope::General } else { ChangeScope::Refresh };
-            self.publish_endpoint(&id, scope, now);
+        if is_changed {
+            self.publish_endpoint(&id);
         }
         is_changed
     }
 
-    fn publish_endpoint(&mut self, id: &EndpointName, scope: ChangeScope, now: Timestamp) {
-        let number = self.next_change(scope);
+    fn publish_endpoint(&mut self, id: &EndpointName) {
+        let number = self.next_change(ChangeScope::General);
         if let Some(entry) = self.endpoints.get_mut(id) {
             entry.changed = number;
-            entry.published_at = now;
         }
     }
 
@@ -364,7 +354,7 @@
         }
         for peer in &silent {
             match peer {
-                SilentPeer::Endpoint(id) => self.publish_endpoint(id, ChangeScope::General, now),
+                SilentPeer::Endpoint(id) => self.publish_endpoint(id),
                 SilentPeer::Instance(name) => self.publish_instance(name),
             }
         }
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -453,7 +453,7 @@
 }
 
 #[test]
-fn a_repeated_announcement_ends_no_poll_but_is_sent_with_the_next_response() {
+fn a_repeated_announcement_is_not_published() {
     let mut roster = RosterState::new(ENDPOINT_SILENCE, time_at(0));
     roster.announce(record("a", 5, 1, EndpointState::Ready), time_at(0));
     let (last, cursor) = (roster.last_changes(), roster.last_change());
@@ -461,15 +461,51 @@
         roster.announce(record("a", 5, sequence, EndpointState::Ready), time_at(sequence * 1_000));
     }
     assert_eq!(roster.last_changes(), last);
-    let sent = roster.changes_after(cursor, Audience::Other).endpoints;
-    assert_eq!(sent.len(), 1);
-    // The process that receives it has nothing to recompute.
+    assert_eq!(roster.last_change(), cursor);
+}
+
+// An announcement that was delayed arrives at another core instance, which soon takes the endpoint
+// for silent, since it goes on announcing itself at its own.
+#[test]
+fn a_late_announcement_elsewhere_does_not_make_an_endpoint_silent() {
+    let mut view = RosterView::new(POLL_WAIT);
+    let at = |core, sequence, state| {
+        (core_address(core), response(1, vec![record("a", 5, sequence, state)]))
+    };
+    let mut merge = |(core, response), millis| view.merge(core, response, time_at(millis));
+    assert!(merge(at(1, 1, EndpointState::Ready), 0));
+    assert!(!merge(at(2, 7, EndpointState::Ready), 9_000));
+    assert!(!merge(at(2, 7, EndpointState::Silent), 13_000));
+    // Its own core instance does not hear it any more either.
+    assert!(merge(at(1, 9, EndpointState::Silent), 20_000));
+    assert!(merge(at(2, 10, EndpointState::Ready), 21_000));
+    assert_eq!(usable(&view), ["a"]);
+}
+
+#[test]
+fn an_endpoint_stays_confirmed_while_its_core_instance_answers_again_after_a_cut() {
     let mut view = RosterView::new(POLL_WAIT);
-    let first = response(1, vec![record("a", 5, 1, EndpointState::Ready)]);
-    assert!(view.merge(core_address(1), first, time_at(0)));
-    assert!(!view.merge(core_address(1), response(1, sent), time_at(5_000)));
-    let draining = response(1, vec![record("a", 5, 7, EndpointState::Draining)]);
-    assert!(view.merge(core_address(1), draining, time_at(6_000)));
+    let listed = || vec![record("a", 5, 1, EndpointState::Ready)];
+    view.merge(core_address(1), response(1, listed()), time_at(0));
+    let later = |millis| time_at(CONFIRMATION_LIMIT.as_millis() as u64 + millis);
+    for millis in (0..4_000).step_by(250) {
+        view.merge(core_address(2), response(2, Vec::new()), time_at(millis));
+        view.expire(time_at(millis));
+    }
+    // The cut ends; the core instance has nothing new to tell.
+    view.merge(core_address(1), response(1, Vec::new()), time_at(4_000));
+    view.expire(time_at(4_000));
+    for millis in (0..5_000).step_by(250) {
+        view.merge(core_address(1), response(1, Vec::new()), later(millis));
+        view.expire(later(millis));
+    }
+    assert_eq!(usable(&view), ["a"]);
+    // A restart forgets the endpoint, and so the confirmation ends.
+    for millis in (5_000..11_000).step_by(250) {
+        view.merge(core_address(1), response(9, Vec::new()), later(millis));
+        view.expire(later(millis));
+    }
+    assert!(usable(&view).is_empty());
 }
 
 #[test]
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -77,7 +77,9 @@
 #[derive(Debug)]
 struct KnownEndpoint {
     record: EndpointRecord,
-    reported_by: SocketAddr,
+    /// The core instances that have heard the endpoint and not reported its silence. Each receives
+    /// its announcements or did so once.
+    reporters: BTreeSet<SocketAddr>,
     updated_at: Timestamp,
     unconfirmed_since: Option<Timestamp>,
 }
@@ -124,7 +126,7 @@
         let view = self.cores.entry(core).or_default();
         if view.start != answer.core_start {
             *view = CoreView { start: answer.core_start, ..CoreView::default() };
-            self.mark_unconfirmed(core, now);
+            self.forget_reporter(core, now);
         }
         let view = self.cores.entry(core).or_default();
         view.cursor = answer.cursor;
@@ -156,33 +158,44 @@
     /// Merges a record; returns whether it changed more than the sequence number and the remaining
     /// warm-up time.
     fn merge_endpoint(&mut self, core: SocketAddr, record: EndpointRecord, now: Timestamp) -> bool {
-        let known = self.endpoints.get(&record.id);
-        // Only the core instance that an endpoint announces itself to can detect its silence.
-        let is_stale_silence = |known: &KnownEndpoint| {
-            record.state == EndpointState::Silent
-                && known.reported_by != core
-                && record.sequence <= known.record.sequence
-        };
-        let is_newer = |known: &KnownEndpoint| {
-            (record.supersedes(&known.record) || record == known.record) && !is_stale_silence(known)
-        };
-        let is_changed = known.is_none_or(|known| !known.record.is_equivalent(&record));
-        let is_merged = known.is_none_or(is_newer);
-        if is_merged {
-            let known = KnownEndpoint {
-                reported_by: core,
-                updated_at: now,
-                unconfirmed_since: None,
-                record,
-            };
+        let Some(known) = self.endpoints.get_mut(&record.id) else {
+            let reporters = BTreeSet::from([core]);
+            let known =
+                KnownEndpoint { reporters, updated_at: now, unconfirmed_since: None, record };
             self.endpoints.insert(known.record.id.clone(), known);
+            return true;
+        };
+        let is_same_incarnation = record.started_ms == known.record.started_ms;
+        if is_same_incarnation && record.state == EndpointState::Silent {
+            // An endpoint is silent once every core instance that heard it says so: it may announce
+            // itself to another one, and a delayed announcement may have reached one of them.
+            known.reporters.remove(&core);
+            if !known.reporters.is_empty() {
+                return false;
+            }
+        }
+        let is_repeated = is_same_incarnation && record.is_equivalent(&known.record);
+        if !is_repeated && !record.supersedes(&known.record) {
+            return false;
         }
-        is_merged && is_changed
+        if !is_repeated {
+            known.reporters.clear();
+        }
+        known.reporters.insert(core);
+        known.unconfirmed_since = None;
+        if !is_repeated || record.sequence > known.record.sequence {
+            known.record = record;
+            known.updated_at = now;
+        }
+        !is_repeated
     }
 
-    fn mark_unconfirmed(&mut self, core: SocketAddr, now: Timestamp) {
-        for known in self.endpoints.values_mut().filter(|known| known.reported_by == core) {
-            known.unconfirmed_since.get_or_insert(now);
+    /// Removes a core instance that restarted from the reporters of all endpoints.
+    fn forget_reporter(&mut self, core: SocketAddr, now: Timestamp) {
+        for known in self.endpoints.values_mut() {
+            if known.reporters.remove(&core) && known.reporters.is_empty() {
+                known.unconfirmed_since.get_or_insert(now);
+            }
         }
     }
 
@@ -196,8 +209,11 @@
         }
         let mut dropped = Vec::new();
         self.endpoints.retain(|id, known| {
-            if !reachable.contains(&known.reported_by) {
-                known.unconfirmed_since.get_or_insert(now);
+            match reachable.iter().any(|core| known.reporters.contains(core)) {
+                true => known.unconfirmed_since = None,
+                false => {
+                    known.unconfirmed_since.get_or_insert(now);
+                }
             }
             let is_lost =
                 known.unconfirmed_since.is_some_and(|since| now.since(since) > CONFIRMATION_LIMIT);
