--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! Entry instances outnumber all others. Their presences go only to the processes that answer
 //! address look-ups, so that the cost of an entry instance does not grow with their number.
-//! Repeated announcements of an endpoint are sent along with other changes and wake no poll.
+//! Repeated announcements of an endpoint change nothing and are not sent.
 //!
 //! A directory instance has no disk and no vote. It is polled only by processes that have it as a
 //! seed, and its responses name the core instances that it reaches.
