--- a/testkit/src/bin/cgw-bench/commands.rs
+++ b/testkit/src/bin/cgw-bench/commands.rs
@@ -13,6 +13,7 @@
 use testkit::bench::load::LoadOptions;
 use testkit::bench::shapes::Shape;
 use testkit::bench::shapes::Targets;
+use testkit::cluster::binary;
 use testkit::experiment;
 use testkit::experiment::Deployment;
 use testkit::experiment::policy::Policy;
@@ -266,6 +267,8 @@
 
 /// Mixes load and faults; a seed that fails keeps its logs and does not stop the others.
 pub async fn soak(arguments: SoakArguments) -> Result<(), String> {
+    // Panics here without the binary, so that no seed counts as failed for that.
+    binary::path();
     let mut failed_seeds = Vec::new();
     for seed in arguments.seed..arguments.seed + arguments.seeds {
         let options = SoakOptions {
