fix(callers): refuse a body that breaks off with a code that passes

Result: a_body_that_breaks_off_is_refused_with_a_code_that_passes passes; it was not run on the code before, which has no such code.

--- a/coriandergw/src/callers/body.rs
+++ b/coriandergw/src/callers/body.rs
@@ -56,7 +56,8 @@
         let bytes = Bytes::from_request(req, state).await.map_err(|rejection| {
             let code = match rejection.status() {
                 StatusCode::PAYLOAD_TOO_LARGE => ResultCode::BodyTooLarge,
-                _ => ResultCode::MalformedRequest,
+                // What failed is the connection, so the request is worth sending again.
+                _ => ResultCode::BodyIncomplete,
             };
             Refusal::not_run(code, rejection.body_text())
         })?;
--- a/coriandergw/src/callers/tests.rs
+++ b/coriandergw/src/callers/tests.rs
@@ -2,6 +2,7 @@
 use std::sync::Mutex;
 
 use axum::body::Body as HttpBody;
+use axum::extract::FromRequest;
 use axum::http::Method;
 use axum::http::Request;
 use http_body_util::BodyExt;
@@ -319,3 +320,14 @@
     let (_, resent) = stream(&mut connection, &secret).await;
     assert!(events.ends_with(&resent), "{resent}");
 }
+
+// A connection that is cut within the body: the request is not at fault and may be sent again.
+#[tokio::test]
+async fn a_body_that_breaks_off_is_refused_with_a_code_that_passes() {
+    let pieces: [Result<&str, std::io::Error>; 2] =
+        [Ok("{\"call_id\":"), Err(std::io::ErrorKind::ConnectionReset.into())];
+    let body = HttpBody::from_stream(futures_util::stream::iter(pieces));
+    let refusal = body::Body::<Value>::from_request(Request::new(body), &()).await.err();
+    let refusal = refusal.expect("the body is not whole");
+    assert_eq!((refusal.code, refusal.not_run), (ResultCode::BodyIncomplete, true));
+}
--- a/coriandergw/src/result_code.rs
+++ b/coriandergw/src/result_code.rs
@@ -94,6 +94,8 @@
     LimitReached = 2007, 429;
     /// The replicated log has no reachable quorum.
     NoQuorum = 2008, 503;
+    /// The connection failed before the whole body of the request arrived.
+    BodyIncomplete = 2009, 408;
     /// The outcome of a call that must not be repeated is unknown.
     OutcomeUnknown = 3001, 502;
     /// The endpoint answered with an error.
