--- a/coriandergw/src/roles/directory/tests.rs
+++ b/coriandergw/src/roles/directory/tests.rs
@@ -3,30 +3,18 @@
 use std::net::IpAddr;
 
 use crate::ids::DataCentre;
-use crate::ids::InstanceName;
 use crate::roles::directory::choose_core;
-use crate::roster::GroupStatus;
 use crate::roster::Presence;
 use crate::roster::Role;
+use crate::test_support::presence;
 
 fn data_centre(name: &str) -> DataCentre {
     DataCentre::try_from(name).expect("a name")
 }
 
 fn core(last: u8, in_data_centre: &str) -> Presence {
-    Presence {
-        name: InstanceName::try_from(format!("10.0.0.{last}:7000/0")).expect("a name"),
-        role: Role::Core,
-        data_centre: data_centre(in_data_centre),
-        node: "machine".into(),
-        caller_address: None,
-        ready: true,
-        leaving: false,
-        started_ms: 1,
-        group: GroupStatus::default(),
-        is_founder: true,
-        watchers: Vec::new(),
-    }
+    let name = format!("10.0.0.{last}:7000/0");
+    Presence { role: Role::Core, data_centre: data_centre(in_data_centre), ..presence(&name) }
 }
 
 fn ip(last: u8) -> Option<IpAddr> {
--- a/coriandergw/src/roster/simulation.rs
+++ b/coriandergw/src/roster/simulation.rs
@@ -11,13 +11,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::clock::Timestamp;
-use crate::ids::DataCentre;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
-use crate::roster::GroupStatus;
-use crate::roster::Presence;
 use crate::roster::Role;
 use crate::roster::state::Audience;
 use crate::roster::state::ConfigState;
@@ -25,6 +22,7 @@
 use crate::roster::state::poll_wait;
 use crate::roster::view::PollAnswer;
 use crate::roster::view::RosterView;
+use crate::test_support::presence;
 
 /// The simulated time of one step, in milliseconds; an answer takes one step.
 const STEP_MS: u64 = 10;
@@ -127,22 +125,6 @@
     SocketAddr::from(([10, 0, 0, core as u8 + 1], 7_000))
 }
 
-fn presence(name: &InstanceName) -> Presence {
-    Presence {
-        name: name.clone(),
-        role: Role::Entry,
-        data_centre: DataCentre::try_from("dc").expect("a name"),
-        node: "machine".into(),
-        caller_address: None,
-        ready: true,
-        leaving: false,
-        started_ms: 1,
-        group: GroupStatus::default(),
-        is_founder: false,
-        watchers: Vec::new(),
-    }
-}
-
 impl EndpointSim {
     fn record(&self) -> EndpointRecord {
         EndpointRecord {
@@ -517,7 +499,7 @@
         self.polled_at.insert((number, core), self.now_ms);
         let state = &mut self.cores[core].state;
         if state.note_alive(&process.name, now).is_none() {
-            state.note_presence(presence(&process.name), now);
+            state.note_presence(presence(process.name.as_str()), now);
         }
     }
 
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
-use crate::ids::DataCentre;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::roster::EndpointRecord;
@@ -25,6 +24,7 @@
 use crate::roster::view::PollAnswer;
 use crate::roster::view::QUORUM_SILENCE_MARGIN;
 use crate::roster::view::RosterView;
+use crate::test_support::presence;
 
 const ENDPOINT_SILENCE: Duration = Duration::from_millis(4_000);
 
@@ -50,22 +50,6 @@
     }
 }
 
-fn presence(name: &str) -> Presence {
-    Presence {
-        name: InstanceName::try_from(name).expect("a name"),
-        role: Role::Entry,
-        data_centre: DataCentre::try_from("dc").expect("a name"),
-        node: "machine".into(),
-        caller_address: None,
-        ready: true,
-        leaving: false,
-        started_ms: 1,
-        group: GroupStatus::default(),
-        is_founder: false,
-        watchers: Vec::new(),
-    }
-}
-
 fn journal_presence(name: &str) -> Presence {
     Presence { role: Role::Journal, ..presence(name) }
 }
--- a/coriandergw/src/test_support.rs
+++ b/coriandergw/src/test_support.rs
@@ -25,6 +25,9 @@
 use crate::metrics::Metrics;
 use crate::programs::JournalState;
 use crate::programs::Programs;
+use crate::roster::GroupStatus;
+use crate::roster::Presence;
+use crate::roster::Role;
 use crate::settings::Settings;
 
 /// The seed of the random cases.
@@ -50,6 +53,23 @@
     }
 }
 
+/// Builds the presence of a ready entry instance.
+pub fn presence(name: &str) -> Presence {
+    Presence {
+        name: InstanceName::try_from(name).expect("a name"),
+        role: Role::Entry,
+        data_centre: DataCentre::try_from("dc").expect("a name"),
+        node: "machine".into(),
+        caller_address: None,
+        ready: true,
+        leaving: false,
+        started_ms: 1,
+        group: GroupStatus::default(),
+        is_founder: false,
+        watchers: Vec::new(),
+    }
+}
+
 /// Builds what the routes of a lone instance share: its journal is in memory, and it knows no
 /// endpoint yet.
 pub fn shared(
