feat(forwarding): log when an entry instance stops using an endpoint

The logs of core instances tell which departure was recorded, but no line told when an entry instance stopped using the endpoint, so a departure that was never published (hypothesis 1), one that some instances did not learn of (2) and one that was undone (3) looked the same at the entry instances.

Change: event 407, one line an endpoint that leaves the list of usable ones, with its state in the roster. No decision changes.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -154,6 +154,8 @@
     EndpointSilent = 402, Warning;
     /// An endpoint's announcement cannot be used.
     EndpointRefused = 406, Warning;
+    /// An entry instance sends no more requests to an endpoint.
+    EndpointUnused = 407, Info;
     /// An attempt of a call failed at its endpoint.
     AttemptFailed = 403, Warning;
     /// An engine confirmed an order.
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -214,6 +214,12 @@
         };
         self.pool.sweep(is_known, now);
         self.loads.retain(is_known);
+        let before = self.endpoints.load();
+        for unused in before.values().flatten().filter(|record| !is_known(&record.id)) {
+            let state =
+                self.roster.with_view(|view| view.endpoint(&unused.id).map(|known| known.state));
+            RequestReport::endpoint_unused(&self.cx, unused, state);
+        }
         self.endpoints.store(Arc::new(endpoints));
         self.refreshes.send_modify(|count| *count += 1);
     }
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -13,6 +13,7 @@
 use crate::ids::EndpointName;
 use crate::result_code::Refusal;
 use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
 use crate::routes::RetryPolicy;
 use crate::routes::Route;
 
@@ -173,6 +174,19 @@
         cx.events.record(EventNumber::EndpointLeaving, subject, detail);
     }
 
+    /// Records that this instance sends no more requests to `endpoint`; `state` is its state in the
+    /// roster, or `None` if it is not listed there.
+    pub(super) fn endpoint_unused(
+        cx: &Context,
+        endpoint: &EndpointRecord,
+        state: Option<EndpointState>,
+    ) {
+        let subject = Subject { peer: Some(endpoint.id.to_string()), ..Subject::default() };
+        let state = state.map_or("unlisted".to_owned(), |state| format!("{state:?}"));
+        let detail = format!("state={state} started_ms={}", endpoint.started_ms);
+        cx.events.record(EventNumber::EndpointUnused, subject, detail);
+    }
+
     /// Records that a configuration was applied, or that it was rejected because of `fault`.
     pub(super) fn config_applied(cx: &Context, version: u64, fault: Option<&str>) {
         if fault.is_none() {
