--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -13,6 +13,7 @@
 use crate::events::EventNumber;
 use crate::events::Subject;
 use crate::ids::CONTROL_GROUP;
+use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::log_groups::node::LogNode;
 use crate::log_groups::node::LogOptions;
@@ -128,6 +129,12 @@
         })
     }
 
+    /// Records the departure of an endpoint. `started_ms` is the start time of the departing
+    /// incarnation in milliseconds since the Unix epoch, if the endpoint stated it.
+    pub fn depart(&self, id: &EndpointName, started_ms: Option<u64>) {
+        self.roster_server.depart(id, started_ms);
+    }
+
     /// Announces that this instance is leaving, stops its log node and releases the data folder.
     pub async fn stop(&self) {
         self.roster.update_presence(|presence| presence.leaving = true);
--- a/coriandergw/src/roles/tests/groups.rs
+++ b/coriandergw/src/roles/tests/groups.rs
@@ -98,6 +98,49 @@
     wait_for("the departure at the process that started", has_departed).await;
 }
 
+/// Waits until every core instance lists the endpoint as gone, in the given incarnation.
+async fn wait_until_gone(cores: &[CoreProcess], id: &EndpointName, started_ms: u64) {
+    let is_gone = |core: &CoreProcess| {
+        let known = core.roster.with_view(|view| view.endpoint(id).cloned());
+        known.is_some_and(|one| one.state == EndpointState::Gone && one.started_ms == started_ms)
+    };
+    wait_for("the departure at all core instances", || cores.iter().all(is_gone)).await;
+}
+
+// Guards against requests to an endpoint whose departure was acknowledged and dropped, since the
+// endpoint had announced itself to another core instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_departure_holds_at_a_core_instance_that_received_no_announcement() {
+    let mut site = Site::new(3, 1).await;
+    let (_machines, cores) = three_cores(&mut site).await;
+    let id = EndpointName::try_from("a").expect("a name");
+    cores[0].roster_server.announce(record(&id, "plain", ([10, 0, 0, 1], 80).into()));
+    let is_known = || cores[1].roster.with_view(|view| view.endpoint(&id).is_some());
+    wait_for("the endpoint at the second core instance", is_known).await;
+    cores[1].depart(&id, None);
+    wait_until_gone(&cores, &id, 1).await;
+}
+
+// Guards against requests to an endpoint whose departure was recorded for an earlier incarnation,
+// since the current one had announced itself to another core instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_departure_concerns_the_latest_incarnation_known_to_any_core_instance() {
+    let mut site = Site::new(3, 1).await;
+    let (_machines, cores) = three_cores(&mut site).await;
+    let id = EndpointName::try_from("a").expect("a name");
+    let earlier = record(&id, "plain", ([10, 0, 0, 1], 80).into());
+    let later = EndpointRecord { started_ms: 2, ..earlier.clone() };
+    cores[1].roster_server.announce(earlier);
+    cores[0].roster_server.announce(later);
+    let knows_later = || {
+        let known = cores[1].roster.with_view(|view| view.endpoint(&id).cloned());
+        known.is_some_and(|one| one.started_ms == 2)
+    };
+    wait_for("the later incarnation at the second core instance", knows_later).await;
+    cores[1].depart(&id, None);
+    wait_until_gone(&cores, &id, 2).await;
+}
+
 fn voters(roster: &Roster) -> Vec<InstanceName> {
     roster.with_view(|view| view.leader(Role::Core)).map(|p| p.group.voters).unwrap_or_default()
 }
