fix(roles): record departures of endpoints that announced themselves elsewhere

What callers saw: requests reached an endpoint 2,058 and 2,081 ms after front-ne-b-1 had acknowledged its departure (bound 2,000 ms).

Cause: an endpoint announces itself to one core instance. A departure carries the name only, and a core instance looked it up among the endpoints that had announced themselves there. It dropped an unknown one and still acknowledged it; of an endpoint that had restarted elsewhere it marked the earlier incarnation. The class: an acknowledgement of something that was not recorded.

Evidence: in the record the endpoint's own core instance was frozen, so the third one asked acknowledged.

Change: the departure is applied to the latest record among the instance's own and those that all core instances publish, which every core instance merges anyway.

--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -32,6 +32,7 @@
 use crate::roster::pulses::PulseHandler;
 use crate::roster::server::RosterServer;
 use crate::roster::state::ConfigState;
+use crate::roster::state::UnknownEndpoint;
 use crate::storage::Disk;
 use crate::transport::Kind;
 use crate::versions::Versions;
@@ -131,8 +132,19 @@
 
     /// Records the departure of an endpoint. `started_ms` is the start time of the departing
     /// incarnation in milliseconds since the Unix epoch, if the endpoint stated it.
-    pub fn depart(&self, id: &EndpointName, started_ms: Option<u64>) {
-        self.roster_server.depart(id, started_ms);
+    ///
+    /// The endpoint may have announced itself to other core instances only, so what they publish of
+    /// it counts too.
+    ///
+    /// # Errors
+    /// Fails if no reachable core instance has heard of the endpoint.
+    pub fn depart(
+        &self,
+        id: &EndpointName,
+        started_ms: Option<u64>,
+    ) -> Result<(), UnknownEndpoint> {
+        let published = self.roster.with_view(|view| view.endpoint(id).cloned());
+        self.roster_server.depart(id, started_ms, published)
     }
 
     /// Announces that this instance is leaving, stops its log node and releases the data folder.
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -25,6 +25,7 @@
 use crate::roster::state::ReportedPresence;
 use crate::roster::state::RosterState;
 use crate::roster::state::SilentPeer;
+use crate::roster::state::UnknownEndpoint;
 use crate::transport::Handler;
 
 /// How long changes are batched before waiting polls are answered.
@@ -90,14 +91,26 @@
         }
     }
 
-    /// Marks an endpoint as gone. `started_ms` is the start time of the departing incarnation, if
-    /// known; a later incarnation is not affected.
-    pub fn depart(&self, id: &EndpointName, started_ms: Option<u64>) {
+    /// Marks an endpoint as gone, see [`RosterState::depart`].
+    ///
+    /// # Errors
+    /// Fails if the endpoint is unknown.
+    pub fn depart(
+        &self,
+        id: &EndpointName,
+        started_ms: Option<u64>,
+        published: Option<EndpointRecord>,
+    ) -> Result<(), UnknownEndpoint> {
         let now = self.cx.clock.now();
-        let known = self.with_state(|roster| roster.depart(id, started_ms, now));
+        let recorded = self.with_state(|roster| roster.depart(id, started_ms, published, now));
+        let outcome = match &recorded {
+            Ok(record) => format!("state={:?} started_ms={}", record.state, record.started_ms),
+            Err(cause) => cause.to_string(),
+        };
+        let detail = format!("departure, stated started_ms={started_ms:?}: {outcome}");
         let subject = Subject { peer: Some(id.to_string()), ..Subject::default() };
-        let detail = format!("state=Gone known={known} started_ms={started_ms:?}");
         self.cx.events.record(EventNumber::EndpointLeaving, subject, detail);
+        recorded.map(|_| ())
     }
 
     /// Applies the configuration state of the control group; returns whether anything changed.
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
 
 use crate::clock::Timestamp;
 use crate::ids::EndpointName;
@@ -89,6 +91,15 @@
     Instance(InstanceName),
 }
 
+/// A departure names an endpoint that no reachable core instance has heard of.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+#[display("no reachable core instance has heard of endpoint {id}")]
+pub struct UnknownEndpoint {
+    /// The endpoint that the departure names.
+    pub id: EndpointName,
+}
+
 /// Which processes are told of a change, which ends their waiting polls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ChangeScope {
@@ -263,21 +274,33 @@
         }
     }
 
-    /// Marks an endpoint as gone on a departure message that carries no full record; returns
-    /// whether the endpoint was known.
-    pub fn depart(&mut self, id: &EndpointName, started_ms: Option<u64>, now: Timestamp) -> bool {
-        let Some(entry) = self.endpoints.get(id) else {
-            return false;
-        };
-        let is_older = started_ms.is_some_and(|started| started < entry.value.started_ms);
-        if is_older {
-            return true;
+    /// Marks an endpoint as gone on a departure message that carries no full record.
+    ///
+    /// `published` is the record that all core instances together publish of the endpoint. The
+    /// departure concerns the incarnation started at `started_ms`, or the latest known one if the
+    /// message does not state it.
+    ///
+    /// # Errors
+    /// Fails if the endpoint is unknown, since there is nothing that the departure could be applied
+    /// to.
+    pub fn depart(
+        &mut self,
+        id: &EndpointName,
+        started_ms: Option<u64>,
+        published: Option<EndpointRecord>,
+        now: Timestamp,
+    ) -> Result<EndpointRecord, UnknownEndpoint> {
+        let own = self.endpoints.get(id).map(|entry| entry.value.clone());
+        let known = own.into_iter().chain(published);
+        let latest = known.max_by_key(|record| (record.started_ms, record.sequence));
+        let latest = latest.ok_or_else(|| UnknownEndpoint { id: id.clone() })?;
+        if started_ms.is_some_and(|started| started < latest.started_ms) {
+            return Ok(latest);
         }
-        let started_ms = started_ms.unwrap_or(entry.value.started_ms);
-        let state = EndpointState::Gone;
-        let record = EndpointRecord { state, started_ms, ..entry.value.clone() };
-        self.announce(record, now);
-        true
+        let started_ms = started_ms.unwrap_or(latest.started_ms);
+        let gone = EndpointRecord { state: EndpointState::Gone, started_ms, ..latest };
+        self.announce(gone.clone(), now);
+        Ok(gone)
     }
 
     /// Records a poll without a presence; returns the role of the process, or `None` if it is
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -78,7 +78,7 @@
     let mut roster = RosterState::new(ENDPOINT_SILENCE, time_at(0));
     roster.announce(record("a", 5, 3, EndpointState::Ready), time_at(0));
     let id = EndpointName::try_from("a").expect("a name");
-    assert!(roster.depart(&id, Some(5), time_at(1)));
+    assert!(roster.depart(&id, Some(5), None, time_at(1)).is_ok());
     roster.announce(record("a", 5, 9, EndpointState::Ready), time_at(2));
     assert_eq!(
         roster.changes_after(0, Audience::AddressSource).endpoints[0].state,
@@ -90,7 +90,7 @@
         EndpointState::Ready
     );
     // The departure of the previous incarnation arrives late.
-    roster.depart(&id, Some(5), time_at(4));
+    assert!(roster.depart(&id, Some(5), None, time_at(4)).is_ok());
     assert_eq!(
         roster.changes_after(0, Audience::AddressSource).endpoints[0].state,
         EndpointState::Ready
