test(roster): let simulated endpoints depart by name at any core instance

What the schedules missed: a simulated endpoint departed with a full record at the core instance that it announced itself to, so a departure at another one never came up. Now it names itself only, at a core instance chosen at random.

Evidence: with the record of the other core instances left out and unknown departures acknowledged, as before the fix, a schedule of the small site fails ("lists e3, which left at 6660 ms, at 9400 ms").

--- a/coriandergw/src/roster/simulation.rs
+++ b/coriandergw/src/roster/simulation.rs
@@ -291,20 +291,10 @@
     fn leave_or_restart(&mut self, number: usize) {
         let now_ms = self.now_ms;
         let leaves_at_once = self.rng.random_bool(0.5);
-        let sponsor_runs = self.runs(self.endpoints[number].sponsor);
         let endpoint = &mut self.endpoints[number];
         match endpoint.state {
             _ if endpoint.crashed_at.is_some() => {}
-            EndpointState::Ready if leaves_at_once && sponsor_runs => {
-                // Departs without draining first, and sends nothing more.
-                endpoint.state = EndpointState::Gone;
-                endpoint.sequence += 1;
-                endpoint.departed_at = Some(now_ms);
-                let (record, sponsor) = (endpoint.record(), endpoint.sponsor);
-                self.departures.push((record.id.clone(), record.started_ms, now_ms));
-                let now = self.now();
-                self.cores[sponsor].state.announce(record, now);
-            }
+            EndpointState::Ready if leaves_at_once => self.depart(number),
             EndpointState::Ready => {
                 endpoint.state = EndpointState::Draining;
                 endpoint.next_heartbeat = now_ms;
@@ -321,6 +311,28 @@
         }
     }
 
+    /// Makes an endpoint depart by its name alone, without draining first, at any core instance
+    /// that records it; the endpoint sends nothing more then.
+    fn depart(&mut self, number: usize) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let EndpointRecord { id, started_ms, .. } = self.endpoints[number].record();
+        let first = self.rng.random_range(0..self.size.cores);
+        for core in (0..self.size.cores).map(|at| (first + at) % self.size.cores) {
+            if !self.runs(core) {
+                continue;
+            }
+            let core = &mut self.cores[core];
+            let published = core.view.endpoint(&id).cloned();
+            if core.state.depart(&id, None, published, now).is_ok() {
+                let endpoint = &mut self.endpoints[number];
+                endpoint.state = EndpointState::Gone;
+                endpoint.departed_at = Some(now_ms);
+                self.departures.push((id, started_ms, now_ms));
+                return;
+            }
+        }
+    }
+
     fn apply_config(&mut self, core: usize, version: u64) {
         let core = &mut self.cores[core];
         core.config_version = core.config_version.max(version);
