--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod groups;
 mod leaving;
+mod limits;
 mod routing;
 mod streams;
 mod world;
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -184,7 +184,8 @@
     _journal: JournalProcess,
     pub entry: EntryProcess,
     pub callers: SocketAddr,
-    _machine: Machine,
+    site: Site,
+    machines: Vec<Machine>,
 }
 
 impl World {
@@ -219,7 +220,19 @@
         let (header_codec, reader) = (Arc::new(PlainHeaders), Arc::new(TestConfig));
         let entry = EntryProcess::start(&machine.settings, callers, header_codec, reader).await;
         let entry = entry.expect("the entry starts");
-        Self { core, _journal: journal, entry, callers, _machine: machine }
+        Self { core, _journal: journal, entry, callers, site, machines: vec![machine] }
+    }
+
+    /// Starts another entry instance on a machine of its own.
+    pub async fn add_entry(&mut self) -> EntryProcess {
+        let machine = self.site.machine(false);
+        let callers = machine.settings.caller_address.expect("an address");
+        let (header_codec, reader) = (Arc::new(PlainHeaders), Arc::new(TestConfig));
+        let entry = EntryProcess::start(&machine.settings, callers, header_codec, reader).await;
+        let entry = entry.expect("the entry starts");
+        self.machines.push(machine);
+        wait_for("the configuration", || entry.forwarder.is_ready()).await;
+        entry
     }
 
     /// Announces an endpoint and waits until the entry instance knows it.
@@ -239,15 +252,20 @@
 
     /// Sends one request on a connection of its own and returns the whole answer as text.
     pub async fn ask(&self, request: &str) -> String {
-        let mut stream = self.connect().await;
-        stream.write_all(request.as_bytes()).await.expect("sent");
-        let mut answer = Vec::new();
-        // A reset connection also ends the answer, so the error is ignored.
-        let _ = tokio::time::timeout(WAIT_LIMIT, stream.read_to_end(&mut answer)).await;
-        String::from_utf8_lossy(&answer).into_owned()
+        ask_at(self.callers, request).await
     }
 }
 
+/// Sends one request to an entry instance, see [`World::ask`].
+pub async fn ask_at(callers: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(callers).await.expect("connected");
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = Vec::new();
+    // A reset connection also ends the answer, so the error is ignored.
+    let _ = tokio::time::timeout(WAIT_LIMIT, stream.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 /// Returns the record of a ready endpoint.
 pub fn record(id: &EndpointName, service: &str, address: SocketAddr) -> EndpointRecord {
     EndpointRecord {
