refactor: move the token bucket out of the orders

Limits of endpoints need the same bucket, with a rate that changes, an initial number of tokens and the time until the next token.

--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod storage;
 #[cfg(test)]
 mod test_support;
+pub mod token_bucket;
 pub mod token_budgets;
 pub mod transport;
 pub mod versions;
--- a/coriandergw/src/orders/driver.rs
+++ b/coriandergw/src/orders/driver.rs
@@ -19,8 +19,8 @@
 use crate::orders::LeaderTermSource;
 use crate::orders::Order;
 use crate::orders::OrderSender;
-use crate::orders::TokenBucket;
 use crate::orders::plan;
+use crate::token_bucket::TokenBucket;
 
 /// The pause between two reconciliation rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
@@ -74,7 +74,7 @@
         let now = cx.clock.now();
         let driver = Self {
             load_limiter: Mutex::new(TokenBucket::new(
-                settings.loads_at_once,
+                f64::from(settings.loads_at_once),
                 settings.loads_per_second,
                 now,
             )),
--- a/coriandergw/src/orders/mod.rs
+++ b/coriandergw/src/orders/mod.rs
@@ -14,7 +14,6 @@
 mod state;
 mod sweep;
 mod sweeper;
-mod token_bucket;
 
 pub use copies::ModelDemand;
 pub use copies::copies_by_peak;
@@ -38,7 +37,6 @@
 pub use sweep::MemorySweep;
 pub use sweep::pause_after;
 pub use sweeper::MemorySweeper;
-pub use token_bucket::TokenBucket;
 
 #[cfg(test)]
 mod tests;
