feat(forwarding): keep the limits that endpoints name, over all instances

Cause: the header Server-Limit was not read, and nothing bounded what all entry instances send to an endpoint together.

Change: an entry instance that knows a limit asks one core instance, chosen by rendezvous hashing of the service, for a permit before it sends. One call names the limited endpoints in the order of preference up to the first one without a limit; the core instance grants the first with room, from a bucket each that starts empty and holds 250 ms of the rate. Without an answer within 100 ms an entry instance uses limit / entry instances, from a bucket that starts at another phase on each. A limit belongs to one incarnation, holds until an answer does not name it, and the newest statement counts.

Weighed: equal shares alone hold without a message, but a share of one request in seconds starves programs or, with one request accumulated on each of 176 instances, exceeds the limit in a burst.

--- a/coriandergw/src/clock.rs
+++ b/coriandergw/src/clock.rs
@@ -16,6 +16,11 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the time that lies `duration` earlier, or the lowest timestamp if there is none.
+    pub fn before(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration.as_micros() as u64))
+    }
+
     /// Returns the timestamp of `millis` milliseconds.
     pub fn from_millis(millis: u64) -> Self {
         Self(millis * 1_000)
--- /dev/null
+++ b/coriandergw/src/endpoint_limits/known_limits/tests.rs
@@ -0,0 +1,54 @@
+//! Tests of what an entry instance knows of limits.
+
+use crate::clock::Timestamp;
+use crate::endpoint_limits::RateLimit;
+use crate::endpoint_limits::known_limits::KnownLimits;
+use crate::ids::EndpointName;
+use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
+
+fn incarnation(started_ms: u64) -> EndpointRecord {
+    EndpointRecord {
+        id: EndpointName::try_from("a").expect("a name"),
+        service: "models".into(),
+        address: ([10, 1, 0, 1], 8_000).into(),
+        data_centre: "dc".into(),
+        slots: 4,
+        state: EndpointState::Ready,
+        started_ms,
+        sequence: 1,
+        cold_ms: 0,
+    }
+}
+
+fn limit(per_second: f64) -> Option<RateLimit> {
+    RateLimit::try_from(per_second).ok()
+}
+
+#[test]
+fn a_limit_holds_until_an_answer_of_the_incarnation_names_another_or_none() {
+    let known = KnownLimits::default();
+    let at = Timestamp::from_millis;
+    let current = |started_ms| known.get(&incarnation(started_ms)).map(|stated| stated.limit);
+    assert!(!known.note(&incarnation(5), None, at(0)));
+    assert!(known.note(&incarnation(5), limit(3.0), at(1)));
+    assert!(!known.note(&incarnation(5), limit(3.0), at(2)), "named again");
+    assert_eq!(current(5), limit(3.0));
+    assert!(known.note(&incarnation(5), limit(0.5), at(3)));
+    assert_eq!(current(5), limit(0.5));
+    assert!(known.note(&incarnation(5), None, at(4)));
+    assert_eq!(current(5), None);
+}
+
+#[test]
+fn a_limit_does_not_pass_to_another_incarnation() {
+    let known = KnownLimits::default();
+    let at = Timestamp::from_millis;
+    known.note(&incarnation(5), limit(3.0), at(0));
+    assert_eq!(known.get(&incarnation(6)), None);
+    known.note(&incarnation(6), limit(4.0), at(1));
+    assert!(!known.note(&incarnation(5), None, at(2)), "a late answer");
+    assert!(known.get(&incarnation(6)).is_some());
+    known.retain(|_| false);
+    assert_eq!(known.get(&incarnation(6)), None);
+}
--- /dev/null
+++ b/coriandergw/src/endpoint_limits/server.rs
@@ -0,0 +1,44 @@
+//! Answers requests for permits on a core instance.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use prost::Message as _;
+
+use crate::clock::Clock;
+use crate::endpoint_limits::StatedLimit;
+use crate::endpoint_limits::generated as raw;
+use crate::endpoint_limits::limiter::Limiter;
+use crate::endpoint_limits::wire;
+use crate::ids::InstanceName;
+use crate::transport::Handler;
+
+/// Grants permits to entry instances.
+pub struct PermitServer {
+    clock: Arc<dyn Clock>,
+    limiter: Mutex<Limiter>,
+}
+
+impl PermitServer {
+    /// Creates a server that knows no limits yet.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self { clock, limiter: Mutex::default() }
+    }
+}
+
+#[async_trait]
+impl Handler for PermitServer {
+    async fn handle(&self, _from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
+        let raw = raw::PermitRequest::decode(payload).map_err(|cause| cause.to_string())?;
+        let now = self.clock.now();
+        let candidates: Result<Vec<StatedLimit>, _> =
+            raw.candidates.into_iter().map(|one| wire::decode_limit(one, now)).collect();
+        let candidates = candidates.map_err(|cause| cause.to_string())?;
+        let service = Arc::from(raw.service);
+        let mut limiter = self.limiter.lock().expect("not poisoned");
+        let verdict = limiter.decide(&service, &candidates, now);
+        Ok(raw::PermitAnswer::from(verdict).encode_to_vec().into())
+    }
+}
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -156,6 +156,10 @@
     EndpointRefused = 406, Warning;
     /// An entry instance sends no more requests to an endpoint.
     EndpointUnused = 407, Info;
+    /// An endpoint named another limit of requests a second, or none any more.
+    EndpointLimited = 408, Info;
+    /// A core instance did not answer a request for a permit.
+    PermitsLost = 409, Warning;
     /// An attempt of a call failed at its endpoint.
     AttemptFailed = 403, Warning;
     /// An engine confirmed an order.
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
+use crate::endpoint_limits::client::PermitClient;
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::RequestHeaders;
 use crate::forwarding::attempt::UpstreamRequest;
@@ -83,9 +84,10 @@
     table: ArcSwapOption<RouteTable>,
     pub(super) endpoints: ArcSwap<Endpoints>,
     leaving: LeavingEndpoints,
+    pub(super) permits: PermitClient,
     /// The number of entry instances (those that serve callers) that accept requests, including
     /// this one.
-    entry_instances: AtomicUsize,
+    pub(super) entry_instances: AtomicUsize,
     /// The number of updates from the roster so far; wakes requests that wait for one.
     refreshes: watch::Sender<u64>,
     warm_up: WarmUp,
@@ -137,6 +139,7 @@
         reader: Arc<dyn ConfigReader>,
         roster: Arc<Roster>,
         budgets: BudgetClient,
+        permits: PermitClient,
         warm_up: WarmUp,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -150,6 +153,7 @@
             table: ArcSwapOption::empty(),
             endpoints: ArcSwap::default(),
             leaving: LeavingEndpoints::default(),
+            permits,
             entry_instances: AtomicUsize::new(1),
             refreshes: watch::Sender::default(),
             warm_up,
@@ -204,6 +208,7 @@
         let is_listed =
             |id: &EndpointName| self.roster.with_view(|view| view.endpoint(id).is_some());
         self.leaving.expire(is_listed, now);
+        self.permits.retain(is_listed);
         let own = self.cx.instance.as_str();
         for records in endpoints.values_mut() {
             records.retain(|record| !self.leaving.is_leaving(record));
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -10,6 +10,7 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 
+use crate::endpoint_limits::RateLimit;
 use crate::ids::EndpointName;
 
 mod attempt;
@@ -92,7 +93,7 @@
 }
 
 /// The headers of an endpoint's response, decoded by a [`HeaderCodec`].
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseHeaders {
     /// The attempt that the response belongs to, if the endpoint states it.
     pub attempt: Option<Arc<str>>,
@@ -105,6 +106,8 @@
     pub load: Option<ReportedLoad>,
     /// Whether the endpoint states that it is shutting down.
     pub is_leaving: bool,
+    /// The requests a second that the endpoint takes from all instances together, if it names them.
+    pub limit: Option<RateLimit>,
 }
 
 /// A request header that is missing or cannot be parsed.
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -1,10 +1,13 @@
 //! Sends a request, with retries, until an endpoint responds.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::StatusCode;
 use tokio::time::Instant;
 
+use crate::endpoint_limits::StatedLimit;
+use crate::endpoint_limits::limiter::Verdict;
 use crate::forwarding::attempt::Attempt;
 use crate::forwarding::attempt::Failure;
 use crate::forwarding::attempt::UpstreamRequest;
@@ -42,6 +45,20 @@
     rounds_done: u32,
     /// Whether the next attempt must open a new connection.
     new_connection_only: bool,
+    /// When the caller should come back, if limits of endpoints are the reason that none was chosen.
+    limited_for: Option<Duration>,
+}
+
+/// The endpoint chosen for an attempt.
+#[derive(Debug)]
+enum Choice {
+    /// The request may be sent to this endpoint.
+    Endpoint(EndpointRecord),
+    /// The endpoints that remain get as many requests as their limits allow; one has room after
+    /// this time.
+    Limited(Duration),
+    /// No endpoint remains.
+    Exhausted,
 }
 
 impl RetryState {
@@ -49,7 +66,10 @@
     fn start_next_round(&mut self, deadline: Instant) -> bool {
         self.rounds_done += 1;
         self.excluded.clear();
-        self.rounds_done < ROUNDS_MAX && Instant::now() + ROUND_PAUSE < deadline
+        // A limited endpoint that has no room after the pause is not worth waiting for.
+        self.rounds_done < ROUNDS_MAX
+            && Instant::now() + ROUND_PAUSE < deadline
+            && self.limited_for.is_none_or(|time| time <= ROUND_PAUSE)
     }
 }
 
@@ -94,7 +114,12 @@
         self.wait_for_endpoint(plan).await;
         let mut retries = RetryState::default();
         for attempt_number in 0..ATTEMPTS_MAX {
-            let Some(endpoint) = self.choose(plan, upstream_request, &retries.excluded) else {
+            let choice = self.choose(plan, upstream_request, &retries.excluded).await;
+            retries.limited_for = match &choice {
+                Choice::Limited(time) => Some(*time),
+                _ => None,
+            };
+            let Choice::Endpoint(endpoint) = choice else {
                 if !retries.start_next_round(plan.deadline) {
                     break;
                 }
@@ -118,7 +143,7 @@
                 break;
             }
         }
-        Err(self.no_endpoint_refusal(plan))
+        Err(self.no_endpoint_refusal(plan, retries.limited_for))
     }
 
     /// Handles the result of one attempt; returns the response if it is to be passed on.
@@ -129,10 +154,14 @@
         id: &EndpointName,
         result: Result<UpstreamResponse, Failure>,
     ) -> Result<Option<UpstreamResponse>, Refusal> {
-        if let Ok(response) = &result
-            && response.head.is_leaving
-        {
-            self.note_leaving(&response.endpoint);
+        if let Ok(response) = &result {
+            if response.head.is_leaving {
+                self.note_leaving(&response.endpoint);
+            }
+            // The endpoint that is meant has not answered if the request was misdirected.
+            if response.status != StatusCode::MISDIRECTED_REQUEST {
+                self.permits.note_answer(&response.endpoint, response.head.limit);
+            }
         }
         let required_new_connection = std::mem::take(&mut retries.new_connection_only);
         match result {
@@ -187,16 +216,22 @@
         );
     }
 
-    fn no_endpoint_refusal(&self, plan: &RequestPlan) -> Refusal {
+    /// Returns the refusal of a request that no endpoint took. `limited_for` is when to come back
+    /// if limits of endpoints are the reason.
+    fn no_endpoint_refusal(&self, plan: &RequestPlan, limited_for: Option<Duration>) -> Refusal {
         let service = &plan.service;
-        let code = match self.has_endpoints(service) {
-            true => ResultCode::Overloaded,
-            false => ResultCode::NoEndpoint,
-        };
         if plan.may_have_run {
             let message = format!("no endpoint of service {service} responded");
             return Refusal::may_have_run(ResultCode::AnswerLate, message);
         }
+        if let Some(time) = limited_for {
+            let message = format!("the endpoints of service {service} have reached their limits");
+            return Refusal::not_run(ResultCode::EndpointsLimited, message).retry_after(time);
+        }
+        let code = match self.has_endpoints(service) {
+            true => ResultCode::Overloaded,
+            false => ResultCode::NoEndpoint,
+        };
         let message = format!("no endpoint of service {service} accepted the request");
         Refusal::not_run(code, message).retry_after(TRANSIENT_RETRY_AFTER)
     }
@@ -211,15 +246,55 @@
         }
     }
 
-    fn choose(
+    /// Chooses the endpoint for an attempt: the best one that names no limit, or a better one that
+    /// a permit was granted for.
+    async fn choose(
+        &self,
+        plan: &RequestPlan,
+        upstream_request: &UpstreamRequest,
+        excluded: &[EndpointName],
+    ) -> Choice {
+        let mut limited: Vec<StatedLimit> = Vec::new();
+        let mut unlimited = None;
+        let ordered = self.order_candidates(plan, upstream_request, excluded);
+        for record in &ordered {
+            match self.permits.limit_of(record) {
+                Some(stated) => limited.push(stated),
+                None => {
+                    unlimited = Some(record);
+                    break;
+                }
+            }
+        }
+        let mut limited_for = None;
+        if !limited.is_empty() {
+            let entry_instances = self.entry_instances.load(Ordering::Relaxed);
+            match self.permits.acquire(&plan.service, &limited, entry_instances).await {
+                Verdict::Granted(position) => {
+                    if let Some(record) = ordered.get(position) {
+                        return Choice::Endpoint(record.clone());
+                    }
+                }
+                Verdict::Denied(time) => limited_for = Some(time),
+            }
+        }
+        match (unlimited, limited_for) {
+            (Some(record), _) => Choice::Endpoint(record.clone()),
+            (None, Some(time)) => Choice::Limited(time),
+            (None, None) => Choice::Exhausted,
+        }
+    }
+
+    /// Returns the endpoints that the request may be sent to, best first.
+    fn order_candidates(
         &self,
         plan: &RequestPlan,
         upstream_request: &UpstreamRequest,
         excluded: &[EndpointName],
-    ) -> Option<EndpointRecord> {
+    ) -> Vec<EndpointRecord> {
         let now = self.cx.clock.now();
         let endpoints = self.endpoints.load();
-        let known = endpoints.get(&plan.service)?;
+        let known = endpoints.get(&plan.service).map(Vec::as_slice).unwrap_or_default();
         let is_endpoint_limit_reached = plan.ran_on.len() >= plan.route.endpoints_max as usize;
         let is_allowed = |(_, record): &(usize, &EndpointRecord)| {
             !excluded.contains(&record.id)
@@ -240,7 +315,7 @@
             let affinity = upstream_request.head.affinity.as_deref().filter(|_| plan.route.sticky);
             choice::order_by_load(&mut candidates, affinity, rand::random(), now);
         }
-        candidates.into_iter().next().map(|candidate| candidate.record)
+        candidates.into_iter().map(|candidate| candidate.record).collect()
     }
 
     fn attempt(
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control;
 pub mod dev;
 pub mod dispatch;
+pub mod endpoint_limits;
 pub mod endpoints;
 pub mod events;
 pub mod follow;
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -39,6 +39,8 @@
     pub step_seconds: HistogramVec,
     /// Connections to endpoints, opened or used again.
     pub endpoint_connections: IntCounterVec,
+    /// Permits for requests to limited endpoints, by source and outcome.
+    pub permits: IntCounterVec,
     /// Partitions held and similar states, by name.
     pub states: IntGaugeVec,
     /// Messages of control traffic by kind and direction.
@@ -110,6 +112,11 @@
                 "Connections to endpoints, opened or used again",
                 &["use"],
             )?,
+            permits: counters(
+                "cgw_permits_total",
+                "Permits for requests to limited endpoints",
+                &["source", "outcome"],
+            )?,
             refusals: counters("cgw_refusals_total", "Refusals by result code", &["code"])?,
             retries: counters("cgw_retries_total", "Retries by kind of call", &["kind"])?,
             orders: counters("cgw_orders_total", "Orders to engines", &["kind", "result"])?,
--- a/coriandergw/src/result_code.rs
+++ b/coriandergw/src/result_code.rs
@@ -96,6 +96,8 @@
     NoQuorum = 2008, 503;
     /// The connection failed before the whole body of the request arrived.
     BodyIncomplete = 2009, 408;
+    /// Each endpoint of the service gets as many requests as the limit that it named.
+    EndpointsLimited = 2010, 503;
     /// The outcome of a call that must not be repeated is unknown.
     OutcomeUnknown = 3001, 502;
     /// The endpoint answered with an error.
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -10,6 +10,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::context::Context;
+use crate::endpoint_limits::server::PermitServer;
 use crate::events::EventNumber;
 use crate::events::Subject;
 use crate::ids::CONTROL_GROUP;
@@ -74,6 +75,8 @@
         base.transport.register(Kind::Roster, roster_server.clone());
         base.transport
             .register(Kind::Pulse, Arc::new(PulseHandler { roster_server: roster_server.clone() }));
+        let permit_server = PermitServer::new(base.cx.clock.clone());
+        base.transport.register(Kind::Permit, Arc::new(permit_server));
         if let Some(config_state) = last_config::read(&base.cx, &*disk) {
             roster_server.apply_config_state(config_state);
         }
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
+use crate::endpoint_limits::client::PermitClient;
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::forwarder::ConfigReader;
 use crate::forwarding::forwarder::Forwarder;
@@ -80,7 +81,9 @@
         let roster = base.roster.clone();
         let warm_up = WarmUp::new(Instant::now(), settings.warm_up);
         let cx = base.cx.clone();
-        let forwarder = Forwarder::new(cx, header_codec, reader, roster.clone(), budgets, warm_up);
+        let permits = PermitClient::new(cx.clone(), roster.clone(), base.transport.clone());
+        let forwarder =
+            Forwarder::new(cx, header_codec, reader, roster.clone(), budgets, permits, warm_up);
         base.tasks.spawn(forwarder.clone().follow_roster());
         base.tasks.spawn(announce_when_ready(roster.clone(), forwarder.clone()));
         let (phase, phases) = watch::channel(Phase::Serving);
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -14,6 +14,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::endpoint_limits::RateLimit;
 use crate::forwarding::ForwardingHeaders;
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::HeaderError;
@@ -85,6 +86,8 @@
             load: number(headers, "running")
                 .map(|running| ReportedLoad { running: running as u32, ..ReportedLoad::default() }),
             is_leaving: headers.contains_key("leaving"),
+            limit: text(headers, "limit")
+                .and_then(|value| RateLimit::try_from(value.parse::<f64>().ok()?).ok()),
         }
     }
 }
--- a/coriandergw/src/transport/mod.rs
+++ b/coriandergw/src/transport/mod.rs
@@ -45,6 +45,8 @@
     Roster = 8,
     /// Signs of life of an instance between its polls of the roster.
     Pulse = 9,
+    /// Requests for permits to send to endpoints that name a limit.
+    Permit = 10,
 }
 
 impl Kind {
@@ -59,6 +61,7 @@
         Kind::Programs,
         Kind::Roster,
         Kind::Pulse,
+        Kind::Permit,
     ];
 
     /// Returns the kind with this number on the wire.
