perf(forwarding): keep turns at one engine when a limit moves them

Change: a turn asks for a permit at its own engine only and moves to an engine without a limit; only where there is none it asks for all. The bucket of a limit holds 500 ms of its rate.

--- a/coriandergw/src/endpoint_limits/client.rs
+++ b/coriandergw/src/endpoint_limits/client.rs
@@ -77,6 +77,11 @@
         self.limits.get(endpoint)
     }
 
+    /// Returns whether an endpoint names no limit or has, as far as is known, room within it.
+    pub fn has_room(&self, endpoint: &EndpointRecord) -> bool {
+        self.limits.has_room(endpoint, self.cx.clock.now())
+    }
+
     /// Forgets the limits of endpoints for which `is_listed` does not hold.
     pub fn retain<F>(&self, is_listed: F)
     where
@@ -108,7 +113,10 @@
         };
         let outcome = match verdict {
             Verdict::Granted(_) => "granted",
-            Verdict::Denied(_) => "denied",
+            Verdict::Denied(time) => {
+                self.limits.note_full(candidates, self.cx.clock.now() + time);
+                "denied"
+            }
         };
         self.cx.metrics.permits.with_label_values(&[source, outcome]).inc();
         verdict
--- a/coriandergw/src/endpoint_limits/limiter.rs
+++ b/coriandergw/src/endpoint_limits/limiter.rs
@@ -13,7 +13,7 @@
 
 /// The permits that an endpoint accumulates while it gets fewer requests than its limit allows, as
 /// the time in which its limit allows as many; at least one.
-const BURST: Duration = Duration::from_millis(250);
+const BURST: Duration = Duration::from_millis(500);
 
 /// The longest time after which a refused request is told to come back.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
--- a/coriandergw/src/forwarding/choice.rs
+++ b/coriandergw/src/forwarding/choice.rs
@@ -143,6 +143,20 @@
     });
 }
 
+/// Returns for how many of the best candidates a permit is asked for, in one call. `unlimited` is the
+/// position of the first of the `candidates` that names no limit.
+///
+/// An engine keeps the prompts of its programs in memory. A turn that has no room at its engine
+/// therefore moves to an engine without a limit, where the coming turns have room too, and not to
+/// another limited one.
+pub fn limited_to_ask(is_engine: bool, unlimited: Option<usize>, candidates: usize) -> usize {
+    match unlimited {
+        Some(position) if is_engine => position.min(1),
+        Some(position) => position,
+        None => candidates,
+    }
+}
+
 /// Converts a finite score into an integer with the same order, since `f64` is not `Ord`.
 fn sort_key(score: f64) -> i64 {
     (score * 1_000_000.0) as i64
--- a/coriandergw/src/forwarding/reserving.rs
+++ b/coriandergw/src/forwarding/reserving.rs
@@ -78,6 +78,8 @@
         let mut candidates: Vec<EndpointCandidate> =
             known.iter().enumerate().map(|(at, record)| self.candidate(at, record)).collect();
         choice::order_engines(&mut candidates, &plan.key, None, self.cx.clock.now());
+        // An engine without room within its limit would not get the turn.
+        candidates.sort_by_key(|candidate| !self.permits.has_room(&candidate.record));
         let best = candidates.into_iter().take(PROPOSED_ENGINES_MAX);
         best.map(|candidate| candidate.record.id).collect()
     }
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -254,34 +254,27 @@
         upstream_request: &UpstreamRequest,
         excluded: &[EndpointName],
     ) -> Choice {
-        let mut limited: Vec<StatedLimit> = Vec::new();
-        let mut unlimited = None;
         let ordered = self.order_candidates(plan, upstream_request, excluded);
-        for record in &ordered {
-            match self.permits.limit_of(record) {
-                Some(stated) => limited.push(stated),
-                None => {
-                    unlimited = Some(record);
-                    break;
-                }
-            }
-        }
-        let mut limited_for = None;
-        if !limited.is_empty() {
-            let entry_instances = self.entry_instances.load(Ordering::Relaxed);
-            match self.permits.acquire(&plan.service, &limited, entry_instances).await {
-                Verdict::Granted(position) => {
-                    if let Some(record) = ordered.get(position) {
-                        return Choice::Endpoint(record.clone());
-                    }
-                }
-                Verdict::Denied(time) => limited_for = Some(time),
+        let limits: Vec<Option<StatedLimit>> =
+            ordered.iter().map(|record| self.permits.limit_of(record)).collect();
+        let unlimited = limits.iter().position(Option::is_none);
+        let asked = choice::limited_to_ask(plan.is_engine, unlimited, limits.len());
+        let asked: Vec<StatedLimit> = limits.into_iter().take(asked).flatten().collect();
+        let verdict = match asked.is_empty() {
+            true => None,
+            false => {
+                let entry_instances = self.entry_instances.load(Ordering::Relaxed);
+                Some(self.permits.acquire(&plan.service, &asked, entry_instances).await)
             }
-        }
-        match (unlimited, limited_for) {
+        };
+        let chosen = match verdict {
+            Some(Verdict::Granted(position)) => Some(position),
+            _ => unlimited,
+        };
+        match (chosen.and_then(|position| ordered.get(position)), verdict) {
             (Some(record), _) => Choice::Endpoint(record.clone()),
-            (None, Some(time)) => Choice::Limited(time),
-            (None, None) => Choice::Exhausted,
+            (None, Some(Verdict::Denied(time))) => Choice::Limited(time),
+            (None, _) => Choice::Exhausted,
         }
     }
 
