fix(forwarding): close connections that send bytes without content

Cause: the HTTP parser limits heads, extensions and trailers, but skips interim responses and leading zeros of a chunk's size without a limit. Such a request ended at its deadline of 20 s with 504 and was never sent elsewhere.

Evidence: the new test of malformed answers failed for the chunk size (504 instead of the answer of the repeated request).

Change: a connection to an endpoint fails once 2 MiB were read since the last head or content. All eight kinds of malformed answers in the tests are now cut off, and the request is repeated or, where it must not be, answered with 502.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -4,12 +4,14 @@
 
 use bytes::Bytes;
 use derive_more::Display;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::Uri;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -61,7 +63,7 @@
 pub(super) struct UpstreamResponse {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
-    pub(super) body: Incoming,
+    body: Incoming,
     pub(super) head: ResponseHeaders,
     pub(super) endpoint: EndpointRecord,
     connection: Connection,
@@ -75,6 +77,13 @@
         self.connection.is_reused
     }
 
+    /// Reads the next part of the body; `None` at its end.
+    pub(super) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        let frame = self.body.frame().await;
+        self.connection.unproductive.reset();
+        frame
+    }
+
     /// Returns the connection to the pool after the whole response has been read.
     pub(super) fn finish(self, pool: &Pool, now: Timestamp) {
         if !self.closes_connection {
@@ -117,6 +126,7 @@
             None => pool::connect(*address).await.map_err(|cause| not_sent(cause, false))?,
         };
         let req = self.build_request(upstream_request, id)?;
+        connection.unproductive.reset();
         let sending = connection.sender.try_send_request(req);
         let sent = tokio::time::timeout_at(self.head_deadline, sending).await;
         let response = match sent {
@@ -130,6 +140,7 @@
             }
             Ok(Ok(response)) => response,
         };
+        connection.unproductive.reset();
         let (parts, body) = response.into_parts();
         let head = self.header_codec.read_response(parts.status, &parts.headers);
         match &head.attempt {
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::Request;
@@ -411,7 +412,7 @@
             if length.is_some_and(|length| length > BUFFERED_RESPONSE_MAX_BYTES) {
                 return Ok(relay::pass_through(self, plan, response));
             }
-            let collecting = collect(&mut response.body);
+            let collecting = collect(&mut response);
             let collected = tokio::time::timeout_at(plan.deadline, collecting).await;
             let reason = match collected {
                 Ok(Ok(body)) => {
@@ -440,8 +441,14 @@
     }
 }
 
-async fn collect(body: &mut Incoming) -> Result<Bytes, hyper::Error> {
-    Ok(body.collect().await?.to_bytes())
+async fn collect(response: &mut UpstreamResponse) -> Result<Bytes, hyper::Error> {
+    let mut body = BytesMut::new();
+    while let Some(frame) = response.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            body.unsplit(BytesMut::from(data));
+        }
+    }
+    Ok(body.freeze())
 }
 
 fn host_of(req: &Request<Incoming>) -> String {
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 use crate::ids::EndpointName;
 
 mod attempt;
+mod bounded_reader;
 pub mod choice;
 mod events;
 pub mod forwarder;
--- a/coriandergw/src/forwarding/pool.rs
+++ b/coriandergw/src/forwarding/pool.rs
@@ -18,6 +18,8 @@
 use tokio::task::AbortHandle;
 
 use crate::clock::Timestamp;
+use crate::forwarding::bounded_reader::BoundedReader;
+use crate::forwarding::bounded_reader::UnproductiveBytes;
 use crate::ids::EndpointName;
 
 /// The timeout for opening a connection: enough for several round trips between data centres.
@@ -55,6 +57,8 @@
     /// How long the endpoint keeps the connection open while idle.
     pub(super) keep_alive: Duration,
     pub(super) is_reused: bool,
+    /// What was read since the last head or content.
+    pub(super) unproductive: UnproductiveBytes,
 }
 
 impl Drop for Connection {
@@ -146,7 +150,9 @@
         .with_time(KEEPALIVE_PROBE_INTERVAL)
         .with_interval(KEEPALIVE_PROBE_INTERVAL);
     socket.set_tcp_keepalive(&probes)?;
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let unproductive = UnproductiveBytes::default();
+    let reader = BoundedReader::new(stream, unproductive.clone());
+    let handshake = http1::Builder::new().handshake(TokioIo::new(reader)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     let driver = tokio::spawn(async move {
         if let Err(cause) = connection.await {
@@ -154,7 +160,8 @@
         }
     });
     let driver = driver.abort_handle();
-    Ok(Connection { sender, driver, keep_alive: IDLE_TIMEOUT, is_reused: false })
+    let (keep_alive, is_reused) = (IDLE_TIMEOUT, false);
+    Ok(Connection { sender, driver, keep_alive, is_reused, unproductive })
 }
 
 /// The pool, shared between the requests of an instance.
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -87,7 +87,7 @@
                 return StreamStep::End;
             };
             let deadline = self.plan.deadline;
-            let frame = tokio::time::timeout_at(deadline, response.body.frame()).await;
+            let frame = tokio::time::timeout_at(deadline, response.frame()).await;
             let failure = match frame {
                 Err(_) => return self.deadline_passed(),
                 Ok(None) if !self.splitter.has_partial_event() => return self.finish(),
@@ -182,7 +182,7 @@
     let deadline = plan.deadline;
     let frames = stream::unfold(Some((forwarder, response)), move |state| async move {
         let (forwarder, mut response) = state?;
-        match tokio::time::timeout_at(deadline, response.body.frame()).await {
+        match tokio::time::timeout_at(deadline, response.frame()).await {
             Ok(Some(Ok(frame))) => Some((Ok(frame), Some((forwarder, response)))),
             Ok(Some(Err(cause))) => Some((Err(BodyError::from(cause)), None)),
             Err(_) => Some((Err(BodyError::from("the deadline of the request has passed")), None)),
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -4,6 +4,7 @@
 mod budgets;
 mod directory;
 mod dishonest;
+mod endless;
 mod endpoint;
 mod groups;
 mod leaving;
--- a/coriandergw/src/roles/tests/endpoint.rs
+++ b/coriandergw/src/roles/tests/endpoint.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -34,6 +36,8 @@
 /// One step of an endpoint's response to a request.
 pub enum Step {
     Send(Vec<u8>),
+    /// Sends the bytes again and again until the peer closes the connection.
+    Flood(Vec<u8>),
     /// Sends nothing for a while.
     Wait(Duration),
     /// Resets the connection.
@@ -52,6 +56,7 @@
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Seen>>>,
     closed: Arc<Mutex<usize>>,
+    flooded: Arc<AtomicUsize>,
 }
 
 impl Endpoint {
@@ -61,7 +66,7 @@
     {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let address = listener.local_addr().expect("address");
-        let endpoint = Self { address, seen: Arc::default(), closed: Arc::default() };
+        let endpoint = Self::at(address);
         let (served, script): (Self, Arc<Script>) = (endpoint.clone(), Arc::new(script));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -75,6 +80,11 @@
         endpoint
     }
 
+    fn at(address: SocketAddr) -> Self {
+        let (seen, closed, flooded) = (Arc::default(), Arc::default(), Arc::default());
+        Self { address, seen, closed, flooded }
+    }
+
     /// Starts an endpoint that accepts one connection and then stops listening.
     pub async fn start_once<F>(script: F) -> Self
     where
@@ -82,7 +92,7 @@
     {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let address = listener.local_addr().expect("address");
-        let endpoint = Self { address, seen: Arc::default(), closed: Arc::default() };
+        let endpoint = Self::at(address);
         let (served, script): (Self, Arc<Script>) = (endpoint.clone(), Arc::new(script));
         tokio::spawn(async move {
             if let Ok((stream, _)) = listener.accept().await {
@@ -102,6 +112,11 @@
         *self.closed.lock().expect("not poisoned")
     }
 
+    /// Returns how many bytes [`Step::Flood`] has written.
+    pub fn flooded(&self) -> usize {
+        self.flooded.load(Ordering::Relaxed)
+    }
+
     async fn serve(&self, mut stream: TcpStream, script: Arc<Script>) {
         let mut buf = BytesMut::new();
         while let Some(request) = read_request(&mut stream, &mut buf).await {
@@ -117,6 +132,12 @@
                             return;
                         }
                     }
+                    Step::Flood(bytes) => {
+                        while stream.write_all(&bytes).await.is_ok() {
+                            self.flooded.fetch_add(bytes.len(), Ordering::Relaxed);
+                        }
+                        return;
+                    }
                     Step::Wait(pause) => tokio::time::sleep(pause).await,
                     Step::Close => return,
                     Step::Reset => {
