fix(forwarding): bound the part of an answer without length that is buffered

An endpoint that sends a body without length and without end would have exhausted the memory of the entry instance (88 MB on the smallest), and with it every request under way there.

Cause: an answer is buffered so that the request can be repeated until it is whole, up to 1 MiB if its length is stated, without a limit otherwise.

Evidence: the new test failed; 529 MB were taken from the endpoint in two seconds for a caller that read nothing.

Change: beyond 1 MiB the answer is passed through as it comes, as those with a stated length are. It then waits for its caller and ends with the deadline or with the caller's connection. A long answer that does end still arrives whole, which a second test shows.

--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -398,8 +398,7 @@
     /// Runs a request with a response that is not a stream.
     ///
     /// The response is buffered, so that the request can be retried until the response is complete.
-    /// A response whose `Content-Length` exceeds [`BUFFERED_RESPONSE_MAX_BYTES`] is passed through
-    /// instead; one without that header is buffered regardless of its size.
+    /// A response that exceeds [`BUFFERED_RESPONSE_MAX_BYTES`] is passed through instead.
     async fn run_buffered(
         self: Arc<Self>,
         plan: &mut RequestPlan,
@@ -410,12 +409,15 @@
             let length = response.headers.get(header::CONTENT_LENGTH);
             let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
             if length.is_some_and(|length| length > BUFFERED_RESPONSE_MAX_BYTES) {
-                return Ok(relay::pass_through(self, plan, response));
+                return Ok(relay::pass_through(self, plan, response, Bytes::new()));
             }
             let collecting = collect(&mut response);
             let collected = tokio::time::timeout_at(plan.deadline, collecting).await;
             let reason = match collected {
-                Ok(Ok(body)) => {
+                Ok(Ok(Collected::Beginning(beginning))) => {
+                    return Ok(relay::pass_through(self, plan, response, beginning));
+                }
+                Ok(Ok(Collected::Whole(body))) => {
                     plan.report.ended(&self.cx, &response, 0);
                     return Ok(self.buffered_response(response, body));
                 }
@@ -441,14 +443,24 @@
     }
 }
 
-async fn collect(response: &mut UpstreamResponse) -> Result<Bytes, hyper::Error> {
+/// The part of a response body that was read.
+enum Collected {
+    Whole(Bytes),
+    /// The beginning of a body that exceeds [`BUFFERED_RESPONSE_MAX_BYTES`].
+    Beginning(Bytes),
+}
+
+async fn collect(response: &mut UpstreamResponse) -> Result<Collected, hyper::Error> {
     let mut body = BytesMut::new();
     while let Some(frame) = response.frame().await {
         if let Ok(data) = frame?.into_data() {
-            body.unsplit(BytesMut::from(data));
+            body.extend_from_slice(&data);
+        }
+        if body.len() as u64 > BUFFERED_RESPONSE_MAX_BYTES {
+            return Ok(Collected::Beginning(body.freeze()));
         }
     }
-    Ok(body.freeze())
+    Ok(Collected::Whole(body.freeze()))
 }
 
 fn host_of(req: &Request<Incoming>) -> String {
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use futures_util::stream;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
@@ -50,7 +51,7 @@
         turn: Option<TurnGuard>,
     ) -> Response<ResponseBody> {
         if response.status != StatusCode::OK {
-            return pass_through(forwarder, plan, response);
+            return pass_through(forwarder, plan, response, Bytes::new());
         }
         let (status, mut headers) = (response.status, response.headers.clone());
         headers.remove(header::CONTENT_LENGTH);
@@ -171,16 +172,19 @@
     }
 }
 
-/// Passes an endpoint's response on unchanged, without inspecting its body.
+/// Passes an endpoint's response on unchanged, without inspecting its body. `beginning` is the part
+/// of the body that has already been read.
 pub(super) fn pass_through(
     forwarder: Arc<Forwarder>,
     plan: &mut RequestPlan,
     response: UpstreamResponse,
+    beginning: Bytes,
 ) -> Response<ResponseBody> {
     plan.report.ended(&forwarder.cx, &response, 0);
     let (status, headers) = (response.status, response.headers.clone());
     let deadline = plan.deadline;
-    let frames = stream::unfold(Some((forwarder, response)), move |state| async move {
+    let first = (!beginning.is_empty()).then(|| Ok(Frame::data(beginning)));
+    let rest = stream::unfold(Some((forwarder, response)), move |state| async move {
         let (forwarder, mut response) = state?;
         match tokio::time::timeout_at(deadline, response.frame()).await {
             Ok(Some(Ok(frame))) => Some((Ok(frame), Some((forwarder, response)))),
@@ -193,6 +197,7 @@
             }
         }
     });
+    let frames = stream::iter(first).chain(rest);
     let mut res = Response::new(StreamBody::new(frames).boxed_unsync());
     *res.status_mut() = status;
     *res.headers_mut() = headers;
--- a/coriandergw/src/roles/tests/endless.rs
+++ b/coriandergw/src/roles/tests/endless.rs
@@ -141,6 +141,17 @@
 }
 
 // Guards against an instance whose memory grows with a body that does not end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_without_length_and_end_is_not_kept_in_memory() {
+    let endpoint = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        vec![Step::Send(signed_head(&attempt, "")), Step::Flood(b"x".repeat(4_096))]
+    })
+    .await;
+    let taken = taken_for_a_caller_that_does_not_read("/safe/x", &endpoint).await;
+    assert!(taken <= TAKEN_MAX_BYTES, "{taken} bytes");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_event_without_end_is_not_kept_in_memory() {
     let endpoint = Endpoint::start(|_, seen| {
@@ -165,3 +176,19 @@
     let taken = taken_for_a_caller_that_does_not_read("/fragile/x", &endpoint).await;
     assert!(taken <= TAKEN_MAX_BYTES, "{taken} bytes");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_body_without_length_that_ends_is_passed_on_whole() {
+    const LENGTH: usize = 3 << 20;
+    let endpoint = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        vec![Step::Send(signed_head(&attempt, "")), Step::Send(b"x".repeat(LENGTH)), Step::Close]
+    })
+    .await;
+    let world = World::start().await;
+    world.announce("a", "plain", &endpoint).await;
+    let reply = world.ask(&get("/safe/x", "t1", "")).await;
+    let body = reply.split_once("\r\n\r\n").map(|(_, body)| body).unwrap_or_default();
+    assert_eq!(body.matches('x').count(), LENGTH);
+    assert!(reply.ends_with("\r\n0\r\n\r\n"), "the end of the body is missing");
+}
