fix(roles): acknowledge departures only once another core instance has a copy

Cause: a departure was acknowledged before any other process knew of it. Changes are sent to the others some milliseconds later; a core instance that lost power in between took the departure with it, and its endpoint sends it only once.

Change: a core instance waits, at most 300 ms, until a poll of another core instance shows that it has received the change; the other one keeps departures already.

Evidence: with the wait taken out, a_departure_is_copied_to_another_core_instance_before_it_is_acknowledged fails ("no other instance has it"); with it, it passes.

--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -27,6 +27,8 @@
 use crate::roles::last_config;
 use crate::roles::load_or_create_name;
 use crate::roles::open_disk;
+use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
 use crate::roster::Presence;
 use crate::roster::Role;
 use crate::roster::poller::Roster;
@@ -133,21 +135,34 @@
         })
     }
 
-    /// Records the departure of an endpoint. `started_ms` is the start time of the departing
-    /// incarnation in milliseconds since the Unix epoch, if the endpoint stated it.
+    /// Records the departure of an endpoint and waits for a copy at another core instance.
+    /// `started_ms` is the start time of the departing incarnation in milliseconds since the Unix
+    /// epoch, if the endpoint stated it.
     ///
     /// The endpoint may have announced itself to other core instances only, so what they publish of
     /// it counts too.
     ///
     /// # Errors
     /// Fails if no reachable core instance has heard of the endpoint.
-    pub fn depart(
+    pub async fn depart(
         &self,
         id: &EndpointName,
         started_ms: Option<u64>,
     ) -> Result<(), UnknownEndpoint> {
         let published = self.roster.with_view(|view| view.endpoint(id).cloned());
-        self.roster_server.depart(id, started_ms, published)
+        self.roster_server.depart(id, started_ms, published)?;
+        self.roster_server.wait_for_copy().await;
+        Ok(())
+    }
+
+    /// Records the announcement of an endpoint; if the endpoint is leaving, waits for a copy at
+    /// another core instance.
+    pub async fn announce(&self, record: EndpointRecord) {
+        let is_leaving = record.state != EndpointState::Ready;
+        self.roster_server.announce(record);
+        if is_leaving {
+            self.roster_server.wait_for_copy().await;
+        }
     }
 
     /// Announces that this instance is leaving, stops its log node and releases the data folder.
--- a/coriandergw/src/roles/tests/groups.rs
+++ b/coriandergw/src/roles/tests/groups.rs
@@ -117,7 +117,7 @@
     cores[0].roster_server.announce(record(&id, "plain", ([10, 0, 0, 1], 80).into()));
     let is_known = || cores[1].roster.with_view(|view| view.endpoint(&id).is_some());
     wait_for("the endpoint at the second core instance", is_known).await;
-    cores[1].depart(&id, None).expect("the endpoint is known");
+    cores[1].depart(&id, None).await.expect("the endpoint is known");
     wait_until_gone(&cores, &id, 1).await;
 }
 
@@ -137,7 +137,7 @@
         known.is_some_and(|one| one.started_ms == 2)
     };
     wait_for("the later incarnation at the second core instance", knows_later).await;
-    cores[1].depart(&id, None).expect("the endpoint is known");
+    cores[1].depart(&id, None).await.expect("the endpoint is known");
     wait_until_gone(&cores, &id, 2).await;
 }
 
@@ -146,8 +146,8 @@
     let mut site = Site::new(1, 0).await;
     let core = CoreProcess::start(&site.machine(true).settings).await.expect("starts");
     let id = EndpointName::try_from("a").expect("a name");
-    assert!(core.depart(&id, None).is_err());
-    assert!(core.depart(&id, Some(5)).is_err());
+    assert!(core.depart(&id, None).await.is_err());
+    assert!(core.depart(&id, Some(5)).await.is_err());
 }
 
 fn voters(roster: &Roster) -> Vec<InstanceName> {
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -17,6 +17,7 @@
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
 use crate::roster::Presence;
+use crate::roster::Role;
 use crate::roster::generated as raw;
 use crate::roster::state::Audience;
 use crate::roster::state::ConfigState;
@@ -34,6 +35,10 @@
 /// How often endpoints and instances are checked for silence.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How long an acknowledgement waits for a copy at another core instance: several round trips
+/// between data centres.
+const COPY_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The roster state of this core instance, with notification of polls that wait for changes.
 pub struct RosterServer {
     cx: Context,
@@ -41,6 +46,8 @@
     is_directory: bool,
     roster: Mutex<RosterState>,
     changed: watch::Sender<LastChanges>,
+    /// The highest change number that any other core instance has received.
+    copied: watch::Sender<u64>,
 }
 
 impl RosterServer {
@@ -59,7 +66,8 @@
         let roster = Mutex::new(RosterState::new(endpoint_silence, cx.clock.now()));
         // The start time distinguishes successive processes at the same address.
         let start = cx.clock.wall().0.max(1);
-        Arc::new(Self { cx, start, is_directory, roster, changed: watch::Sender::default() })
+        let (changed, copied) = (watch::Sender::default(), watch::Sender::default());
+        Arc::new(Self { cx, start, is_directory, roster, changed, copied })
     }
 
     fn with_state<T, F>(&self, action: F) -> T
@@ -113,6 +121,35 @@
         recorded.map(|_| ())
     }
 
+    /// Waits until another core instance has received all changes up to now. Returns at once if this
+    /// one hears no other, and after [`COPY_TIMEOUT`] in any case.
+    ///
+    /// What is acknowledged without a copy is lost with this instance.
+    pub async fn wait_for_copy(&self) {
+        let own = &self.cx.instance;
+        let (number, has_others) =
+            self.with_state(|roster| (roster.last_change(), roster.hears_other_cores(own)));
+        if !has_others {
+            return;
+        }
+        let mut copied = self.copied.subscribe();
+        let is_copied = copied.wait_for(|highest| *highest >= number);
+        if tokio::time::timeout(COPY_TIMEOUT, is_copied).await.is_err() {
+            let detail = format!("acknowledged without a copy of change {number}");
+            self.cx.events.record(EventNumber::EndpointLeaving, Subject::default(), detail);
+        }
+    }
+
+    fn note_copy(&self, from: &InstanceName, role: Option<Role>, poll: &raw::Poll) {
+        if role == Some(Role::Core) && *from != self.cx.instance && poll.core_start == self.start {
+            self.copied.send_if_modified(|highest| {
+                let is_higher = poll.cursor > *highest;
+                *highest = poll.cursor.max(*highest);
+                is_higher
+            });
+        }
+    }
+
     /// Applies the configuration state of the control group; returns whether anything changed.
     pub fn apply_config_state(&self, config_state: ConfigState) -> bool {
         self.with_state(|roster| roster.apply_config_state(config_state))
@@ -224,6 +261,7 @@
                 self.with_state(|roster| roster.note_alive(from, now))
             }
         };
+        self.note_copy(from, role, &poll);
         // A process of unknown role gets everything, since its cursor advances with this response.
         let audience = role.map_or(Audience::AddressSource, Audience::from);
         if role.is_some() {
@@ -234,3 +272,6 @@
         Ok(answer.encode_to_vec().into())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -217,6 +217,15 @@
         self.instances.values().filter(|entry| accepts(&entry.value)).count()
     }
 
+    /// Returns whether any core instance other than `own` is heard.
+    pub fn hears_other_cores(&self, own: &InstanceName) -> bool {
+        let is_other = |reported: &ReportedPresence| {
+            let presence = &reported.presence;
+            reported.heard && presence.role == Role::Core && presence.name != *own
+        };
+        self.instances.values().any(|entry| is_other(&entry.value))
+    }
+
     /// Returns the last applied state of the control group.
     pub fn config_state(&self) -> &ConfigState {
         &self.config_state
