--- a/coriandergw/src/log_groups/core/tests.rs
+++ b/coriandergw/src/log_groups/core/tests.rs
@@ -251,3 +251,31 @@
     simulation.run(&Action::AdvanceTime { slots: 200 });
     assert!(simulation.is_voter(new) && !simulation.is_voter(old));
 }
+
+// Guards against the loss of an acknowledged command when a disk is lost and all other members
+// lose power at the same moment.
+#[test]
+fn an_acknowledged_command_survives_a_lost_log_and_the_loss_of_power_of_all_others() {
+    for seed in 0..300 {
+        let mut simulation = Simulation::without_leases(seed);
+        simulation.run(&Action::AdvanceTime { slots: 100 });
+        simulation.run(&Action::Propose);
+        let slots = 1 + (seed % 9) as u8;
+        simulation.run(&Action::AdvanceTime { slots });
+        let lost = (seed % 3) as usize;
+        simulation.run(&Action::LoseLog { member: lost });
+        for member in (0..NAMES.len()).filter(|member| *member != lost) {
+            simulation.run(&Action::Crash { member });
+        }
+        for member in 0..NAMES.len() {
+            simulation.run(&Action::Restart { member });
+        }
+        // Each step checks that a leader holds what was acknowledged.
+        simulation.run(&Action::AdvanceTime { slots: 200 });
+        assert!(simulation.leader().is_some_and(|leader| leader != lost), "seed {seed}");
+        let before = simulation.acknowledged();
+        simulation.run(&Action::Propose);
+        simulation.run(&Action::AdvanceTime { slots: 40 });
+        assert!(simulation.acknowledged() > before, "seed {seed}");
+    }
+}
