feat(roster): publish the limits that endpoints name to all instances

What callers saw: nothing; with 176 instances each one could send an endpoint in need its first requests before it had heard of the limit.

Change: the core instance that grants permits publishes a changed limit with the roster, with its age, since clocks differ. A process takes the newest statement of the latest incarnation. An entry instance keeps what it heard from the endpoint itself later, also that the endpoint names no limit any more.

Evidence: an_instance_without_traffic_to_an_endpoint_learns_its_limit, a_limit_is_published_when_it_changes_and_the_newest_one_counts, and a_limit_that_another_instance_heard_holds_until_an_own_answer_says_otherwise.

--- a/coriandergw/src/endpoint_limits/client.rs
+++ b/coriandergw/src/endpoint_limits/client.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Records the limits that endpoints named to other instances.
+    pub fn learn(&self, published: &[StatedLimit]) {
+        published.iter().for_each(|stated| self.limits.learn(stated));
+    }
+
     /// Returns the limit that this incarnation of an endpoint named, if it still does.
     pub fn limit_of(&self, endpoint: &EndpointRecord) -> Option<StatedLimit> {
         self.limits.get(endpoint)
--- a/coriandergw/src/endpoint_limits/known_limits.rs
+++ b/coriandergw/src/endpoint_limits/known_limits.rs
@@ -11,12 +11,15 @@
 
 #[derive(Debug)]
 struct Known {
-    stated: StatedLimit,
+    started_ms: u64,
+    /// `None` once an answer has named no limit any more.
+    limit: Option<RateLimit>,
+    stated_at: Timestamp,
     /// When the endpoint has room again, as the last refusal of a permit said.
     full_until: Timestamp,
 }
 
-/// The limits that endpoints named in their answers to this instance.
+/// The limits that endpoints named in their answers to this instance, or to others.
 #[derive(Debug, Default)]
 pub struct KnownLimits {
     known: Mutex<HashMap<EndpointName, Known>>,
@@ -32,26 +35,52 @@
         now: Timestamp,
     ) -> bool {
         let mut known = self.known.lock().expect("not poisoned");
-        let before = known.get(&endpoint.id).map(|one| (one.stated.started_ms, one.stated.limit));
-        if before.is_some_and(|(started_ms, _)| started_ms > endpoint.started_ms) {
+        let started_ms = endpoint.started_ms;
+        match known.get_mut(&endpoint.id) {
             // A late answer of an earlier incarnation.
-            return false;
+            Some(one) if one.started_ms > started_ms => false,
+            Some(one) => {
+                let is_same = one.started_ms == started_ms;
+                let is_changed = one.limit != limit || !is_same;
+                let full_until = if is_same { one.full_until } else { now };
+                *one = Known { started_ms, limit, stated_at: now, full_until };
+                is_changed
+            }
+            None if limit.is_none() => false,
+            None => {
+                let new = Known { started_ms, limit, stated_at: now, full_until: now };
+                known.insert(endpoint.id.clone(), new);
+                true
+            }
         }
-        let Some(limit) = limit else {
-            return known.remove(&endpoint.id).is_some();
-        };
-        let (id, started_ms) = (endpoint.id.clone(), endpoint.started_ms);
-        let stated = StatedLimit { endpoint: id.clone(), started_ms, limit, stated_at: now };
-        let full_until = known.get(&id).map_or(now, |one| one.full_until);
-        known.insert(id, Known { stated, full_until });
-        before != Some((started_ms, limit))
+    }
+
+    /// Records a limit that an endpoint named to another instance, unless this one has heard the
+    /// endpoint later.
+    pub fn learn(&self, stated: &StatedLimit) {
+        let mut known = self.known.lock().expect("not poisoned");
+        let is_older =
+            |one: &Known| (one.started_ms, one.stated_at) >= (stated.started_ms, stated.stated_at);
+        let before = known.get(&stated.endpoint);
+        if before.is_some_and(is_older) {
+            return;
+        }
+        let full_until = before.map_or(stated.stated_at, |one| one.full_until);
+        let (started_ms, stated_at) = (stated.started_ms, stated.stated_at);
+        let new = Known { started_ms, limit: Some(stated.limit), stated_at, full_until };
+        known.insert(stated.endpoint.clone(), new);
     }
 
     /// Returns the limit that this incarnation of an endpoint named, if it still does.
     pub fn get(&self, endpoint: &EndpointRecord) -> Option<StatedLimit> {
         let known = self.known.lock().expect("not poisoned");
-        let stated = &known.get(&endpoint.id)?.stated;
-        (stated.started_ms == endpoint.started_ms).then(|| stated.clone())
+        let one = known.get(&endpoint.id).filter(|one| one.started_ms == endpoint.started_ms)?;
+        Some(StatedLimit {
+            endpoint: endpoint.id.clone(),
+            started_ms: one.started_ms,
+            limit: one.limit?,
+            stated_at: one.stated_at,
+        })
     }
 
     /// Records that the endpoints have no room until `until`.
@@ -67,8 +96,9 @@
     /// Returns whether an endpoint names no limit or has, as far as is known, room within it.
     pub fn has_room(&self, endpoint: &EndpointRecord, now: Timestamp) -> bool {
         let known = self.known.lock().expect("not poisoned");
-        let is_full =
-            |one: &Known| one.stated.started_ms == endpoint.started_ms && now < one.full_until;
+        let is_full = |one: &Known| {
+            one.started_ms == endpoint.started_ms && one.limit.is_some() && now < one.full_until
+        };
         !known.get(&endpoint.id).is_some_and(is_full)
     }
 
--- a/coriandergw/src/endpoint_limits/known_limits/tests.rs
+++ b/coriandergw/src/endpoint_limits/known_limits/tests.rs
@@ -6,6 +6,7 @@
 use crate::ids::EndpointName;
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
+use crate::test_support::stated_limit;
 
 fn incarnation(started_ms: u64) -> EndpointRecord {
     EndpointRecord {
@@ -52,3 +53,31 @@
     known.retain(|_| false);
     assert_eq!(known.get(&incarnation(6)), None);
 }
+
+// Guards against a burst that moves to an endpoint in need from instances without traffic to it.
+#[test]
+fn a_limit_that_another_instance_heard_holds_until_an_own_answer_says_otherwise() {
+    let known = KnownLimits::default();
+    let at = Timestamp::from_millis;
+    known.learn(&stated_limit("a", 5, 3.0, 100));
+    assert_eq!(known.get(&incarnation(5)).map(|one| one.limit), limit(3.0));
+    assert!(known.note(&incarnation(5), None, at(200)));
+    known.learn(&stated_limit("a", 5, 3.0, 150));
+    assert_eq!(known.get(&incarnation(5)), None, "heard before the own answer");
+    known.learn(&stated_limit("a", 5, 4.0, 300));
+    assert_eq!(known.get(&incarnation(5)).map(|one| one.limit), limit(4.0));
+    known.learn(&stated_limit("a", 4, 1.0, 400));
+    assert!(known.get(&incarnation(5)).is_some(), "an earlier incarnation");
+}
+
+#[test]
+fn an_endpoint_is_full_until_the_time_that_a_refusal_named() {
+    let known = KnownLimits::default();
+    let at = Timestamp::from_millis;
+    known.note(&incarnation(5), limit(3.0), at(0));
+    assert!(known.has_room(&incarnation(5), at(0)));
+    known.note_full(&[stated_limit("a", 5, 3.0, 0)], at(300));
+    assert!(!known.has_room(&incarnation(5), at(299)));
+    assert!(known.has_room(&incarnation(5), at(300)));
+    assert!(known.has_room(&incarnation(6), at(0)), "another incarnation");
+}
--- a/coriandergw/src/endpoint_limits/limiter/tests.rs
+++ b/coriandergw/src/endpoint_limits/limiter/tests.rs
@@ -11,7 +11,7 @@
 use crate::endpoint_limits::limiter::Limiter;
 use crate::endpoint_limits::limiter::RETRY_AFTER_MAX;
 use crate::endpoint_limits::limiter::Verdict;
-use crate::endpoint_limits::tests::stated;
+use crate::test_support::stated_limit;
 
 /// The requests of a window of four seconds that a limit allows: one and a half times what it
 /// grants, and five.
@@ -43,8 +43,8 @@
                 continue;
             }
             let (limit, granted) = match at < 16_000 {
-                true => (stated("a", 1, per_second, 1), &mut before),
-                false => (stated("a", 1, per_second / 2.0, 16_000), &mut after),
+                true => (stated_limit("a", 1, per_second, 1), &mut before),
+                false => (stated_limit("a", 1, per_second / 2.0, 16_000), &mut after),
             };
             let now = Timestamp::from_millis(at);
             if limiter.decide(&models(), &[limit], now) == Verdict::Granted(0) {
@@ -62,7 +62,7 @@
 #[test]
 fn a_hand_over_between_core_instances_keeps_the_limit() {
     for per_second in [0.5, 3.1, 20.0] {
-        let limit = stated("a", 1, per_second, 0);
+        let limit = stated_limit("a", 1, per_second, 0);
         let mut limiters = [Limiter::default(), Limiter::default()];
         let mut granted = Vec::new();
         for at in 0..12_000 {
@@ -85,7 +85,7 @@
 #[test]
 fn a_request_goes_to_the_first_candidate_with_room() {
     let mut limiter = Limiter::default();
-    let candidates = [stated("a", 1, 2.0, 0), stated("b", 1, 2.0, 0)];
+    let candidates = [stated_limit("a", 1, 2.0, 0), stated_limit("b", 1, 2.0, 0)];
     let decide = |limiter: &mut Limiter, at| {
         limiter.decide(&models(), &candidates, Timestamp::from_millis(at))
     };
@@ -99,7 +99,7 @@
 #[test]
 fn callers_that_are_refused_are_told_to_come_back_one_after_the_other() {
     let mut limiter = Limiter::default();
-    let limit = [stated("a", 1, 4.0, 0)];
+    let limit = [stated_limit("a", 1, 4.0, 0)];
     let now = Timestamp::from_millis(0);
     let mut delays = Vec::new();
     for _ in 0..40 {
@@ -121,13 +121,13 @@
 fn the_newest_statement_of_the_latest_incarnation_counts() {
     let mut limiter = Limiter::default();
     let at = Timestamp::from_millis;
-    let newer = [stated("a", 1, 10.0, 900)];
+    let newer = [stated_limit("a", 1, 10.0, 900)];
     assert!(matches!(limiter.decide(&models(), &newer, at(1_000)), Verdict::Denied(_)));
     // An instance that has an older statement is granted what the newer one allows.
-    let older = [stated("a", 1, 0.5, 100)];
+    let older = [stated_limit("a", 1, 0.5, 100)];
     assert_eq!(limiter.decide(&models(), &older, at(1_100)), Verdict::Granted(0));
     // A later incarnation starts anew, and the earlier one gets nothing any more.
-    let later = [stated("a", 2, 10.0, 1_200)];
+    let later = [stated_limit("a", 2, 10.0, 1_200)];
     assert!(matches!(limiter.decide(&models(), &later, at(1_200)), Verdict::Denied(_)));
     assert!(matches!(limiter.decide(&models(), &newer, at(1_400)), Verdict::Denied(_)));
     assert_eq!(limiter.decide(&models(), &later, at(1_400)), Verdict::Granted(0));
--- a/coriandergw/src/endpoint_limits/mod.rs
+++ b/coriandergw/src/endpoint_limits/mod.rs
@@ -81,6 +81,14 @@
     pub stated_at: Timestamp,
 }
 
+impl StatedLimit {
+    /// Returns whether this statement replaces `old` of the same endpoint: a later incarnation, or a
+    /// later answer.
+    pub fn supersedes(&self, old: &StatedLimit) -> bool {
+        (self.started_ms, self.stated_at) > (old.started_ms, old.stated_at)
+    }
+}
+
 /// A field of a received message on limits is invalid.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Display, Error)]
--- a/coriandergw/src/endpoint_limits/own_share/tests.rs
+++ b/coriandergw/src/endpoint_limits/own_share/tests.rs
@@ -2,12 +2,12 @@
 
 use crate::clock::Timestamp;
 use crate::endpoint_limits::own_share::OwnShares;
-use crate::endpoint_limits::tests::stated;
+use crate::test_support::stated_limit;
 
 /// Counts the requests that `instances` instances, each of which always has one to send, send by
 /// their own shares in the given time.
 fn sent(instances: usize, per_second: f64, millis: u64) -> usize {
-    let limit = stated("a", 1, per_second, 0);
+    let limit = stated_limit("a", 1, per_second, 0);
     let mut shares: Vec<OwnShares> =
         (0..instances).map(|_| OwnShares::new(Timestamp::from_millis(0))).collect();
     let mut sent = 0;
--- a/coriandergw/src/endpoint_limits/tests.rs
+++ b/coriandergw/src/endpoint_limits/tests.rs
@@ -5,17 +5,7 @@
 use crate::endpoint_limits::StatedLimit;
 use crate::endpoint_limits::generated as raw;
 use crate::endpoint_limits::limiter::Verdict;
-use crate::endpoint_limits::wire;
-use crate::ids::EndpointName;
-
-pub fn stated(endpoint: &str, started_ms: u64, per_second: f64, at_ms: u64) -> StatedLimit {
-    StatedLimit {
-        endpoint: EndpointName::try_from(endpoint).expect("a name"),
-        started_ms,
-        limit: RateLimit::try_from(per_second).expect("a limit"),
-        stated_at: Timestamp::from_millis(at_ms),
-    }
-}
+use crate::test_support::stated_limit;
 
 #[test]
 fn a_limit_is_neither_negative_nor_infinite() {
@@ -34,9 +24,10 @@
 
 #[test]
 fn a_limit_is_sent_with_its_age_since_clocks_differ() {
-    let sent = wire::encode_limit(&stated("a", 5, 2.5, 1_000), Timestamp::from_millis(1_300));
-    let received = wire::decode_limit(sent, Timestamp::from_millis(90_000)).expect("valid");
-    assert_eq!(received, stated("a", 5, 2.5, 89_700));
+    let sent = stated_limit("a", 5, 2.5, 1_000).encode(Timestamp::from_millis(1_300));
+    let received = StatedLimit::decode(sent, Timestamp::from_millis(90_000)).expect("valid");
+    assert_eq!(received, stated_limit("a", 5, 2.5, 89_700));
+    assert!(StatedLimit::decode("no message".into(), Timestamp::from_millis(0)).is_err());
 }
 
 #[test]
--- a/coriandergw/src/endpoint_limits/wire.rs
+++ b/coriandergw/src/endpoint_limits/wire.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use prost::Message as _;
+
 use crate::clock::Timestamp;
 use crate::endpoint_limits::LimitMessageError;
 use crate::endpoint_limits::RateLimit;
@@ -34,6 +37,22 @@
     })
 }
 
+impl StatedLimit {
+    /// Encodes the limit as a message that is part of others, with its age at `now`.
+    pub fn encode(&self, now: Timestamp) -> Bytes {
+        encode_limit(self, now).encode_to_vec().into()
+    }
+
+    /// Decodes a limit that arrived at `now`.
+    ///
+    /// # Errors
+    /// Fails if the message cannot be parsed or a field is invalid.
+    pub fn decode(bytes: Bytes, now: Timestamp) -> Result<Self, LimitMessageError> {
+        let raw = raw::StatedLimit::decode(bytes);
+        decode_limit(raw.map_err(|_| LimitMessageError { field: "encoding" })?, now)
+    }
+}
+
 impl From<Verdict> for raw::PermitAnswer {
     fn from(verdict: Verdict) -> Self {
         match verdict {
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
+use crate::endpoint_limits::StatedLimit;
 use crate::endpoint_limits::client::PermitClient;
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::RequestHeaders;
@@ -210,6 +211,9 @@
             |id: &EndpointName| self.roster.with_view(|view| view.endpoint(id).is_some());
         self.leaving.expire(is_listed, now);
         self.permits.retain(is_listed);
+        let limits: Vec<StatedLimit> =
+            self.roster.with_view(|view| view.limits().cloned().collect());
+        self.permits.learn(&limits);
         let own = self.cx.instance.as_str();
         for records in endpoints.values_mut() {
             records.retain(|record| !self.leaving.is_leaving(record));
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -77,7 +77,7 @@
         base.transport.register(Kind::Roster, roster_server.clone());
         base.transport
             .register(Kind::Pulse, Arc::new(PulseHandler { roster_server: roster_server.clone() }));
-        let permit_server = PermitServer::new(base.cx.clock.clone());
+        let permit_server = PermitServer::new(base.cx.clock.clone(), roster_server.clone());
         base.transport.register(Kind::Permit, Arc::new(permit_server));
         if let Some(config_state) = last_config::read(&base.cx, &*disk) {
             roster_server.apply_config_state(config_state);
--- a/coriandergw/src/roles/tests/limits.rs
+++ b/coriandergw/src/roles/tests/limits.rs
@@ -99,3 +99,23 @@
     assert!(answers.iter().all(|one| status(one) == "200"));
     assert_eq!(free.seen().len() + got, answers.len());
 }
+
+// Guards against a burst that moves to an endpoint in need from an instance that it never answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_traffic_to_an_endpoint_learns_its_limit() {
+    let mut world = World::start().await;
+    let other = world.add_entry().await;
+    let endpoint = limited().await;
+    world.announce("a", "plain", &endpoint).await;
+    // The first answer names the limit, the second request asks for a permit.
+    for attempt in ["t1", "t2"] {
+        world.ask(&get("/safe/x", attempt, "")).await;
+    }
+    let knows = || other.roster.with_view(|view| view.limits().count() == 1);
+    wait_for("the limit at the other instance", knows).await;
+    let callers = other.roster.presence().caller_address.expect("an address");
+    let before = endpoint.seen().len();
+    send_for_a_window(&[callers]).await;
+    let got = endpoint.seen().len() - before;
+    assert!(got <= REQUESTS_MAX, "{got} requests in {WINDOW:?}, allowed {REQUESTS_MAX}");
+}
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -49,6 +49,9 @@
     /// How many entry instances accept callers' requests, as the core instance hears it.
     #[prost(uint32, tag = "11")]
     pub entry_instances: u32,
+    /// Limits of endpoints that changed, each a coriandergw.endpoint_limits.StatedLimit.
+    #[prost(bytes = "bytes", repeated, tag = "12")]
+    pub limits: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 /// One process of the system.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -12,6 +12,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::context::Context;
+use crate::endpoint_limits::StatedLimit;
 use crate::events::EventNumber;
 use crate::events::Subject;
 use crate::ids::InstanceName;
@@ -201,10 +202,14 @@
 
     /// Merges a response into the view; returns whether the core instance knows this process.
     fn merge(&self, core: SocketAddr, bytes: Bytes) -> Result<bool, String> {
-        let raw = raw::PollAnswer::decode(bytes).map_err(|cause| cause.to_string())?;
-        let is_known = !raw.wants_presence;
-        let answer = PollAnswer::try_from(raw).map_err(|cause| cause.to_string())?;
         let now = self.cx.clock.now();
+        let mut raw = raw::PollAnswer::decode(bytes).map_err(|cause| cause.to_string())?;
+        let is_known = !raw.wants_presence;
+        let limits = std::mem::take(&mut raw.limits).into_iter();
+        let limits: Result<Vec<StatedLimit>, _> =
+            limits.map(|limit| StatedLimit::decode(limit, now)).collect();
+        let mut answer = PollAnswer::try_from(raw).map_err(|cause| cause.to_string())?;
+        answer.limits = limits.map_err(|cause| cause.to_string())?;
         if self.view.lock().expect("not poisoned").merge(core, answer, now) {
             self.increment_version();
         }
@@ -235,6 +240,8 @@
             retiring: raw.retiring.into_iter().map(Into::into).collect(),
             is_directory: raw.is_directory,
             entry_instances: raw.entry_instances as usize,
+            // Decoded with the time at which the response arrived.
+            limits: Vec::new(),
         })
     }
 }
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
+use crate::endpoint_limits::StatedLimit;
 use crate::events::EventNumber;
 use crate::events::Subject;
 use crate::ids::EndpointName;
@@ -121,6 +122,12 @@
         recorded.map(|_| ())
     }
 
+    /// Publishes the limits that endpoints named to an entry instance.
+    pub fn publish_limits(&self, stated: &[StatedLimit]) {
+        let now = self.cx.clock.now();
+        self.with_state(|roster| stated.iter().for_each(|one| roster.publish_limit(one, now)));
+    }
+
     /// Waits until another core instance has received all changes up to now. Returns at once if this
     /// one hears no other, and after [`COPY_TIMEOUT`] in any case.
     ///
@@ -215,6 +222,7 @@
     }
 
     fn answer(&self, poll: &raw::Poll, audience: Audience) -> raw::PollAnswer {
+        let now = self.cx.clock.now();
         let roster = self.roster.lock().expect("not poisoned");
         let cursor = if poll.core_start == self.start { poll.cursor } else { 0 };
         let changes = roster.changes_after(cursor, audience);
@@ -237,6 +245,7 @@
             wants_presence: false,
             is_directory: self.is_directory,
             entry_instances: roster.entry_instances() as u32,
+            limits: changes.limits.iter().map(|one| one.encode(now)).collect(),
         }
     }
 }
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -9,6 +9,7 @@
 use derive_more::Error;
 
 use crate::clock::Timestamp;
+use crate::endpoint_limits::StatedLimit;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::roster::EndpointRecord;
@@ -159,6 +160,8 @@
     pub endpoints: Vec<EndpointRecord>,
     /// The processes that changed.
     pub instances: Vec<ReportedPresence>,
+    /// The limits of endpoints that changed.
+    pub limits: Vec<StatedLimit>,
 }
 
 /// The roster state of one core instance.
@@ -169,6 +172,7 @@
     last_changes: LastChanges,
     endpoints: BTreeMap<EndpointName, Tracked<EndpointRecord>>,
     instances: BTreeMap<InstanceName, Tracked<ReportedPresence>>,
+    limits: BTreeMap<EndpointName, Tracked<StatedLimit>>,
     config_state: ConfigState,
     checked_at: Timestamp,
 }
@@ -183,6 +187,7 @@
             last_changes: LastChanges::default(),
             endpoints: BTreeMap::new(),
             instances: BTreeMap::new(),
+            limits: BTreeMap::new(),
             config_state: ConfigState::default(),
             checked_at: now,
         }
@@ -312,6 +317,26 @@
         Ok(gone)
     }
 
+    /// Publishes the limit that an endpoint named, if it is newer than the one known. A limit that
+    /// is named again is no change.
+    pub fn publish_limit(&mut self, stated: &StatedLimit, now: Timestamp) {
+        if let Some(entry) = self.limits.get_mut(&stated.endpoint) {
+            if !stated.supersedes(&entry.value) {
+                return;
+            }
+            entry.heard_at = now;
+            let is_repeated =
+                entry.value.started_ms == stated.started_ms && entry.value.limit == stated.limit;
+            if is_repeated {
+                entry.value = stated.clone();
+                return;
+            }
+        }
+        let number = self.next_change(ChangeScope::General);
+        let entry = Tracked::new(stated.clone(), number, now);
+        self.limits.insert(stated.endpoint.clone(), entry);
+    }
+
     /// Records a poll without a presence; returns the role of the process, or `None` if it is
     /// unknown or silent.
     pub fn note_alive(&mut self, name: &InstanceName, now: Timestamp) -> Option<Role> {
@@ -392,6 +417,7 @@
         }
         self.endpoints.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         self.instances.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
+        self.limits.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         silent
     }
 
@@ -404,9 +430,11 @@
         let endpoints = self.endpoints.values().filter(|entry| entry.changed > cursor);
         let instances = self.instances.values().filter(|entry| entry.changed > cursor);
         let instances = instances.filter(|entry| is_needed(&entry.value));
+        let limits = self.limits.values().filter(|entry| entry.changed > cursor);
         Changes {
             endpoints: endpoints.map(|entry| entry.value.clone()).collect(),
             instances: instances.map(|entry| entry.value.clone()).collect(),
+            limits: limits.map(|entry| entry.value.clone()).collect(),
         }
     }
 }
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
+use crate::endpoint_limits::StatedLimit;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::roster::EndpointRecord;
@@ -25,6 +26,7 @@
 use crate::roster::view::QUORUM_SILENCE_MARGIN;
 use crate::roster::view::RosterView;
 use crate::test_support::presence;
+use crate::test_support::stated_limit;
 
 const ENDPOINT_SILENCE: Duration = Duration::from_millis(4_000);
 
@@ -549,3 +551,28 @@
         assert!(!view.reaches_quorum(time_at(limit)));
     }
 }
+
+// Guards against a limit that only the instances that heard the endpoint keep.
+#[test]
+fn a_limit_is_published_when_it_changes_and_the_newest_one_counts() {
+    let mut roster = RosterState::new(ENDPOINT_SILENCE, time_at(0));
+    let limits =
+        |roster: &RosterState, cursor| roster.changes_after(cursor, Audience::Other).limits;
+    roster.publish_limit(&stated_limit("a", 5, 3.0, 100), time_at(100));
+    let first = roster.last_change();
+    assert_eq!(limits(&roster, 0), [stated_limit("a", 5, 3.0, 100)]);
+    roster.publish_limit(&stated_limit("a", 5, 3.0, 200), time_at(200));
+    roster.publish_limit(&stated_limit("a", 5, 9.0, 150), time_at(201));
+    roster.publish_limit(&stated_limit("a", 4, 9.0, 300), time_at(300));
+    assert_eq!(limits(&roster, first), [], "repeated, older, and of an earlier incarnation");
+    roster.publish_limit(&stated_limit("a", 5, 2.0, 400), time_at(400));
+    assert_eq!(limits(&roster, first), [stated_limit("a", 5, 2.0, 400)]);
+    // A process merges what several core instances publish.
+    let mut view = RosterView::new(POLL_WAIT);
+    let publishes =
+        |limit| PollAnswer { core_start: 1, limits: vec![limit], ..PollAnswer::default() };
+    assert!(view.merge(core_address(1), publishes(stated_limit("a", 5, 2.0, 400)), time_at(0)));
+    assert!(!view.merge(core_address(2), publishes(stated_limit("a", 5, 3.0, 200)), time_at(1)));
+    let known: Vec<StatedLimit> = view.limits().cloned().collect();
+    assert_eq!(known, [stated_limit("a", 5, 2.0, 400)]);
+}
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 
 use crate::clock::Timestamp;
+use crate::endpoint_limits::StatedLimit;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::roster::EndpointRecord;
@@ -62,6 +63,8 @@
     pub is_directory: bool,
     /// How many entry instances accept callers' requests, as the core instance hears it.
     pub entry_instances: usize,
+    /// The limits of endpoints that changed since the last poll.
+    pub limits: Vec<StatedLimit>,
 }
 
 #[derive(Debug, Default)]
@@ -91,6 +94,7 @@
     quorum_silence: Duration,
     cores: BTreeMap<SocketAddr, CoreView>,
     endpoints: BTreeMap<EndpointName, KnownEndpoint>,
+    limits: BTreeMap<EndpointName, StatedLimit>,
     config_version: u64,
     config: Bytes,
     first_journal_voters: Vec<InstanceName>,
@@ -104,6 +108,7 @@
             quorum_silence: poll_wait + QUORUM_SILENCE_MARGIN,
             cores: BTreeMap::new(),
             endpoints: BTreeMap::new(),
+            limits: BTreeMap::new(),
             config_version: 0,
             config: Bytes::new(),
             first_journal_voters: Vec::new(),
@@ -139,6 +144,9 @@
         for record in answer.endpoints {
             is_changed |= self.merge_endpoint(core, record, now);
         }
+        for stated in answer.limits {
+            is_changed |= self.merge_limit(stated);
+        }
         if let Some(config) = answer.config
             && answer.config_version > self.config_version
         {
@@ -190,6 +198,20 @@
         !is_repeated
     }
 
+    fn merge_limit(&mut self, stated: StatedLimit) -> bool {
+        let known = self.limits.get(&stated.endpoint);
+        let is_newer = known.is_none_or(|known| stated.supersedes(known));
+        if is_newer {
+            self.limits.insert(stated.endpoint.clone(), stated);
+        }
+        is_newer
+    }
+
+    /// Returns the limits that endpoints named to any instance, as last published.
+    pub fn limits(&self) -> impl Iterator<Item = &StatedLimit> {
+        self.limits.values()
+    }
+
     /// Removes a core instance that restarted from the reporters of all endpoints.
     fn forget_reporter(&mut self, core: SocketAddr, now: Timestamp) {
         for known in self.endpoints.values_mut() {
@@ -224,6 +246,8 @@
             }
             !is_lost && !is_expired
         });
+        let endpoints = &self.endpoints;
+        self.limits.retain(|id, _| endpoints.contains_key(id));
         dropped
     }
 
--- a/coriandergw/src/test_support.rs
+++ b/coriandergw/src/test_support.rs
@@ -9,13 +9,17 @@
 use crate::addresses::StaticAddress;
 use crate::catalogue::MemoryCatalogue;
 use crate::clock::Clock;
+use crate::clock::Timestamp;
 use crate::context::Context;
 use crate::dispatch::scheduled::DispatchSettings;
 use crate::dispatch::scheduled::ScheduledDispatcher;
+use crate::endpoint_limits::RateLimit;
+use crate::endpoint_limits::StatedLimit;
 use crate::endpoints::directory::Directory;
 use crate::endpoints::gossip::NoPeers;
 use crate::events::Recorder;
 use crate::ids::DataCentre;
+use crate::ids::EndpointName;
 use crate::ids::GroupId;
 use crate::ids::InstanceName;
 use crate::instance::HandlerState;
@@ -130,3 +134,13 @@
     };
     tokio::time::timeout(WAIT_LIMIT, polled).await.unwrap_or_else(|_| panic!("waited for {what}"));
 }
+
+/// Builds the limit that an endpoint named at `at_ms` of the instance's clock, in requests a second.
+pub fn stated_limit(endpoint: &str, started_ms: u64, per_second: f64, at_ms: u64) -> StatedLimit {
+    StatedLimit {
+        endpoint: EndpointName::try_from(endpoint).expect("a name"),
+        started_ms,
+        limit: RateLimit::try_from(per_second).expect("a limit"),
+        stated_at: Timestamp::from_millis(at_ms),
+    }
+}
