fix(endpoint_limits): let only requests that come back take a place among those refused

Cause: each denied permit counted as a caller that comes back, also where the request went to an endpoint without a limit.

Change: the request for a permit says whether there is an alternative; with one, the answer is the time until the next permit.

Evidence: a_request_with_an_alternative_takes_no_place_among_those_that_come_back; counted as before, the same denials are told 250, 500 and 750 ms (callers_that_are_refused_are_told_to_come_back_one_after_the_other).

--- a/coriandergw/src/endpoint_limits/client.rs
+++ b/coriandergw/src/endpoint_limits/client.rs
@@ -96,11 +96,13 @@
     }
 
     /// Acquires a permit for one request to one of the candidates, which are in the order of
-    /// preference. `entry_instances` is the number of instances that share each limit.
+    /// preference. `has_alternative` says whether the request goes to an endpoint without a limit if
+    /// none of them has room; `entry_instances` is the number of instances that share each limit.
     pub async fn acquire(
         &self,
         service: &Arc<str>,
         candidates: &[StatedLimit],
+        has_alternative: bool,
         entry_instances: usize,
     ) -> Verdict {
         let now = self.cx.clock.now();
@@ -108,7 +110,7 @@
         let core = responsible_core(service, &living);
         let asked = match &core {
             Some(core) if !self.is_suspected(core, now) => {
-                self.ask(core, service, candidates).await
+                self.ask(core, service, candidates, has_alternative).await
             }
             _ => None,
         };
@@ -133,11 +135,13 @@
         core: &InstanceName,
         service: &Arc<str>,
         candidates: &[StatedLimit],
+        has_alternative: bool,
     ) -> Option<Verdict> {
         let now = self.cx.clock.now();
         let request = raw::PermitRequest {
             service: service.to_string(),
             candidates: candidates.iter().map(|one| wire::encode_limit(one, now)).collect(),
+            has_alternative,
         };
         let payload = Bytes::from(request.encode_to_vec());
         let called = self.transport.call(core, Kind::Permit, payload, PERMIT_TIMEOUT).await;
--- a/coriandergw/src/endpoint_limits/generated.rs
+++ b/coriandergw/src/endpoint_limits/generated.rs
@@ -7,6 +7,9 @@
     /// The endpoints that the request may be sent to, in the order of preference.
     #[prost(message, repeated, tag = "2")]
     pub candidates: ::prost::alloc::vec::Vec<StatedLimit>,
+    /// Whether the request is sent to an endpoint without a limit if none of these has room.
+    #[prost(bool, tag = "3")]
+    pub has_alternative: bool,
 }
 /// The limit that an endpoint named.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/coriandergw/src/endpoint_limits/limiter.rs
+++ b/coriandergw/src/endpoint_limits/limiter.rs
@@ -48,11 +48,13 @@
 }
 
 impl Limiter {
-    /// Decides which of the candidates, in the order of preference, a request may be sent to.
+    /// Decides which of the candidates, in the order of preference, a request may be sent to. A
+    /// request with an alternative does not come back if none of them has room.
     pub fn decide(
         &mut self,
         service: &Arc<str>,
         candidates: &[StatedLimit],
+        has_alternative: bool,
         now: Timestamp,
     ) -> Verdict {
         self.sweep(now);
@@ -69,7 +71,10 @@
             next_permit = next_permit.min(limited.bucket.next_token_in(now));
             per_second += limited.stated.limit.permits_per_second();
         }
-        Verdict::Denied(self.book(service, next_permit, per_second, now))
+        Verdict::Denied(match has_alternative {
+            true => next_permit,
+            false => self.book(service, next_permit, per_second, now),
+        })
     }
 
     /// Records what an entry instance knows of a limit; returns the newest knowledge, or `None` if
--- a/coriandergw/src/endpoint_limits/limiter/tests.rs
+++ b/coriandergw/src/endpoint_limits/limiter/tests.rs
@@ -47,7 +47,7 @@
                 false => (stated_limit("a", 1, per_second / 2.0, 16_000), &mut after),
             };
             let now = Timestamp::from_millis(at);
-            if limiter.decide(&models(), &[limit], now) == Verdict::Granted(0) {
+            if limiter.decide(&models(), &[limit], false, now) == Verdict::Granted(0) {
                 granted.push(at);
             }
         }
@@ -73,7 +73,8 @@
                 _ => 1,
             };
             let now = Timestamp::from_millis(at);
-            let verdict = limiters[asked].decide(&models(), std::slice::from_ref(&limit), now);
+            let verdict =
+                limiters[asked].decide(&models(), std::slice::from_ref(&limit), false, now);
             if verdict == Verdict::Granted(0) {
                 granted.push(at);
             }
@@ -87,7 +88,7 @@
     let mut limiter = Limiter::default();
     let candidates = [stated_limit("a", 1, 2.0, 0), stated_limit("b", 1, 2.0, 0)];
     let decide = |limiter: &mut Limiter, at| {
-        limiter.decide(&models(), &candidates, Timestamp::from_millis(at))
+        limiter.decide(&models(), &candidates, false, Timestamp::from_millis(at))
     };
     assert!(matches!(decide(&mut limiter, 0), Verdict::Denied(_)), "the buckets start empty");
     assert_eq!(decide(&mut limiter, 1_000), Verdict::Granted(0));
@@ -103,7 +104,7 @@
     let now = Timestamp::from_millis(0);
     let mut delays = Vec::new();
     for _ in 0..40 {
-        match limiter.decide(&models(), &limit, now) {
+        match limiter.decide(&models(), &limit, false, now) {
             Verdict::Denied(delay) => delays.push(delay),
             granted => panic!("{granted:?} from an empty bucket"),
         }
@@ -113,7 +114,7 @@
     assert!(delays.is_sorted());
     assert_eq!(delays.last(), Some(&RETRY_AFTER_MAX));
     // Later refusals do not extend what earlier ones were told.
-    let later = limiter.decide(&models(), &limit, Timestamp::from_millis(200));
+    let later = limiter.decide(&models(), &limit, false, Timestamp::from_millis(200));
     assert!(matches!(later, Verdict::Denied(delay) if delay <= RETRY_AFTER_MAX));
 }
 
@@ -122,13 +123,28 @@
     let mut limiter = Limiter::default();
     let at = Timestamp::from_millis;
     let newer = [stated_limit("a", 1, 10.0, 900)];
-    assert!(matches!(limiter.decide(&models(), &newer, at(1_000)), Verdict::Denied(_)));
+    assert!(matches!(limiter.decide(&models(), &newer, false, at(1_000)), Verdict::Denied(_)));
     // An instance that has an older statement is granted what the newer one allows.
     let older = [stated_limit("a", 1, 0.5, 100)];
-    assert_eq!(limiter.decide(&models(), &older, at(1_100)), Verdict::Granted(0));
+    assert_eq!(limiter.decide(&models(), &older, false, at(1_100)), Verdict::Granted(0));
     // A later incarnation starts anew, and the earlier one gets nothing any more.
     let later = [stated_limit("a", 2, 10.0, 1_200)];
-    assert!(matches!(limiter.decide(&models(), &later, at(1_200)), Verdict::Denied(_)));
-    assert!(matches!(limiter.decide(&models(), &newer, at(1_400)), Verdict::Denied(_)));
-    assert_eq!(limiter.decide(&models(), &later, at(1_400)), Verdict::Granted(0));
+    assert!(matches!(limiter.decide(&models(), &later, false, at(1_200)), Verdict::Denied(_)));
+    assert!(matches!(limiter.decide(&models(), &newer, false, at(1_400)), Verdict::Denied(_)));
+    assert_eq!(limiter.decide(&models(), &later, false, at(1_400)), Verdict::Granted(0));
+}
+
+// Guards against a time to come back that grows with requests that went elsewhere.
+#[test]
+fn a_request_with_an_alternative_takes_no_place_among_those_that_come_back() {
+    let mut limiter = Limiter::default();
+    let limit = [stated_limit("a", 1, 4.0, 0)];
+    let now = Timestamp::from_millis(0);
+    let millis = Duration::from_millis;
+    for _ in 0..20 {
+        let elsewhere = limiter.decide(&models(), &limit, true, now);
+        assert_eq!(elsewhere, Verdict::Denied(millis(250)));
+    }
+    assert_eq!(limiter.decide(&models(), &limit, false, now), Verdict::Denied(millis(250)));
+    assert_eq!(limiter.decide(&models(), &limit, false, now), Verdict::Denied(millis(500)));
 }
--- a/coriandergw/src/endpoint_limits/server.rs
+++ b/coriandergw/src/endpoint_limits/server.rs
@@ -41,7 +41,7 @@
         self.roster_server.publish_limits(&candidates);
         let service = Arc::from(raw.service);
         let mut limiter = self.limiter.lock().expect("not poisoned");
-        let verdict = limiter.decide(&service, &candidates, now);
+        let verdict = limiter.decide(&service, &candidates, raw.has_alternative, now);
         Ok(raw::PermitAnswer::from(verdict).encode_to_vec().into())
     }
 }
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -264,7 +264,9 @@
             true => None,
             false => {
                 let entry_instances = self.entry_instances.load(Ordering::Relaxed);
-                Some(self.permits.acquire(&plan.service, &asked, entry_instances).await)
+                let has_alternative = unlimited.is_some();
+                let service = &plan.service;
+                Some(self.permits.acquire(service, &asked, has_alternative, entry_instances).await)
             }
         };
         let chosen = match verdict {
