perf(forwarding): let turns that a full engine refused take any place within limits

Cause: a turn without room at its own engine tried one engine without a limit after the other, full ones too, while limited engines had room.

Change: after a refusal it asks for a permit at all limited engines that come before the next one without a limit.

The rule of the choice is tested without a network.

--- a/coriandergw/src/forwarding/choice.rs
+++ b/coriandergw/src/forwarding/choice.rs
@@ -148,10 +148,15 @@
 ///
 /// An engine keeps the prompts of its programs in memory. A turn that has no room at its engine
 /// therefore moves to an engine without a limit, where the coming turns have room too, and not to
-/// another limited one.
-pub fn limited_to_ask(is_engine: bool, unlimited: Option<usize>, candidates: usize) -> usize {
+/// another limited one. Only a turn that a full engine has refused goes to any that has room.
+pub fn limited_to_ask(
+    is_engine: bool,
+    was_refused: bool,
+    unlimited: Option<usize>,
+    candidates: usize,
+) -> usize {
     match unlimited {
-        Some(position) if is_engine => position.min(1),
+        Some(position) if is_engine && !was_refused => position.min(1),
         Some(position) => position,
         None => candidates,
     }
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -258,7 +258,8 @@
         let limits: Vec<Option<StatedLimit>> =
             ordered.iter().map(|record| self.permits.limit_of(record)).collect();
         let unlimited = limits.iter().position(Option::is_none);
-        let asked = choice::limited_to_ask(plan.is_engine, unlimited, limits.len());
+        let was_refused = !excluded.is_empty();
+        let asked = choice::limited_to_ask(plan.is_engine, was_refused, unlimited, limits.len());
         let asked: Vec<StatedLimit> = limits.into_iter().take(asked).flatten().collect();
         let verdict = match asked.is_empty() {
             true => None,
--- a/coriandergw/src/forwarding/tests.rs
+++ b/coriandergw/src/forwarding/tests.rs
@@ -9,6 +9,7 @@
 use crate::forwarding::choice::EndpointCandidate;
 use crate::forwarding::choice::PREFERRED_ENDPOINTS;
 use crate::forwarding::choice::connection_share;
+use crate::forwarding::choice::limited_to_ask;
 use crate::forwarding::choice::order_by_load;
 use crate::forwarding::choice::order_by_preference;
 use crate::forwarding::choice::order_engines;
@@ -240,3 +241,16 @@
     }
     assert_eq!(moved, 0);
 }
+
+// Guards against turns that go from one full engine without a limit to the next while limited ones
+// have room.
+#[test]
+fn a_turn_refused_by_a_full_engine_asks_for_room_at_all_limited_engines_before_the_next() {
+    let asked =
+        |is_engine, was_refused, unlimited| limited_to_ask(is_engine, was_refused, unlimited, 5);
+    assert_eq!(asked(true, false, Some(3)), 1, "its own engine only");
+    assert_eq!(asked(true, true, Some(3)), 3);
+    assert_eq!(asked(true, false, Some(0)), 0, "its own engine names no limit");
+    assert_eq!(asked(false, false, Some(3)), 3, "a call without a prompt moves freely");
+    assert_eq!(asked(true, false, None), 5, "all are limited");
+}
