--- a/coriandergw/src/endpoint_limits/client.rs
+++ b/coriandergw/src/endpoint_limits/client.rs
@@ -40,7 +40,7 @@
 
 /// A time in which a core instance does not answer.
 struct Outage {
-    /// The core instance is not asked before.
+    /// The core instance is not asked again before this time.
     ask_again_at: Timestamp,
     shares: OwnShares,
 }
--- a/coriandergw/src/endpoint_limits/known_limits.rs
+++ b/coriandergw/src/endpoint_limits/known_limits.rs
@@ -1,4 +1,4 @@
-//! The limits that an entry instance has learned from the answers of endpoints.
+//! The limits that an entry instance knows, from answers of endpoints to itself and to others.
 
 use std::collections::HashMap;
 use std::sync::Mutex;
--- a/coriandergw/src/endpoint_limits/mod.rs
+++ b/coriandergw/src/endpoint_limits/mod.rs
@@ -1,11 +1,11 @@
 //! Limits that endpoints name: the requests a second that an endpoint takes from all instances
 //! together.
 //!
-//! An endpoint names its limit in its answers, so each entry instance learns it on its own. Before
-//! it sends a request to a limited endpoint, an entry instance asks one core instance for a permit.
-//! All instances choose the same core instance for a service, which grants permits at the rate of
-//! each limit, see [`limiter`]. Without an answer of that core instance, an entry instance uses its
-//! equal share of the limit, see [`own_share`].
+//! An endpoint names its limit in its answers. Before an entry instance sends a request to a limited
+//! endpoint, it asks one core instance for a permit. All instances choose the same core instance for
+//! a service, which grants permits at the rate of each limit, see [`limiter`], and publishes the
+//! limits with the roster. Without an answer of that core instance, an entry instance uses its equal
+//! share of the limit, see [`own_share`].
 //!
 //! A limit belongs to one incarnation of an endpoint and holds until an answer does not name it.
 
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -142,7 +142,8 @@
         let mut copied = self.copied.subscribe();
         let is_copied = copied.wait_for(|highest| *highest >= number);
         if tokio::time::timeout(COPY_TIMEOUT, is_copied).await.is_err() {
-            let detail = format!("acknowledged without a copy of change {number}");
+            let detail =
+                format!("acknowledged before another core instance received change {number}");
             self.cx.events.record(EventNumber::EndpointLeaving, Subject::default(), detail);
         }
     }
