feat(forwarding): log which request an endpoint had when it crashed

The logs name caller attempts only, and a request that comes again has a new one each time, so they could not tell a request that crashes engines from engines that end of overload.

After a lost response the instance now checks whether the endpoint still accepts connections. If it refuses, event 505 gives the digest of the request's method, host, path and body. No request is sent differently.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -176,6 +176,8 @@
     StreamBrokenOff = 503, Warning;
     /// No route takes a request.
     RequestUnrouted = 504, Info;
+    /// An endpoint refuses connections after it lost the response to a request.
+    EndpointCrashed = 505, Warning;
     /// A configuration was taken into use.
     ConfigApplied = 510, Info;
     /// A configuration cannot be used; the one before stays in force.
--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt to send a request to one endpoint.
 
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,9 +14,12 @@
 use hyper::Uri;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::header;
+use hyper::http::uri::PathAndQuery;
 use tokio::time::Instant;
 
 use crate::clock::Timestamp;
+use crate::crashes::RequestDigest;
 use crate::forwarding::ForwardingHeaders;
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::RequestHeaders;
@@ -57,6 +61,29 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) head: RequestHeaders,
+    digest: OnceLock<RequestDigest>,
+}
+
+impl UpstreamRequest {
+    /// Creates a request to be sent; `headers` must not contain those of the caller's connection.
+    pub(super) fn new(
+        method: Method,
+        uri: Uri,
+        headers: HeaderMap,
+        body: Bytes,
+        head: RequestHeaders,
+    ) -> Self {
+        Self { method, uri, headers, body, head, digest: OnceLock::new() }
+    }
+
+    /// Returns the digest of the request's content.
+    pub(super) fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let host = self.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+            let path = self.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+            RequestDigest::of(&self.method, host.unwrap_or_default(), path, &self.body)
+        })
+    }
 }
 
 /// A response whose headers have arrived. Dropping it closes the connection.
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -428,7 +428,7 @@
                 Ok(Err(cause)) => cause.to_string(),
                 Err(_) => "the response did not end before the deadline".to_owned(),
             };
-            self.record_lost_response(plan, &response.endpoint.id, &reason)?;
+            self.record_lost_response(plan, &upstream_request, &response.endpoint, &reason)?;
         }
     }
 
@@ -501,11 +501,5 @@
     parts.headers.remove(header::EXPECT);
     let path = parts.uri.path_and_query().cloned();
     let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
-    Ok(UpstreamRequest {
-        method: parts.method,
-        uri,
-        headers: parts.headers,
-        body: body.to_bytes(),
-        head,
-    })
+    Ok(UpstreamRequest::new(parts.method, uri, parts.headers, body.to_bytes(), head))
 }
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -16,6 +16,7 @@
 mod attempt;
 mod bounded_reader;
 pub mod choice;
+mod crash_check;
 mod events;
 pub mod forwarder;
 mod headers;
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -148,10 +148,15 @@
         let Some(response) = self.response.take() else {
             return Err(failure.to_owned());
         };
-        let endpoint = response.endpoint.id.clone();
+        let endpoint = response.endpoint.clone();
         drop(response);
         self.splitter.discard_partial_event();
-        let retryable = self.forwarder.record_lost_response(&mut self.plan, &endpoint, failure);
+        let retryable = self.forwarder.record_lost_response(
+            &mut self.plan,
+            &self.upstream_request,
+            &endpoint,
+            failure,
+        );
         retryable.map_err(|refusal| refusal.to_string())?;
         let forwarder = self.forwarder.clone();
         let last_event = self.splitter.last_id();
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
+use crate::crashes::RequestDigest;
 use crate::events::EventNumber;
 use crate::events::Subject;
 use crate::forwarding::RequestHeaders;
@@ -147,6 +148,18 @@
         self.record(cx, EventNumber::SendFailed, peer, reason);
     }
 
+    /// Records that `endpoint` crashed while it had this request.
+    pub(super) fn endpoint_crashed(
+        &self,
+        cx: &Context,
+        endpoint: &EndpointRecord,
+        digest: RequestDigest,
+    ) {
+        let peer = Some(endpoint.id.to_string());
+        let detail = format!("digest={digest} started_ms={}", endpoint.started_ms);
+        self.record(cx, EventNumber::EndpointCrashed, peer, &detail);
+    }
+
     /// Records that the stream to the caller was aborted.
     pub(super) fn stream_aborted(&self, cx: &Context, events: u64, reason: &str) {
         self.observe_durations(cx, "broken off");
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -81,9 +81,12 @@
     pub(super) fn record_lost_response(
         &self,
         plan: &mut RequestPlan,
-        endpoint: &EndpointName,
+        upstream_request: &UpstreamRequest,
+        record: &EndpointRecord,
         reason: &str,
     ) -> Result<(), Refusal> {
+        self.check_for_crash(plan, upstream_request, record);
+        let endpoint = &record.id;
         self.loads.note_failure(endpoint, self.cx.clock.now());
         plan.report.attempt_failed(&self.cx, endpoint, reason);
         plan.may_have_run = true;
@@ -126,17 +129,18 @@
                 tokio::time::sleep(ROUND_PAUSE).await;
                 continue;
             };
-            let id = endpoint.id.clone();
             let attempt = self.attempt(
                 plan,
-                endpoint,
+                endpoint.clone(),
                 last_event,
                 attempt_number,
                 retries.new_connection_only,
             );
             plan.report.note_send();
             let result = attempt.send(upstream_request).await;
-            if let Some(response) = self.note_result(plan, &mut retries, &id, result)? {
+            if let Some(response) =
+                self.note_result(plan, &mut retries, upstream_request, &endpoint, result)?
+            {
                 return Ok(response);
             }
             if Instant::now() >= plan.deadline {
@@ -151,9 +155,11 @@
         &self,
         plan: &mut RequestPlan,
         retries: &mut RetryState,
-        id: &EndpointName,
+        upstream_request: &UpstreamRequest,
+        endpoint: &EndpointRecord,
         result: Result<UpstreamResponse, Failure>,
     ) -> Result<Option<UpstreamResponse>, Refusal> {
+        let id = &endpoint.id;
         if let Ok(response) = &result {
             if response.head.is_leaving {
                 self.note_leaving(&response.endpoint);
@@ -170,7 +176,8 @@
                 retries.excluded.push(id.clone());
             }
             Ok(response) if response.status.is_success() && !response.head.is_signed => {
-                self.record_lost_response(plan, id, "the endpoint did not sign the response")?;
+                let reason = "the endpoint did not sign the response";
+                self.record_lost_response(plan, upstream_request, endpoint, reason)?;
             }
             Ok(response) => {
                 let used = if response.is_reused() { "again" } else { "first" };
@@ -192,7 +199,7 @@
                 }
             }
             Err(Failure::Lost { reason }) => {
-                self.record_lost_response(plan, id, &reason)?;
+                self.record_lost_response(plan, upstream_request, endpoint, &reason)?;
                 retries.new_connection_only = true;
             }
         }
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod context;
 pub mod control;
+pub mod crashes;
 pub mod dev;
 pub mod dispatch;
 pub mod endpoint_limits;
