--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -2,6 +2,7 @@
 //! faulty.
 
 mod budgets;
+mod crashes;
 mod directory;
 mod dishonest;
 mod endless;
--- a/coriandergw/src/roles/tests/endpoint.rs
+++ b/coriandergw/src/roles/tests/endpoint.rs
@@ -12,6 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
 /// A request as it was received.
 #[derive(Debug, Clone)]
@@ -44,6 +45,8 @@
     Reset,
     /// Closes the connection after the bytes sent so far.
     Close,
+    /// Ends the endpoint with all its connections; further ones are refused.
+    Crash,
     /// Sends nothing more and keeps the connection open until the peer closes it.
     Hang,
 }
@@ -57,6 +60,7 @@
     seen: Arc<Mutex<Vec<Seen>>>,
     closed: Arc<Mutex<usize>>,
     flooded: Arc<AtomicUsize>,
+    crashed: CancellationToken,
 }
 
 impl Endpoint {
@@ -68,21 +72,28 @@
         let address = listener.local_addr().expect("address");
         let endpoint = Self::at(address);
         let (served, script): (Self, Arc<Script>) = (endpoint.clone(), Arc::new(script));
-        tokio::spawn(async move {
+        let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (served, script) = (served.clone(), script.clone());
                 tokio::spawn(async move {
-                    served.serve(stream, script).await;
+                    let crashed = served.crashed.clone();
+                    crashed.run_until_cancelled(served.serve(stream, script)).await;
                     *served.closed.lock().expect("not poisoned") += 1;
                 });
             }
-        });
+        };
+        tokio::spawn(endpoint.crashed.clone().run_until_cancelled_owned(accept));
         endpoint
     }
 
+    /// Returns whether [`Step::Crash`] was reached.
+    pub fn has_crashed(&self) -> bool {
+        self.crashed.is_cancelled()
+    }
+
     fn at(address: SocketAddr) -> Self {
         let (seen, closed, flooded) = (Arc::default(), Arc::default(), Arc::default());
-        Self { address, seen, closed, flooded }
+        Self { address, seen, closed, flooded, crashed: CancellationToken::new() }
     }
 
     /// Starts an endpoint that accepts one connection and then stops listening.
@@ -140,6 +151,10 @@
                     }
                     Step::Wait(pause) => tokio::time::sleep(pause).await,
                     Step::Close => return,
+                    Step::Crash => {
+                        self.crashed.cancel();
+                        return;
+                    }
                     Step::Reset => {
                         let socket = socket2::SockRef::from(&stream);
                         let _ = socket.set_linger(Some(Duration::ZERO));
