fix(forwarding): stop requests that crash the endpoints that run them

Cause: what must hold over all attempts was counted in one. A retry went on to the next engine, since an engine that refuses connections was taken out of the engines that count against the route's limit; a further attempt of the caller, at any instance, started from nothing; no instance heard of another's crash.

Change: after a lost response the instance checks whether the endpoint refuses connections; every request that it had is a suspect. Crashes are reported to all core instances and published with the roster. Requests are counted one by one and by class (method, host, path, first 512 bytes of the body); a complete answer clears a request and its class. If another request is a suspect of the same three, both are tried once more after 5 s. The table is bounded and drops blocked requests last.

Why it works: requests beside the crashing one are answered elsewhere and cleared; only the crashing one collects three crashes without an answer.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -178,6 +178,10 @@
     RequestUnrouted = 504, Info;
     /// An endpoint refuses connections after it lost the response to a request.
     EndpointCrashed = 505, Warning;
+    /// A request has crashed so many endpoints that it is not sent any more.
+    RequestBlocked = 506, Warning;
+    /// No core instance received reports of crashes; they are sent again.
+    CrashReportLost = 507, Warning;
     /// A configuration was taken into use.
     ConfigApplied = 510, Info;
     /// A configuration cannot be used; the one before stays in force.
--- a/coriandergw/src/forwarding/crash_check.rs
+++ b/coriandergw/src/forwarding/crash_check.rs
@@ -1,14 +1,20 @@
-//! Checks whether an endpoint that lost a response has crashed.
+//! Finds requests that crash the endpoints that run them, and stops sending them.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
+use crate::crashes::Incarnation;
+use crate::crashes::table::Standing;
 use crate::forwarding::attempt::UpstreamRequest;
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::forwarder::RequestPlan;
+use crate::ids::EndpointName;
+use crate::result_code::Refusal;
+use crate::result_code::ResultCode;
 use crate::roster::EndpointRecord;
 
 /// How long an endpoint may take to accept or refuse a connection: several round trips between data
@@ -16,20 +22,70 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
 impl Forwarder {
-    /// Logs whether the endpoint that lost a response has crashed. Does not wait for the check.
+    /// Refuses a request that crashed too many endpoints, at this instance or at others.
+    pub(super) fn admit(
+        &self,
+        plan: &RequestPlan,
+        upstream_request: &UpstreamRequest,
+    ) -> Result<(), Refusal> {
+        if self.crashes.is_empty() {
+            return Ok(());
+        }
+        let digest = upstream_request.digest();
+        let Standing::Blocked { crashes, retry_after } = self.crashes.admit(&digest) else {
+            return Ok(());
+        };
+        let message = format!("this request (digest {digest}) crashed {crashes} endpoints");
+        Err(match plan.may_have_run {
+            true => Refusal::may_have_run(ResultCode::AnswerLate, message),
+            false => {
+                Refusal::not_run(ResultCode::CrashesEndpoints, message).retry_after(retry_after)
+            }
+        })
+    }
+
+    /// Checks whether the endpoint that lost a response has crashed, and reports that. Dropping the
+    /// handle does not end the check.
     pub(super) fn check_for_crash(
         &self,
         plan: &RequestPlan,
         upstream_request: &UpstreamRequest,
         endpoint: &EndpointRecord,
-    ) {
-        let (cx, report) = (self.cx.clone(), plan.report.clone());
+    ) -> JoinHandle<()> {
+        let (cx, report, crashes) = (self.cx.clone(), plan.report.clone(), self.crashes.clone());
         let (digest, endpoint) = (upstream_request.digest(), endpoint.clone());
         tokio::spawn(async move {
-            if refuses_connections(endpoint.address).await {
-                report.endpoint_crashed(&cx, &endpoint, digest);
+            let incarnation =
+                Incarnation { endpoint: endpoint.id.clone(), started_ms: endpoint.started_ms };
+            if crashes.has_crashed(&incarnation) || refuses_connections(endpoint.address).await {
+                let count = crashes.report(incarnation, digest);
+                report.endpoint_crashed(&cx, &endpoint, digest, count);
             }
-        });
+        })
+    }
+
+    /// Clears a request that was answered completely of all crashes.
+    pub(super) fn note_complete_answer(&self, upstream_request: &UpstreamRequest) {
+        if !self.crashes.is_empty() {
+            self.crashes.clear(&upstream_request.digest());
+        }
+    }
+
+    /// Moves the endpoint that a suspect is to be sent to to the front.
+    pub(super) fn isolate_suspect(
+        &self,
+        upstream_request: &UpstreamRequest,
+        ordered: &mut [EndpointRecord],
+    ) {
+        if self.crashes.is_empty() {
+            return;
+        }
+        let names: Vec<EndpointName> = ordered.iter().map(|record| record.id.clone()).collect();
+        let chosen = self.crashes.isolated_endpoint(&upstream_request.digest(), &names);
+        let position = chosen.and_then(|chosen| names.iter().position(|name| *name == chosen));
+        if let Some(position) = position {
+            ordered[..=position].rotate_right(1);
+        }
     }
 }
 
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
+use crate::crashes::reporter::CrashReporter;
 use crate::endpoint_limits::StatedLimit;
 use crate::endpoint_limits::client::PermitClient;
 use crate::forwarding::HeaderCodec;
@@ -73,6 +74,16 @@
 /// The usable endpoints by service, each in the order of [`choice::order_by_preference`].
 pub(super) type Endpoints = BTreeMap<Arc<str>, Vec<EndpointRecord>>;
 
+/// What a forwarder asks core and journal instances through.
+pub struct Clients {
+    /// Reserves tokens of program budgets.
+    pub budgets: BudgetClient,
+    /// Acquires permits for requests to limited endpoints.
+    pub permits: PermitClient,
+    /// Reports crashes of endpoints.
+    pub crashes: Arc<CrashReporter>,
+}
+
 /// Forwards callers' requests to endpoints; the roster provides the configuration and the
 /// endpoints.
 pub struct Forwarder {
@@ -87,6 +98,7 @@
     pub(super) endpoints: ArcSwap<Endpoints>,
     leaving: LeavingEndpoints,
     pub(super) permits: PermitClient,
+    pub(super) crashes: Arc<CrashReporter>,
     /// The number of entry instances (those that serve callers) that accept requests, including
     /// this one.
     pub(super) entry_instances: AtomicUsize,
@@ -140,10 +152,10 @@
         header_codec: Arc<dyn HeaderCodec>,
         reader: Arc<dyn ConfigReader>,
         roster: Arc<Roster>,
-        budgets: BudgetClient,
-        permits: PermitClient,
+        clients: Clients,
         warm_up: WarmUp,
     ) -> Arc<Self> {
+        let Clients { budgets, permits, crashes } = clients;
         Arc::new(Self {
             cx,
             header_codec,
@@ -156,6 +168,7 @@
             endpoints: ArcSwap::default(),
             leaving: LeavingEndpoints::default(),
             permits,
+            crashes,
             entry_instances: AtomicUsize::new(1),
             refreshes: watch::Sender::default(),
             warm_up,
@@ -389,6 +402,7 @@
         upstream_request: UpstreamRequest,
         mut turn: Option<TurnGuard>,
     ) -> Result<Response<ResponseBody>, Refusal> {
+        self.admit(plan, &upstream_request)?;
         if let Some(turn) = &mut turn {
             self.reserve(plan, &upstream_request.head, turn).await?;
         }
@@ -413,22 +427,35 @@
             let length = response.headers.get(header::CONTENT_LENGTH);
             let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
             if length.is_some_and(|length| length > BUFFERED_RESPONSE_MAX_BYTES) {
-                return Ok(relay::pass_through(self, plan, response, Bytes::new()));
+                return Ok(relay::pass_through(
+                    self,
+                    plan,
+                    &upstream_request,
+                    response,
+                    Bytes::new(),
+                ));
             }
             let collecting = collect(&mut response);
             let collected = tokio::time::timeout_at(plan.deadline, collecting).await;
             let reason = match collected {
                 Ok(Ok(Collected::Beginning(beginning))) => {
-                    return Ok(relay::pass_through(self, plan, response, beginning));
+                    return Ok(relay::pass_through(
+                        self,
+                        plan,
+                        &upstream_request,
+                        response,
+                        beginning,
+                    ));
                 }
                 Ok(Ok(Collected::Whole(body))) => {
                     plan.report.ended(&self.cx, &response, 0);
+                    self.note_complete_answer(&upstream_request);
                     return Ok(self.buffered_response(response, body));
                 }
                 Ok(Err(cause)) => cause.to_string(),
                 Err(_) => "the response did not end before the deadline".to_owned(),
             };
-            self.record_lost_response(plan, &upstream_request, &response.endpoint, &reason)?;
+            self.record_lost_response(plan, &upstream_request, &response.endpoint, &reason).await?;
         }
     }
 
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -51,7 +51,7 @@
         turn: Option<TurnGuard>,
     ) -> Response<ResponseBody> {
         if response.status != StatusCode::OK {
-            return pass_through(forwarder, plan, response, Bytes::new());
+            return pass_through(forwarder, plan, &upstream_request, response, Bytes::new());
         }
         let (status, mut headers) = (response.status, response.headers.clone());
         headers.remove(header::CONTENT_LENGTH);
@@ -128,6 +128,7 @@
     }
 
     fn finish(&mut self) -> StreamStep {
+        self.forwarder.note_complete_answer(&self.upstream_request);
         if let Some(response) = self.response.take() {
             self.plan.report.ended(&self.forwarder.cx, &response, self.events);
             self.forwarder.loads.note_success(&response.endpoint.id);
@@ -157,7 +158,7 @@
             &endpoint,
             failure,
         );
-        retryable.map_err(|refusal| refusal.to_string())?;
+        retryable.await.map_err(|refusal| refusal.to_string())?;
         let forwarder = self.forwarder.clone();
         let last_event = self.splitter.last_id();
         let resumed =
@@ -182,12 +183,13 @@
 pub(super) fn pass_through(
     forwarder: Arc<Forwarder>,
     plan: &mut RequestPlan,
+    upstream_request: &UpstreamRequest,
     response: UpstreamResponse,
     beginning: Bytes,
 ) -> Response<ResponseBody> {
     plan.report.ended(&forwarder.cx, &response, 0);
     let (status, headers) = (response.status, response.headers.clone());
-    let deadline = plan.deadline;
+    let (deadline, digest) = (plan.deadline, upstream_request.digest());
     let first = (!beginning.is_empty()).then(|| Ok(Frame::data(beginning)));
     let rest = stream::unfold(Some((forwarder, response)), move |state| async move {
         let (forwarder, mut response) = state?;
@@ -198,6 +200,7 @@
             Ok(None) => {
                 let now = forwarder.cx.clock.now();
                 response.finish(&forwarder.pool, now);
+                forwarder.crashes.clear(&digest);
                 None
             }
         }
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -148,15 +148,18 @@
         self.record(cx, EventNumber::SendFailed, peer, reason);
     }
 
-    /// Records that `endpoint` crashed while it had this request.
+    /// Records that `endpoint` crashed while it had this request, which is now a suspect of `crashes`
+    /// crashes.
     pub(super) fn endpoint_crashed(
         &self,
         cx: &Context,
         endpoint: &EndpointRecord,
         digest: RequestDigest,
+        crashes: usize,
     ) {
         let peer = Some(endpoint.id.to_string());
-        let detail = format!("digest={digest} started_ms={}", endpoint.started_ms);
+        let started_ms = endpoint.started_ms;
+        let detail = format!("digest={digest} crashes={crashes} started_ms={started_ms}");
         self.record(cx, EventNumber::EndpointCrashed, peer, &detail);
     }
 
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -78,14 +78,14 @@
     ///
     /// # Errors
     /// Fails if the request must not be sent again.
-    pub(super) fn record_lost_response(
+    pub(super) async fn record_lost_response(
         &self,
         plan: &mut RequestPlan,
         upstream_request: &UpstreamRequest,
         record: &EndpointRecord,
         reason: &str,
     ) -> Result<(), Refusal> {
-        self.check_for_crash(plan, upstream_request, record);
+        let check = self.check_for_crash(plan, upstream_request, record);
         let endpoint = &record.id;
         self.loads.note_failure(endpoint, self.cx.clock.now());
         plan.report.attempt_failed(&self.cx, endpoint, reason);
@@ -100,6 +100,10 @@
         if Instant::now() >= plan.deadline {
             return Err(Refusal::may_have_run(ResultCode::AnswerLate, message));
         }
+        // Whether the request may be sent again depends on the check.
+        if let Err(cause) = check.await {
+            log::error!("the check of endpoint {endpoint} for a crash failed: {cause}");
+        }
         Ok(())
     }
 
@@ -117,6 +121,7 @@
         self.wait_for_endpoint(plan).await;
         let mut retries = RetryState::default();
         for attempt_number in 0..ATTEMPTS_MAX {
+            self.admit(plan, upstream_request)?;
             let choice = self.choose(plan, upstream_request, &retries.excluded).await;
             retries.limited_for = match &choice {
                 Choice::Limited(time) => Some(*time),
@@ -139,7 +144,7 @@
             plan.report.note_send();
             let result = attempt.send(upstream_request).await;
             if let Some(response) =
-                self.note_result(plan, &mut retries, upstream_request, &endpoint, result)?
+                self.note_result(plan, &mut retries, upstream_request, &endpoint, result).await?
             {
                 return Ok(response);
             }
@@ -151,7 +156,7 @@
     }
 
     /// Handles the result of one attempt; returns the response if it is to be passed on.
-    fn note_result(
+    async fn note_result(
         &self,
         plan: &mut RequestPlan,
         retries: &mut RetryState,
@@ -177,7 +182,7 @@
             }
             Ok(response) if response.status.is_success() && !response.head.is_signed => {
                 let reason = "the endpoint did not sign the response";
-                self.record_lost_response(plan, upstream_request, endpoint, reason)?;
+                self.record_lost_response(plan, upstream_request, endpoint, reason).await?;
             }
             Ok(response) => {
                 let used = if response.is_reused() { "again" } else { "first" };
@@ -199,7 +204,7 @@
                 }
             }
             Err(Failure::Lost { reason }) => {
-                self.record_lost_response(plan, upstream_request, endpoint, &reason)?;
+                self.record_lost_response(plan, upstream_request, endpoint, &reason).await?;
                 retries.new_connection_only = true;
             }
         }
@@ -318,7 +323,10 @@
             let affinity = upstream_request.head.affinity.as_deref().filter(|_| plan.route.sticky);
             choice::order_by_load(&mut candidates, affinity, rand::random(), now);
         }
-        candidates.into_iter().map(|candidate| candidate.record).collect()
+        let mut ordered: Vec<EndpointRecord> =
+            candidates.into_iter().map(|candidate| candidate.record).collect();
+        self.isolate_suspect(upstream_request, &mut ordered);
+        ordered
     }
 
     fn attempt(
--- a/coriandergw/src/result_code.rs
+++ b/coriandergw/src/result_code.rs
@@ -98,6 +98,8 @@
     BodyIncomplete = 2009, 408;
     /// Each endpoint of the service gets as many requests as the limit that it named.
     EndpointsLimited = 2010, 503;
+    /// The request crashed the endpoints that ran it.
+    CrashesEndpoints = 2011, 503;
     /// The outcome of a call that must not be repeated is unknown.
     OutcomeUnknown = 3001, 502;
     /// The endpoint answered with an error.
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -10,6 +10,8 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::context::Context;
+use crate::crashes::Crash;
+use crate::crashes::server::CrashServer;
 use crate::endpoint_limits::server::PermitServer;
 use crate::events::EventNumber;
 use crate::events::Subject;
@@ -79,6 +81,8 @@
             .register(Kind::Pulse, Arc::new(PulseHandler { roster_server: roster_server.clone() }));
         let permit_server = PermitServer::new(base.cx.clock.clone(), roster_server.clone());
         base.transport.register(Kind::Permit, Arc::new(permit_server));
+        let crash_server = CrashServer { roster_server: roster_server.clone() };
+        base.transport.register(Kind::Crash, Arc::new(crash_server));
         if let Some(config_state) = last_config::read(&base.cx, &*disk) {
             roster_server.apply_config_state(config_state);
         }
@@ -97,7 +101,7 @@
         base.roster.update_presence(|presence| presence.ready = true);
         base.start_polling(settings);
         base.tasks.spawn(roster_server.clone().expire_silent());
-        base.tasks.spawn(keep_departures(base.roster.clone(), roster_server.clone()));
+        base.tasks.spawn(keep_reports(base.roster.clone(), roster_server.clone()));
         let stop_storing = watch::Sender::new(false);
         let storing = tokio::spawn(apply_and_store(
             base.cx.clone(),
@@ -221,17 +225,28 @@
     }
 }
 
-/// Records the departures of endpoints that other core instances acknowledged.
+/// Records the departures of endpoints that other core instances acknowledged, and the crashes that
+/// they publish.
 ///
 /// A core instance keeps announcements in memory only. Without a copy, a departure would be unknown
 /// once the instance that acknowledged it restarts, and a process that starts then would use the
 /// endpoint as an older announcement at another core instance lists it.
-async fn keep_departures(roster: Arc<Roster>, roster_server: Arc<RosterServer>) {
+async fn keep_reports(roster: Arc<Roster>, roster_server: Arc<RosterServer>) {
     let mut changes = roster.changes();
+    let mut crash_revision = 0;
     loop {
         for record in roster.with_view(|view| view.departing_endpoints()) {
             roster_server.announce(record);
         }
+        let crashes = roster.with_view(|view| {
+            let table = view.crashes();
+            let is_changed =
+                std::mem::replace(&mut crash_revision, table.revision()) != table.revision();
+            is_changed.then(|| table.crashes().cloned().collect::<Vec<Crash>>())
+        });
+        for crash in crashes.unwrap_or_default() {
+            roster_server.publish_crash(crash);
+        }
         if changes.changed().await.is_err() {
             return;
         }
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -11,8 +11,10 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
+use crate::crashes::reporter::CrashReporter;
 use crate::endpoint_limits::client::PermitClient;
 use crate::forwarding::HeaderCodec;
+use crate::forwarding::forwarder::Clients;
 use crate::forwarding::forwarder::ConfigReader;
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::server;
@@ -82,8 +84,9 @@
         let warm_up = WarmUp::new(Instant::now(), settings.warm_up);
         let cx = base.cx.clone();
         let permits = PermitClient::new(cx.clone(), roster.clone(), base.transport.clone());
-        let forwarder =
-            Forwarder::new(cx, header_codec, reader, roster.clone(), budgets, permits, warm_up);
+        let crashes = CrashReporter::start(cx.clone(), roster.clone(), base.transport.clone());
+        let clients = Clients { budgets, permits, crashes: Arc::new(crashes) };
+        let forwarder = Forwarder::new(cx, header_codec, reader, roster.clone(), clients, warm_up);
         base.tasks.spawn(forwarder.clone().follow_roster());
         base.tasks.spawn(announce_when_ready(roster.clone(), forwarder.clone()));
         let (phase, phases) = watch::channel(Phase::Serving);
--- a/coriandergw/src/roles/tests/crashes.rs
+++ b/coriandergw/src/roles/tests/crashes.rs
@@ -21,13 +21,13 @@
 /// The crashes after which a request is stopped, and the repetitions that are tolerated after that.
 const CRASHES_MAX: usize = 3 + 3;
 
-/// The body of the request that crashes endpoints.
-const CRASHING: &str = "crash";
+/// How the body of the request that crashes endpoints begins; longer than what identifies its class.
+const CRASHING: [u8; 600] = [b'c'; 600];
 
 /// How long an endpoint works on any other request.
 const WORK: Duration = Duration::from_millis(150);
 
-/// Three entry instances and endpoints that the request with body [`CRASHING`] crashes.
+/// Three entry instances and endpoints that a request with a body that begins with [`CRASHING`] crashes.
 struct Fleet {
     _world: World,
     _others: [EntryProcess; 2],
@@ -41,7 +41,7 @@
         let others = [world.add_entry().await, world.add_entry().await];
         let mut endpoints = Vec::new();
         for number in 0..ENDPOINTS {
-            let endpoint = Endpoint::start(|_, seen| match seen.body == CRASHING.as_bytes() {
+            let endpoint = Endpoint::start(|_, seen| match seen.body.starts_with(&CRASHING) {
                 true => vec![Step::Crash],
                 false => {
                     let attempt = seen.header("attempt").unwrap_or_default();
@@ -63,13 +63,14 @@
         self.endpoints.iter().filter(|endpoint| endpoint.has_crashed()).count()
     }
 
-    /// Sends the request that crashes endpoints `times` times, to one instance after the other;
-    /// returns the last answer.
+    /// Sends the request that crashes endpoints `times` times, to one instance after the other, each
+    /// other time with a longer body; returns the last answer.
     async fn send_crashing(&self, times: usize) -> String {
         let mut last = String::new();
         for number in 0..times {
             let callers = self.callers[number % self.callers.len()];
-            let request = post("/safe/x", &format!("crash-{number}"), "", CRASHING);
+            let body = "c".repeat(CRASHING.len() + number / 2);
+            let request = post("/safe/x", &format!("crash-{number}"), "", &body);
             last = ask_at(callers, &request).await;
             tokio::time::sleep(Duration::from_millis(30)).await;
         }
@@ -88,7 +89,7 @@
     assert_eq!(status(&last), "503");
     assert!(last.contains("\"not_run\":true"), "{last}");
     assert!(last.contains("retry-after: "), "{last}");
-    // The same path with another body is another request.
+    // The same path with a body that begins differently is another request.
     let other = ask_at(fleet.callers[0], &post("/safe/x", "other", "", "other")).await;
     assert_eq!(status(&other), "200");
 }
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -52,6 +52,9 @@
     /// Limits of endpoints that changed, each a coriandergw.endpoint_limits.StatedLimit.
     #[prost(bytes = "bytes", repeated, tag = "12")]
     pub limits: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// Crashes of endpoints that changed, each a coriandergw.crashes.Crash.
+    #[prost(bytes = "bytes", repeated, tag = "13")]
+    pub crashes: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 /// One process of the system.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -12,6 +12,8 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::context::Context;
+use crate::crashes::Crash;
+use crate::crashes::table::CrashTable;
 use crate::endpoint_limits::StatedLimit;
 use crate::events::EventNumber;
 use crate::events::Subject;
@@ -71,6 +73,14 @@
         action(&self.view.lock().expect("not poisoned"))
     }
 
+    /// Calls `action` with the known crashes of endpoints, to add what this process observes.
+    pub fn with_crashes<T, F>(&self, action: F) -> T
+    where
+        F: FnOnce(&mut CrashTable) -> T,
+    {
+        action(self.view.lock().expect("not poisoned").crashes_mut())
+    }
+
     /// Subscribes to changes of the view; the value is a counter that each change increments.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
@@ -223,6 +233,7 @@
     fn try_from(raw: raw::PollAnswer) -> Result<Self, RosterError> {
         let endpoints: Result<Vec<EndpointRecord>, _> =
             raw.endpoints.into_iter().map(EndpointRecord::try_from).collect();
+        let crashes: Result<Vec<Crash>, _> = raw.crashes.into_iter().map(Crash::decode).collect();
         let parse_presence = |raw: raw::Presence| {
             let heard = raw.heard;
             Presence::try_from(raw).map(|presence| ReportedPresence { presence, heard })
@@ -242,6 +253,7 @@
             entry_instances: raw.entry_instances as usize,
             // Decoded with the time at which the response arrived.
             limits: Vec::new(),
+            crashes: crashes.map_err(|_| RosterError { field: "crash" })?,
         })
     }
 }
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -10,6 +10,10 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
+use crate::crashes::Crash;
+use crate::crashes::RequestDigest;
+use crate::crashes::table::CrashTable;
+use crate::crashes::table::Standing;
 use crate::endpoint_limits::StatedLimit;
 use crate::events::EventNumber;
 use crate::events::Subject;
@@ -128,6 +132,33 @@
         self.with_state(|roster| stated.iter().for_each(|one| roster.publish_limit(one, now)));
     }
 
+    /// Publishes a crash that an entry instance reports.
+    pub fn report_crash(&self, crash: Crash) {
+        let now = self.cx.clock.now();
+        self.with_state(|roster| roster.touch_crash(&crash.incarnation, now));
+        self.publish_crash(crash);
+    }
+
+    /// Publishes what is known of a crash.
+    pub fn publish_crash(&self, crash: Crash) {
+        let now = self.cx.clock.now();
+        let suspects = crash.suspects.clone();
+        let blocked = self.with_state(|roster| {
+            let is_blocked = |request: &RequestDigest, table: &CrashTable| {
+                matches!(table.standing(request, now), Standing::Blocked { .. })
+            };
+            let before: Vec<RequestDigest> =
+                suspects.into_iter().filter(|one| !is_blocked(one, roster.crashes())).collect();
+            roster.publish_crash(crash, now);
+            before.into_iter().filter(|one| is_blocked(one, roster.crashes())).collect::<Vec<_>>()
+        });
+        for request in blocked {
+            let endpoints = self.with_state(|roster| roster.crashes().endpoints_of(&request));
+            let detail = format!("digest={request} crashed endpoints={endpoints:?}");
+            self.cx.events.record(EventNumber::RequestBlocked, Subject::default(), detail);
+        }
+    }
+
     /// Waits until another core instance has received all changes up to now. Returns at once if this
     /// one hears no other, and after [`COPY_TIMEOUT`] in any case.
     ///
@@ -247,6 +278,7 @@
             is_directory: self.is_directory,
             entry_instances: roster.entry_instances() as u32,
             limits: changes.limits.iter().map(|one| one.encode(now)).collect(),
+            crashes: changes.crashes.iter().map(Crash::encode).collect(),
         }
     }
 }
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -9,6 +9,9 @@
 use derive_more::Error;
 
 use crate::clock::Timestamp;
+use crate::crashes::Crash;
+use crate::crashes::Incarnation;
+use crate::crashes::table::CrashTable;
 use crate::endpoint_limits::StatedLimit;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
@@ -162,6 +165,8 @@
     pub instances: Vec<ReportedPresence>,
     /// The limits of endpoints that changed.
     pub limits: Vec<StatedLimit>,
+    /// The crashes of endpoints that are new or of which more is known.
+    pub crashes: Vec<Crash>,
 }
 
 /// The roster state of one core instance.
@@ -173,6 +178,9 @@
     endpoints: BTreeMap<EndpointName, Tracked<EndpointRecord>>,
     instances: BTreeMap<InstanceName, Tracked<ReportedPresence>>,
     limits: BTreeMap<EndpointName, Tracked<StatedLimit>>,
+    crashes: CrashTable,
+    /// The number of the last change of each crash.
+    crash_changes: BTreeMap<Incarnation, u64>,
     config_state: ConfigState,
     checked_at: Timestamp,
 }
@@ -188,6 +196,8 @@
             endpoints: BTreeMap::new(),
             instances: BTreeMap::new(),
             limits: BTreeMap::new(),
+            crashes: CrashTable::default(),
+            crash_changes: BTreeMap::new(),
             config_state: ConfigState::default(),
             checked_at: now,
         }
@@ -337,6 +347,27 @@
         self.limits.insert(stated.endpoint.clone(), entry);
     }
 
+    /// Publishes what is known of a crash; returns whether that is new.
+    pub fn publish_crash(&mut self, crash: Crash, now: Timestamp) -> bool {
+        let incarnation = crash.incarnation.clone();
+        let is_changed = self.crashes.merge(crash, now);
+        if is_changed {
+            let number = self.next_change(ChangeScope::General);
+            self.crash_changes.insert(incarnation, number);
+        }
+        is_changed
+    }
+
+    /// Returns the published crashes.
+    pub fn crashes(&self) -> &CrashTable {
+        &self.crashes
+    }
+
+    /// Marks a crash as reported by an entry instance.
+    pub fn touch_crash(&mut self, incarnation: &Incarnation, now: Timestamp) {
+        self.crashes.touch(incarnation, now);
+    }
+
     /// Records a poll without a presence; returns the role of the process, or `None` if it is
     /// unknown or silent.
     pub fn note_alive(&mut self, name: &InstanceName, now: Timestamp) -> Option<Role> {
@@ -418,6 +449,9 @@
         self.endpoints.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         self.instances.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         self.limits.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
+        self.crashes.expire(now);
+        let crashes = &self.crashes;
+        self.crash_changes.retain(|incarnation, _| crashes.has_crashed(incarnation));
         silent
     }
 
@@ -431,10 +465,14 @@
         let instances = self.instances.values().filter(|entry| entry.changed > cursor);
         let instances = instances.filter(|entry| is_needed(&entry.value));
         let limits = self.limits.values().filter(|entry| entry.changed > cursor);
+        let is_later = |crash: &&Crash| {
+            self.crash_changes.get(&crash.incarnation).is_some_and(|changed| *changed > cursor)
+        };
         Changes {
             endpoints: endpoints.map(|entry| entry.value.clone()).collect(),
             instances: instances.map(|entry| entry.value.clone()).collect(),
             limits: limits.map(|entry| entry.value.clone()).collect(),
+            crashes: self.crashes.crashes().filter(is_later).cloned().collect(),
         }
     }
 }
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -10,6 +10,8 @@
 use bytes::Bytes;
 
 use crate::clock::Timestamp;
+use crate::crashes::Crash;
+use crate::crashes::table::CrashTable;
 use crate::endpoint_limits::StatedLimit;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
@@ -65,6 +67,8 @@
     pub entry_instances: usize,
     /// The limits of endpoints that changed since the last poll.
     pub limits: Vec<StatedLimit>,
+    /// The crashes of endpoints that are new or of which more is known.
+    pub crashes: Vec<Crash>,
 }
 
 #[derive(Debug, Default)]
@@ -95,6 +99,7 @@
     cores: BTreeMap<SocketAddr, CoreView>,
     endpoints: BTreeMap<EndpointName, KnownEndpoint>,
     limits: BTreeMap<EndpointName, StatedLimit>,
+    crashes: CrashTable,
     config_version: u64,
     config: Bytes,
     first_journal_voters: Vec<InstanceName>,
@@ -109,6 +114,7 @@
             cores: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             limits: BTreeMap::new(),
+            crashes: CrashTable::default(),
             config_version: 0,
             config: Bytes::new(),
             first_journal_voters: Vec::new(),
@@ -147,6 +153,9 @@
         for stated in answer.limits {
             is_changed |= self.merge_limit(stated);
         }
+        for crash in answer.crashes {
+            is_changed |= self.crashes.merge(crash, now);
+        }
         if let Some(config) = answer.config
             && answer.config_version > self.config_version
         {
@@ -212,6 +221,16 @@
         self.limits.values()
     }
 
+    /// Returns the crashes of endpoints, as published and as this process observed them.
+    pub fn crashes(&self) -> &CrashTable {
+        &self.crashes
+    }
+
+    /// Returns the crashes of endpoints, to add what this process observes.
+    pub fn crashes_mut(&mut self) -> &mut CrashTable {
+        &mut self.crashes
+    }
+
     /// Removes a core instance that restarted from the reporters of all endpoints.
     fn forget_reporter(&mut self, core: SocketAddr, now: Timestamp) {
         for known in self.endpoints.values_mut() {
@@ -224,6 +243,7 @@
     /// Removes endpoints that no core instance confirms any more, and departed or silent ones after
     /// [`GONE_RETENTION`]; returns the removed endpoints that were neither silent nor gone.
     pub fn expire(&mut self, now: Timestamp) -> Vec<EndpointName> {
+        self.crashes.expire(now);
         let reachable: Vec<SocketAddr> = self.reachable_cores(now).collect();
         if reachable.is_empty() {
             // Without any reachable core instance, the last known state is kept.
--- a/coriandergw/src/transport/mod.rs
+++ b/coriandergw/src/transport/mod.rs
@@ -47,6 +47,8 @@
     Pulse = 9,
     /// Requests for permits to send to endpoints that name a limit.
     Permit = 10,
+    /// Reports of endpoints that crashed.
+    Crash = 11,
 }
 
 impl Kind {
@@ -62,6 +64,7 @@
         Kind::Roster,
         Kind::Pulse,
         Kind::Permit,
+        Kind::Crash,
     ];
 
     /// Returns the kind with this number on the wire.
