feat(roster): carry the software version of endpoints and log it

The version in an announcement was dropped in platform/, and the header that names the attempt of a stream's first event was not read, so no log line could tell whether a stream changed its version within one answer or over two attempts of a caller.

The records of endpoints now carry the version, the head of a request the attempt that it resumes. The log lines of requests give version, last_event and resumes. No request is sent differently.

--- a/coriandergw/src/forwarding/leaving/tests.rs
+++ b/coriandergw/src/forwarding/leaving/tests.rs
@@ -20,6 +20,7 @@
         started_ms,
         sequence: 1,
         cold_ms: 0,
+        version: "v1".into(),
     }
 }
 
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -68,6 +68,8 @@
     pub affinity: Option<Arc<str>>,
     /// The identifier of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of the stream that the caller resumes.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// The headers that the gateway adds to a forwarded request.
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -112,7 +112,9 @@
 
     fn forward_events(&mut self, bytes: Bytes, count: u64) -> StreamStep {
         if self.events == 0 {
-            self.plan.report.note_first_event();
+            let response = self.response.as_ref();
+            let version = response.map(|response| &response.endpoint.version);
+            self.plan.report.note_first_event(version);
         }
         self.events += count;
         if let Some(turn) = &mut self.turn {
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -33,6 +33,10 @@
     /// The engine that the journal assigned the turn to.
     placed: Option<EndpointName>,
     first_event: Option<Instant>,
+    /// The version of the endpoint that made the first event.
+    version: Option<Arc<str>>,
+    last_event: Option<u64>,
+    resumes: Option<Arc<str>>,
     sends: u32,
 }
 
@@ -60,6 +64,9 @@
             reserved: None,
             placed: None,
             first_event: None,
+            version: None,
+            last_event: head.last_event,
+            resumes: head.resumes.clone(),
             sends: 0,
         }
     }
@@ -72,8 +79,9 @@
         self.placed = engine.cloned();
     }
 
-    pub(super) fn note_first_event(&mut self) {
+    pub(super) fn note_first_event(&mut self, version: Option<&Arc<str>>) {
         self.first_event = Some(Instant::now());
+        self.version = version.cloned();
     }
 
     pub(super) fn note_send(&mut self) {
@@ -101,7 +109,7 @@
     fn record(&self, cx: &Context, number: EventNumber, peer: Option<String>, outcome: &str) {
         let detail = format!(
             "request={} program={} route={} service={} config={} placed={} sends={} reserved_ms={} \
-             first_event_ms={} total_ms={} {outcome}",
+             first_event_ms={} total_ms={} version={} last_event={} resumes={} {outcome}",
             self.attempt,
             self.program.as_deref().unwrap_or("-"),
             self.route,
@@ -112,6 +120,9 @@
             self.ms_since_start(self.reserved),
             self.ms_since_start(self.first_event),
             self.started.elapsed().as_millis(),
+            self.version.as_deref().unwrap_or("-"),
+            self.last_event.map_or("-".to_owned(), |id| id.to_string()),
+            self.resumes.as_deref().unwrap_or("-"),
         );
         cx.events.record(number, Subject { peer, ..Subject::default() }, detail);
     }
--- a/coriandergw/src/forwarding/tests.rs
+++ b/coriandergw/src/forwarding/tests.rs
@@ -32,6 +32,7 @@
         started_ms: 1,
         sequence: 1,
         cold_ms: 0,
+        version: "v1".into(),
     };
     EndpointCandidate { record, load, is_preferred: true }
 }
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -67,6 +67,7 @@
                 .map(|output_max| TokenDemand { prompt: 10, output_max }),
             affinity: None,
             last_event: number(headers, "last-event"),
+            resumes: text(headers, "resumes"),
         })
     }
 
@@ -281,6 +282,7 @@
         started_ms: 1,
         sequence: 1,
         cold_ms: 0,
+        version: "v1".into(),
     }
 }
 
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -121,4 +121,7 @@
     pub sequence: u64,
     #[prost(uint64, tag = "9")]
     pub cold_ms: u64,
+    /// The version of its software.
+    #[prost(string, tag = "10")]
+    pub version: ::prost::alloc::string::String,
 }
--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -118,6 +118,9 @@
     pub sequence: u64,
     /// The remaining warm-up time after the start, in milliseconds.
     pub cold_ms: u64,
+    /// The version of the endpoint's software, which is equal to another one or not; empty if the
+    /// endpoint does not state it. What two versions write into a stream does not fit together.
+    pub version: Arc<str>,
 }
 
 impl EndpointRecord {
--- a/coriandergw/src/roster/server/tests.rs
+++ b/coriandergw/src/roster/server/tests.rs
@@ -38,6 +38,7 @@
         started_ms: 1,
         sequence,
         cold_ms: 0,
+        version: "v1".into(),
     }
 }
 
--- a/coriandergw/src/roster/simulation.rs
+++ b/coriandergw/src/roster/simulation.rs
@@ -137,6 +137,7 @@
             started_ms: self.started_ms,
             sequence: self.sequence,
             cold_ms: 0,
+            version: "v1".into(),
         }
     }
 }
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -49,6 +49,7 @@
         started_ms,
         sequence,
         cold_ms: 0,
+        version: "v1".into(),
     }
 }
 
--- a/coriandergw/src/roster/wire.rs
+++ b/coriandergw/src/roster/wire.rs
@@ -117,6 +117,7 @@
             started_ms: record.started_ms,
             sequence: record.sequence,
             cold_ms: record.cold_ms,
+            version: record.version.to_string(),
         }
     }
 }
@@ -135,6 +136,7 @@
             started_ms: raw.started_ms,
             sequence: raw.sequence,
             cold_ms: raw.cold_ms,
+            version: raw.version.into(),
         })
     }
 }
