test(roles): show that streams change their software version

With two endpoints of each of two versions, a stream that breaks is resumed at the other version within one answer (stream 0 of 12), and one that its caller resumes at another instance goes on at the other version (stream 2 of 12). A stream that nobody knows, or whose version has left, is taken up by whatever version there is.

--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -12,4 +12,5 @@
 mod limits;
 mod routing;
 mod streams;
+mod versions;
 mod world;
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -242,8 +242,17 @@
     /// Announces an endpoint and waits until the entry instance knows it.
     pub async fn announce(&self, id: &str, service: &str, endpoint: &Endpoint) {
         let id = EndpointName::try_from(id).expect("a name");
-        self.core.roster_server.announce(record(&id, service, endpoint.address));
-        let is_known = || self.entry.roster.with_view(|view| view.endpoint(&id).is_some());
+        self.announce_record(record(&id, service, endpoint.address)).await;
+    }
+
+    /// Announces an endpoint by its record and waits until the entry instance knows it.
+    pub async fn announce_record(&self, record: EndpointRecord) {
+        let (id, started_ms) = (record.id.clone(), record.started_ms);
+        self.core.roster_server.announce(record);
+        let is_known = || {
+            let known = self.entry.roster.with_view(|view| view.endpoint(&id).cloned());
+            known.is_some_and(|known| known.started_ms == started_ms)
+        };
         wait_for("the endpoint", is_known).await;
         // The forwarder applies the same change in a separate task.
         tokio::time::sleep(Duration::from_millis(20)).await;
