fix(forwarding): keep the events of a stream to one software version

Cause: a stream was only one at the endpoint it ran on. A resumption within an answer chose among all endpoints of the service, and a caller's resumption was a new request: the version of an endpoint was not known at all, and the header that names the attempt of the first event was not read.

A resumption names the first attempt in its own reservation, and the answer says the version; only endpoints of it are used. A stream without a program gets a record of its own.

--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -42,6 +42,7 @@
 use crate::forwarding::relay::StreamRelay;
 use crate::forwarding::report::RequestReport;
 use crate::forwarding::turn_guard::TurnGuard;
+use crate::forwarding::versions;
 use crate::forwarding::warm_up::WARM_UP;
 use crate::forwarding::warm_up::WarmUp;
 use crate::ids::EndpointName;
@@ -51,9 +52,9 @@
 use crate::roster::EndpointRecord;
 use crate::roster::poller::Roster;
 use crate::roster::view::RosterView;
+use crate::routes::RetryPolicy;
 use crate::routes::Route;
 use crate::routes::RouteTable;
-use crate::token_budgets::TurnKey;
 use crate::token_budgets::client::BudgetClient;
 
 /// The retry delay sent to callers when a request is refused for a short-lived reason.
@@ -93,7 +94,7 @@
     pub(super) loads: Arc<Loads>,
     pub(super) roster: Arc<Roster>,
     reader: Arc<dyn ConfigReader>,
-    budgets: BudgetClient,
+    pub(super) budgets: BudgetClient,
     table: ArcSwapOption<RouteTable>,
     pub(super) endpoints: ArcSwap<Endpoints>,
     leaving: LeavingEndpoints,
@@ -122,6 +123,10 @@
     pub(super) connection_limit: u32,
     /// The engine that the journal assigned the turn to.
     pub(super) placed_engine: Option<EndpointName>,
+    /// The version of endpoints that the journal has for the stream of this request.
+    pub(super) recorded_version: Option<Arc<str>>,
+    /// The version whose endpoints alone may run the request, since the caller has events of it.
+    pub(super) required_version: Option<Arc<str>>,
     /// Whether any endpoint may have run the request.
     pub(super) may_have_run: bool,
     /// The endpoints that may have run the request and are not known to have ended.
@@ -137,6 +142,8 @@
             service: self.service.clone(),
             key: self.key.clone(),
             placed_engine: self.placed_engine.take(),
+            recorded_version: self.recorded_version.take(),
+            required_version: self.required_version.take(),
             ran_on: std::mem::take(&mut self.ran_on),
             report: self.report.clone(),
             ..*self
@@ -366,16 +373,13 @@
         let service_config = table.service(&service);
         let engine = service_config.and_then(|service| service.engine);
         let connections_max = service_config.map_or(u32::MAX, |service| service.connections_max);
-        let turn = match (&program, head.tokens) {
-            (Some(program), Some(_)) if route.retry_policy.is_stream() => {
-                let key = TurnKey { program: program.clone(), turn: head.attempt.clone() };
-                head.program
-                    .as_ref()
-                    .and_then(|program| program.budget)
-                    .map(|_| TurnGuard::new(self.budgets.clone(), key))
-            }
-            _ => None,
-        };
+        let has_budget = head.program.as_ref().is_some_and(|program| program.budget.is_some());
+        let is_turn = has_budget && head.tokens.is_some() && route.retry_policy.is_stream();
+        let is_resumed = head.last_event.is_some()
+            && head.resumes.is_some()
+            && route.retry_policy == RetryPolicy::ResumableStream;
+        let turn = (is_turn || is_resumed)
+            .then(|| TurnGuard::new(self.budgets.clone(), versions::record_key(head)));
         let report = RequestReport::new(head, &route, &service, table.version(), started);
         let plan = RequestPlan {
             is_engine: engine.is_some(),
@@ -384,6 +388,8 @@
             deadline,
             key,
             placed_engine: None,
+            recorded_version: None,
+            required_version: None,
             connection_limit: choice::connection_share(
                 connections_max,
                 self.entry_instances.load(Ordering::Relaxed),
@@ -407,6 +413,7 @@
             self.reserve(plan, &upstream_request.head, turn).await?;
         }
         if plan.route.retry_policy.is_stream() {
+            self.require_version(plan, &upstream_request.head)?;
             let response = self.send_with_retries(plan, &upstream_request, None).await?;
             return Ok(StreamRelay::start(self, plan, upstream_request, response, turn));
         }
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -30,6 +30,7 @@
 mod sending;
 pub mod server;
 mod turn_guard;
+mod versions;
 pub mod warm_up;
 
 /// The headers that describe the program that a request belongs to.
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -57,7 +57,7 @@
         headers.remove(header::CONTENT_LENGTH);
         let mut turn = turn;
         if let Some(turn) = &mut turn {
-            turn.set_engine(&response.endpoint.id);
+            turn.set_engine(&response.endpoint);
         }
         let relay = Self {
             splitter: EventSplitter::after(upstream_request.head.last_event),
@@ -98,14 +98,18 @@
                     Err(_) => continue,
                     Ok(data) => match self.splitter.push(&data) {
                         Some(events) if events.count == 0 => continue,
-                        Some(events) => return self.forward_events(events.bytes, events.count),
+                        Some(events) => {
+                            if let Err(reason) = self.keep_version().await {
+                                return self.abort(reason);
+                            }
+                            return self.forward_events(events.bytes, events.count);
+                        }
                         None => "an event exceeds the size limit".to_owned(),
                     },
                 },
             };
             if let Err(reason) = self.resume(&failure).await {
-                self.plan.report.stream_aborted(&self.forwarder.cx, self.events, &reason);
-                return StreamStep::Failed(reason);
+                return self.abort(reason);
             }
         }
     }
@@ -123,8 +127,20 @@
         StreamStep::Data(bytes)
     }
 
-    fn deadline_passed(&mut self) -> StreamStep {
-        let reason = "the deadline of the request has passed".to_owned();
+    /// Records the version of the endpoint before its first event is passed on.
+    async fn keep_version(&mut self) -> Result<(), String> {
+        let Some(response) = self.response.as_ref().filter(|_| self.events == 0) else {
+            return Ok(());
+        };
+        let (head, version) = (&self.upstream_request.head, response.endpoint.version.clone());
+        self.forwarder.record_version(&mut self.plan, head, &version).await
+    }
+
+    fn deadline_passed(&self) -> StreamStep {
+        self.abort("the deadline of the request has passed".to_owned())
+    }
+
+    fn abort(&self, reason: String) -> StreamStep {
         self.plan.report.stream_aborted(&self.forwarder.cx, self.events, &reason);
         StreamStep::Failed(reason)
     }
@@ -173,7 +189,7 @@
             ));
         }
         if let Some(turn) = &mut self.turn {
-            turn.set_engine(&response.endpoint.id);
+            turn.set_engine(&response.endpoint);
         }
         self.response = Some(response);
         Ok(())
--- a/coriandergw/src/forwarding/reserving.rs
+++ b/coriandergw/src/forwarding/reserving.rs
@@ -1,5 +1,7 @@
 //! Reserves the tokens of a turn in the journal, which also assigns the turn to an engine.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -11,9 +13,9 @@
 use crate::forwarding::forwarder::RequestPlan;
 use crate::forwarding::forwarder::TRANSIENT_RETRY_AFTER;
 use crate::forwarding::turn_guard::TurnGuard;
-use crate::ids::EndpointName;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
+use crate::token_budgets::ProposedEngine;
 use crate::token_budgets::Reservation;
 use crate::token_budgets::ReservationOutcome;
 
@@ -36,20 +38,25 @@
         head: &RequestHeaders,
         turn: &mut TurnGuard,
     ) -> Result<(), Refusal> {
-        let budget = head.program.as_ref().and_then(|program| program.budget).unwrap_or_default();
-        let tokens = head.tokens.map_or(0, |tokens| tokens.output_max);
+        let budget = head.program.as_ref().and_then(|program| program.budget);
+        // A stream without a budget is only looked up, and never refused for want of tokens.
+        let tokens = head.tokens.filter(|_| budget.is_some());
+        let (budget, tokens) =
+            (budget.unwrap_or(u64::MAX), tokens.map_or(0, |tokens| tokens.output_max));
         let now = self.cx.clock.now();
         let has_quorum = self.roster.with_view(|view| view.reaches_quorum(now));
         let timeout = if has_quorum { RESERVE_TIMEOUT } else { RESERVE_TIMEOUT_WITHOUT_QUORUM };
         let limit = plan.deadline.min(Instant::now() + timeout);
-        let engines = self.proposed_engines(plan);
-        let reservation = Reservation { budget, tokens, engines };
+        let engines = self.proposed_engines(plan, head);
+        let resumes = head.resumes.clone().filter(|_| head.last_event.is_some());
+        let reservation = Reservation { budget, tokens, engines, resumes };
         let result = tokio::time::timeout_at(limit, turn.reserve(reservation)).await;
         plan.report.note_reserved();
         match result {
-            Ok(Ok(ReservationOutcome::Granted { engine, .. })) => {
+            Ok(Ok(ReservationOutcome::Granted { engine, version, .. })) => {
                 plan.report.note_placed(engine.as_ref());
                 plan.placed_engine = engine;
+                plan.recorded_version = version;
                 Ok(())
             }
             Ok(Ok(ReservationOutcome::Denied { left })) => {
@@ -71,8 +78,9 @@
         }
     }
 
-    /// Returns the engines that the journal may assign the turn to, best first.
-    fn proposed_engines(&self, plan: &RequestPlan) -> Vec<EndpointName> {
+    /// Returns the engines that the journal may assign the turn to, best first. Only the journal
+    /// knows which version a resumed stream goes on at, so such a turn gets engines of each version.
+    fn proposed_engines(&self, plan: &RequestPlan, head: &RequestHeaders) -> Vec<ProposedEngine> {
         let endpoints = self.endpoints.load();
         let known = endpoints.get(&plan.service).map(Vec::as_slice).unwrap_or_default();
         let mut candidates: Vec<EndpointCandidate> =
@@ -80,7 +88,16 @@
         choice::order_engines(&mut candidates, &plan.key, None, self.cx.clock.now());
         // An engine without room within its limit would not get the turn.
         candidates.sort_by_key(|candidate| !self.permits.has_room(&candidate.record));
-        let best = candidates.into_iter().take(PROPOSED_ENGINES_MAX);
-        best.map(|candidate| candidate.record.id).collect()
+        let mut counts: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        candidates.retain(|candidate| {
+            let version = match head.last_event {
+                Some(_) => candidate.record.version.clone(),
+                None => Arc::default(),
+            };
+            let count = counts.entry(version).or_default();
+            *count += 1;
+            *count <= PROPOSED_ENGINES_MAX
+        });
+        candidates.iter().map(|candidate| ProposedEngine::from(&candidate.record)).collect()
     }
 }
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -232,6 +232,11 @@
     /// if limits of endpoints are the reason.
     fn no_endpoint_refusal(&self, plan: &RequestPlan, limited_for: Option<Duration>) -> Refusal {
         let service = &plan.service;
+        if !plan.may_have_run
+            && let Some(refusal) = self.version_gone(plan)
+        {
+            return refusal.retry_after(TRANSIENT_RETRY_AFTER);
+        }
         if plan.may_have_run {
             let message = format!("no endpoint of service {service} responded");
             return Refusal::may_have_run(ResultCode::AnswerLate, message);
@@ -306,6 +311,7 @@
         let is_endpoint_limit_reached = plan.ran_on.len() >= plan.route.endpoints_max as usize;
         let is_allowed = |(_, record): &(usize, &EndpointRecord)| {
             !excluded.contains(&record.id)
+                && plan.required_version.as_ref().is_none_or(|one| *one == record.version)
                 && (!is_endpoint_limit_reached || plan.ran_on.contains(&record.id))
         };
         let has_free_connection =
--- a/coriandergw/src/forwarding/turn_guard.rs
+++ b/coriandergw/src/forwarding/turn_guard.rs
@@ -1,7 +1,8 @@
 //! The token reservation of one turn, settled when the guard is dropped.
 
-use crate::ids::EndpointName;
+use crate::roster::EndpointRecord;
 use crate::token_budgets::BudgetError;
+use crate::token_budgets::ProposedEngine;
 use crate::token_budgets::Reservation;
 use crate::token_budgets::ReservationOutcome;
 use crate::token_budgets::TurnKey;
@@ -14,7 +15,7 @@
     key: TurnKey,
     used_tokens: u64,
     /// The engine that ran the turn last.
-    engine: Option<EndpointName>,
+    engine: Option<ProposedEngine>,
     is_reserved: bool,
 }
 
@@ -43,8 +44,8 @@
     }
 
     /// Sets the engine that runs the turn from now on.
-    pub(super) fn set_engine(&mut self, engine: &EndpointName) {
-        self.engine = Some(engine.clone());
+    pub(super) fn set_engine(&mut self, engine: &EndpointRecord) {
+        self.engine = Some(ProposedEngine::from(engine));
     }
 
     /// Adds tokens that are passed to the caller.
--- a/coriandergw/src/result_code.rs
+++ b/coriandergw/src/result_code.rs
@@ -100,6 +100,10 @@
     EndpointsLimited = 2010, 503;
     /// The request crashed the endpoints that ran it.
     CrashesEndpoints = 2011, 503;
+    /// No record says which software version began the stream, and several serve.
+    StreamUnknown = 2012, 503;
+    /// No endpoint is left of the software version that began the stream.
+    VersionGone = 2013, 503;
     /// The outcome of a call that must not be repeated is unknown.
     OutcomeUnknown = 3001, 502;
     /// The endpoint answered with an error.
--- a/coriandergw/src/roles/tests/versions.rs
+++ b/coriandergw/src/roles/tests/versions.rs
@@ -117,7 +117,11 @@
     EndpointRecord { version: version.into(), ..record(&id, "engines", endpoint.address) }
 }
 
+/// Returns the headers of a turn, or, for every other number, of a stream without a program.
 fn turn_of(number: usize) -> String {
+    if number % 2 == 1 {
+        return "deadline: 5000\r\n".to_owned();
+    }
     format!("program: p{number}\r\nbudget: 1000\r\noutput-max: 30\r\ndeadline: 5000\r\n")
 }
 
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -216,6 +216,13 @@
         is_newer
     }
 
+    /// Returns the software versions of all listed endpoints of a service, also of those that have
+    /// departed lately.
+    pub fn versions(&self, service: &str) -> BTreeSet<Arc<str>> {
+        let of_service = self.records().filter(|record| &*record.service == service);
+        of_service.map(|record| record.version.clone()).collect()
+    }
+
     /// Returns the limits that endpoints named to any instance, as last published.
     pub fn limits(&self) -> impl Iterator<Item = &StatedLimit> {
         self.limits.values()
--- a/coriandergw/src/token_budgets/client.rs
+++ b/coriandergw/src/token_budgets/client.rs
@@ -17,6 +17,7 @@
 use crate::log_groups::ProposeError;
 use crate::log_groups::ReplicatedLog;
 use crate::token_budgets::BudgetError;
+use crate::token_budgets::ProposedEngine;
 use crate::token_budgets::Reservation;
 use crate::token_budgets::ReservationOutcome;
 use crate::token_budgets::TurnKey;
@@ -46,7 +47,8 @@
 
 enum Request {
     Reserve { key: TurnKey, reservation: Reservation, reply: Reply },
-    Settle { key: TurnKey, tokens: u64, engine: Option<EndpointName> },
+    Bind { key: TurnKey, version: Arc<str>, reply: oneshot::Sender<Result<(), BudgetError>> },
+    Settle { key: TurnKey, tokens: u64, engine: Option<ProposedEngine> },
 }
 
 /// Reserves and settles tokens of program budgets. Clones share one background task.
@@ -81,9 +83,20 @@
         outcome.await.map_err(|_| stopping(()))?
     }
 
+    /// Records the software version that the events of a turn come from.
+    ///
+    /// # Errors
+    /// Fails if the journal did not answer.
+    pub async fn bind(&self, key: TurnKey, version: Arc<str>) -> Result<(), BudgetError> {
+        let (reply, outcome) = oneshot::channel();
+        let stopping = |_| BudgetError { reason: "the process is stopping".to_owned() };
+        self.tx.send(Request::Bind { key, version, reply }).map_err(|_| stopping(()))?;
+        outcome.await.map_err(|_| stopping(()))?
+    }
+
     /// Replaces a reservation by the number of tokens delivered, and records the engine that ran
     /// the turn.
-    pub fn settle(&self, key: TurnKey, tokens: u64, engine: Option<EndpointName>) {
+    pub fn settle(&self, key: TurnKey, tokens: u64, engine: Option<ProposedEngine>) {
         // Sending fails only while the process stops; the reservation then counts as spent.
         let _ = self.tx.send(Request::Settle { key, tokens, engine });
     }
@@ -93,6 +106,7 @@
 struct Batch {
     command: raw::Command,
     replies: Vec<Reply>,
+    bind_replies: Vec<oneshot::Sender<Result<(), BudgetError>>>,
 }
 
 impl Batch {
@@ -100,22 +114,38 @@
         match request {
             Request::Reserve { key, reservation, reply } => {
                 let (program, turn) = (key.program.to_string(), key.turn.to_string());
-                let Reservation { budget, tokens, engines } = reservation;
-                let engines = engines.iter().map(ToString::to_string).collect();
-                let reserve = raw::Reserve { program, turn, budget, tokens, engines };
+                let Reservation { budget, tokens, engines, resumes } = reservation;
+                let versions = engines.iter().map(|engine| engine.version.to_string()).collect();
+                let engines = engines.iter().map(|engine| engine.name.to_string()).collect();
+                let resumes = resumes.map(|turn| turn.to_string()).unwrap_or_default();
+                let reserve =
+                    raw::Reserve { program, turn, budget, tokens, engines, versions, resumes };
                 self.command.reserves.push(reserve);
                 self.replies.push(reply);
             }
             Request::Settle { key, tokens, engine } => {
                 let (program, turn) = (key.program.to_string(), key.turn.to_string());
-                let engine = engine.map(|engine| engine.to_string()).unwrap_or_default();
-                self.command.settles.push(raw::Settle { program, turn, tokens, engine });
+                let (engine, version) = engine
+                    .map(|engine| (engine.name.to_string(), engine.version.to_string()))
+                    .unwrap_or_default();
+                self.command.settles.push(raw::Settle { program, turn, tokens, engine, version });
+            }
+            Request::Bind { key, version, reply } => {
+                let (program, turn) = (key.program.to_string(), key.turn.to_string());
+                let version = version.to_string();
+                self.command.binds.push(raw::Bind { program, turn, version });
+                self.bind_replies.push(reply);
             }
         }
     }
 
     fn turns(&self) -> usize {
-        self.command.reserves.len() + self.command.settles.len()
+        self.command.reserves.len() + self.command.settles.len() + self.command.binds.len()
+    }
+
+    /// Returns whether no one waits for the command.
+    fn is_unhurried(&self) -> bool {
+        self.replies.is_empty() && self.bind_replies.is_empty()
     }
 }
 
@@ -131,7 +161,7 @@
         while let Some(first) = rx.recv().await {
             let mut batch = Batch::default();
             batch.add(first);
-            if batch.replies.is_empty() {
+            if batch.is_unhurried() {
                 collect_settlements(&mut batch, &mut rx).await;
             }
             // The semaphore is never closed.
@@ -153,7 +183,7 @@
     }
 
     async fn send_batch(&self, batch: Batch) {
-        let Batch { mut command, replies } = batch;
+        let Batch { mut command, replies, bind_replies } = batch;
         command.wall_ms = self.cx.clock.wall().0;
         let result = self.propose(&command).await;
         match result {
@@ -162,12 +192,19 @@
                     // Sending fails if the caller has stopped waiting; it then settles the turn.
                     let _ = reply.send(Ok(verdict));
                 }
+                for reply in bind_replies {
+                    // Sending fails if the stream has ended.
+                    let _ = reply.send(Ok(()));
+                }
             }
             Err(cause) => {
                 self.record_failure(&command, &cause);
                 for reply in replies {
                     let _ = reply.send(Err(cause.clone()));
                 }
+                for reply in bind_replies {
+                    let _ = reply.send(Err(cause.clone()));
+                }
                 self.retry_settlements(command.settles);
             }
         }
@@ -223,7 +260,7 @@
 
 async fn collect_settlements(batch: &mut Batch, rx: &mut mpsc::UnboundedReceiver<Request>) {
     let collect = async {
-        while batch.replies.is_empty() && batch.turns() < MAX_TURNS_PER_COMMAND {
+        while batch.is_unhurried() && batch.turns() < MAX_TURNS_PER_COMMAND {
             match rx.recv().await {
                 Some(request) => batch.add(request),
                 None => break,
@@ -237,9 +274,11 @@
 impl From<raw::Verdict> for ReservationOutcome {
     fn from(raw: raw::Verdict) -> Self {
         match raw.granted {
-            true => {
-                Self::Granted { left: raw.left, engine: EndpointName::try_from(raw.engine).ok() }
-            }
+            true => Self::Granted {
+                left: raw.left,
+                engine: EndpointName::try_from(raw.engine).ok(),
+                version: (!raw.version.is_empty()).then(|| raw.version.into()),
+            },
             false => Self::Denied { left: raw.left },
         }
     }
--- a/coriandergw/src/token_budgets/generated.rs
+++ b/coriandergw/src/token_budgets/generated.rs
@@ -6,6 +6,8 @@
     pub reserves: ::prost::alloc::vec::Vec<Reserve>,
     #[prost(message, repeated, tag = "2")]
     pub settles: ::prost::alloc::vec::Vec<Settle>,
+    #[prost(message, repeated, tag = "4")]
+    pub binds: ::prost::alloc::vec::Vec<Bind>,
     /// The wall time at the sender, in milliseconds; used to forget old programs and turns that never
     /// ended.
     #[prost(uint64, tag = "3")]
@@ -25,6 +27,12 @@
     /// The engines that might run the turn, best first.
     #[prost(string, repeated, tag = "5")]
     pub engines: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The software version of each of them.
+    #[prost(string, repeated, tag = "6")]
+    pub versions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The turn that brought the first event of the stream that this one resumes; empty if none.
+    #[prost(string, tag = "7")]
+    pub resumes: ::prost::alloc::string::String,
 }
 /// Replaces a reservation by what was handed out.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -38,6 +46,19 @@
     /// The engine that ran it; empty if none did.
     #[prost(string, tag = "4")]
     pub engine: ::prost::alloc::string::String,
+    /// The software version of that engine.
+    #[prost(string, tag = "5")]
+    pub version: ::prost::alloc::string::String,
+}
+/// Records the software version that the events of a turn come from.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Bind {
+    #[prost(string, tag = "1")]
+    pub program: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub turn: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub version: ::prost::alloc::string::String,
 }
 /// Which of the reservations were granted, in order.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -55,6 +76,10 @@
     /// The engine that the turn is best sent to; empty if none was proposed.
     #[prost(string, tag = "3")]
     pub engine: ::prost::alloc::string::String,
+    /// The software version that the turn is bound to: that of the engine, or of the stream that the
+    /// turn resumes; empty if unknown.
+    #[prost(string, tag = "4")]
+    pub version: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Snapshot {
@@ -82,6 +107,19 @@
     /// The engine that ran its last turn, which has its prompt cached.
     #[prost(string, tag = "6")]
     pub engine: ::prost::alloc::string::String,
+    /// The software version of that engine.
+    #[prost(string, tag = "7")]
+    pub engine_version: ::prost::alloc::string::String,
+    /// The versions that the latest turns are bound to, oldest first.
+    #[prost(message, repeated, tag = "8")]
+    pub versions: ::prost::alloc::vec::Vec<TurnVersion>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TurnVersion {
+    #[prost(string, tag = "1")]
+    pub turn: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub version: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reservation {
--- a/coriandergw/src/token_budgets/machine.rs
+++ b/coriandergw/src/token_budgets/machine.rs
@@ -19,6 +19,10 @@
 /// The number of commands between two removals of unused programs.
 const CLEANUP_INTERVAL_COMMANDS: u64 = 512;
 
+/// The number of turns of each program whose version is kept, so that their streams can be resumed. A
+/// caller resumes a stream within seconds.
+const MAX_BOUND_TURNS: usize = 64;
+
 /// The number of settled turns kept for each program, so that a late duplicate has no effect.
 const MAX_SETTLED_TURNS: usize = 64;
 
@@ -30,10 +34,37 @@
     settled: VecDeque<String>,
     /// The engine to which the program's last turn was assigned, or that ran it instead. It is
     /// expected to have the program's prompt cached.
-    engine: Option<String>,
+    engine: Option<Engine>,
+    /// The version that each of the latest turns is bound to, oldest first.
+    versions: VecDeque<(String, String)>,
+}
+
+/// An engine and the version of its software.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Engine {
+    name: String,
+    version: String,
 }
 
 impl Program {
+    /// Returns the version that a turn is bound to.
+    fn version_of(&self, turn: &str) -> Option<&str> {
+        let bound = self.versions.iter().find(|(known, _)| known == turn);
+        bound.map(|(_, version)| version.as_str())
+    }
+
+    /// Binds a turn to a version, instead of the one before.
+    fn bind(&mut self, turn: &str, version: String) {
+        self.versions.retain(|(known, _)| known != turn);
+        if version.is_empty() {
+            return;
+        }
+        self.versions.push_back((turn.to_owned(), version));
+        if self.versions.len() > MAX_BOUND_TURNS {
+            self.versions.pop_front();
+        }
+    }
+
     fn reserved(&self) -> u64 {
         self.reservations.values().sum()
     }
@@ -86,6 +117,9 @@
         for settle in command.settles {
             self.settle(settle);
         }
+        for bind in command.binds {
+            self.touch_program(bind.program).bind(&bind.turn, bind.version);
+        }
         let verdicts = command.reserves.into_iter().map(|reserve| self.reserve(reserve)).collect();
         self.commands += 1;
         if self.commands.is_multiple_of(CLEANUP_INTERVAL_COMMANDS) {
@@ -103,48 +137,76 @@
     }
 
     fn settle(&mut self, settle: raw::Settle) {
-        let raw::Settle { program: id, turn, tokens, engine } = settle;
+        let raw::Settle { program: id, turn, tokens, engine: name, version } = settle;
         self.loads.end(&turn_key(&id, &turn));
         let program = self.touch_program(id);
         program.settle(&turn, tokens);
-        if !engine.is_empty() {
-            program.engine = Some(engine);
+        if !name.is_empty() {
+            program.engine = Some(Engine { name, version });
         }
     }
 
     fn reserve(&mut self, reserve: raw::Reserve) -> raw::Verdict {
-        let raw::Reserve { program: id, turn, budget, tokens, engines } = reserve;
+        let raw::Reserve { program: id, turn, budget, tokens, engines, versions, resumes } =
+            reserve;
+        let versions = versions.into_iter().chain(std::iter::repeat(String::new()));
+        let proposed: Vec<Engine> = engines
+            .into_iter()
+            .zip(versions)
+            .map(|(name, version)| Engine { name, version })
+            .collect();
         let program = self.touch_program(id.clone());
         let granted = program.reserve(&turn, budget, tokens);
         let used = program.spent.saturating_add(program.reserved());
-        let last_engine = program.engine.clone();
-        let engine = match granted {
-            true => self.assign_engine(&id, &turn, last_engine, &engines),
-            false => String::new(),
+        let left = budget.saturating_sub(used);
+        if !granted {
+            return raw::Verdict { granted, left, ..raw::Verdict::default() };
+        }
+        let last = program.engine.clone();
+        let origin = program.version_of(&resumes).map(str::to_owned);
+        let (engine, version) = match (resumes.is_empty(), origin) {
+            (true, _) => {
+                let engine = self.assign_engine(&id, &turn, last, &proposed);
+                engine.map(|engine| (engine.name, engine.version)).unwrap_or_default()
+            }
+            (false, None) => Default::default(),
+            (false, Some(version)) => {
+                let fits = |engine: &Engine| engine.version == version;
+                let proposed: Vec<Engine> = proposed.into_iter().filter(fits).collect();
+                let engine = self.assign_engine(&id, &turn, last.filter(fits), &proposed);
+                (engine.map(|engine| engine.name).unwrap_or_default(), version)
+            }
         };
-        raw::Verdict { granted, left: budget.saturating_sub(used), engine }
+        let program = self.touch_program(id);
+        if program.version_of(&turn).is_none() {
+            program.bind(&turn, version);
+        }
+        let version = program.version_of(&turn).unwrap_or_default().to_owned();
+        raw::Verdict { granted, left, engine, version }
     }
 
-    /// Chooses an engine for a turn and adds the turn to its load. Returns an empty name if no
-    /// engine is known.
+    /// Chooses an engine for a turn of a program whose last turn, if any, ran on `last`, and adds the
+    /// turn to its load. Returns `None` if no engine is known.
     fn assign_engine(
         &mut self,
         id: &str,
         turn: &str,
-        last_engine: Option<String>,
-        engines: &[String],
-    ) -> String {
+        last: Option<Engine>,
+        proposed: &[Engine],
+    ) -> Option<Engine> {
         let key = turn_key(id, turn);
-        if let Some((engine, _)) = self.loads.running(&key) {
-            return engine.to_owned();
+        if let Some((name, _)) = self.loads.running(&key) {
+            let version = self.programs.get(id).and_then(|program| program.version_of(turn));
+            let version = version.unwrap_or_default().to_owned();
+            return Some(Engine { name: name.to_owned(), version });
         }
-        let Some(engine) = self.loads.choose(last_engine.as_deref(), engines) else {
-            return String::new();
-        };
-        self.loads.begin(key, &engine, self.wall_ms);
+        let names: Vec<String> = proposed.iter().map(|engine| engine.name.clone()).collect();
+        let name = self.loads.choose(last.as_ref().map(|engine| engine.name.as_str()), &names)?;
+        let engine = proposed.iter().chain(&last).find(|engine| engine.name == name)?.clone();
+        self.loads.begin(key, &name, self.wall_ms);
         // Turns that the program starts before this one ends go to the same engine.
         self.touch_program(id.to_owned()).engine = Some(engine.clone());
-        engine
+        Some(engine)
     }
 
     fn remove_unused_programs(&mut self) {
@@ -182,7 +244,20 @@
                 })
                 .collect(),
             settled: program.settled.iter().cloned().collect(),
-            engine: program.engine.clone().unwrap_or_default(),
+            engine: program.engine.as_ref().map(|engine| engine.name.clone()).unwrap_or_default(),
+            engine_version: program
+                .engine
+                .as_ref()
+                .map(|engine| engine.version.clone())
+                .unwrap_or_default(),
+            versions: program
+                .versions
+                .iter()
+                .map(|(turn, version)| raw::TurnVersion {
+                    turn: turn.clone(),
+                    version: version.clone(),
+                })
+                .collect(),
         };
         let programs = self.programs.iter().map(encode).collect();
         let snapshot = raw::Snapshot { programs, wall_ms: self.wall_ms, commands: self.commands };
@@ -210,7 +285,13 @@
                 used_at_ms: raw.used_at_ms,
                 reservations,
                 settled: raw.settled.into(),
-                engine: (!raw.engine.is_empty()).then_some(raw.engine),
+                engine: (!raw.engine.is_empty())
+                    .then_some(Engine { name: raw.engine, version: raw.engine_version }),
+                versions: raw
+                    .versions
+                    .into_iter()
+                    .map(|bound| (bound.turn, bound.version))
+                    .collect(),
             };
             (raw.id, program)
         };
--- a/coriandergw/src/token_budgets/mod.rs
+++ b/coriandergw/src/token_budgets/mod.rs
@@ -11,6 +11,7 @@
 use derive_more::Error;
 
 use crate::ids::EndpointName;
+use crate::roster::EndpointRecord;
 
 pub mod client;
 mod engine_loads;
@@ -35,7 +36,24 @@
     /// The maximum number of tokens that the turn may generate.
     pub tokens: u64,
     /// The engines that may run the turn, in order of preference.
-    pub engines: Vec<EndpointName>,
+    pub engines: Vec<ProposedEngine>,
+    /// The turn that brought the first event of the stream that this one resumes.
+    pub resumes: Option<Arc<str>>,
+}
+
+/// An engine that may run a turn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProposedEngine {
+    /// The name of the engine.
+    pub name: EndpointName,
+    /// The version of its software.
+    pub version: Arc<str>,
+}
+
+impl From<&EndpointRecord> for ProposedEngine {
+    fn from(record: &EndpointRecord) -> Self {
+        Self { name: record.id.clone(), version: record.version.clone() }
+    }
 }
 
 /// The result of a reservation request.
@@ -47,6 +65,9 @@
         left: u64,
         /// The engine to send the turn to; `None` if no engine is known.
         engine: Option<EndpointName>,
+        /// The software version that the turn is bound to: that of the engine, or of the stream
+        /// that the turn resumes; `None` if it is unknown.
+        version: Option<Arc<str>>,
     },
     /// The remaining budget is smaller than the request, or the turn has already been settled.
     Denied {
--- a/coriandergw/src/token_budgets/tests.rs
+++ b/coriandergw/src/token_budgets/tests.rs
@@ -8,7 +8,7 @@
 
 fn reserve(machine: &mut BudgetMachine, turn: &str, budget: u64, tokens: u64) -> bool {
     let (program, turn) = ("p".to_owned(), turn.to_owned());
-    let reserve = raw::Reserve { program, turn, budget, tokens, engines: Vec::new() };
+    let reserve = raw::Reserve { program, turn, budget, tokens, ..raw::Reserve::default() };
     let command = raw::Command { reserves: vec![reserve], ..raw::Command::default() };
     let answer = machine.apply(1, &command.encode_to_vec());
     raw::Answer::decode(answer).expect("an answer").verdicts[0].granted
@@ -16,7 +16,7 @@
 
 fn settle(machine: &mut BudgetMachine, turn: &str, tokens: u64, wall_ms: u64) {
     let (program, turn) = ("p".to_owned(), turn.to_owned());
-    let settle = raw::Settle { program, turn, tokens, engine: String::new() };
+    let settle = raw::Settle { program, turn, tokens, ..raw::Settle::default() };
     let command = raw::Command { settles: vec![settle], wall_ms, ..raw::Command::default() };
     machine.apply(1, &command.encode_to_vec());
 }
@@ -84,7 +84,14 @@
 fn reserve_on(machine: &mut BudgetMachine, program: &str, turn: &str, engines: &[&str]) -> String {
     let engines = engines.iter().map(ToString::to_string).collect();
     let (program, turn) = (program.to_owned(), turn.to_owned());
-    let reserve = raw::Reserve { program, turn, budget: 1_000, tokens: 1, engines };
+    let reserve = raw::Reserve {
+        program,
+        turn,
+        budget: 1_000,
+        tokens: 1,
+        engines,
+        ..raw::Reserve::default()
+    };
     let command = raw::Command { reserves: vec![reserve], ..raw::Command::default() };
     let answer = machine.apply(1, &command.encode_to_vec());
     raw::Answer::decode(answer).expect("an answer").verdicts[0].engine.clone()
@@ -92,7 +99,13 @@
 
 fn settle_on(machine: &mut BudgetMachine, program: &str, turn: &str, engine: &str) {
     let (program, turn) = (program.to_owned(), turn.to_owned());
-    let settle = raw::Settle { program, turn, tokens: 1, engine: engine.to_owned() };
+    let settle = raw::Settle {
+        program,
+        turn,
+        tokens: 1,
+        engine: engine.to_owned(),
+        ..raw::Settle::default()
+    };
     let command = raw::Command { settles: vec![settle], ..raw::Command::default() };
     machine.apply(1, &command.encode_to_vec());
 }
@@ -123,3 +136,60 @@
     assert_eq!(reserve_on(&mut restored, "p4", "a", &["x", "y"]), "y");
     assert_eq!(reserve_on(&mut restored, "p2", "b", &["x"]), "y");
 }
+
+/// Reserves a turn with one engine of each of two versions; returns the engine and the version.
+fn reserve_at_versions(machine: &mut BudgetMachine, turn: &str, resumes: &str) -> (String, String) {
+    let reserve = raw::Reserve {
+        program: "p".to_owned(),
+        turn: turn.to_owned(),
+        budget: 1_000,
+        tokens: 1,
+        engines: vec!["a".to_owned(), "b".to_owned()],
+        versions: vec!["v1".to_owned(), "v2".to_owned()],
+        resumes: resumes.to_owned(),
+    };
+    let command = raw::Command { reserves: vec![reserve], ..raw::Command::default() };
+    let answer = machine.apply(1, &command.encode_to_vec());
+    let mut answer = raw::Answer::decode(answer).expect("an answer");
+    let verdict = answer.verdicts.remove(0);
+    assert!(verdict.granted);
+    (verdict.engine, verdict.version)
+}
+
+fn bind(machine: &mut BudgetMachine, turn: &str, version: &str) {
+    let (program, turn) = ("p".to_owned(), turn.to_owned());
+    let bind = raw::Bind { program, turn, version: version.to_owned() };
+    let command = raw::Command { binds: vec![bind], ..raw::Command::default() };
+    machine.apply(1, &command.encode_to_vec());
+}
+
+fn pair(engine: &str, version: &str) -> (String, String) {
+    (engine.to_owned(), version.to_owned())
+}
+
+// Guards against a stream that goes on at another version because another engine ran its first turn.
+#[test]
+fn a_turn_that_resumes_a_stream_gets_an_engine_of_its_version() {
+    let mut machine = BudgetMachine::default();
+    assert_eq!(reserve_at_versions(&mut machine, "t1", ""), pair("a", "v1"));
+    // The placed engine was full, and one of another version made the first event.
+    bind(&mut machine, "t1", "v2");
+    let mut restored = BudgetMachine::default();
+    restored.restore(&machine.snapshot()).expect("valid");
+    for machine in [&mut machine, &mut restored] {
+        assert_eq!(reserve_at_versions(machine, "t2", "t1"), pair("b", "v2"));
+        // The third attempt names the first one as well.
+        assert_eq!(reserve_at_versions(machine, "t3", "t1"), pair("b", "v2"));
+        assert_eq!(reserve_at_versions(machine, "t4", "unknown"), pair("", ""));
+    }
+}
+
+// Guards against a late copy of a reservation that undoes the record of the first event's version.
+#[test]
+fn a_repeated_reservation_keeps_the_version_of_the_turn() {
+    let mut machine = BudgetMachine::default();
+    reserve_at_versions(&mut machine, "t1", "");
+    bind(&mut machine, "t1", "v2");
+    assert_eq!(reserve_at_versions(&mut machine, "t1", "").1, "v2");
+    assert_eq!(reserve_at_versions(&mut machine, "t2", "t1").1, "v2");
+}
