test(roles): choose ports that are free at the address of the first machine

Seen once, in one of four runs of all tests of the library side by side: a_malformed_answer_without_end_is_cut_off_and_the_request_repeated failed since 127.20.220.1:40121 was in use. The port was chosen as free on 127.0.0.1, where it says nothing of other addresses. It is now probed where it is used.

--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -149,11 +149,12 @@
 impl Site {
     /// Creates a site whose first `seeds` machines are the seeds.
     pub async fn new(seeds: u8, tolerated_losses: usize) -> Self {
-        let probe = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let port = probe.local_addr().expect("address").port();
-        // The port is known to be free on 127.0.0.1 only, so a random third octet keeps tests apart
-        // as well.
         let third_octet = rand::random_range(1..=250);
+        // The port is known to be free at the first machine only; the random octet keeps the
+        // machines of tests that run at the same time apart.
+        let first_machine = SocketAddr::from(([127, 20, third_octet, 1], 0));
+        let probe = tokio::net::TcpListener::bind(first_machine).await.expect("bound");
+        let port = probe.local_addr().expect("address").port();
         let first_port = port.min(60_000);
         let ip = |fourth_octet| IpAddr::V4(Ipv4Addr::new(127, 20, third_octet, fourth_octet));
         let seeds = (1..=seeds).map(ip).collect();
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -3,7 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::Method;
+
 use crate::clock::Timestamp;
+use crate::crashes::Crash;
+use crate::crashes::Incarnation;
+use crate::crashes::RequestDigest;
 use crate::endpoint_limits::StatedLimit;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
@@ -577,3 +583,30 @@
     let known: Vec<StatedLimit> = view.limits().cloned().collect();
     assert_eq!(known, [stated_limit("a", 5, 2.0, 400)]);
 }
+
+// Guards against instances that count crashes alone: what one reports must reach all that poll, and a
+// repeated report must not wake them again.
+#[test]
+fn a_crash_is_published_once_and_again_when_more_is_known() {
+    let now = Timestamp::from_millis(1_000);
+    let digest = |path| RequestDigest::of(&Method::GET, "host", path, &Bytes::new());
+    let endpoint = EndpointName::try_from("a").expect("a name");
+    let incarnation = Incarnation { endpoint, started_ms: 1 };
+    let crash = |path| Crash::with_suspect(incarnation.clone(), digest(path));
+    let mut state = RosterState::new(Duration::from_secs(5), now);
+    let mut view = RosterView::new(Duration::from_millis(200));
+    let mut poll = |state: &RosterState, cursor| {
+        let crashes = state.changes_after(cursor, Audience::Other).crashes;
+        let count = crashes.len();
+        let answer = PollAnswer { core_start: 1, crashes, ..PollAnswer::default() };
+        view.merge(core_address(1), answer, now);
+        (count, view.crashes().count(&digest("/x")), view.crashes().count(&digest("/y")))
+    };
+    assert!(state.publish_crash(crash("/x"), now));
+    assert_eq!(poll(&state, 0), (1, 1, 0));
+    let cursor = state.last_change();
+    assert!(!state.publish_crash(crash("/x"), now));
+    assert_eq!(poll(&state, cursor), (0, 1, 0));
+    assert!(state.publish_crash(crash("/y"), now));
+    assert_eq!(poll(&state, cursor), (1, 1, 1));
+}
