--- a/coriandergw/src/forwarding/reserving.rs
+++ b/coriandergw/src/forwarding/reserving.rs
@@ -90,6 +90,7 @@
         candidates.sort_by_key(|candidate| !self.permits.has_room(&candidate.record));
         let mut counts: BTreeMap<Arc<str>, usize> = BTreeMap::new();
         candidates.retain(|candidate| {
+            // A new stream may begin at any version, so all engines count as one.
             let version = match head.last_event {
                 Some(_) => candidate.record.version.clone(),
                 None => Arc::default(),
