refactor: say why reports of crashes were lost; reword and share test records

Event 507 gives the cause of the last failed call, where it gave a count only. Event 506 lists endpoints by name and no longer in debug format. is_unhurried is now is_awaited. The record of an endpoint that tests of leaving and of limits wrote twice is in test_support. No request is sent differently.

--- a/coriandergw/src/crashes/reporter.rs
+++ b/coriandergw/src/crashes/reporter.rs
@@ -139,10 +139,11 @@
     /// Sends reports to all core instances, and again later if none received them.
     async fn send(self, reports: Vec<Crash>) {
         let message = wire::encode_report(&reports);
-        if self.send_to_all(message).await {
+        let Err(cause) = self.send_to_all(message).await else {
             return;
-        }
-        let detail = format!("no core instance received {} reports of crashes", reports.len());
+        };
+        let count = reports.len();
+        let detail = format!("no core instance received {count} reports of crashes: {cause}");
         self.cx.events.record(EventNumber::CrashReportLost, Subject::default(), detail);
         tokio::time::sleep(RETRY_DELAY).await;
         if let Some(tx) = self.tx.upgrade() {
@@ -153,8 +154,12 @@
         }
     }
 
-    /// Returns whether any core instance received the message; they publish it to each other.
-    async fn send_to_all(&self, message: Bytes) -> bool {
+    /// Sends a message to all core instances. One that receives it is enough, since they publish the
+    /// crashes to each other.
+    ///
+    /// # Errors
+    /// Returns the last failure if none received it.
+    async fn send_to_all(&self, message: Bytes) -> Result<(), String> {
         let now = self.cx.clock.now();
         let mut calls = JoinSet::new();
         for core in self.roster.with_view(|view| view.living(Role::Core, now)) {
@@ -163,10 +168,14 @@
                 transport.call(&core.name, Kind::Crash, message, REPORT_TIMEOUT).await
             });
         }
-        let mut is_received = false;
-        while let Some(result) = calls.join_next().await {
-            is_received |= matches!(result, Ok(Ok(_)));
+        let mut sent = Err("none is reachable".to_owned());
+        while let Some(joined) = calls.join_next().await {
+            match joined {
+                Ok(Ok(_)) => sent = Ok(()),
+                Ok(Err(cause)) => sent = sent.map_err(|_| cause.to_string()),
+                Err(cause) => sent = sent.map_err(|_| cause.to_string()),
+            }
         }
-        is_received
+        sent
     }
 }
--- a/coriandergw/src/crashes/table/tests.rs
+++ b/coriandergw/src/crashes/table/tests.rs
@@ -70,7 +70,7 @@
     assert!(!is_blocked(&table, 8, START));
 }
 
-// Guards against refusing, for good, a request that was beside the guilty one three times.
+// Guards against refusing, for good, a request that ran beside the crashing one three times.
 #[test]
 fn suspects_of_the_same_three_crashes_are_tried_once_more() {
     let mut table = table(&[(1, &[7, 8]), (2, &[7, 8]), (3, &[7, 8])]);
@@ -116,12 +116,12 @@
 #[test]
 fn a_request_stays_blocked_while_others_of_its_class_are_answered() {
     let mut table = CrashTable::default();
-    let guilty = request_of_class(1, 0);
+    let crashing = request_of_class(1, 0);
     for number in 0..3 {
-        table.merge(Crash::with_suspect(incarnation(number), guilty), START);
+        table.merge(Crash::with_suspect(incarnation(number), crashing), START);
         table.clear(&request_of_class(1, 9));
     }
-    assert!(matches!(table.standing(&guilty, START), Standing::Blocked { .. }));
+    assert!(matches!(table.standing(&crashing, START), Standing::Blocked { .. }));
     assert_eq!(table.standing(&request_of_class(1, 9), START), Standing::Free);
 }
 
--- a/coriandergw/src/endpoint_limits/known_limits/tests.rs
+++ b/coriandergw/src/endpoint_limits/known_limits/tests.rs
@@ -3,26 +3,9 @@
 use crate::clock::Timestamp;
 use crate::endpoint_limits::RateLimit;
 use crate::endpoint_limits::known_limits::KnownLimits;
-use crate::ids::EndpointName;
-use crate::roster::EndpointRecord;
-use crate::roster::EndpointState;
+use crate::test_support::incarnation;
 use crate::test_support::stated_limit;
 
-fn incarnation(started_ms: u64) -> EndpointRecord {
-    EndpointRecord {
-        id: EndpointName::try_from("a").expect("a name"),
-        service: "models".into(),
-        address: ([10, 1, 0, 1], 8_000).into(),
-        data_centre: "dc".into(),
-        slots: 4,
-        state: EndpointState::Ready,
-        started_ms,
-        sequence: 1,
-        cold_ms: 0,
-        version: "v1".into(),
-    }
-}
-
 fn limit(per_second: f64) -> Option<RateLimit> {
     RateLimit::try_from(per_second).ok()
 }
--- a/coriandergw/src/forwarding/leaving/tests.rs
+++ b/coriandergw/src/forwarding/leaving/tests.rs
@@ -4,25 +4,8 @@
 
 use crate::clock::Timestamp;
 use crate::forwarding::leaving::LeavingEndpoints;
-use crate::ids::EndpointName;
-use crate::roster::EndpointRecord;
-use crate::roster::EndpointState;
 use crate::roster::state::GONE_RETENTION;
-
-fn incarnation(started_ms: u64) -> EndpointRecord {
-    EndpointRecord {
-        id: EndpointName::try_from("a").expect("a name"),
-        service: "models".into(),
-        address: ([10, 1, 0, 1], 8_000).into(),
-        data_centre: "dc".into(),
-        slots: 4,
-        state: EndpointState::Ready,
-        started_ms,
-        sequence: 1,
-        cold_ms: 0,
-        version: "v1".into(),
-    }
-}
+use crate::test_support::incarnation;
 
 #[test]
 fn a_statement_holds_for_its_incarnation_and_those_before() {
--- a/coriandergw/src/forwarding/reserving.rs
+++ b/coriandergw/src/forwarding/reserving.rs
@@ -39,7 +39,7 @@
         turn: &mut TurnGuard,
     ) -> Result<(), Refusal> {
         let budget = head.program.as_ref().and_then(|program| program.budget);
-        // A stream without a budget is only looked up, and never refused for want of tokens.
+        // Without a budget, the reservation only looks up the version of the stream.
         let tokens = head.tokens.filter(|_| budget.is_some());
         let (budget, tokens) =
             (budget.unwrap_or(u64::MAX), tokens.map_or(0, |tokens| tokens.output_max));
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -154,7 +154,8 @@
         });
         for request in blocked {
             let endpoints = self.with_state(|roster| roster.crashes().endpoints_of(&request));
-            let detail = format!("digest={request} crashed endpoints={endpoints:?}");
+            let names: Vec<&str> = endpoints.iter().map(EndpointName::as_str).collect();
+            let detail = format!("digest={request} endpoints={}", names.join(","));
             self.cx.events.record(EventNumber::RequestBlocked, Subject::default(), detail);
         }
     }
--- a/coriandergw/src/test_support.rs
+++ b/coriandergw/src/test_support.rs
@@ -29,6 +29,8 @@
 use crate::metrics::Metrics;
 use crate::programs::JournalState;
 use crate::programs::Programs;
+use crate::roster::EndpointRecord;
+use crate::roster::EndpointState;
 use crate::roster::GroupStatus;
 use crate::roster::Presence;
 use crate::roster::Role;
@@ -135,6 +137,22 @@
     tokio::time::timeout(WAIT_LIMIT, polled).await.unwrap_or_else(|_| panic!("waited for {what}"));
 }
 
+/// Returns the record of one incarnation of a ready endpoint `a`.
+pub fn incarnation(started_ms: u64) -> EndpointRecord {
+    EndpointRecord {
+        id: EndpointName::try_from("a").expect("a name"),
+        service: "models".into(),
+        address: ([10, 1, 0, 1], 8_000).into(),
+        data_centre: "dc".into(),
+        slots: 4,
+        state: EndpointState::Ready,
+        started_ms,
+        sequence: 1,
+        cold_ms: 0,
+        version: "v1".into(),
+    }
+}
+
 /// Builds the limit that an endpoint named at `at_ms` of the instance's clock, in requests a second.
 pub fn stated_limit(endpoint: &str, started_ms: u64, per_second: f64, at_ms: u64) -> StatedLimit {
     StatedLimit {
--- a/coriandergw/src/token_budgets/client.rs
+++ b/coriandergw/src/token_budgets/client.rs
@@ -143,9 +143,9 @@
         self.command.reserves.len() + self.command.settles.len() + self.command.binds.len()
     }
 
-    /// Returns whether no one waits for the command.
-    fn is_unhurried(&self) -> bool {
-        self.replies.is_empty() && self.bind_replies.is_empty()
+    /// Returns whether a request waits for the result of the command.
+    fn is_awaited(&self) -> bool {
+        !self.replies.is_empty() || !self.bind_replies.is_empty()
     }
 }
 
@@ -161,7 +161,7 @@
         while let Some(first) = rx.recv().await {
             let mut batch = Batch::default();
             batch.add(first);
-            if batch.is_unhurried() {
+            if !batch.is_awaited() {
                 collect_settlements(&mut batch, &mut rx).await;
             }
             // The semaphore is never closed.
@@ -260,7 +260,7 @@
 
 async fn collect_settlements(batch: &mut Batch, rx: &mut mpsc::UnboundedReceiver<Request>) {
     let collect = async {
-        while batch.is_unhurried() && batch.turns() < MAX_TURNS_PER_COMMAND {
+        while !batch.is_awaited() && batch.turns() < MAX_TURNS_PER_COMMAND {
             match rx.recv().await {
                 Some(request) => batch.add(request),
                 None => break,
