fix(crashes): let all suspects of a crash be cleared

What callers could see: a request that was answered stays a suspect at other instances, and after two further crashes is refused there.

Cause: a crash keeps 256 suspects, and as many cleared entries, but each cleared suspect takes two, its own and that of its class. From the 129th on, reports that clear were dropped where they were merged.

Evidence: all_suspects_of_a_crash_can_be_cleared failed at request 128; it passes with room for two entries a suspect.

--- a/coriandergw/src/crashes/table.rs
+++ b/coriandergw/src/crashes/table.rs
@@ -32,9 +32,12 @@
 /// The maximum number of crashes in the table.
 const CRASHES_MAX: usize = 512;
 
-/// The maximum number of suspects of a crash, and of requests that are cleared of it.
+/// The maximum number of suspects of a crash.
 const REQUESTS_MAX: usize = 256;
 
+/// The maximum number of entries that are cleared of a crash: each suspect and its class.
+const CLEARED_MAX: usize = 2 * REQUESTS_MAX;
+
 /// What the known crashes say of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -80,8 +83,8 @@
             learned_at: now,
             used_at: now,
         });
-        let has_suspects = add(&mut known.crash.suspects, report.suspects);
-        let has_cleared = add(&mut known.crash.cleared, report.cleared);
+        let has_suspects = add(&mut known.crash.suspects, report.suspects, REQUESTS_MAX);
+        let has_cleared = add(&mut known.crash.cleared, report.cleared, CLEARED_MAX);
         if has_suspects {
             known.learned_at = now;
             known.used_at = now;
@@ -253,11 +256,11 @@
     }
 }
 
-/// Adds requests to a set up to [`REQUESTS_MAX`]; returns whether any was added.
-fn add(set: &mut BTreeSet<RequestDigest>, requests: BTreeSet<RequestDigest>) -> bool {
+/// Adds requests to a set of at most `max`; returns whether any was added.
+fn add(set: &mut BTreeSet<RequestDigest>, requests: BTreeSet<RequestDigest>, max: usize) -> bool {
     let before = set.len();
     for request in requests {
-        if set.len() < REQUESTS_MAX {
+        if set.len() < max {
             set.insert(request);
         }
     }
--- a/coriandergw/src/crashes/table/tests.rs
+++ b/coriandergw/src/crashes/table/tests.rs
@@ -167,3 +167,18 @@
     table.expire(later + BLOCK_RETENTION);
     assert!(table.is_empty());
 }
+
+// Guards against an answered request that stays a suspect elsewhere, since a crash had many others
+// that were answered too.
+#[test]
+fn all_suspects_of_a_crash_can_be_cleared() {
+    let many: Vec<usize> = (0..REQUESTS_MAX).collect();
+    let mut first = table(&[(1, &many)]);
+    let mut second = table(&[(1, &many)]);
+    for number in many {
+        for report in first.clear(&request(number)) {
+            second.merge(report, START);
+        }
+        assert_eq!(second.count(&request(number)), 0, "request {number}");
+    }
+}
