feat(forwarding): log what each attempt took and requests that callers abandon

Lines of failed sends have the duration of the attempt and the use of the connection, event 508 is a request whose caller left before its answer began, and cgw_endpoint_connects_total counts connections by path and outcome.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -182,6 +182,8 @@
     RequestBlocked = 506, Warning;
     /// No core instance received reports of crashes; they are sent again.
     CrashReportLost = 507, Warning;
+    /// The caller of a request left before its answer began.
+    RequestAbandoned = 508, Info;
     /// A configuration was taken into use.
     ConfigApplied = 510, Info;
     /// A configuration cannot be used; the one before stays in force.
--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -31,6 +31,7 @@
 use crate::forwarding::pool::Pool;
 use crate::forwarding::pool::SharedPool;
 use crate::ids::EndpointName;
+use crate::metrics::Metrics;
 use crate::roster::EndpointRecord;
 
 /// Why an attempt produced no response that can be passed on.
@@ -122,6 +123,7 @@
 /// The parameters of one attempt.
 pub(super) struct Attempt<'a> {
     pub(super) pool: &'a SharedPool,
+    pub(super) metrics: &'a Metrics,
     pub(super) header_codec: &'a dyn HeaderCodec,
     pub(super) endpoint: EndpointRecord,
     pub(super) in_flight: InFlightGuard,
@@ -150,19 +152,27 @@
         let pooled = self.pool.take(id, *address, self.idle_limit, self.now);
         let mut connection = match pooled {
             Some(connection) => connection,
-            None => pool::connect(*address).await.map_err(|cause| not_sent(cause, false))?,
+            None => {
+                let connected = pool::connect(*address).await;
+                let outcome = if connected.is_ok() { "opened" } else { "failed" };
+                self.metrics.endpoint_connects.with_label_values(&["direct", outcome]).inc();
+                connected.map_err(|cause| not_sent(format!("no connection: {cause}"), false))?
+            }
         };
+        let is_reused = connection.is_reused;
         let req = self.build_request(upstream_request, id)?;
         connection.unproductive.reset();
         let sending = connection.sender.try_send_request(req);
         let sent = tokio::time::timeout_at(self.head_deadline, sending).await;
         let response = match sent {
-            Err(_) => return Err(lost("the response headers did not arrive in time")),
+            Err(_) => {
+                return Err(lost("the response headers did not arrive in time", is_reused));
+            }
             Ok(Err(mut cause)) => {
                 // hyper returns the request if it has not written any of it.
                 return Err(match cause.take_message() {
-                    Some(_) => not_sent(cause.into_error(), connection.is_reused),
-                    None => Failure::Lost { reason: cause.into_error().to_string() },
+                    Some(_) => not_sent(cause.into_error(), is_reused),
+                    None => lost(&cause.into_error().to_string(), is_reused),
                 });
             }
             Ok(Ok(response)) => response,
@@ -172,11 +182,11 @@
         let head = self.header_codec.read_response(parts.status, &parts.headers);
         match &head.attempt {
             Some(attempt) if *attempt != upstream_request.head.attempt => {
-                return Err(lost("the response belongs to another request"));
+                return Err(lost("the response belongs to another request", is_reused));
             }
             // Only the attempt tells a late copy of an earlier response from this one.
             None if parts.status.is_success() => {
-                return Err(lost("the response does not state its request"));
+                return Err(lost("the response does not state its request", is_reused));
             }
             _ => {}
         }
@@ -233,6 +243,7 @@
     Failure::NotSent { reason: reason.to_string(), was_idle }
 }
 
-fn lost(reason: &str) -> Failure {
-    Failure::Lost { reason: reason.to_owned() }
+fn lost(reason: &str, is_reused: bool) -> Failure {
+    let connection = if is_reused { "reused" } else { "new" };
+    Failure::Lost { reason: format!("{reason}, on a {connection} connection") }
 }
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -342,13 +342,15 @@
             .map_err(|fault| Refusal::not_run(ResultCode::MalformedRequest, fault.to_string()))?;
         let limit = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let deadline = started + limit;
-        let (mut plan, turn) = self.plan(&table, route, &head, deadline, started)?;
+        let (plan, turn) = self.plan(&table, route, &head, deadline, started)?;
+        let mut open = OpenRequest { cx: self.cx.clone(), plan, is_open: true };
         let upstream_request = buffer_request(req, head, table.limits().body_bytes, deadline).await;
         let result = match upstream_request {
-            Ok(upstream_request) => self.clone().run(&mut plan, upstream_request, turn).await,
+            Ok(upstream_request) => self.clone().run(&mut open.plan, upstream_request, turn).await,
             Err(refusal) => Err(refusal),
         };
-        result.inspect_err(|refusal| plan.report.refused(&self.cx, refusal))
+        open.is_open = false;
+        result.inspect_err(|refusal| open.plan.report.refused(&self.cx, refusal))
     }
 
     /// Chooses the service and prepares the plan before the request body is read.
@@ -481,6 +483,22 @@
     }
 }
 
+/// A request without an answer yet. Dropping it while it is open, which happens when its caller
+/// leaves, records that.
+struct OpenRequest {
+    cx: Context,
+    plan: RequestPlan,
+    is_open: bool,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.plan.report.abandoned(&self.cx);
+        }
+    }
+}
+
 /// The part of a response body that was read.
 enum Collected {
     Whole(Bytes),
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -38,6 +38,7 @@
     last_event: Option<u64>,
     resumes: Option<Arc<str>>,
     sends: u32,
+    last_send: Option<Instant>,
 }
 
 impl RequestReport {
@@ -68,6 +69,7 @@
             last_event: head.last_event,
             resumes: head.resumes.clone(),
             sends: 0,
+            last_send: None,
         }
     }
 
@@ -86,6 +88,7 @@
 
     pub(super) fn note_send(&mut self) {
         self.sends += 1;
+        self.last_send = Some(Instant::now());
     }
 
     fn ms_since_start(&self, at: Option<Instant>) -> u128 {
@@ -156,7 +159,9 @@
     pub(super) fn attempt_failed(&self, cx: &Context, endpoint: &EndpointName, reason: &str) {
         cx.metrics.retries.with_label_values(&["forward"]).inc();
         let peer = Some(endpoint.to_string());
-        self.record(cx, EventNumber::SendFailed, peer, reason);
+        let attempt_ms = self.last_send.map_or(0, |at| at.elapsed().as_millis());
+        let outcome = format!("attempt_ms={attempt_ms} {reason}");
+        self.record(cx, EventNumber::SendFailed, peer, &outcome);
     }
 
     /// Records that `endpoint` crashed while it had this request, which is now a suspect of `crashes`
@@ -174,6 +179,14 @@
         self.record(cx, EventNumber::EndpointCrashed, peer, &detail);
     }
 
+    /// Records that the caller left before its answer began.
+    pub(super) fn abandoned(&self, cx: &Context) {
+        self.observe_durations(cx, "abandoned");
+        let attempt_ms = self.last_send.map_or(0, |at| at.elapsed().as_millis());
+        let outcome = format!("attempt_ms={attempt_ms} the caller left before its answer began");
+        self.record(cx, EventNumber::RequestAbandoned, None, &outcome);
+    }
+
     /// Records that the stream to the caller was aborted.
     pub(super) fn stream_aborted(&self, cx: &Context, events: u64, reason: &str) {
         self.observe_durations(cx, "broken off");
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -361,6 +361,7 @@
         };
         Attempt {
             pool: &self.pool,
+            metrics: &self.cx.metrics,
             header_codec: &*self.header_codec,
             in_flight: self.loads.begin(&endpoint.id),
             endpoint,
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -39,6 +39,8 @@
     pub step_seconds: HistogramVec,
     /// Connections to endpoints, opened or used again.
     pub endpoint_connections: IntCounterVec,
+    /// Connections to endpoints that were to be opened, by path and outcome.
+    pub endpoint_connects: IntCounterVec,
     /// Permits for requests to limited endpoints, by source and outcome.
     pub permits: IntCounterVec,
     /// Partitions held and similar states, by name.
@@ -112,6 +114,11 @@
                 "Connections to endpoints, opened or used again",
                 &["use"],
             )?,
+            endpoint_connects: counters(
+                "cgw_endpoint_connects_total",
+                "Connections to endpoints that were to be opened",
+                &["path", "outcome"],
+            )?,
             permits: counters(
                 "cgw_permits_total",
                 "Permits for requests to limited endpoints",
