test(roles): show that callers of an instance without links are not served

Entry instances open connections through a Dialer now, so that a test can cut the links of one instance: held up, or new connections refused.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -24,6 +24,7 @@
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::RequestHeaders;
 use crate::forwarding::ResponseHeaders;
+use crate::forwarding::dialer::Dialer;
 use crate::forwarding::headers;
 use crate::forwarding::loads::InFlightGuard;
 use crate::forwarding::pool;
@@ -123,6 +124,7 @@
 /// The parameters of one attempt.
 pub(super) struct Attempt<'a> {
     pub(super) pool: &'a SharedPool,
+    pub(super) dialer: &'a dyn Dialer,
     pub(super) metrics: &'a Metrics,
     pub(super) header_codec: &'a dyn HeaderCodec,
     pub(super) endpoint: EndpointRecord,
@@ -153,7 +155,7 @@
         let mut connection = match pooled {
             Some(connection) => connection,
             None => {
-                let connected = pool::connect(*address).await;
+                let connected = pool::connect(self.dialer, *address).await;
                 let outcome = if connected.is_ok() { "opened" } else { "failed" };
                 self.metrics.endpoint_connects.with_label_values(&["direct", outcome]).inc();
                 connected.map_err(|cause| not_sent(format!("no connection: {cause}"), false))?
--- a/coriandergw/src/forwarding/crash_check.rs
+++ b/coriandergw/src/forwarding/crash_check.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::crashes::Incarnation;
 use crate::crashes::table::Standing;
 use crate::forwarding::attempt::UpstreamRequest;
+use crate::forwarding::dialer::Dialer;
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::forwarder::RequestPlan;
 use crate::ids::EndpointName;
@@ -58,12 +58,13 @@
         endpoint: &EndpointRecord,
     ) -> JoinHandle<bool> {
         let (cx, report, crashes) = (self.cx.clone(), plan.report.clone(), self.crashes.clone());
+        let dialer = self.adapters.dialer.clone();
         let (digest, endpoint) = (upstream_request.digest(), endpoint.clone());
         tokio::spawn(async move {
             let incarnation =
                 Incarnation { endpoint: endpoint.id.clone(), started_ms: endpoint.started_ms };
-            let has_crashed =
-                crashes.has_crashed(&incarnation) || refuses_connections(endpoint.address).await;
+            let has_crashed = crashes.has_crashed(&incarnation)
+                || refuses_connections(&*dialer, endpoint.address).await;
             if has_crashed {
                 let count = crashes.report(incarnation, digest);
                 report.endpoint_crashed(&cx, &endpoint, digest, count);
@@ -101,7 +102,7 @@
 }
 
 /// Returns whether nothing listens at an address. A reset connection alone is no crash.
-async fn refuses_connections(address: SocketAddr) -> bool {
-    let connected = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
+async fn refuses_connections(dialer: &dyn Dialer, address: SocketAddr) -> bool {
+    let connected = tokio::time::timeout(CHECK_TIMEOUT, dialer.dial(address)).await;
     matches!(connected, Ok(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused)
 }
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -31,6 +31,7 @@
 use crate::forwarding::attempt::UpstreamRequest;
 use crate::forwarding::attempt::UpstreamResponse;
 use crate::forwarding::choice;
+use crate::forwarding::dialer::Dialer;
 use crate::forwarding::headers;
 use crate::forwarding::leaving::LeavingEndpoints;
 use crate::forwarding::loads::Loads;
@@ -75,6 +76,16 @@
 /// The usable endpoints by service, each in the order of [`choice::order_by_preference`].
 pub(super) type Endpoints = BTreeMap<Arc<str>, Vec<EndpointRecord>>;
 
+/// What the deployment and the operating system provide to a forwarder.
+pub struct ForwarderAdapters {
+    /// Decodes and encodes headers of requests and responses.
+    pub header_codec: Arc<dyn HeaderCodec>,
+    /// Parses configurations.
+    pub reader: Arc<dyn ConfigReader>,
+    /// Opens connections to endpoints.
+    pub dialer: Arc<dyn Dialer>,
+}
+
 /// What a forwarder asks core and journal instances through.
 pub struct Clients {
     /// Reserves tokens of program budgets.
@@ -89,11 +100,10 @@
 /// endpoints.
 pub struct Forwarder {
     pub(super) cx: Context,
-    pub(super) header_codec: Arc<dyn HeaderCodec>,
+    pub(super) adapters: ForwarderAdapters,
     pub(super) pool: SharedPool,
     pub(super) loads: Arc<Loads>,
     pub(super) roster: Arc<Roster>,
-    reader: Arc<dyn ConfigReader>,
     pub(super) budgets: BudgetClient,
     table: ArcSwapOption<RouteTable>,
     pub(super) endpoints: ArcSwap<Endpoints>,
@@ -156,8 +166,7 @@
     /// them.
     pub fn new(
         cx: Context,
-        header_codec: Arc<dyn HeaderCodec>,
-        reader: Arc<dyn ConfigReader>,
+        adapters: ForwarderAdapters,
         roster: Arc<Roster>,
         clients: Clients,
         warm_up: WarmUp,
@@ -165,11 +174,10 @@
         let Clients { budgets, permits, crashes } = clients;
         Arc::new(Self {
             cx,
-            header_codec,
+            adapters,
             pool: SharedPool::new(Pool::default()),
             loads: Arc::default(),
             roster,
-            reader,
             budgets,
             table: ArcSwapOption::empty(),
             endpoints: ArcSwap::default(),
@@ -292,7 +300,7 @@
     }
 
     fn apply_config(&self, version: u64, document: &[u8]) {
-        match self.reader.read(document) {
+        match self.adapters.reader.read(document) {
             Ok(table) => {
                 self.table.store(Some(Arc::new(table)));
                 RequestReport::config_applied(&self.cx, version, None);
@@ -320,7 +328,7 @@
         started: Instant,
     ) -> Result<Response<ResponseBody>, Refusal> {
         if !self.is_ready() {
-            let head = self.header_codec.read_request(req.headers()).ok();
+            let head = self.adapters.header_codec.read_request(req.headers()).ok();
             let time_left = head.and_then(|head| head.deadline).unwrap_or(WARM_UP);
             self.wait_until_known(time_left, || self.is_ready()).await;
         }
@@ -336,10 +344,10 @@
             RequestReport::no_route(&self.cx, version, &host, req.uri().path());
             Refusal::not_run(ResultCode::NoRoute, "no route matches this host and path")
         })?;
-        let head = self
-            .header_codec
-            .read_request(req.headers())
-            .map_err(|fault| Refusal::not_run(ResultCode::MalformedRequest, fault.to_string()))?;
+        let head =
+            self.adapters.header_codec.read_request(req.headers()).map_err(|fault| {
+                Refusal::not_run(ResultCode::MalformedRequest, fault.to_string())
+            })?;
         let limit = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let deadline = started + limit;
         let (plan, turn) = self.plan(&table, route, &head, deadline, started)?;
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -17,6 +17,7 @@
 mod bounded_reader;
 pub mod choice;
 mod crash_check;
+pub mod dialer;
 mod events;
 pub mod forwarder;
 mod headers;
--- a/coriandergw/src/forwarding/pool.rs
+++ b/coriandergw/src/forwarding/pool.rs
@@ -14,12 +14,12 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::TcpKeepalive;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use crate::clock::Timestamp;
 use crate::forwarding::bounded_reader::BoundedReader;
 use crate::forwarding::bounded_reader::UnproductiveBytes;
+use crate::forwarding::dialer::Dialer;
 use crate::ids::EndpointName;
 
 /// The timeout for opening a connection: enough for several round trips between data centres.
@@ -140,8 +140,11 @@
 /// # Errors
 /// Fails if the connection cannot be opened within [`CONNECT_TIMEOUT`]; no request has been sent
 /// then.
-pub(super) async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+pub(super) async fn connect(
+    dialer: &dyn Dialer,
+    address: SocketAddr,
+) -> std::io::Result<Connection> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, dialer.dial(address)).await;
     let stream = connecting.map_err(|_| std::io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(&stream);
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -361,8 +361,9 @@
         };
         Attempt {
             pool: &self.pool,
+            dialer: &*self.adapters.dialer,
             metrics: &self.cx.metrics,
-            header_codec: &*self.header_codec,
+            header_codec: &*self.adapters.header_codec,
             in_flight: self.loads.begin(&endpoint.id),
             endpoint,
             deadline: plan.deadline,
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -13,10 +13,9 @@
 use crate::context::Context;
 use crate::crashes::reporter::CrashReporter;
 use crate::endpoint_limits::client::PermitClient;
-use crate::forwarding::HeaderCodec;
 use crate::forwarding::forwarder::Clients;
-use crate::forwarding::forwarder::ConfigReader;
 use crate::forwarding::forwarder::Forwarder;
+use crate::forwarding::forwarder::ForwarderAdapters;
 use crate::forwarding::server;
 use crate::forwarding::server::Phase;
 use crate::forwarding::warm_up::WarmUp;
@@ -66,8 +65,7 @@
     pub async fn start(
         settings: &ProcessSettings,
         callers: SocketAddr,
-        header_codec: Arc<dyn HeaderCodec>,
-        reader: Arc<dyn ConfigReader>,
+        adapters: ForwarderAdapters,
     ) -> Result<Self, StartError> {
         let address = SocketAddr::new(settings.ip, settings.port(Role::Entry));
         let name = instance_name(address, &format!("{:08x}", rand::random::<u32>()))?;
@@ -86,7 +84,7 @@
         let permits = PermitClient::new(cx.clone(), roster.clone(), base.transport.clone());
         let crashes = CrashReporter::start(cx.clone(), roster.clone(), base.transport.clone());
         let clients = Clients { budgets, permits, crashes: Arc::new(crashes) };
-        let forwarder = Forwarder::new(cx, header_codec, reader, roster.clone(), clients, warm_up);
+        let forwarder = Forwarder::new(cx, adapters, roster.clone(), clients, warm_up);
         base.tasks.spawn(forwarder.clone().follow_roster());
         base.tasks.spawn(announce_when_ready(roster.clone(), forwarder.clone()));
         let (phase, phases) = watch::channel(Phase::Serving);
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -10,6 +10,8 @@
 mod groups;
 mod leaving;
 mod limits;
+mod links;
+mod paths;
 mod routing;
 mod streams;
 mod versions;
--- /dev/null
+++ b/coriandergw/src/roles/tests/links.rs
@@ -0,0 +1,93 @@
+//! The links between one entry instance and the endpoints, which tests can cut.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::watch;
+
+use crate::forwarding::dialer::Dialer;
+
+/// What happens to the bytes between an entry instance and all endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkState {
+    /// They arrive.
+    Open,
+    /// They are held up, also those of new connections.
+    Silent,
+    /// New connections are refused; open ones work.
+    Refused,
+}
+
+/// The links of one entry instance.
+pub struct Links(watch::Sender<LinkState>);
+
+impl Links {
+    pub fn open() -> Arc<Self> {
+        Arc::new(Self(watch::Sender::new(LinkState::Open)))
+    }
+
+    pub fn set(&self, state: LinkState) {
+        self.0.send_replace(state);
+    }
+}
+
+async fn until_not_silent(state: &mut watch::Receiver<LinkState>) {
+    // Fails only once the links are dropped, with the test.
+    let _ = state.wait_for(|state| *state != LinkState::Silent).await;
+}
+
+#[async_trait]
+impl Dialer for Links {
+    async fn dial(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let mut state = self.0.subscribe();
+        until_not_silent(&mut state).await;
+        if *state.borrow() == LinkState::Refused {
+            return Err(io::ErrorKind::ConnectionRefused.into());
+        }
+        let target = TcpStream::connect(address).await?;
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let (dialed, accepted) =
+            tokio::join!(TcpStream::connect(listener.local_addr()?), listener.accept());
+        let (target_reader, target_writer) = target.into_split();
+        let (reader, writer) = accepted?.0.into_split();
+        tokio::spawn(copy(reader, target_writer, state.clone()));
+        tokio::spawn(copy(target_reader, writer, state));
+        dialed
+    }
+}
+
+/// Copies bytes while the link is not silent. Passes on how the connection ends.
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut state: watch::Receiver<LinkState>,
+) {
+    let mut buf = [0; 4096];
+    loop {
+        let read = from.read(&mut buf).await;
+        until_not_silent(&mut state).await;
+        match read {
+            // Dropping the writer ends the connection.
+            Ok(0) => return,
+            Ok(count) => {
+                if to.write_all(&buf[..count]).await.is_err() {
+                    return;
+                }
+            }
+            Err(_) => {
+                let _ = socket2::SockRef::from(to.as_ref()).set_linger(Some(Duration::ZERO));
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coriandergw/src/roles/tests/paths.rs
@@ -0,0 +1,215 @@
+//! Tests with instances that do not reach endpoints that other instances reach.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+
+use crate::roles::entry::EntryProcess;
+use crate::roles::tests::endpoint::Endpoint;
+use crate::roles::tests::endpoint::Step;
+use crate::roles::tests::endpoint::answer;
+use crate::roles::tests::endpoint::chunk;
+use crate::roles::tests::endpoint::event;
+use crate::roles::tests::endpoint::last_chunk;
+use crate::roles::tests::endpoint::stream_head;
+use crate::roles::tests::links::LinkState;
+use crate::roles::tests::links::Links;
+use crate::roles::tests::world::World;
+use crate::roles::tests::world::ask_at;
+use crate::roles::tests::world::event_ids;
+use crate::roles::tests::world::get;
+use crate::roles::tests::world::post;
+use crate::roles::tests::world::status;
+use crate::test_support::wait_for;
+
+/// The number of endpoints of each service.
+const ENDPOINTS: usize = 6;
+
+/// The time after a cut within which requests may still fail, `contact_ms` of the deployments.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// How long callers of these tests wait for an answer.
+const DEADLINE: &str = "deadline: 1200\r\n";
+
+/// The time within which a request that cannot be served is refused: well before its deadline.
+const AT_ONCE: Duration = Duration::from_millis(600);
+
+/// The answer of an endpoint that works: three events to a stream, a short body to others. It resets
+/// the connection of a request whose attempt begins with `lost`.
+fn work(seen: &crate::roles::tests::endpoint::Seen) -> Vec<Step> {
+    let attempt = seen.header("attempt").unwrap_or_default();
+    if attempt.starts_with("lost") {
+        return vec![Step::Reset];
+    }
+    if !seen.path().starts_with("/stream/") {
+        return vec![Step::Send(answer(&attempt, "done"))];
+    }
+    let mut steps = vec![Step::Send(stream_head(&attempt))];
+    steps.extend((1..=3).map(|id| Step::Send(chunk(&event(id)))));
+    steps.push(Step::Send(last_chunk()));
+    steps
+}
+
+/// An entry instance whose links can be cut, others with links of their own, and endpoints.
+struct Fleet {
+    world: World,
+    links: Arc<Links>,
+    others: Vec<(EntryProcess, Arc<Links>)>,
+    endpoints: Vec<Endpoint>,
+}
+
+impl Fleet {
+    async fn start(others: usize) -> Self {
+        let links = Links::open();
+        let mut world = World::start_with(links.clone()).await;
+        let mut fleet_others = Vec::new();
+        for _ in 0..others {
+            let links = Links::open();
+            fleet_others.push((world.add_entry_with(links.clone()).await, links));
+        }
+        let mut endpoints = Vec::new();
+        for service in ["plain", "engines"] {
+            for number in 0..ENDPOINTS {
+                let endpoint = Endpoint::start(|_, seen| work(seen)).await;
+                world.announce(&format!("{service}-{number}"), service, &endpoint).await;
+                endpoints.push(endpoint);
+            }
+        }
+        let knows = |entry: &EntryProcess| {
+            entry.forwarder.has_endpoints("plain") && entry.forwarder.has_endpoints("engines")
+        };
+        wait_for("the endpoints at the others", || fleet_others.iter().all(|(one, _)| knows(one)))
+            .await;
+        // The core instance must know all entry instances and these each other.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        Self { world, links, others: fleet_others, endpoints }
+    }
+
+    fn callers(&self) -> SocketAddr {
+        self.world.callers
+    }
+
+    /// Sends requests one after the other for a time; their answers do not matter.
+    async fn send_for(&self, time: Duration) {
+        let end = tokio::time::Instant::now() + time;
+        let mut senders = JoinSet::new();
+        for sender in 0..4 {
+            let callers = self.callers();
+            senders.spawn(async move {
+                let mut number = 0;
+                while tokio::time::Instant::now() < end {
+                    number += 1;
+                    let request = get("/safe/x", &format!("before-{sender}-{number}"), DEADLINE);
+                    let asked = ask_at(callers, &request);
+                    let _ = tokio::time::timeout(Duration::from_millis(1200), asked).await;
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            });
+        }
+        senders.join_all().await;
+    }
+
+    /// Sends requests and streams at the same time; each must be served before its deadline.
+    async fn assert_served(&self) {
+        let mut asked = JoinSet::new();
+        for number in 0..24 {
+            let (callers, is_stream) = (self.callers(), number % 3 == 0);
+            let path = if is_stream { "/stream/x" } else { "/safe/x" };
+            asked.spawn(async move {
+                let request = get(path, &format!("after-{number}"), DEADLINE);
+                (is_stream, ask_at(callers, &request).await)
+            });
+        }
+        for (is_stream, answer) in asked.join_all().await {
+            assert_eq!(status(&answer), "200", "{answer}");
+            if is_stream {
+                assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
+            }
+        }
+    }
+}
+
+// Guards against callers who wait for endpoints that only their instance does not reach.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_instance_whose_links_are_silent_are_served() {
+    let fleet = Fleet::start(2).await;
+    fleet.send_for(Duration::from_millis(500)).await;
+    fleet.links.set(LinkState::Silent);
+    fleet.send_for(CONTACT).await;
+    fleet.assert_served().await;
+}
+
+// Guards against the same while new connections are refused and open ones live on.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_instance_whose_links_refuse_are_served() {
+    let fleet = Fleet::start(2).await;
+    fleet.links.set(LinkState::Refused);
+    fleet.send_for(CONTACT).await;
+    fleet.assert_served().await;
+}
+
+// Guards against first callers who pay for what an instance without traffic has not noticed.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_first_callers_of_an_idle_instance_without_links_are_served() {
+    let fleet = Fleet::start(2).await;
+    fleet.links.set(LinkState::Silent);
+    tokio::time::sleep(CONTACT).await;
+    fleet.assert_served().await;
+}
+
+// Guards against instances that relay through others that are cut off as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_most_instances_have_no_links() {
+    let fleet = Fleet::start(4).await;
+    fleet.links.set(LinkState::Silent);
+    for (_, links) in &fleet.others[..3] {
+        links.set(LinkState::Silent);
+    }
+    fleet.send_for(CONTACT).await;
+    fleet.assert_served().await;
+}
+
+// Guards against requests that hang until their deadline though no instance reaches an endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_while_no_instance_has_links() {
+    let fleet = Fleet::start(1).await;
+    fleet.links.set(LinkState::Silent);
+    fleet.others[0].1.set(LinkState::Silent);
+    fleet.send_for(CONTACT).await;
+    for number in 0..4 {
+        let request = get("/safe/x", &format!("none-{number}"), DEADLINE);
+        let asked = ask_at(fleet.callers(), &request);
+        let answer = tokio::time::timeout(AT_ONCE, asked).await.expect("refused before its time");
+        assert_eq!(status(&answer), "503", "{answer}");
+        assert!(answer.contains("\"not_run\":true"), "{answer}");
+        assert!(answer.contains("retry-after: "), "{answer}");
+    }
+    fleet.links.set(LinkState::Open);
+    tokio::time::sleep(CONTACT).await;
+    fleet.assert_served().await;
+}
+
+// Guards against a request that is refused everywhere because one instance, whose own links refuse
+// connections, took endpoints for crashed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_whose_links_refuse_accuses_no_request() {
+    let fleet = Fleet::start(2).await;
+    let (callers, other) = (fleet.callers(), fleet.others[0].0.roster.presence());
+    let other = other.caller_address.expect("an address");
+    // Opens connections to endpoints, which live on.
+    fleet.send_for(Duration::from_millis(500)).await;
+    fleet.links.set(LinkState::Refused);
+    for number in 0..4 {
+        ask_at(callers, &post("/safe/x", &format!("lost-{number}"), DEADLINE, "same")).await;
+    }
+    let seen = fleet.endpoints.iter().flat_map(Endpoint::seen);
+    let lost = seen.filter(|one| one.header("attempt").is_some_and(|id| id.starts_with("lost")));
+    assert!(lost.count() > 0, "no request was lost, so the test shows nothing");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let answer = ask_at(other, &post("/safe/x", "sound", DEADLINE, "same")).await;
+    assert_eq!(status(&answer), "200", "{answer}");
+    let crashes = fleet.world.entry.roster.with_view(|view| view.crashes().crashes().count());
+    assert_eq!(crashes, 0, "endpoints were reported as crashed");
+}
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -23,7 +23,10 @@
 use crate::forwarding::RequestHeaders;
 use crate::forwarding::ResponseHeaders;
 use crate::forwarding::TokenDemand;
+use crate::forwarding::dialer::Dialer;
+use crate::forwarding::dialer::TcpDialer;
 use crate::forwarding::forwarder::ConfigReader;
+use crate::forwarding::forwarder::ForwarderAdapters;
 use crate::ids::DataCentre;
 use crate::ids::EndpointName;
 use crate::roles::ProcessSettings;
@@ -131,6 +134,10 @@
     }
 }
 
+fn adapters(dialer: Arc<dyn Dialer>) -> ForwarderAdapters {
+    ForwarderAdapters { header_codec: Arc::new(PlainHeaders), reader: Arc::new(TestConfig), dialer }
+}
+
 /// The settings and the data folder of a simulated machine.
 pub struct Machine {
     pub settings: ProcessSettings,
@@ -196,23 +203,28 @@
 impl World {
     /// Starts all roles on one machine and applies the configuration of the tests.
     pub async fn start() -> Self {
-        let world = Self::start_without_configuration().await;
+        Self::start_with(Arc::new(TcpDialer)).await
+    }
+
+    /// Does the same with an entry instance that opens connections to endpoints through `dialer`.
+    pub async fn start_with(dialer: Arc<dyn Dialer>) -> Self {
+        let world = Self::start_machine(Duration::ZERO, dialer).await;
         world.core.versions.put(1, "1".into()).await.expect("committed");
         wait_for("the configuration", || world.entry.forwarder.is_ready()).await;
         world
     }
 
     pub async fn start_without_configuration() -> Self {
-        Self::start_machine(Duration::ZERO).await
+        Self::start_machine(Duration::ZERO, Arc::new(TcpDialer)).await
     }
 
     /// Starts all roles without a configuration and with a warm-up period longer than any test, so
     /// that requests wait for the configuration and for endpoints.
     pub async fn start_cold() -> Self {
-        Self::start_machine(WAIT_LIMIT).await
+        Self::start_machine(WAIT_LIMIT, Arc::new(TcpDialer)).await
     }
 
-    async fn start_machine(warm_up: Duration) -> Self {
+    async fn start_machine(warm_up: Duration, dialer: Arc<dyn Dialer>) -> Self {
         let mut site = Site::new(1, 0).await;
         let mut machine = site.machine(true);
         machine.settings.warm_up = warm_up;
@@ -222,18 +234,21 @@
         let core = CoreProcess::start(&machine.settings).await.expect("the core starts");
         let journal = JournalProcess::start(&journal_settings).await.expect("the journal starts");
         let callers = machine.settings.caller_address.expect("an address");
-        let (header_codec, reader) = (Arc::new(PlainHeaders), Arc::new(TestConfig));
-        let entry = EntryProcess::start(&machine.settings, callers, header_codec, reader).await;
+        let entry = EntryProcess::start(&machine.settings, callers, adapters(dialer)).await;
         let entry = entry.expect("the entry starts");
         Self { core, _journal: journal, entry, callers, site, machines: vec![machine] }
     }
 
     /// Starts another entry instance on a machine of its own.
     pub async fn add_entry(&mut self) -> EntryProcess {
+        self.add_entry_with(Arc::new(TcpDialer)).await
+    }
+
+    /// Does the same with an instance that opens connections to endpoints through `dialer`.
+    pub async fn add_entry_with(&mut self, dialer: Arc<dyn Dialer>) -> EntryProcess {
         let machine = self.site.machine(false);
         let callers = machine.settings.caller_address.expect("an address");
-        let (header_codec, reader) = (Arc::new(PlainHeaders), Arc::new(TestConfig));
-        let entry = EntryProcess::start(&machine.settings, callers, header_codec, reader).await;
+        let entry = EntryProcess::start(&machine.settings, callers, adapters(dialer)).await;
         let entry = entry.expect("the entry starts");
         self.machines.push(machine);
         wait_for("the configuration", || entry.forwarder.is_ready()).await;
