fix(membership): spread suspicions again for an instance that missed them

Cause found in a simulation: each suspicion is sent a bounded number of times. An instance that lost those messages keeps its own suspicion only, which takes no effect alone, and nobody sends the others again.

--- a/coriandergw/src/membership/suspicion.rs
+++ b/coriandergw/src/membership/suspicion.rs
@@ -74,15 +74,29 @@
         }
     }
 
-    /// Records that this instance suspects a member, and spreads the suspicion.
+    /// Records that this instance suspects a member, and spreads the suspicion. It is spread again
+    /// while the suspicions of others are missing, which may have been lost on their way.
     pub(super) fn accuse(&mut self, target: &InstanceName, now: Timestamp) {
-        let accuser = self.name.clone();
         let Some(member) = self.members.get(target).filter(|m| m.state != MemberState::Dead) else {
             return;
         };
-        let mut update = update_of(target, member, Some(accuser));
-        update.state = MemberState::Suspect;
-        self.apply_update(update, now);
+        let update = accusation_of(target, member, self.name.clone());
+        if member.accusers.contains(&self.name) && self.needs_evidence(member) {
+            self.update_queue.add(update);
+        } else {
+            self.apply_update(update, now);
+        }
+    }
+
+    /// Spreads the suspicions that are known of a member again, for an instance that repeats its own
+    /// and so has not received them.
+    fn repeat_accusations(&mut self, target: &InstanceName, repeated_by: &InstanceName) {
+        let Some(member) = self.members.get(target) else {
+            return;
+        };
+        for accuser in member.accusers.iter().filter(|accuser| *accuser != repeated_by) {
+            self.update_queue.add(accusation_of(target, member, accuser.clone()));
+        }
     }
 
     /// Declares the members dead that enough instances suspect and that have not refuted it in
@@ -147,6 +161,8 @@
         if is_newer || is_new_suspicion || adds_evidence {
             self.schedule_probe(&update);
             self.update_queue.add(update);
+        } else if let Some(accuser) = update.accuser.filter(|_| is_accusation) {
+            self.repeat_accusations(&update.name, &accuser);
         }
     }
 
@@ -199,3 +215,8 @@
         accuser,
     }
 }
+
+/// Returns the update by which `accuser` suspects a member.
+fn accusation_of(name: &InstanceName, member: &Member, accuser: InstanceName) -> Update {
+    Update { state: MemberState::Suspect, ..update_of(name, member, Some(accuser)) }
+}
--- a/coriandergw/src/membership/tests.rs
+++ b/coriandergw/src/membership/tests.rs
@@ -27,6 +27,8 @@
     Slow(u64),
     Flapping(u64),
     Isolated,
+    /// Isolated, while each message of the others is lost with this probability in percent.
+    IsolatedInLoss(u32),
 }
 
 /// A simulated network of instances, advanced step by step.
@@ -69,12 +71,15 @@
         simulation
     }
 
-    fn is_dropped(&self, fault: Fault, from: usize, to: usize) -> bool {
+    fn is_dropped(&mut self, fault: Fault, from: usize, to: usize) -> bool {
         match fault {
             Fault::DropsIncoming => to == 0,
             Fault::DropsOutgoing => from == 0,
             Fault::DropsOneLink => (from, to) == (0, 2),
             Fault::Isolated => from == 0 || to == 0,
+            Fault::IsolatedInLoss(percent) => {
+                from == 0 || to == 0 || self.rng.random_range(0..100) < percent
+            }
             Fault::Flapping(period) => {
                 (from == 0 || to == 0) && (self.now_ms / period).is_multiple_of(2)
             }
@@ -275,3 +280,16 @@
     let alive = simulation.members[0].members().values().all(Member::accepts_work);
     assert!(alive);
 }
+
+// Guards against an instance that keeps naming a silent one to its callers, since the suspicions of
+// the others were lost on their way to it and are not sent again.
+#[test]
+fn a_silent_instance_is_avoided_by_all_others_though_messages_were_lost() {
+    for seed in 0..300 {
+        let mut simulation = Simulation::new(5, 2, seed);
+        simulation.run(Fault::IsolatedInLoss(70), 4_000, |_| {});
+        simulation.run(Fault::Isolated, 20_000, |_| {});
+        let missing: Vec<usize> = (1..5).filter(|at| !simulation.avoids(*at, 0)).collect();
+        assert!(missing.is_empty(), "seed {seed}: instances {missing:?} do not avoid 0");
+    }
+}
--- a/testkit/tests/membership.rs
+++ b/testkit/tests/membership.rs
@@ -1,5 +1,6 @@
 //! Membership in real processes: who is left out of the address answers, and who is not.
 
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -60,10 +61,17 @@
     cluster.names().into_iter().filter(|name| name != than).collect()
 }
 
+/// Waits until all other instances name an instance, or none does. Prints what they answer.
 async fn until_named(cluster: &Cluster, of: &str, expected: bool) {
     for at in others(cluster, of) {
+        let last = RefCell::new(None);
         wait::find(&format!("{at} names {of}: {expected}"), || async {
-            (names(cluster, &at, of).await? == expected).then_some(())
+            let answer = named(cluster, &at).await;
+            if last.borrow().as_ref() != Some(&answer) {
+                println!("{at} names {answer:?}, uses {:?}", answering(cluster, &at).await);
+                last.replace(Some(answer.clone()));
+            }
+            (answer?.contains(&cluster.address(of).to_string()) == expected).then_some(())
         })
         .await;
     }
