--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -160,6 +160,16 @@
     EndpointLimited = 408, Info;
     /// A core instance did not answer a request for a permit.
     PermitsLost = 409, Warning;
+    /// An endpoint does not answer this instance, and answers another one.
+    PathLost = 410, Warning;
+    /// An endpoint answers this instance again.
+    PathRegained = 411, Info;
+    /// No endpoint answers this instance.
+    LinksLost = 412, Warning;
+    /// Endpoints answer this instance again.
+    LinksRegained = 413, Info;
+    /// A connection that another instance asked for was not relayed.
+    RelayDeclined = 414, Info;
     /// An attempt of a call failed at its endpoint.
     AttemptFailed = 403, Warning;
     /// An engine confirmed an order.
--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -24,15 +24,15 @@
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::RequestHeaders;
 use crate::forwarding::ResponseHeaders;
-use crate::forwarding::dialer::Dialer;
+use crate::forwarding::connecting::ConnectFailure;
+use crate::forwarding::connecting::Connector;
+use crate::forwarding::connecting::NoConnection;
 use crate::forwarding::headers;
 use crate::forwarding::loads::InFlightGuard;
-use crate::forwarding::pool;
 use crate::forwarding::pool::Connection;
 use crate::forwarding::pool::Pool;
 use crate::forwarding::pool::SharedPool;
 use crate::ids::EndpointName;
-use crate::metrics::Metrics;
 use crate::roster::EndpointRecord;
 
 /// Why an attempt produced no response that can be passed on.
@@ -48,6 +48,14 @@
         /// is idle.
         was_idle: bool,
     },
+    /// No connection was opened, so the request has not run.
+    #[display("not sent: {reason}")]
+    NoConnection {
+        /// What prevented the connection.
+        kind: NoConnection,
+        /// The error that prevented it.
+        reason: String,
+    },
     /// The request was sent and may have run, but its response was lost.
     #[display("lost: {reason}")]
     Lost {
@@ -113,6 +121,21 @@
         frame
     }
 
+    /// Does the same, and checks the path while the endpoint is silent.
+    ///
+    /// # Errors
+    /// Says why nothing more is to be expected.
+    pub(super) async fn watched_frame(
+        &mut self,
+        connector: &Connector,
+        is_repeatable: bool,
+    ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, String> {
+        let Self { body, connection, endpoint, .. } = self;
+        let frame = connector.watch(endpoint, &connection.path, is_repeatable, body.frame()).await;
+        connection.unproductive.reset();
+        frame
+    }
+
     /// Returns the connection to the pool after the whole response has been read.
     pub(super) fn finish(self, pool: &Pool, now: Timestamp) {
         if !self.closes_connection {
@@ -124,8 +147,7 @@
 /// The parameters of one attempt.
 pub(super) struct Attempt<'a> {
     pub(super) pool: &'a SharedPool,
-    pub(super) dialer: &'a dyn Dialer,
-    pub(super) metrics: &'a Metrics,
+    pub(super) connector: &'a Connector,
     pub(super) header_codec: &'a dyn HeaderCodec,
     pub(super) endpoint: EndpointRecord,
     pub(super) in_flight: InFlightGuard,
@@ -138,6 +160,8 @@
     /// The last event already received, if the gateway resumes the stream.
     pub(super) last_event: Option<u64>,
     pub(super) urgency: Option<u8>,
+    /// Whether the request may be sent to another endpoint although it may have run.
+    pub(super) is_repeatable: bool,
     pub(super) now: Timestamp,
 }
 
@@ -154,30 +178,28 @@
         let pooled = self.pool.take(id, *address, self.idle_limit, self.now);
         let mut connection = match pooled {
             Some(connection) => connection,
-            None => {
-                let connected = pool::connect(self.dialer, *address).await;
-                let outcome = if connected.is_ok() { "opened" } else { "failed" };
-                self.metrics.endpoint_connects.with_label_values(&["direct", outcome]).inc();
-                connected.map_err(|cause| not_sent(format!("no connection: {cause}"), false))?
-            }
+            None => self.connector.open(&self.endpoint).await.map_err(no_connection)?,
         };
         let is_reused = connection.is_reused;
         let req = self.build_request(upstream_request, id)?;
         connection.unproductive.reset();
         let sending = connection.sender.try_send_request(req);
-        let sent = tokio::time::timeout_at(self.head_deadline, sending).await;
+        let watched =
+            self.connector.watch(&self.endpoint, &connection.path, self.is_repeatable, sending);
+        let sent = tokio::time::timeout_at(self.head_deadline, watched).await;
         let response = match sent {
             Err(_) => {
                 return Err(lost("the response headers did not arrive in time", is_reused));
             }
-            Ok(Err(mut cause)) => {
+            Ok(Err(reason)) => return Err(lost(&reason, is_reused)),
+            Ok(Ok(Err(mut cause))) => {
                 // hyper returns the request if it has not written any of it.
                 return Err(match cause.take_message() {
                     Some(_) => not_sent(cause.into_error(), is_reused),
                     None => lost(&cause.into_error().to_string(), is_reused),
                 });
             }
-            Ok(Ok(response)) => response,
+            Ok(Ok(Ok(response))) => response,
         };
         connection.unproductive.reset();
         let (parts, body) = response.into_parts();
@@ -245,6 +267,11 @@
     Failure::NotSent { reason: reason.to_string(), was_idle }
 }
 
+fn no_connection(failure: ConnectFailure) -> Failure {
+    let ConnectFailure { kind, reason } = failure;
+    Failure::NoConnection { kind, reason: format!("no connection: {reason}") }
+}
+
 fn lost(reason: &str, is_reused: bool) -> Failure {
     let connection = if is_reused { "reused" } else { "new" };
     Failure::Lost { reason: format!("{reason}, on a {connection} connection") }
--- a/coriandergw/src/forwarding/crash_check.rs
+++ b/coriandergw/src/forwarding/crash_check.rs
@@ -1,7 +1,5 @@
 //! Finds requests that crash the endpoints that run them, and stops sending them.
 
-use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::task::JoinHandle;
@@ -9,7 +7,6 @@
 use crate::crashes::Incarnation;
 use crate::crashes::table::Standing;
 use crate::forwarding::attempt::UpstreamRequest;
-use crate::forwarding::dialer::Dialer;
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::forwarder::RequestPlan;
 use crate::ids::EndpointName;
@@ -17,10 +14,6 @@
 use crate::result_code::ResultCode;
 use crate::roster::EndpointRecord;
 
-/// How long an endpoint may take to accept or refuse a connection: several round trips between data
-/// centres. Without an answer, a crash cannot be told from a cut.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
-
 /// The time in which other instances' reports of the same crash arrive. A request that is a suspect of
 /// several crashes waits for them, so that it is not sent where another suspect goes.
 const REPORTS_DELAY: Duration = Duration::from_millis(25);
@@ -58,13 +51,13 @@
         endpoint: &EndpointRecord,
     ) -> JoinHandle<bool> {
         let (cx, report, crashes) = (self.cx.clone(), plan.report.clone(), self.crashes.clone());
-        let dialer = self.adapters.dialer.clone();
+        let connector = self.connector.clone();
         let (digest, endpoint) = (upstream_request.digest(), endpoint.clone());
         tokio::spawn(async move {
             let incarnation =
                 Incarnation { endpoint: endpoint.id.clone(), started_ms: endpoint.started_ms };
-            let has_crashed = crashes.has_crashed(&incarnation)
-                || refuses_connections(&*dialer, endpoint.address).await;
+            let has_crashed =
+                crashes.has_crashed(&incarnation) || connector.has_ended(&endpoint).await;
             if has_crashed {
                 let count = crashes.report(incarnation, digest);
                 report.endpoint_crashed(&cx, &endpoint, digest, count);
@@ -100,9 +93,3 @@
         }
     }
 }
-
-/// Returns whether nothing listens at an address. A reset connection alone is no crash.
-async fn refuses_connections(dialer: &dyn Dialer, address: SocketAddr) -> bool {
-    let connected = tokio::time::timeout(CHECK_TIMEOUT, dialer.dial(address)).await;
-    matches!(connected, Ok(Err(cause)) if cause.kind() == ErrorKind::ConnectionRefused)
-}
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -24,6 +24,7 @@
 
 use crate::context::Context;
 use crate::crashes::reporter::CrashReporter;
+use crate::dialer::Dialer;
 use crate::endpoint_limits::StatedLimit;
 use crate::endpoint_limits::client::PermitClient;
 use crate::forwarding::HeaderCodec;
@@ -31,7 +32,7 @@
 use crate::forwarding::attempt::UpstreamRequest;
 use crate::forwarding::attempt::UpstreamResponse;
 use crate::forwarding::choice;
-use crate::forwarding::dialer::Dialer;
+use crate::forwarding::connecting::Connector;
 use crate::forwarding::headers;
 use crate::forwarding::leaving::LeavingEndpoints;
 use crate::forwarding::loads::Loads;
@@ -47,6 +48,7 @@
 use crate::forwarding::warm_up::WARM_UP;
 use crate::forwarding::warm_up::WarmUp;
 use crate::ids::EndpointName;
+use crate::relays::server::DirectLinks;
 use crate::rendezvous::hash_of;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
@@ -102,6 +104,7 @@
     pub(super) cx: Context,
     pub(super) adapters: ForwarderAdapters,
     pub(super) pool: SharedPool,
+    pub(super) connector: Arc<Connector>,
     pub(super) loads: Arc<Loads>,
     pub(super) roster: Arc<Roster>,
     pub(super) budgets: BudgetClient,
@@ -172,10 +175,14 @@
         warm_up: WarmUp,
     ) -> Arc<Self> {
         let Clients { budgets, permits, crashes } = clients;
+        let pool = SharedPool::new(Pool::default());
+        let dialer = adapters.dialer.clone();
+        let connector = Connector::new(cx.clone(), dialer, pool.clone(), roster.clone());
         Arc::new(Self {
             cx,
             adapters,
-            pool: SharedPool::new(Pool::default()),
+            pool,
+            connector,
             loads: Arc::default(),
             roster,
             budgets,
@@ -218,6 +225,16 @@
         }
     }
 
+    /// Returns the direct connections to endpoints, which others may be relayed through.
+    pub fn links(&self) -> Arc<dyn DirectLinks> {
+        self.connector.clone()
+    }
+
+    /// Tries the direct paths to endpoints that are lost until the process ends.
+    pub async fn regain_paths(self: Arc<Self>) {
+        self.connector.clone().regain_paths().await;
+    }
+
     /// Applies the roster's current configuration and endpoints.
     fn refresh(&self) {
         let (version, document) = self.roster.with_view(|view| {
@@ -252,6 +269,7 @@
         };
         self.pool.sweep(is_known, now);
         self.loads.retain(is_known);
+        self.connector.set_known(endpoints.values().flatten().cloned().collect());
         let before = self.endpoints.load();
         for unused in before.values().flatten().filter(|record| !is_known(&record.id)) {
             let state =
@@ -452,7 +470,8 @@
                     Bytes::new(),
                 ));
             }
-            let collecting = collect(&mut response);
+            let is_repeatable = plan.route.retry_policy.allows_retry();
+            let collecting = collect(&self.connector, &mut response, is_repeatable);
             let collected = tokio::time::timeout_at(plan.deadline, collecting).await;
             let reason = match collected {
                 Ok(Ok(Collected::Beginning(beginning))) => {
@@ -469,7 +488,7 @@
                     self.note_complete_answer(&upstream_request);
                     return Ok(self.buffered_response(response, body));
                 }
-                Ok(Err(cause)) => cause.to_string(),
+                Ok(Err(reason)) => reason,
                 Err(_) => "the response did not end before the deadline".to_owned(),
             };
             self.record_lost_response(plan, &upstream_request, &response.endpoint, &reason).await?;
@@ -514,10 +533,14 @@
     Beginning(Bytes),
 }
 
-async fn collect(response: &mut UpstreamResponse) -> Result<Collected, hyper::Error> {
+async fn collect(
+    connector: &Connector,
+    response: &mut UpstreamResponse,
+    is_repeatable: bool,
+) -> Result<Collected, String> {
     let mut body = BytesMut::new();
-    while let Some(frame) = response.frame().await {
-        if let Ok(data) = frame?.into_data() {
+    while let Some(frame) = response.watched_frame(connector, is_repeatable).await? {
+        if let Ok(data) = frame.map_err(|cause| cause.to_string())?.into_data() {
             body.extend_from_slice(&data);
         }
         if body.len() as u64 > BUFFERED_RESPONSE_MAX_BYTES {
--- a/coriandergw/src/forwarding/pool.rs
+++ b/coriandergw/src/forwarding/pool.rs
@@ -13,24 +13,16 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use socket2::TcpKeepalive;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::task::AbortHandle;
 
 use crate::clock::Timestamp;
 use crate::forwarding::bounded_reader::BoundedReader;
 use crate::forwarding::bounded_reader::UnproductiveBytes;
-use crate::forwarding::dialer::Dialer;
+use crate::forwarding::connecting::RelayUseGuard;
 use crate::ids::EndpointName;
-
-/// The timeout for opening a connection: enough for several round trips between data centres.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// How long sent data may stay unacknowledged before the kernel closes the connection
-/// (`TCP_USER_TIMEOUT`).
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(900);
-
-/// The idle time before the first TCP keep-alive probe, and the interval between probes.
-const KEEPALIVE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+use crate::ids::InstanceName;
 
 /// How long an idle connection is kept at most; also the default if the endpoint sends no
 /// `Keep-Alive` header.
@@ -50,6 +42,19 @@
     since: Timestamp,
 }
 
+/// Whose connection to the endpoint is used.
+#[derive(Debug)]
+pub(super) enum ConnectionPath {
+    /// One of this instance.
+    Direct,
+    /// One of another instance, which copies bytes.
+    Relayed {
+        /// The other instance.
+        relay: InstanceName,
+        _guard: RelayUseGuard,
+    },
+}
+
 /// An open connection; dropping it closes it.
 pub(super) struct Connection {
     pub(super) sender: Sender,
@@ -59,6 +64,7 @@
     pub(super) is_reused: bool,
     /// What was read since the last head or content.
     pub(super) unproductive: UnproductiveBytes,
+    pub(super) path: ConnectionPath,
 }
 
 impl Drop for Connection {
@@ -122,6 +128,17 @@
         }
     }
 
+    /// Closes the idle connections for which `is_lost` holds.
+    pub(super) fn close<F>(&self, is_lost: F)
+    where
+        F: Fn(&EndpointName, &ConnectionPath) -> bool,
+    {
+        let mut idle = self.idle.lock().expect("not poisoned");
+        for (endpoint, (_, connections)) in idle.iter_mut() {
+            connections.retain(|idle| !is_lost(endpoint, &idle.connection.path));
+        }
+    }
+
     /// Closes the connections to endpoints that are not known any more and those idle for too long.
     pub(super) fn sweep<F>(&self, is_known: F, now: Timestamp)
     where
@@ -135,36 +152,26 @@
     }
 }
 
-/// Opens a connection to an endpoint.
+/// Starts HTTP on a stream to an endpoint.
 ///
 /// # Errors
-/// Fails if the connection cannot be opened within [`CONNECT_TIMEOUT`]; no request has been sent
-/// then.
-pub(super) async fn connect(
-    dialer: &dyn Dialer,
-    address: SocketAddr,
-) -> std::io::Result<Connection> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, dialer.dial(address)).await;
-    let stream = connecting.map_err(|_| std::io::ErrorKind::TimedOut)??;
-    stream.set_nodelay(true)?;
-    let socket = socket2::SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(KEEPALIVE_PROBE_INTERVAL)
-        .with_interval(KEEPALIVE_PROBE_INTERVAL);
-    socket.set_tcp_keepalive(&probes)?;
+/// Fails if the stream fails before anything is sent.
+pub(super) async fn open_on<S>(stream: S, path: ConnectionPath) -> std::io::Result<Connection>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
     let unproductive = UnproductiveBytes::default();
     let reader = BoundedReader::new(stream, unproductive.clone());
     let handshake = http1::Builder::new().handshake(TokioIo::new(reader)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     let driver = tokio::spawn(async move {
         if let Err(cause) = connection.await {
-            log::debug!("connection to endpoint {address} closed with an error: {cause}");
+            log::debug!("connection to an endpoint closed with an error: {cause}");
         }
     });
     let driver = driver.abort_handle();
     let (keep_alive, is_reused) = (IDLE_TIMEOUT, false);
-    Ok(Connection { sender, driver, keep_alive, is_reused, unproductive })
+    Ok(Connection { sender, driver, keep_alive, is_reused, unproductive, path })
 }
 
 /// The pool, shared between the requests of an instance.
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -88,13 +88,15 @@
                 return StreamStep::End;
             };
             let deadline = self.plan.deadline;
-            let frame = tokio::time::timeout_at(deadline, response.frame()).await;
-            let failure = match frame {
+            let is_repeatable = self.plan.route.retry_policy.allows_retry();
+            let frame = response.watched_frame(&self.forwarder.connector, is_repeatable);
+            let failure = match tokio::time::timeout_at(deadline, frame).await {
                 Err(_) => return self.deadline_passed(),
-                Ok(None) if !self.splitter.has_partial_event() => return self.finish(),
-                Ok(None) => "the stream ended in the middle of an event".to_owned(),
-                Ok(Some(Err(cause))) => cause.to_string(),
-                Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(Err(reason)) => reason,
+                Ok(Ok(None)) if !self.splitter.has_partial_event() => return self.finish(),
+                Ok(Ok(None)) => "the stream ended in the middle of an event".to_owned(),
+                Ok(Ok(Some(Err(cause)))) => cause.to_string(),
+                Ok(Ok(Some(Ok(frame)))) => match frame.into_data() {
                     Err(_) => continue,
                     Ok(data) => match self.splitter.push(&data) {
                         Some(events) if events.count == 0 => continue,
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -14,6 +14,7 @@
 use crate::forwarding::attempt::UpstreamResponse;
 use crate::forwarding::choice;
 use crate::forwarding::choice::EndpointCandidate;
+use crate::forwarding::connecting::NoConnection;
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::forwarder::RequestPlan;
 use crate::forwarding::forwarder::TRANSIENT_RETRY_AFTER;
@@ -47,6 +48,8 @@
     new_connection_only: bool,
     /// When the caller should come back, if limits of endpoints are the reason that none was chosen.
     limited_for: Option<Duration>,
+    /// Whether this instance reaches no endpoint, directly or through another instance.
+    has_no_path: bool,
 }
 
 /// The endpoint chosen for an attempt.
@@ -152,11 +155,11 @@
             {
                 return Ok(response);
             }
-            if Instant::now() >= plan.deadline {
+            if retries.has_no_path || Instant::now() >= plan.deadline {
                 break;
             }
         }
-        Err(self.no_endpoint_refusal(plan, retries.limited_for))
+        Err(self.no_endpoint_refusal(plan, &retries))
     }
 
     /// Handles the result of one attempt; returns the response if it is to be passed on.
@@ -201,12 +204,21 @@
                     retries.new_connection_only = true;
                 } else {
                     self.loads.note_failure(id, self.cx.clock.now());
-                    // An endpoint that accepts no connection has ended, and with it any run of the
-                    // request.
-                    plan.ran_on.retain(|ran_on| ran_on != id);
                     retries.excluded.push(id.clone());
                 }
             }
+            Err(Failure::NoConnection { kind, reason }) => {
+                plan.report.attempt_failed(&self.cx, id, &reason);
+                if kind == NoConnection::EndpointEnded {
+                    // Any run of the request has ended with the endpoint.
+                    plan.ran_on.retain(|ran_on| ran_on != id);
+                }
+                retries.has_no_path = kind == NoConnection::NoPath;
+                if !retries.has_no_path {
+                    self.loads.note_failure(id, self.cx.clock.now());
+                }
+                retries.excluded.push(id.clone());
+            }
             Err(Failure::Lost { reason }) => {
                 self.record_lost_response(plan, upstream_request, endpoint, &reason).await?;
                 retries.new_connection_only = true;
@@ -232,9 +244,8 @@
         );
     }
 
-    /// Returns the refusal of a request that no endpoint took. `limited_for` is when to come back
-    /// if limits of endpoints are the reason.
-    fn no_endpoint_refusal(&self, plan: &RequestPlan, limited_for: Option<Duration>) -> Refusal {
+    /// Returns the refusal of a request that no endpoint took.
+    fn no_endpoint_refusal(&self, plan: &RequestPlan, retries: &RetryState) -> Refusal {
         let service = &plan.service;
         if !plan.may_have_run
             && let Some(refusal) = self.version_gone(plan)
@@ -245,7 +256,13 @@
             let message = format!("no endpoint of service {service} responded");
             return Refusal::may_have_run(ResultCode::AnswerLate, message);
         }
-        if let Some(time) = limited_for {
+        if retries.has_no_path {
+            let message = "this instance has lost its links to the endpoints and reaches none \
+                           through another instance";
+            let refusal = Refusal::not_run(ResultCode::NoPath, message);
+            return refusal.retry_after(TRANSIENT_RETRY_AFTER);
+        }
+        if let Some(time) = retries.limited_for {
             let message = format!("the endpoints of service {service} have reached their limits");
             return Refusal::not_run(ResultCode::EndpointsLimited, message).retry_after(time);
         }
@@ -361,8 +378,7 @@
         };
         Attempt {
             pool: &self.pool,
-            dialer: &*self.adapters.dialer,
-            metrics: &self.cx.metrics,
+            connector: &self.connector,
             header_codec: &*self.adapters.header_codec,
             in_flight: self.loads.begin(&endpoint.id),
             endpoint,
@@ -370,6 +386,7 @@
             head_deadline,
             idle_limit,
             last_event,
+            is_repeatable: plan.route.retry_policy.allows_retry(),
             urgency: plan.is_engine.then_some(plan.route.priority),
             now: self.cx.clock.now(),
         }
--- a/coriandergw/src/result_code.rs
+++ b/coriandergw/src/result_code.rs
@@ -104,6 +104,8 @@
     StreamUnknown = 2012, 503;
     /// No endpoint is left of the software version that began the stream.
     VersionGone = 2013, 503;
+    /// The instance reaches no endpoint, directly or through another instance.
+    NoPath = 2014, 503;
     /// The outcome of a call that must not be repeated is unknown.
     OutcomeUnknown = 3001, 502;
     /// The endpoint answered with an error.
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -20,6 +20,7 @@
 use crate::forwarding::server::Phase;
 use crate::forwarding::warm_up::WarmUp;
 use crate::log_groups::client::LogClient;
+use crate::relays::server::RelayServer;
 use crate::roles::ProcessParts;
 use crate::roles::ProcessSettings;
 use crate::roles::StartError;
@@ -73,6 +74,11 @@
         let listener = server::bind(callers)
             .await
             .map_err(|cause| StartError::Bind { address: callers, cause })?;
+        let relay_address = SocketAddr::new(settings.ip, settings.relay_port());
+        let relay_listener = server::bind(relay_address)
+            .await
+            .map_err(|cause| StartError::Bind { address: relay_address, cause })?;
+        base.roster.update_presence(|presence| presence.relay_address = Some(relay_address));
         base.start_polling(settings);
         let log = Arc::new(LogClient::new(base.transport.clone(), Vec::new()));
         base.tasks.spawn(send_pulses(base.roster.clone(), base.transport.clone()));
@@ -86,6 +92,9 @@
         let clients = Clients { budgets, permits, crashes: Arc::new(crashes) };
         let forwarder = Forwarder::new(cx, adapters, roster.clone(), clients, warm_up);
         base.tasks.spawn(forwarder.clone().follow_roster());
+        base.tasks.spawn(forwarder.clone().regain_paths());
+        let relay_server = RelayServer::new(base.cx.clone(), roster.clone(), forwarder.links());
+        base.tasks.spawn(relay_server.run(relay_listener));
         base.tasks.spawn(announce_when_ready(roster.clone(), forwarder.clone()));
         let (phase, phases) = watch::channel(Phase::Serving);
         let serving = tokio::spawn(server::serve(listener, forwarder.clone(), phases));
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -54,6 +54,9 @@
 /// consider this instance silent.
 const STALL_THRESHOLD_MS: u64 = 400;
 
+/// Offset of the port for relayed connections, after those of the roles.
+const RELAY_PORT_OFFSET: u16 = 3;
+
 /// Settings shared by all processes of the entry path.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProcessSettings {
@@ -94,6 +97,11 @@
         self.first_port + offset
     }
 
+    /// Returns the port at which an entry instance relays connections to endpoints.
+    fn relay_port(&self) -> u16 {
+        self.first_port + RELAY_PORT_OFFSET
+    }
+
     /// Returns the addresses of the instances whose roster is polled first.
     fn seed_addresses(&self) -> Vec<SocketAddr> {
         let port = self.port(Role::Core);
@@ -219,6 +227,8 @@
             group: GroupStatus::default(),
             is_founder: settings.is_first_start,
             watchers: Vec::new(),
+            relay_address: None,
+            lost_endpoints: false,
         };
         let roster = Roster::new(cx.clone(), presence);
         let mut tasks = JoinSet::new();
--- a/coriandergw/src/roles/tests/links.rs
+++ b/coriandergw/src/roles/tests/links.rs
@@ -11,11 +11,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
 use tokio::sync::watch;
 
-use crate::forwarding::dialer::Dialer;
+use crate::dialer::Dialer;
 
 /// What happens to the bytes between an entry instance and all endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,36 +58,39 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let (dialed, accepted) =
             tokio::join!(TcpStream::connect(listener.local_addr()?), listener.accept());
-        let (target_reader, target_writer) = target.into_split();
-        let (reader, writer) = accepted?.0.into_split();
-        tokio::spawn(copy(reader, target_writer, state.clone()));
-        tokio::spawn(copy(target_reader, writer, state));
+        tokio::spawn(connect(accepted?.0, target, state));
         dialed
     }
 }
 
-/// Copies bytes while the link is not silent. Passes on how the connection ends.
+/// Copies bytes both ways. Passes on how the connection ends.
+async fn connect(mut near: TcpStream, mut target: TcpStream, state: watch::Receiver<LinkState>) {
+    let (near_reader, near_writer) = near.split();
+    let (target_reader, target_writer) = target.split();
+    let copied = tokio::select! {
+        copied = copy(near_reader, target_writer, state.clone()) => copied,
+        copied = copy(target_reader, near_writer, state) => copied,
+    };
+    if copied.is_err() {
+        for socket in [&near, &target] {
+            let _ = socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+/// Copies bytes while the link is not silent.
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut state: watch::Receiver<LinkState>,
-) {
+) -> io::Result<()> {
     let mut buf = [0; 4096];
     loop {
         let read = from.read(&mut buf).await;
         until_not_silent(&mut state).await;
-        match read {
-            // Dropping the writer ends the connection.
-            Ok(0) => return,
-            Ok(count) => {
-                if to.write_all(&buf[..count]).await.is_err() {
-                    return;
-                }
-            }
-            Err(_) => {
-                let _ = socket2::SockRef::from(to.as_ref()).set_linger(Some(Duration::ZERO));
-                return;
-            }
+        match read? {
+            0 => return Ok(()),
+            count => to.write_all(&buf[..count]).await?,
         }
     }
 }
--- a/coriandergw/src/roles/tests/paths.rs
+++ b/coriandergw/src/roles/tests/paths.rs
@@ -6,8 +6,12 @@
 
 use tokio::task::JoinSet;
 
+use crate::ids::EndpointName;
+use crate::relays::RelayError;
+use crate::relays::client;
 use crate::roles::entry::EntryProcess;
 use crate::roles::tests::endpoint::Endpoint;
+use crate::roles::tests::endpoint::Seen;
 use crate::roles::tests::endpoint::Step;
 use crate::roles::tests::endpoint::answer;
 use crate::roles::tests::endpoint::chunk;
@@ -21,7 +25,10 @@
 use crate::roles::tests::world::event_ids;
 use crate::roles::tests::world::get;
 use crate::roles::tests::world::post;
+use crate::roles::tests::world::record;
 use crate::roles::tests::world::status;
+use crate::roster::EndpointRecord;
+use crate::roster::Relay;
 use crate::test_support::wait_for;
 
 /// The number of endpoints of each service.
@@ -38,11 +45,20 @@
 
 /// The answer of an endpoint that works: three events to a stream, a short body to others. It resets
 /// the connection of a request whose attempt begins with `lost`.
-fn work(seen: &crate::roles::tests::endpoint::Seen) -> Vec<Step> {
+fn work(seen: &Seen) -> Vec<Step> {
     let attempt = seen.header("attempt").unwrap_or_default();
     if attempt.starts_with("lost") {
         return vec![Step::Reset];
     }
+    if attempt.starts_with("open-ended") {
+        let end = if attempt.ends_with("reset") { Step::Reset } else { Step::Close };
+        let head = format!("HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n\r\nhalf");
+        return vec![Step::Send(head.into_bytes()), Step::Wait(Duration::from_millis(50)), end];
+    }
+    if attempt.starts_with("slow") {
+        let pause = Step::Wait(Duration::from_millis(300));
+        return vec![pause, Step::Send(answer(&attempt, "done"))];
+    }
     if !seen.path().starts_with("/stream/") {
         return vec![Step::Send(answer(&attempt, "done"))];
     }
@@ -213,3 +229,60 @@
     let crashes = fleet.world.entry.roster.with_view(|view| view.crashes().crashes().count());
     assert_eq!(crashes, 0, "endpoints were reported as crashed");
 }
+
+// Guards against an answer without a length that its endpoint reset and that looks complete, since a
+// relay passes on how a connection ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relayed_answer_that_is_reset_is_not_complete() {
+    let fleet = Fleet::start(2).await;
+    fleet.links.set(LinkState::Silent);
+    fleet.send_for(CONTACT).await;
+    let whole = ask_at(fleet.callers(), &get("/safe/x", "open-ended-close", DEADLINE)).await;
+    assert_eq!(status(&whole), "200", "{whole}");
+    assert!(whole.contains("half"), "{whole}");
+    let reset = ask_at(fleet.callers(), &get("/safe/x", "open-ended-reset", DEADLINE)).await;
+    assert_ne!(status(&reset), "200", "{reset}");
+}
+
+// Guards against a relay that connects to any address that it is told.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_connects_to_listed_endpoints_only() {
+    let fleet = Fleet::start(1).await;
+    let presence = fleet.others[0].0.roster.presence();
+    let relay = Relay {
+        name: presence.name.clone(),
+        address: presence.relay_address.expect("it relays"),
+        data_centre: presence.data_centre.clone(),
+    };
+    let id = EndpointName::try_from("plain-0").expect("a name");
+    let listed = record(&id, "plain", fleet.endpoints[0].address);
+    let opened = async |endpoint| client::open(&relay, &endpoint, &presence.name).await;
+    assert!(opened(listed.clone()).await.is_ok());
+    let elsewhere = EndpointRecord { address: fleet.endpoints[1].address, ..listed.clone() };
+    assert_eq!(opened(elsewhere).await.err(), Some(RelayError::Unlisted));
+    let earlier = EndpointRecord { started_ms: 0, ..listed };
+    assert_eq!(opened(earlier).await.err(), Some(RelayError::Unlisted));
+}
+
+// Guards against a request that may run once and is given up because a sound endpoint, which no
+// instance reaches for a second, answers late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_must_not_be_repeated_waits_for_an_endpoint_that_is_silent_for_a_second() {
+    let fleet = Fleet::start(2).await;
+    fleet.send_for(Duration::from_millis(500)).await;
+    let callers = fleet.callers();
+    let request = get("/once/x", "slow-once", "deadline: 5000\r\n");
+    let asked = tokio::spawn(async move { ask_at(callers, &request).await });
+    wait_for("the request at an endpoint", || {
+        let mut seen = fleet.endpoints.iter().flat_map(Endpoint::seen);
+        seen.any(|one| one.header("attempt").as_deref() == Some("slow-once"))
+    })
+    .await;
+    fleet.links.set(LinkState::Silent);
+    fleet.others.iter().for_each(|(_, links)| links.set(LinkState::Silent));
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    fleet.links.set(LinkState::Open);
+    fleet.others.iter().for_each(|(_, links)| links.set(LinkState::Open));
+    let answer = asked.await.expect("asked");
+    assert_eq!(status(&answer), "200", "{answer}");
+}
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -14,6 +14,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::dialer::Dialer;
+use crate::dialer::TcpDialer;
 use crate::endpoint_limits::RateLimit;
 use crate::forwarding::ForwardingHeaders;
 use crate::forwarding::HeaderCodec;
@@ -23,8 +25,6 @@
 use crate::forwarding::RequestHeaders;
 use crate::forwarding::ResponseHeaders;
 use crate::forwarding::TokenDemand;
-use crate::forwarding::dialer::Dialer;
-use crate::forwarding::dialer::TcpDialer;
 use crate::forwarding::forwarder::ConfigReader;
 use crate::forwarding::forwarder::ForwarderAdapters;
 use crate::ids::DataCentre;
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -17,6 +17,9 @@
     /// How long the core instance may wait for a change, in milliseconds.
     #[prost(uint32, tag = "5")]
     pub wait_ms: u32,
+    /// The relays_as_of of the core instance's last answer; 0 before the first one.
+    #[prost(uint64, tag = "6")]
+    pub relays_as_of: u64,
 }
 /// What changed.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -55,6 +58,23 @@
     /// Crashes of endpoints that changed, each a coriandergw.crashes.Crash.
     #[prost(bytes = "bytes", repeated, tag = "13")]
     pub crashes: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// The instances that relay connections to endpoints for the asking one; empty if relays_as_of is
+    /// as the asking process stated it.
+    #[prost(message, repeated, tag = "14")]
+    pub relays: ::prost::alloc::vec::Vec<Relay>,
+    /// The number of the last change of an entry instance, which the relays were chosen by.
+    #[prost(uint64, tag = "15")]
+    pub relays_as_of: u64,
+}
+/// An instance that relays connections to endpoints.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Relay {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub data_centre: ::prost::alloc::string::String,
 }
 /// One process of the system.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -97,6 +117,12 @@
     /// The core instances to which it sends signs of life between its polls.
     #[prost(string, repeated, tag = "15")]
     pub watchers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Where it relays connections to endpoints; empty if it does not.
+    #[prost(string, tag = "16")]
+    pub relay_address: ::prost::alloc::string::String,
+    /// Whether it has lost its links to the endpoints.
+    #[prost(bool, tag = "17")]
+    pub lost_endpoints: bool,
 }
 /// One endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -82,6 +82,22 @@
     pub is_founder: bool,
     /// The core instances that receive its heartbeats, and so detect its failure quickly.
     pub watchers: Vec<InstanceName>,
+    /// The address at which the process relays connections to endpoints for other instances; `None`
+    /// if it does not.
+    pub relay_address: Option<SocketAddr>,
+    /// Whether the process has lost its links to the endpoints, so that it can relay nothing.
+    pub lost_endpoints: bool,
+}
+
+/// An instance that relays connections to endpoints for others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relay {
+    /// The instance name.
+    pub name: InstanceName,
+    /// The address at which it relays.
+    pub address: SocketAddr,
+    /// The data centre that it runs in.
+    pub data_centre: DataCentre,
 }
 
 /// The availability of an endpoint.
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -20,6 +20,7 @@
 use crate::ids::InstanceName;
 use crate::roster::EndpointRecord;
 use crate::roster::Presence;
+use crate::roster::Relay;
 use crate::roster::RosterError;
 use crate::roster::generated as raw;
 use crate::roster::state::ReportedPresence;
@@ -199,13 +200,14 @@
 
     fn poll_message(&self, core: SocketAddr, presence: Option<Presence>) -> Bytes {
         let view = self.view.lock().expect("not poisoned");
-        let (core_start, cursor) = view.position(core);
+        let (core_start, cursor, relays_as_of) = view.position(core);
         let poll = raw::Poll {
             presence: presence.as_ref().map(raw::Presence::from),
             core_start,
             cursor,
             config_version: view.config().0,
             wait_ms: self.poll_wait.as_millis() as u32,
+            relays_as_of,
         };
         poll.encode_to_vec().into()
     }
@@ -234,6 +236,7 @@
         let endpoints: Result<Vec<EndpointRecord>, _> =
             raw.endpoints.into_iter().map(EndpointRecord::try_from).collect();
         let crashes: Result<Vec<Crash>, _> = raw.crashes.into_iter().map(Crash::decode).collect();
+        let relays: Result<Vec<Relay>, _> = raw.relays.into_iter().map(Relay::try_from).collect();
         let parse_presence = |raw: raw::Presence| {
             let heard = raw.heard;
             Presence::try_from(raw).map(|presence| ReportedPresence { presence, heard })
@@ -254,6 +257,8 @@
             // Decoded with the time at which the response arrived.
             limits: Vec::new(),
             crashes: crashes.map_err(|_| RosterError { field: "crash" })?,
+            relays: relays?,
+            relays_as_of: raw.relays_as_of,
         })
     }
 }
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -254,7 +254,7 @@
         let _ = tokio::time::timeout(wait, batch).await;
     }
 
-    fn answer(&self, poll: &raw::Poll, audience: Audience) -> raw::PollAnswer {
+    fn answer(&self, from: &InstanceName, poll: &raw::Poll, audience: Audience) -> raw::PollAnswer {
         let now = self.cx.clock.now();
         let roster = self.roster.lock().expect("not poisoned");
         let cursor = if poll.core_start == self.start { poll.cursor } else { 0 };
@@ -262,6 +262,13 @@
         let config_state = roster.config_state();
         let has_newer_config = config_state.config_version > poll.config_version;
         let config = if has_newer_config { config_state.config.clone() } else { Bytes::new() };
+        let relays_as_of = roster.last_entry_change();
+        let has_relays = poll.core_start == self.start && poll.relays_as_of == relays_as_of;
+        // Processes that answer address look-ups send nothing to endpoints.
+        let relays = match has_relays || audience == Audience::AddressSource {
+            true => Vec::new(),
+            false => roster.relays_for(from),
+        };
         raw::PollAnswer {
             core_start: self.start,
             cursor: roster.last_change(),
@@ -280,6 +287,8 @@
             entry_instances: roster.entry_instances() as u32,
             limits: changes.limits.iter().map(|one| one.encode(now)).collect(),
             crashes: changes.crashes.iter().map(Crash::encode).collect(),
+            relays: relays.iter().map(Into::into).collect(),
+            relays_as_of,
         }
     }
 }
@@ -292,10 +301,12 @@
 impl Handler for RosterServer {
     async fn handle(&self, from: &InstanceName, payload: Bytes) -> Result<Bytes, String> {
         let mut poll = raw::Poll::decode(payload).map_err(|cause| cause.to_string())?;
+        let mut wants_relays = false;
         let role = match poll.presence.take() {
             Some(presence) => {
                 let presence = Presence::try_from(presence).map_err(|cause| cause.to_string())?;
                 let role = presence.role;
+                wants_relays = presence.lost_endpoints;
                 self.record_presence(presence);
                 Some(role)
             }
@@ -307,11 +318,13 @@
         self.note_copy(from, role, &poll);
         // A process of unknown role gets everything, since its cursor advances with this response.
         let audience = role.map_or(Audience::AddressSource, Audience::from);
-        if role.is_some() {
+        if role.is_some() && !wants_relays {
             self.wait_for_change(&poll, audience).await;
         }
-        let answer =
-            raw::PollAnswer { wants_presence: role.is_none(), ..self.answer(&poll, audience) };
+        let answer = raw::PollAnswer {
+            wants_presence: role.is_none(),
+            ..self.answer(from, &poll, audience)
+        };
         Ok(answer.encode_to_vec().into())
     }
 }
--- a/coriandergw/src/roster/server/tests.rs
+++ b/coriandergw/src/roster/server/tests.rs
@@ -56,6 +56,7 @@
         cursor: answer.cursor,
         config_version: 0,
         wait_ms: 0,
+        relays_as_of: 0,
     };
     let answered = server.handle(&presence.name, poll.encode_to_vec().into()).await;
     raw::PollAnswer::decode(answered.expect("an answer")).expect("valid")
--- a/coriandergw/src/roster/simulation.rs
+++ b/coriandergw/src/roster/simulation.rs
@@ -434,7 +434,7 @@
 
     fn answer(&self, core: usize, view: &RosterView, audience: Audience) -> PollAnswer {
         let core_sim = &self.cores[core];
-        let (start, cursor) = view.position(core_address(core));
+        let (start, cursor, _) = view.position(core_address(core));
         let cursor = if start == core_sim.start { cursor } else { 0 };
         let changes = core_sim.state.changes_after(cursor, audience);
         let config_state = core_sim.state.config_state();
@@ -453,7 +453,7 @@
     /// Returns whether a poll that was sent at `polled_at` is answered now.
     fn is_due(&self, core: usize, view: &RosterView, audience: Audience, polled_at: u64) -> bool {
         let core_sim = &self.cores[core];
-        let (start, cursor) = view.position(core_address(core));
+        let (start, cursor, _) = view.position(core_address(core));
         let wait = match audience {
             Audience::AddressSource => poll_wait(Role::Core),
             Audience::Other => poll_wait(Role::Entry),
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -15,9 +15,11 @@
 use crate::endpoint_limits::StatedLimit;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
+use crate::rendezvous::hash_of;
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
 use crate::roster::Presence;
+use crate::roster::Relay;
 use crate::roster::Role;
 
 /// The longest time that a poll waits for a change.
@@ -44,6 +46,9 @@
 /// recognised.
 pub const GONE_RETENTION: Duration = Duration::from_secs(120);
 
+/// The number of instances that each instance may relay connections to endpoints through.
+const RELAYS: usize = 4;
+
 /// The longest normal gap between two silence checks. A longer gap means that this process itself
 /// was stalled, and that messages sent by others meanwhile are still unread.
 const MAX_CHECK_GAP: Duration = Duration::from_millis(150);
@@ -232,6 +237,35 @@
         self.instances.values().filter(|entry| accepts(&entry.value)).count()
     }
 
+    /// Returns the number of the last change of an entry instance.
+    pub fn last_entry_change(&self) -> u64 {
+        self.last_changes.entry_instance
+    }
+
+    /// Returns the instances that relay connections to endpoints for the instance `asking`: by
+    /// rendezvous hashing, half of them in its own data centre if there are that many.
+    ///
+    /// An instance that says that it has lost its own links to the endpoints is none.
+    pub fn relays_for(&self, asking: &InstanceName) -> Vec<Relay> {
+        let own = self.instances.get(asking).map(|entry| &entry.value.presence.data_centre);
+        let heard = self.instances.values().filter(|entry| entry.value.heard);
+        let presences = heard.map(|entry| &entry.value.presence);
+        let can_relay = |presence: &&Presence| {
+            presence.ready
+                && !presence.leaving
+                && !presence.lost_endpoints
+                && presence.name != *asking
+        };
+        let mut ranked: Vec<Relay> = presences.filter(can_relay).filter_map(relay_of).collect();
+        ranked.sort_by_cached_key(|relay| {
+            std::cmp::Reverse(hash_of(asking.as_str(), relay.name.as_str()))
+        });
+        let (near, far): (Vec<Relay>, Vec<Relay>) =
+            ranked.into_iter().partition(|relay| Some(&relay.data_centre) == own);
+        let near_count = near.len().min((RELAYS - far.len().min(RELAYS)).max(RELAYS / 2));
+        near.into_iter().take(near_count).chain(far).take(RELAYS).collect()
+    }
+
     /// Returns whether any core instance other than `own` is heard.
     pub fn hears_other_cores(&self, own: &InstanceName) -> bool {
         let is_other = |reported: &ReportedPresence| {
@@ -477,6 +511,11 @@
     }
 }
 
+fn relay_of(presence: &Presence) -> Option<Relay> {
+    let (name, data_centre) = (presence.name.clone(), presence.data_centre.clone());
+    Some(Relay { name, address: presence.relay_address?, data_centre })
+}
+
 fn scope_of(role: Role) -> ChangeScope {
     match role {
         Role::Entry => ChangeScope::EntryInstance,
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the roster state of a core instance and of the view merged from several core instances.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,12 +12,14 @@
 use crate::crashes::Incarnation;
 use crate::crashes::RequestDigest;
 use crate::endpoint_limits::StatedLimit;
+use crate::ids::DataCentre;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
 use crate::roster::GroupStatus;
 use crate::roster::Presence;
+use crate::roster::Relay;
 use crate::roster::Role;
 use crate::roster::state::Audience;
 use crate::roster::state::ConfigState;
@@ -610,3 +613,84 @@
     assert!(state.publish_crash(crash("/y"), now));
     assert_eq!(poll(&state, cursor), (1, 1, 1));
 }
+
+/// Returns the state of a core instance that hears ten entry instances in each of two data centres.
+fn state_with_relays<F>(change: F) -> RosterState
+where
+    F: Fn(&mut Presence),
+{
+    let mut state = RosterState::new(ENDPOINT_SILENCE, time_at(0));
+    for (data_centre, subnet) in [("dc", 1), ("other", 2)] {
+        for last in 1..=10 {
+            let mut entry = presence(&format!("10.0.{subnet}.{last}:7/0"));
+            entry.role = Role::Entry;
+            entry.ready = true;
+            entry.data_centre = DataCentre::try_from(data_centre).expect("a name");
+            entry.relay_address = Some(([10, 0, subnet, last], 8).into());
+            change(&mut entry);
+            state.note_presence(entry, time_at(0));
+        }
+    }
+    state
+}
+
+fn is_of_subnet(relay: &Relay, subnet: u8) -> bool {
+    relay.name.as_str().starts_with(&format!("10.0.{subnet}."))
+}
+
+#[test]
+fn an_instance_has_relays_in_its_own_data_centre_and_elsewhere() {
+    let state = state_with_relays(|_| {});
+    let asking = InstanceName::try_from("10.0.1.1:7/0").expect("a name");
+    let relays = state.relays_for(&asking);
+    assert_eq!(relays.len(), 4);
+    assert_eq!(relays.iter().filter(|relay| is_of_subnet(relay, 1)).count(), 2);
+    assert!(relays.iter().all(|relay| relay.name != asking));
+}
+
+// Guards against relays that have lost their links themselves, as a whole data centre may have.
+#[test]
+fn instances_that_lost_their_links_are_no_relays() {
+    let state = state_with_relays(|entry| {
+        entry.lost_endpoints = entry.data_centre.as_str() == "dc";
+    });
+    let asking = InstanceName::try_from("10.0.1.1:7/0").expect("a name");
+    let relays = state.relays_for(&asking);
+    assert_eq!(relays.len(), 4);
+    assert!(relays.iter().all(|relay| is_of_subnet(relay, 2)), "{relays:?}");
+}
+
+// Guards against a few instances that carry the traffic of all that lost their links.
+#[test]
+fn the_relays_of_many_instances_are_spread() {
+    let state = state_with_relays(|_| {});
+    let mut uses: BTreeMap<InstanceName, usize> = BTreeMap::new();
+    for number in 0..200 {
+        let asking = InstanceName::try_from(format!("10.0.3.{number}:7/0")).expect("a name");
+        for relay in state.relays_for(&asking) {
+            *uses.entry(relay.name).or_default() += 1;
+        }
+    }
+    // 200 instances with four relays each, over 20.
+    assert_eq!(uses.len(), 20);
+    assert!(uses.values().all(|count| (20..=70).contains(count)), "{uses:?}");
+}
+
+#[test]
+fn the_relays_that_most_core_instances_name_come_first() {
+    let relay = |last: u8| Relay {
+        name: InstanceName::try_from(format!("10.0.1.{last}:7/0")).expect("a name"),
+        address: ([10, 0, 1, last], 8).into(),
+        data_centre: DataCentre::try_from("dc").expect("a name"),
+    };
+    let mut view = RosterView::new(POLL_WAIT);
+    for (core, named) in [(1, vec![relay(1), relay(2)]), (2, vec![relay(2)])] {
+        let answer = PollAnswer { relays: named, relays_as_of: 5, ..response(1, Vec::new()) };
+        view.merge(core_address(core), answer, time_at(0));
+    }
+    assert_eq!(view.relays(time_at(10)), [relay(2), relay(1)]);
+    // An answer with the number of the poll names none again.
+    let unchanged = PollAnswer { relays_as_of: 5, ..response(1, Vec::new()) };
+    view.merge(core_address(1), unchanged, time_at(20));
+    assert_eq!(view.relays(time_at(30)).len(), 2);
+}
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -18,6 +18,7 @@
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
 use crate::roster::Presence;
+use crate::roster::Relay;
 use crate::roster::Role;
 use crate::roster::state::GONE_RETENTION;
 use crate::roster::state::POLL_WAIT;
@@ -69,6 +70,11 @@
     pub limits: Vec<StatedLimit>,
     /// The crashes of endpoints that are new or of which more is known.
     pub crashes: Vec<Crash>,
+    /// The instances that relay connections to endpoints for this one, unless `relays_as_of` is the
+    /// number given in the poll.
+    pub relays: Vec<Relay>,
+    /// The number of the change that the relays were chosen by.
+    pub relays_as_of: u64,
 }
 
 #[derive(Debug, Default)]
@@ -79,6 +85,8 @@
     is_directory: bool,
     entry_instances: usize,
     instances: BTreeMap<InstanceName, ReportedPresence>,
+    relays: Vec<Relay>,
+    relays_as_of: u64,
 }
 
 #[derive(Debug)]
@@ -122,10 +130,11 @@
         }
     }
 
-    /// Returns the process start and the cursor to send in the next poll of a core instance; both
-    /// are 0 before its first response.
-    pub fn position(&self, core: SocketAddr) -> (u64, u64) {
-        self.cores.get(&core).map_or((0, 0), |view| (view.start, view.cursor))
+    /// Returns the process start, the cursor and the number of the relays to send in the next poll of
+    /// a core instance; all are 0 before its first response.
+    pub fn position(&self, core: SocketAddr) -> (u64, u64, u64) {
+        let position = |view: &CoreView| (view.start, view.cursor, view.relays_as_of);
+        self.cores.get(&core).map(position).unwrap_or_default()
     }
 
     /// Merges a response of the core instance at `core`; returns whether it carried any change.
@@ -144,6 +153,10 @@
         view.answered_at = now;
         view.is_directory = answer.is_directory;
         view.entry_instances = answer.entry_instances;
+        if view.relays_as_of != answer.relays_as_of {
+            view.relays = answer.relays;
+            view.relays_as_of = answer.relays_as_of;
+        }
         for reported in answer.instances {
             view.instances.insert(reported.presence.name.clone(), reported);
         }
@@ -393,6 +406,24 @@
         (!hears_minority || self.reaches_quorum(now)).then_some(addresses)
     }
 
+    /// Returns the instances that relay connections to endpoints for this one, those first that most
+    /// reachable core instances name. While no core instance is reachable, their last answers are
+    /// used.
+    pub fn relays(&self, now: Timestamp) -> Vec<Relay> {
+        let reachable: Vec<SocketAddr> = self.reachable_cores(now).collect();
+        let is_used = |core: &SocketAddr| reachable.is_empty() || reachable.contains(core);
+        let mut named: Vec<(usize, &Relay)> = Vec::new();
+        let views = self.cores.iter().filter(|(core, _)| is_used(core)).map(|(_, view)| view);
+        for relay in views.flat_map(|view| &view.relays) {
+            match named.iter_mut().find(|(_, known)| *known == relay) {
+                Some((count, _)) => *count += 1,
+                None => named.push((1, relay)),
+            }
+        }
+        named.sort_by_key(|(count, _)| std::cmp::Reverse(*count));
+        named.into_iter().map(|(_, relay)| relay.clone()).collect()
+    }
+
     /// Returns how many entry instances accept callers' requests: the highest count that a
     /// reachable core instance reports. Returns `None` on a partitioned instance, which reaches no
     /// majority of the control group and so hears of few instances.
--- a/coriandergw/src/roster/wire.rs
+++ b/coriandergw/src/roster/wire.rs
@@ -1,5 +1,7 @@
 //! Conversions between the roster types and their Protocol Buffers messages.
 
+use std::net::SocketAddr;
+
 use crate::ids::DataCentre;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
@@ -7,6 +9,7 @@
 use crate::roster::EndpointState;
 use crate::roster::GroupStatus;
 use crate::roster::Presence;
+use crate::roster::Relay;
 use crate::roster::Role;
 use crate::roster::RosterError;
 use crate::roster::generated as raw;
@@ -25,6 +28,19 @@
     names.iter().map(ToString::to_string).collect()
 }
 
+/// Encodes an address; `None` as an empty text.
+fn to_text(address: Option<SocketAddr>) -> String {
+    address.map(|address| address.to_string()).unwrap_or_default()
+}
+
+/// Parses an address; an empty text is `None`.
+fn parse_address(text: &str, field: &'static str) -> Result<Option<SocketAddr>, RosterError> {
+    match text {
+        "" => Ok(None),
+        text => text.parse().map(Some).map_err(|_| invalid_field(field)),
+    }
+}
+
 const ROLES: [(Role, u32); 4] =
     [(Role::Entry, 1), (Role::Core, 2), (Role::Journal, 3), (Role::Directory, 4)];
 
@@ -57,10 +73,7 @@
             role: encode_enum(&ROLES, presence.role),
             data_centre: presence.data_centre.to_string(),
             node: presence.node.to_string(),
-            caller_address: presence
-                .caller_address
-                .map(|address| address.to_string())
-                .unwrap_or_default(),
+            caller_address: to_text(presence.caller_address),
             ready: presence.ready,
             leaving: presence.leaving,
             heard: true,
@@ -71,6 +84,8 @@
             learners: to_strings(&group.learners),
             is_founder: presence.is_founder,
             watchers: to_strings(&presence.watchers),
+            relay_address: to_text(presence.relay_address),
+            lost_endpoints: presence.lost_endpoints,
         }
     }
 }
@@ -79,17 +94,13 @@
     type Error = RosterError;
 
     fn try_from(raw: raw::Presence) -> Result<Self, RosterError> {
-        let caller_address = match raw.caller_address.as_str() {
-            "" => None,
-            text => Some(text.parse().map_err(|_| invalid_field("caller address"))?),
-        };
         Ok(Self {
             name: InstanceName::try_from(raw.name).map_err(|_| invalid_field("name"))?,
             role: decode_enum(&ROLES, raw.role).ok_or_else(|| invalid_field("role"))?,
             data_centre: DataCentre::try_from(raw.data_centre)
                 .map_err(|_| invalid_field("data centre"))?,
             node: raw.node.into(),
-            caller_address,
+            caller_address: parse_address(&raw.caller_address, "caller address")?,
             ready: raw.ready,
             leaving: raw.leaving,
             started_ms: raw.started_ms,
@@ -101,6 +112,31 @@
             },
             is_founder: raw.is_founder,
             watchers: parse_names(raw.watchers)?,
+            relay_address: parse_address(&raw.relay_address, "relay address")?,
+            lost_endpoints: raw.lost_endpoints,
+        })
+    }
+}
+
+impl From<&Relay> for raw::Relay {
+    fn from(relay: &Relay) -> Self {
+        Self {
+            name: relay.name.to_string(),
+            address: relay.address.to_string(),
+            data_centre: relay.data_centre.to_string(),
+        }
+    }
+}
+
+impl TryFrom<raw::Relay> for Relay {
+    type Error = RosterError;
+
+    fn try_from(raw: raw::Relay) -> Result<Self, RosterError> {
+        Ok(Self {
+            name: InstanceName::try_from(raw.name).map_err(|_| invalid_field("relay"))?,
+            address: raw.address.parse().map_err(|_| invalid_field("relay address"))?,
+            data_centre: DataCentre::try_from(raw.data_centre)
+                .map_err(|_| invalid_field("data centre"))?,
         })
     }
 }
--- a/coriandergw/src/test_support.rs
+++ b/coriandergw/src/test_support.rs
@@ -73,6 +73,8 @@
         group: GroupStatus::default(),
         is_founder: false,
         watchers: Vec::new(),
+        relay_address: None,
+        lost_endpoints: false,
     }
 }
 
--- a/coriandergw/src/voter_set/tests.rs
+++ b/coriandergw/src/voter_set/tests.rs
@@ -36,6 +36,8 @@
         group: GroupStatus::default(),
         is_founder: true,
         watchers: Vec::new(),
+        relay_address: None,
+        lost_endpoints: false,
     }
 }
 
