fix(crashes): take a refused connection for a crash only if others are refused too

An instance whose links are cut accused every endpoint, the roster spread that, and the requests that had been lost were blocked everywhere.

Change: an instance that is refused asks another one. The endpoint has ended if that one is refused as well, while it reaches other endpoints. Without a second word it is no crash, unless there is no other entry instance.

--- a/coriandergw/src/forwarding/connecting.rs
+++ b/coriandergw/src/forwarding/connecting.rs
@@ -264,7 +264,8 @@
         entry_instances.is_some_and(|count| count <= 1)
     }
 
-    /// Returns whether an endpoint refuses connections of this instance.
+    /// Returns whether an endpoint has ended: it refuses connections of this instance, and of another
+    /// one that reaches other endpoints.
     pub(super) async fn has_ended(&self, endpoint: &EndpointRecord) -> bool {
         match self.connect(endpoint, RELAY_AFTER).await {
             Ok(connection) => {
@@ -272,7 +273,15 @@
                 false
             }
             Err(Fault::Silent) => false,
-            Err(Fault::Refused) => true,
+            Err(Fault::Refused) => match self.open_relayed(endpoint).await {
+                Err(RelayError::Refused) => true,
+                Err(_) => self.is_alone(),
+                Ok(connection) => {
+                    self.note_lost(endpoint, Fault::Refused);
+                    self.pool.put(&endpoint.id, endpoint.address, connection, self.now());
+                    false
+                }
+            },
         }
     }
 
