fix(dialer): keep connections to an endpoint that is silent for a second

Callers saw: a sound endpoint that stands still for a second lost every connection and what ran on it.

Cause: TCP_USER_TIMEOUT was 900 ms. It also decides when keep-alive probes give up, whatever their count: the first unanswered probe ended the connection.

A lost path is found by its check since the relays were added, in about half a second, so the kernel's timeout is the last resort and need not be short. A request that may be repeated leaves an endpoint that answers nobody after 1.2 s, one that must not be repeated waits.

Evidence: a_connection_outlives_a_short_silence_of_its_endpoint failed before ("the user timeout is 900ms"). Two tests hold up all links for a second while a request or a stream runs.

--- a/coriandergw/src/dialer.rs
+++ b/coriandergw/src/dialer.rs
@@ -7,9 +7,10 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
-/// How long sent data may stay unacknowledged before the kernel closes the connection
-/// (`TCP_USER_TIMEOUT`).
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long a peer may acknowledge nothing before the kernel closes the connection
+/// (`TCP_USER_TIMEOUT`). It decides when keep-alive probes give up too, so it covers the time before
+/// the first probe and a peer that stands still for more than a second.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
 const KEEPALIVE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -47,3 +48,6 @@
         .with_interval(KEEPALIVE_PROBE_INTERVAL);
     socket.set_tcp_keepalive(&probes)
 }
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/roles/tests/paths.rs
+++ b/coriandergw/src/roles/tests/paths.rs
@@ -62,8 +62,11 @@
     if !seen.path().starts_with("/stream/") {
         return vec![Step::Send(answer(&attempt, "done"))];
     }
-    let mut steps = vec![Step::Send(stream_head(&attempt))];
-    steps.extend((1..=3).map(|id| Step::Send(chunk(&event(id)))));
+    let mut steps = vec![Step::Send(stream_head(&attempt)), Step::Send(chunk(&event(1)))];
+    if attempt.starts_with("paused") {
+        steps.push(Step::Wait(Duration::from_millis(300)));
+    }
+    steps.extend((2..=3).map(|id| Step::Send(chunk(&event(id)))));
     steps.push(Step::Send(last_chunk()));
     steps
 }
@@ -127,6 +130,14 @@
         senders.join_all().await;
     }
 
+    /// Holds up all links of all instances for a second.
+    async fn silence_for_a_second(&self) {
+        let all = || self.others.iter().map(|(_, links)| links).chain([&self.links]);
+        all().for_each(|links| links.set(LinkState::Silent));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        all().for_each(|links| links.set(LinkState::Open));
+    }
+
     /// Sends requests and streams at the same time; each must be served before its deadline.
     async fn assert_served(&self) {
         let mut asked = JoinSet::new();
@@ -278,11 +289,23 @@
         seen.any(|one| one.header("attempt").as_deref() == Some("slow-once"))
     })
     .await;
-    fleet.links.set(LinkState::Silent);
-    fleet.others.iter().for_each(|(_, links)| links.set(LinkState::Silent));
-    tokio::time::sleep(Duration::from_millis(1_100)).await;
-    fleet.links.set(LinkState::Open);
-    fleet.others.iter().for_each(|(_, links)| links.set(LinkState::Open));
+    fleet.silence_for_a_second().await;
     let answer = asked.await.expect("asked");
     assert_eq!(status(&answer), "200", "{answer}");
 }
+
+// Guards against a stream that is read in again elsewhere because its sound endpoint, which no
+// instance reaches for a second, makes a pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_after_its_endpoint_was_silent_for_a_second() {
+    let fleet = Fleet::start(2).await;
+    let callers = fleet.callers();
+    let request = get("/stream/x", "paused", "deadline: 5000\r\n");
+    let asked = tokio::spawn(async move { ask_at(callers, &request).await });
+    let runs = || fleet.endpoints.iter().flat_map(Endpoint::seen).count();
+    wait_for("the stream at an endpoint", || runs() > 0).await;
+    fleet.silence_for_a_second().await;
+    let answer = asked.await.expect("asked");
+    assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
+    assert_eq!(runs(), 1);
+}
