fix(forwarding): find a relay that works sooner after a cut

Change: the next relay is asked while the one before has not answered for 100 ms, up to four of six. A relay compares an endpoint that does not answer for 50 ms with others at the same time. Only an answer is a sign of an endpoint.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -131,7 +131,10 @@
         is_repeatable: bool,
     ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, String> {
         let Self { body, connection, endpoint, .. } = self;
-        let frame = connector.watch(endpoint, &connection.path, is_repeatable, body.frame()).await;
+        let is_sign = |frame: &Option<Result<_, _>>| matches!(frame, Some(Ok(_)));
+        let watched =
+            connector.watch(endpoint, &connection.path, is_repeatable, body.frame(), is_sign);
+        let frame = watched.await;
         connection.unproductive.reset();
         frame
     }
@@ -184,8 +187,13 @@
         let req = self.build_request(upstream_request, id)?;
         connection.unproductive.reset();
         let sending = connection.sender.try_send_request(req);
-        let watched =
-            self.connector.watch(&self.endpoint, &connection.path, self.is_repeatable, sending);
+        let watched = self.connector.watch(
+            &self.endpoint,
+            &connection.path,
+            self.is_repeatable,
+            sending,
+            Result::is_ok,
+        );
         let sent = tokio::time::timeout_at(self.head_deadline, watched).await;
         let response = match sent {
             Err(_) => {
--- a/coriandergw/src/forwarding/connecting.rs
+++ b/coriandergw/src/forwarding/connecting.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -44,7 +46,11 @@
 const RELAY_AFTER: Duration = Duration::from_millis(150);
 
 /// The maximum number of relays that are asked for one connection.
-const RELAYS_ASKED: usize = 3;
+const RELAYS_ASKED: usize = 4;
+
+/// How long a relay may take to answer before the next one is asked as well: above its round trips to
+/// this instance and to the endpoint.
+const NEXT_RELAY_AFTER: Duration = Duration::from_millis(100);
 
 /// How long a relay that failed is asked after all others; doubled with each further failure.
 const RELAY_BACKOFF_INITIAL: Duration = Duration::from_secs(1);
@@ -322,40 +328,61 @@
         Err(fault)
     }
 
-    /// Opens a connection through one of the relays.
+    /// Opens a connection through one of the relays. One after the other is asked, the next one also
+    /// while those before have not answered.
     ///
     /// # Errors
     /// What a relay says of the endpoint, else the last failure of a relay.
     async fn open_relayed(&self, endpoint: &EndpointRecord) -> Result<Connection, RelayError> {
+        let mut relays = self.choose_relays().into_iter();
+        let mut asked = FuturesUnordered::new();
         let mut last = RelayError::NoLinks;
-        for relay in self.choose_relays() {
-            let opened = client::open(&relay, endpoint, &self.cx.instance).await;
-            match opened {
-                Ok(stream) => {
-                    let guard = self.note_relay_used(&relay.name);
-                    let path = ConnectionPath::Relayed { relay: relay.name.clone(), _guard: guard };
-                    match pool::open_on(stream, path).await {
-                        Ok(connection) => {
-                            self.count("relayed", "opened");
-                            return Ok(connection);
-                        }
-                        Err(cause) => {
-                            log::debug!("connection through relay {} failed: {cause}", relay.name);
-                        }
-                    }
-                }
-                Err(fault) if fault.is_of_endpoint() => {
-                    self.count("relayed", "endpoint failed");
-                    return Err(fault);
-                }
-                Err(fault) => {
-                    self.count("relayed", "relay failed");
+        loop {
+            let next = relays.next();
+            let has_next = next.is_some();
+            asked.extend(next.map(|relay| self.ask_relay(relay, endpoint)));
+            let answer = tokio::select! {
+                answer = asked.next() => answer,
+                () = tokio::time::sleep(NEXT_RELAY_AFTER), if has_next => continue,
+            };
+            match answer {
+                Some(Ok(connection)) => return Ok(connection),
+                Some(Err(fault)) if fault.is_of_endpoint() => return Err(fault),
+                Some(Err(fault)) => last = fault,
+                None if has_next => {}
+                None => return Err(last),
+            }
+        }
+    }
+
+    async fn ask_relay(
+        &self,
+        relay: Relay,
+        endpoint: &EndpointRecord,
+    ) -> Result<Connection, RelayError> {
+        match client::open(&relay, endpoint, &self.cx.instance).await {
+            Ok(stream) => {
+                let guard = self.note_relay_used(&relay.name);
+                let path = ConnectionPath::Relayed { relay: relay.name.clone(), _guard: guard };
+                let connection = pool::open_on(stream, path).await.map_err(|cause| {
+                    log::debug!("connection through relay {} failed: {cause}", relay.name);
+                    RelayError::Unreachable
+                })?;
+                self.count("relayed", "opened");
+                Ok(connection)
+            }
+            Err(fault) => {
+                let outcome = match fault.is_of_endpoint() {
+                    true => "endpoint failed",
+                    false => "relay failed",
+                };
+                self.count("relayed", outcome);
+                if !fault.is_of_endpoint() {
                     self.note_relay_failed(&relay.name);
-                    last = fault;
                 }
+                Err(fault)
             }
         }
-        Err(last)
     }
 
     /// Returns the relays to ask, in order: those in backoff last, then those that carry the fewest
@@ -456,20 +483,23 @@
     }
 
     /// Waits for what an endpoint sends on an open connection, and checks the path while the endpoint
-    /// is silent.
+    /// is silent. `is_sign` says whether the output comes from the endpoint, and not from a failure of
+    /// the connection.
     ///
     /// # Errors
     /// Says why nothing more is to be expected: the path is lost, or the endpoint answers no instance
     /// and the request may be sent elsewhere.
-    pub(super) async fn watch<F>(
+    pub(super) async fn watch<F, S>(
         &self,
         endpoint: &EndpointRecord,
         path: &ConnectionPath,
         is_repeatable: bool,
         output: F,
+        is_sign: S,
     ) -> Result<F::Output, String>
     where
         F: Future,
+        S: Fn(&F::Output) -> bool,
     {
         let mut output = pin!(output);
         let since = self.now();
@@ -486,7 +516,7 @@
         tokio::select! {
             biased;
             output = &mut output => {
-                if matches!(path, ConnectionPath::Direct) {
+                if matches!(path, ConnectionPath::Direct) && is_sign(&output) {
                     let change =
                         self.with_paths(|paths| paths.note_heard(&endpoint.id, self.now()));
                     self.record(endpoint, change, "heard on an open connection");
--- a/coriandergw/src/relays/server.rs
+++ b/coriandergw/src/relays/server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::io::ErrorKind;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,6 +42,10 @@
 /// How long an endpoint may take to accept or refuse a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long an endpoint may take before others are tried to compare it with: above the usual round
+/// trip.
+const COMPARE_AFTER: Duration = Duration::from_millis(50);
+
 /// The number of other endpoints that are tried before a failure is taken to be the endpoint's.
 const COMPARED_ENDPOINTS: usize = 3;
 
@@ -137,14 +142,17 @@
     /// Connects to a listed endpoint.
     async fn connect(&self, open: &raw::Open) -> Result<TcpStream, RelayError> {
         let endpoint = self.listed(open).ok_or(RelayError::Unlisted)?;
-        let fault = match self.links.dial(&endpoint, CONNECT_TIMEOUT).await {
-            Ok(stream) => return Ok(stream),
-            Err(fault) => fault,
+        let mut dialing = pin!(self.links.dial(&endpoint, CONNECT_TIMEOUT));
+        let early = tokio::time::timeout(COMPARE_AFTER, &mut dialing).await;
+        let (dialed, reaches_others) = match early {
+            Ok(Ok(stream)) => return Ok(stream),
+            Ok(Err(fault)) => (Err(fault), self.compare(&endpoint, fault).await),
+            Err(_) => tokio::join!(dialing, self.compare(&endpoint, Fault::Silent)),
         };
         // A relay without links of its own says nothing of the endpoint.
-        match self.reaches_others(endpoint, fault).await {
-            true => Err(RelayError::from(fault)),
-            false => Err(RelayError::NoLinks),
+        match dialed {
+            Err(_) if !reaches_others => Err(RelayError::NoLinks),
+            dialed => dialed.map_err(RelayError::from),
         }
     }
 
@@ -159,7 +167,7 @@
     }
 
     /// Returns whether any of a few other endpoints accepts a connection, or there is no other one.
-    async fn reaches_others(&self, endpoint: EndpointRecord, fault: Fault) -> bool {
+    async fn compare(&self, endpoint: &EndpointRecord, fault: Fault) -> bool {
         let usable = self.roster.with_view(|view| view.usable_endpoints());
         let others: Vec<EndpointRecord> =
             usable.into_values().flatten().filter(|record| record.id != endpoint.id).collect();
@@ -172,7 +180,7 @@
         }
         let faults = dialed.into_iter().filter_map(Result::err);
         let mut failed: Vec<(EndpointRecord, Fault)> = chosen.into_iter().zip(faults).collect();
-        failed.push((endpoint, fault));
+        failed.push((endpoint.clone(), fault));
         self.links.note_no_links(&failed);
         false
     }
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -47,7 +47,7 @@
 pub const GONE_RETENTION: Duration = Duration::from_secs(120);
 
 /// The number of instances that each instance may relay connections to endpoints through.
-const RELAYS: usize = 4;
+const RELAYS: usize = 6;
 
 /// The longest normal gap between two silence checks. A longer gap means that this process itself
 /// was stalled, and that messages sent by others meanwhile are still unread.
