fix(forwarding): look for relays again before a request is refused

Change: an instance that knows that it has lost its links declines to relay at once, without trying.

--- a/coriandergw/src/forwarding/connecting.rs
+++ b/coriandergw/src/forwarding/connecting.rs
@@ -620,6 +620,11 @@
         Connector::dial(self, endpoint, limit).await
     }
 
+    fn has_links(&self) -> bool {
+        let known = self.known_count();
+        !self.with_paths(|paths| paths.has_lost_most(known))
+    }
+
     fn note_no_links(&self, failed: &[(EndpointRecord, Fault)]) {
         let known = self.known_count();
         for (endpoint, fault) in failed {
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -155,9 +155,17 @@
             {
                 return Ok(response);
             }
-            if retries.has_no_path || Instant::now() >= plan.deadline {
+            if Instant::now() >= plan.deadline {
                 break;
             }
+            if retries.has_no_path {
+                // Just after a cut, relays that work may become known within a few milliseconds.
+                if !retries.start_next_round(plan.deadline) {
+                    break;
+                }
+                retries.has_no_path = false;
+                tokio::time::sleep(ROUND_PAUSE).await;
+            }
         }
         Err(self.no_endpoint_refusal(plan, &retries))
     }
--- a/coriandergw/src/relays/server.rs
+++ b/coriandergw/src/relays/server.rs
@@ -62,6 +62,9 @@
     /// Says how the endpoint failed to accept it.
     async fn dial(&self, endpoint: &EndpointRecord, limit: Duration) -> Result<TcpStream, Fault>;
 
+    /// Returns whether this instance reaches endpoints directly, as far as it knows.
+    fn has_links(&self) -> bool;
+
     /// Records that several endpoints failed to accept direct connections, and none accepted one.
     fn note_no_links(&self, failed: &[(EndpointRecord, Fault)]);
 }
@@ -142,6 +145,9 @@
     /// Connects to a listed endpoint.
     async fn connect(&self, open: &raw::Open) -> Result<TcpStream, RelayError> {
         let endpoint = self.listed(open).ok_or(RelayError::Unlisted)?;
+        if !self.links.has_links() {
+            return Err(RelayError::NoLinks);
+        }
         let mut dialing = pin!(self.links.dial(&endpoint, CONNECT_TIMEOUT));
         let early = tokio::time::timeout(COMPARE_AFTER, &mut dialing).await;
         let (dialed, reaches_others) = match early {
