fix(token-budgets): move no program to an engine that names a limit

Change: proposals say which engines name a limit. Such an engine takes programs that begin, and keeps those that it has room for; nothing moves to it. A program begins there only if no permit was refused for 2 s.

--- a/coriandergw/src/endpoint_limits/client.rs
+++ b/coriandergw/src/endpoint_limits/client.rs
@@ -82,9 +82,10 @@
         self.limits.get(endpoint)
     }
 
-    /// Returns whether an endpoint names no limit or has, as far as is known, room within it.
-    pub fn has_room(&self, endpoint: &EndpointRecord) -> bool {
-        self.limits.has_room(endpoint, self.cx.clock.now())
+    /// Returns whether an endpoint names no limit or has had room within it for some time, so that it
+    /// can take one more program.
+    pub fn has_spare(&self, endpoint: &EndpointRecord) -> bool {
+        self.limits.has_spare(endpoint, self.cx.clock.now())
     }
 
     /// Forgets the limits of endpoints for which `is_listed` does not hold.
--- a/coriandergw/src/endpoint_limits/known_limits.rs
+++ b/coriandergw/src/endpoint_limits/known_limits.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use crate::clock::Timestamp;
 use crate::endpoint_limits::RateLimit;
@@ -9,6 +10,10 @@
 use crate::ids::EndpointName;
 use crate::roster::EndpointRecord;
 
+/// How long an endpoint must have had room before it takes programs that are new to it: a few turns
+/// of a program.
+const SPARE_AFTER: Duration = Duration::from_secs(2);
+
 #[derive(Debug)]
 struct Known {
     started_ms: u64,
@@ -93,11 +98,14 @@
         }
     }
 
-    /// Returns whether an endpoint names no limit or has, as far as is known, room within it.
-    pub fn has_room(&self, endpoint: &EndpointRecord, now: Timestamp) -> bool {
+    /// Returns whether an endpoint names no limit or has, as far as is known, had room within it for
+    /// [`SPARE_AFTER`].
+    pub fn has_spare(&self, endpoint: &EndpointRecord, now: Timestamp) -> bool {
         let known = self.known.lock().expect("not poisoned");
         let is_full = |one: &Known| {
-            one.started_ms == endpoint.started_ms && one.limit.is_some() && now < one.full_until
+            one.started_ms == endpoint.started_ms
+                && one.limit.is_some()
+                && now < one.full_until + SPARE_AFTER
         };
         !known.get(&endpoint.id).is_some_and(is_full)
     }
--- a/coriandergw/src/endpoint_limits/known_limits/tests.rs
+++ b/coriandergw/src/endpoint_limits/known_limits/tests.rs
@@ -55,13 +55,14 @@
 }
 
 #[test]
-fn an_endpoint_is_full_until_the_time_that_a_refusal_named() {
+fn an_endpoint_has_no_spare_room_for_a_while_after_a_refusal() {
     let known = KnownLimits::default();
     let at = Timestamp::from_millis;
     known.note(&incarnation(5), limit(3.0), at(0));
-    assert!(known.has_room(&incarnation(5), at(0)));
-    known.note_full(&[stated_limit("a", 5, 3.0, 0)], at(300));
-    assert!(!known.has_room(&incarnation(5), at(299)));
-    assert!(known.has_room(&incarnation(5), at(300)));
-    assert!(known.has_room(&incarnation(6), at(0)), "another incarnation");
+    assert!(!known.has_spare(&incarnation(5), at(1_999)), "it named the limit just before");
+    assert!(known.has_spare(&incarnation(5), at(2_000)));
+    known.note_full(&[stated_limit("a", 5, 3.0, 0)], at(3_000));
+    assert!(!known.has_spare(&incarnation(5), at(4_999)));
+    assert!(known.has_spare(&incarnation(5), at(5_000)));
+    assert!(known.has_spare(&incarnation(6), at(0)), "another incarnation");
 }
--- a/coriandergw/src/forwarding/reserving.rs
+++ b/coriandergw/src/forwarding/reserving.rs
@@ -15,6 +15,7 @@
 use crate::forwarding::turn_guard::TurnGuard;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
+use crate::roster::EndpointRecord;
 use crate::token_budgets::ProposedEngine;
 use crate::token_budgets::Reservation;
 use crate::token_budgets::ReservationOutcome;
@@ -86,19 +87,25 @@
         let mut candidates: Vec<EndpointCandidate> =
             known.iter().enumerate().map(|(at, record)| self.candidate(at, record)).collect();
         choice::order_engines(&mut candidates, &plan.key, None, self.cx.clock.now());
-        // An engine without room within its limit would not get the turn.
-        candidates.sort_by_key(|candidate| !self.permits.has_room(&candidate.record));
-        let mut counts: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        // A limited engine that has refused permits lately has no room for another program.
+        candidates.sort_by_key(|candidate| !self.permits.has_spare(&candidate.record));
+        let is_limited = |record: &EndpointRecord| self.permits.limit_of(record).is_some();
+        let mut counts: BTreeMap<(Arc<str>, bool), usize> = BTreeMap::new();
         candidates.retain(|candidate| {
             // A new stream may begin at any version, so all engines count as one.
             let version = match head.last_event {
                 Some(_) => candidate.record.version.clone(),
                 None => Arc::default(),
             };
-            let count = counts.entry(version).or_default();
+            let key = (version, is_limited(&candidate.record));
+            let count = counts.entry(key).or_default();
             *count += 1;
             *count <= PROPOSED_ENGINES_MAX
         });
-        candidates.iter().map(|candidate| ProposedEngine::from(&candidate.record)).collect()
+        let propose = |record: &EndpointRecord| ProposedEngine {
+            is_limited: is_limited(record),
+            ..ProposedEngine::from(record)
+        };
+        candidates.iter().map(|candidate| propose(&candidate.record)).collect()
     }
 }
--- a/coriandergw/src/token_budgets/client.rs
+++ b/coriandergw/src/token_budgets/client.rs
@@ -116,10 +116,19 @@
                 let (program, turn) = (key.program.to_string(), key.turn.to_string());
                 let Reservation { budget, tokens, engines, resumes } = reservation;
                 let versions = engines.iter().map(|engine| engine.version.to_string()).collect();
+                let limited = engines.iter().map(|engine| engine.is_limited).collect();
                 let engines = engines.iter().map(|engine| engine.name.to_string()).collect();
                 let resumes = resumes.map(|turn| turn.to_string()).unwrap_or_default();
-                let reserve =
-                    raw::Reserve { program, turn, budget, tokens, engines, versions, resumes };
+                let reserve = raw::Reserve {
+                    program,
+                    turn,
+                    budget,
+                    tokens,
+                    engines,
+                    versions,
+                    resumes,
+                    limited,
+                };
                 self.command.reserves.push(reserve);
                 self.replies.push(reply);
             }
--- a/coriandergw/src/token_budgets/generated.rs
+++ b/coriandergw/src/token_budgets/generated.rs
@@ -33,6 +33,9 @@
     /// The turn that brought the first event of the stream that this one resumes; empty if none.
     #[prost(string, tag = "7")]
     pub resumes: ::prost::alloc::string::String,
+    /// Whether each of the engines names a limit of requests a second.
+    #[prost(bool, repeated, tag = "8")]
+    pub limited: ::prost::alloc::vec::Vec<bool>,
 }
 /// Replaces a reservation by what was handed out.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/coriandergw/src/token_budgets/machine.rs
+++ b/coriandergw/src/token_budgets/machine.rs
@@ -99,6 +99,14 @@
     }
 }
 
+/// An engine that a turn may run on.
+#[derive(Debug, Clone)]
+struct Proposal {
+    engine: Engine,
+    /// Whether it names a limit of requests a second.
+    is_limited: bool,
+}
+
 /// The tokens that each program has spent and reserved, and the turns that run on each engine.
 #[derive(Debug, Default)]
 pub struct BudgetMachine {
@@ -147,13 +155,18 @@
     }
 
     fn reserve(&mut self, reserve: raw::Reserve) -> raw::Verdict {
-        let raw::Reserve { program: id, turn, budget, tokens, engines, versions, resumes } =
+        let raw::Reserve { program: id, turn, budget, tokens, engines, versions, resumes, limited } =
             reserve;
         let versions = versions.into_iter().chain(std::iter::repeat(String::new()));
-        let proposed: Vec<Engine> = engines
+        let limited = limited.into_iter().chain(std::iter::repeat(false));
+        let proposed: Vec<Proposal> = engines
             .into_iter()
             .zip(versions)
-            .map(|(name, version)| Engine { name, version })
+            .zip(limited)
+            .map(|((name, version), is_limited)| Proposal {
+                engine: Engine { name, version },
+                is_limited,
+            })
             .collect();
         let program = self.touch_program(id.clone());
         let granted = program.reserve(&turn, budget, tokens);
@@ -172,7 +185,8 @@
             (false, None) => Default::default(),
             (false, Some(version)) => {
                 let fits = |engine: &Engine| engine.version == version;
-                let proposed: Vec<Engine> = proposed.into_iter().filter(fits).collect();
+                let proposed: Vec<Proposal> =
+                    proposed.into_iter().filter(|one| fits(&one.engine)).collect();
                 let engine = self.assign_engine(&id, &turn, last.filter(fits), &proposed);
                 (engine.map(|engine| engine.name).unwrap_or_default(), version)
             }
@@ -192,7 +206,7 @@
         id: &str,
         turn: &str,
         last: Option<Engine>,
-        proposed: &[Engine],
+        proposed: &[Proposal],
     ) -> Option<Engine> {
         let key = turn_key(id, turn);
         if let Some((name, _)) = self.loads.running(&key) {
@@ -200,9 +214,13 @@
             let version = version.unwrap_or_default().to_owned();
             return Some(Engine { name: name.to_owned(), version });
         }
-        let names: Vec<String> = proposed.iter().map(|engine| engine.name.clone()).collect();
+        // A limited engine runs few turns because of its limit and not because it has room for a
+        // program that moves there with all its turns to come.
+        let is_target = |one: &&Proposal| last.is_none() || !one.is_limited;
+        let engines = proposed.iter().filter(is_target).map(|one| &one.engine);
+        let names: Vec<String> = engines.clone().map(|engine| engine.name.clone()).collect();
         let name = self.loads.choose(last.as_ref().map(|engine| engine.name.as_str()), &names)?;
-        let engine = proposed.iter().chain(&last).find(|engine| engine.name == name)?.clone();
+        let engine = engines.chain(&last).find(|engine| engine.name == name)?.clone();
         self.loads.begin(key, &name, self.wall_ms);
         // Turns that the program starts before this one ends go to the same engine.
         self.touch_program(id.to_owned()).engine = Some(engine.clone());
--- a/coriandergw/src/token_budgets/mod.rs
+++ b/coriandergw/src/token_budgets/mod.rs
@@ -48,11 +48,14 @@
     pub name: EndpointName,
     /// The version of its software.
     pub version: Arc<str>,
+    /// Whether it names a limit of requests a second.
+    pub is_limited: bool,
 }
 
 impl From<&EndpointRecord> for ProposedEngine {
     fn from(record: &EndpointRecord) -> Self {
-        Self { name: record.id.clone(), version: record.version.clone() }
+        let (name, version) = (record.id.clone(), record.version.clone());
+        Self { name, version, is_limited: false }
     }
 }
 
--- a/coriandergw/src/token_budgets/tests.rs
+++ b/coriandergw/src/token_budgets/tests.rs
@@ -1,6 +1,11 @@
 //! Tests of the state machine that holds the token budgets.
 
+use std::collections::BTreeMap;
+
 use prost::Message as _;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
 
 use crate::log_groups::StateMachine;
 use crate::token_budgets::generated as raw;
@@ -147,6 +152,7 @@
         engines: vec!["a".to_owned(), "b".to_owned()],
         versions: vec!["v1".to_owned(), "v2".to_owned()],
         resumes: resumes.to_owned(),
+        limited: Vec::new(),
     };
     let command = raw::Command { reserves: vec![reserve], ..raw::Command::default() };
     let answer = machine.apply(1, &command.encode_to_vec());
@@ -193,3 +199,67 @@
     assert_eq!(reserve_at_versions(&mut machine, "t1", "").1, "v2");
     assert_eq!(reserve_at_versions(&mut machine, "t2", "t1").1, "v2");
 }
+
+/// The engines of the load with limits; two thirds of them name one.
+const LIMITED: [&str; 8] = ["l0", "l1", "l2", "l3", "l4", "l5", "l6", "l7"];
+const UNLIMITED: [&str; 4] = ["u0", "u1", "u2", "u3"];
+
+/// Reserves a turn with all engines proposed and returns the engine that the journal assigns.
+fn assign_among_limited(machine: &mut BudgetMachine, number: usize, turn: &str) -> String {
+    let mut limited = LIMITED;
+    // Each program prefers other engines.
+    limited.rotate_left(number % LIMITED.len());
+    let reserve = raw::Reserve {
+        program: format!("p{number}"),
+        turn: turn.to_owned(),
+        budget: 1_000,
+        tokens: 1,
+        engines: limited.iter().chain(&UNLIMITED).map(ToString::to_string).collect(),
+        limited: LIMITED.map(|_| true).into_iter().chain(UNLIMITED.map(|_| false)).collect(),
+        ..raw::Reserve::default()
+    };
+    let command = raw::Command { reserves: vec![reserve], ..raw::Command::default() };
+    let answer = machine.apply(1, &command.encode_to_vec());
+    raw::Answer::decode(answer).expect("an answer").verdicts[0].engine.clone()
+}
+
+// Guards against programs that move back and forth between engines with and without a limit, since
+// a limited engine always runs few turns: each move reads the whole prompt anew.
+#[test]
+fn a_program_that_had_no_room_at_a_limited_engine_does_not_move_back_to_one() {
+    let mut machine = BudgetMachine::default();
+    let mut engines: BTreeMap<String, String> = BTreeMap::new();
+    let mut moves = 0;
+    let mut rng = ChaCha8Rng::seed_from_u64(31);
+    let mut order: Vec<usize> = (0..100).collect();
+    for round in 0..12 {
+        // Each limited engine takes two turns a round.
+        let mut permits: BTreeMap<&str, usize> = LIMITED.map(|engine| (engine, 2)).into();
+        let mut running = Vec::new();
+        order.shuffle(&mut rng);
+        for number in order.iter().copied() {
+            let (program, turn) = (format!("p{number}"), format!("t{round}"));
+            let assigned = assign_among_limited(&mut machine, number, &turn);
+            let engine = match permits.get_mut(assigned.as_str()) {
+                Some(0) => UNLIMITED[number % UNLIMITED.len()].to_owned(),
+                Some(left) => {
+                    *left -= 1;
+                    assigned
+                }
+                None => assigned,
+            };
+            let before = engines.insert(program.clone(), engine.clone());
+            moves += usize::from(before.is_some_and(|before| before != engine));
+            match UNLIMITED.contains(&engine.as_str()) {
+                // The engines without a limit are busy and slow.
+                true => running.push((program, turn, engine)),
+                false => settle_on(&mut machine, &program, &turn, &engine),
+            }
+        }
+        for (program, turn, engine) in running {
+            settle_on(&mut machine, &program, &turn, &engine);
+        }
+    }
+    // A program moves once, when it finds no room; a few move on to a less loaded engine.
+    assert!(moves <= 100, "100 programs moved {moves} times in 12 turns");
+}
