refactor(forwarding): part the watching of connections from opening them

watching.rs has what happens while an endpoint on an open connection is silent. A relayed connection is a reader of its own beside the plain writing half, so that no writing methods are passed on by hand. Relays that are not used any more are forgotten.

--- a/coriandergw/src/forwarding/connecting.rs
+++ b/coriandergw/src/forwarding/connecting.rs
@@ -43,7 +43,7 @@
 
 /// How long a direct connection may take before another instance is asked for one as well: above the
 /// usual round trip, below the retransmission of a lost packet.
-const RELAY_AFTER: Duration = Duration::from_millis(150);
+pub(super) const RELAY_AFTER: Duration = Duration::from_millis(150);
 
 /// The maximum number of relays that are asked for one connection.
 const RELAYS_ASKED: usize = 4;
@@ -58,17 +58,6 @@
 /// The longest time that a relay is asked after all others.
 const RELAY_BACKOFF_MAX: Duration = Duration::from_secs(8);
 
-/// How long an endpoint on an open connection may be silent before its path is checked.
-const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(300);
-
-/// How long an endpoint that no instance reaches may be silent before a request that may be repeated
-/// is sent elsewhere. An endpoint may be silent for a second and go on.
-const ENDPOINT_SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
-
-/// How long a path must be lost before the outcome of a request that must not be repeated is given
-/// up.
-const NON_REPEATABLE_LOSS_LIMIT: Duration = Duration::from_secs(1);
-
 /// Says why no connection to an endpoint could be opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NoConnection {
@@ -124,10 +113,10 @@
 
 /// Opens the connections of an entry instance to endpoints.
 pub(super) struct Connector {
-    cx: Context,
+    pub(super) cx: Context,
     dialer: Arc<dyn Dialer>,
-    pool: SharedPool,
-    roster: Arc<Roster>,
+    pub(super) pool: SharedPool,
+    pub(super) roster: Arc<Roster>,
     paths: Mutex<Paths>,
     /// The endpoints that requests may be sent to.
     known: Mutex<Vec<EndpointRecord>>,
@@ -155,11 +144,11 @@
         })
     }
 
-    fn now(&self) -> Timestamp {
+    pub(super) fn now(&self) -> Timestamp {
         self.cx.clock.now()
     }
 
-    fn with_paths<T, F>(&self, action: F) -> T
+    pub(super) fn with_paths<T, F>(&self, action: F) -> T
     where
         F: FnOnce(&mut Paths) -> T,
     {
@@ -242,7 +231,7 @@
     }
 
     /// Returns the failure of a connection that was neither opened directly nor by a relay.
-    fn direct_failure(
+    pub(super) fn direct_failure(
         &self,
         endpoint: &EndpointRecord,
         fault: Fault,
@@ -292,7 +281,7 @@
     }
 
     /// Opens a direct connection for requests.
-    async fn connect(
+    pub(super) async fn connect(
         &self,
         endpoint: &EndpointRecord,
         limit: Duration,
@@ -333,7 +322,10 @@
     ///
     /// # Errors
     /// What a relay says of the endpoint, else the last failure of a relay.
-    async fn open_relayed(&self, endpoint: &EndpointRecord) -> Result<Connection, RelayError> {
+    pub(super) async fn open_relayed(
+        &self,
+        endpoint: &EndpointRecord,
+    ) -> Result<Connection, RelayError> {
         let mut relays = self.choose_relays().into_iter();
         let mut asked = FuturesUnordered::new();
         let mut last = RelayError::NoLinks;
@@ -390,7 +382,11 @@
     fn choose_relays(&self) -> Vec<Relay> {
         let now = self.now();
         let mut relays = self.roster.with_view(|view| view.relays(now));
-        let uses = self.relays.lock().expect("not poisoned");
+        let mut uses = self.relays.lock().expect("not poisoned");
+        uses.retain(|_, one| {
+            one.connections.load(Ordering::Relaxed) > 0
+                || now < one.avoided_until + RELAY_BACKOFF_MAX
+        });
         relays.sort_by_key(|relay| {
             let is_far = relay.data_centre != self.cx.data_centre;
             uses.get(&relay.name).map_or((false, 0, is_far), |one| {
@@ -409,7 +405,7 @@
         RelayUseGuard::new(&known.connections)
     }
 
-    fn note_relay_failed(&self, relay: &InstanceName) {
+    pub(super) fn note_relay_failed(&self, relay: &InstanceName) {
         let now = self.now();
         let mut uses = self.relays.lock().expect("not poisoned");
         uses.entry(relay.clone()).or_default().note_failure(now);
@@ -419,7 +415,7 @@
         self.cx.metrics.endpoint_connects.with_label_values(&[path, outcome]).inc();
     }
 
-    fn note_lost(&self, endpoint: &EndpointRecord, fault: Fault) {
+    pub(super) fn note_lost(&self, endpoint: &EndpointRecord, fault: Fault) {
         let (known, now) = (self.known_count(), self.now());
         let change = self.with_paths(|paths| paths.note_lost(&endpoint.id, fault, known, now));
         if fault == Fault::Silent {
@@ -431,7 +427,7 @@
     }
 
     /// Logs a change of the paths and tells the other instances whether this one reaches endpoints.
-    fn record(&self, endpoint: &EndpointRecord, change: Change, detail: &str) {
+    pub(super) fn record(&self, endpoint: &EndpointRecord, change: Change, detail: &str) {
         let number = match change {
             Change::None => return,
             Change::PairLost => EventNumber::PathLost,
@@ -481,137 +477,6 @@
             self.pool.put(&endpoint.id, endpoint.address, connection, self.now());
         }
     }
-
-    /// Waits for what an endpoint sends on an open connection, and checks the path while the endpoint
-    /// is silent. `is_sign` says whether the output comes from the endpoint, and not from a failure of
-    /// the connection.
-    ///
-    /// # Errors
-    /// Says why nothing more is to be expected: the path is lost, or the endpoint answers no instance
-    /// and the request may be sent elsewhere.
-    pub(super) async fn watch<F, S>(
-        &self,
-        endpoint: &EndpointRecord,
-        path: &ConnectionPath,
-        is_repeatable: bool,
-        output: F,
-        is_sign: S,
-    ) -> Result<F::Output, String>
-    where
-        F: Future,
-        S: Fn(&F::Output) -> bool,
-    {
-        let mut output = pin!(output);
-        let since = self.now();
-        let silence = async {
-            loop {
-                tokio::time::sleep(SILENCE_BEFORE_CHECK).await;
-                if let Some(reason) =
-                    self.silence_verdict(endpoint, path, is_repeatable, since).await
-                {
-                    return reason;
-                }
-            }
-        };
-        tokio::select! {
-            biased;
-            output = &mut output => {
-                if matches!(path, ConnectionPath::Direct) && is_sign(&output) {
-                    let change =
-                        self.with_paths(|paths| paths.note_heard(&endpoint.id, self.now()));
-                    self.record(endpoint, change, "heard on an open connection");
-                }
-                Ok(output)
-            }
-            reason = silence => Err(reason),
-        }
-    }
-
-    /// Returns why a request whose endpoint has been silent since `since` is to be given up, if it
-    /// is.
-    async fn silence_verdict(
-        &self,
-        endpoint: &EndpointRecord,
-        path: &ConnectionPath,
-        is_repeatable: bool,
-        since: Timestamp,
-    ) -> Option<String> {
-        let now = self.now();
-        if matches!(path, ConnectionPath::Direct) {
-            let heard_after = now.before(SILENCE_BEFORE_CHECK);
-            if self.with_paths(|paths| paths.has_heard(&endpoint.id, heard_after)) {
-                return None;
-            }
-            if let Some(lost_at) = self.with_paths(|paths| paths.held_up_since(&endpoint.id)) {
-                let is_certain = now.since(lost_at) >= NON_REPEATABLE_LOSS_LIMIT;
-                return (is_repeatable || is_certain)
-                    .then(|| "this instance has lost its path to the endpoint".to_owned());
-            }
-        }
-        let is_checked = self.with_paths(|paths| paths.start_check(&endpoint.id, now));
-        if is_checked {
-            match path {
-                ConnectionPath::Direct => self.check_direct(endpoint).await,
-                ConnectionPath::Relayed { relay, .. } => {
-                    if let Some(reason) = self.check_relay(endpoint, relay).await
-                        && is_repeatable
-                    {
-                        return Some(reason);
-                    }
-                }
-            }
-        }
-        let is_silent = self.now().since(since) >= ENDPOINT_SILENCE_LIMIT;
-        let answers_none = self.with_paths(|paths| paths.is_silent_to_all(&endpoint.id));
-        (is_repeatable && is_silent && answers_none)
-            .then(|| "the endpoint answers no instance".to_owned())
-    }
-
-    /// Finds out whether the silence of an endpoint is its own or that of the direct path.
-    async fn check_direct(&self, endpoint: &EndpointRecord) {
-        match self.connect(endpoint, RELAY_AFTER).await {
-            Ok(connection) => {
-                self.pool.put(&endpoint.id, endpoint.address, connection, self.now());
-            }
-            Err(fault) => match self.open_relayed(endpoint).await {
-                Ok(connection) => {
-                    self.note_lost(endpoint, fault);
-                    self.pool.put(&endpoint.id, endpoint.address, connection, self.now());
-                }
-                Err(error) => {
-                    self.direct_failure(endpoint, fault, error);
-                    if fault == Fault::Silent {
-                        let now = self.now();
-                        self.with_paths(|paths| paths.note_silent_to_all(&endpoint.id, now));
-                    }
-                }
-            },
-        }
-    }
-
-    /// Returns why a relayed connection is given up: its relay does not open another one while
-    /// another relay does.
-    async fn check_relay(&self, endpoint: &EndpointRecord, relay: &InstanceName) -> Option<String> {
-        let now = self.now();
-        let relays = self.roster.with_view(|view| view.relays(now));
-        let used = relays.iter().find(|one| one.name == *relay);
-        let opened = match used {
-            Some(used) => client::open(used, endpoint, &self.cx.instance).await.map(|_| ()),
-            None => Err(RelayError::Unreachable),
-        };
-        match opened {
-            Ok(()) => None,
-            Err(RelayError::Silent) => {
-                self.with_paths(|paths| paths.note_silent_to_all(&endpoint.id, now));
-                None
-            }
-            Err(RelayError::Refused) => None,
-            Err(fault) => {
-                self.note_relay_failed(relay);
-                Some(format!("relay {relay} failed: {fault}"))
-            }
-        }
-    }
 }
 
 #[async_trait]
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -34,6 +34,7 @@
 mod turn_guard;
 mod versions;
 pub mod warm_up;
+mod watching;
 
 /// The headers that describe the program that a request belongs to.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/coriandergw/src/relays/client.rs
+++ b/coriandergw/src/relays/client.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
+use tokio::io::Join;
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::dialer;
 use crate::ids::InstanceName;
 use crate::relays;
 use crate::relays::RelayError;
 use crate::relays::generated as raw;
-use crate::relays::stream::RelayedStream;
+use crate::relays::stream::RelayedReader;
 use crate::roster::EndpointRecord;
 use crate::roster::Relay;
 
@@ -20,6 +23,9 @@
 /// that it compares it with.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// A connection to an endpoint through a relay.
+pub type RelayedStream = Join<RelayedReader<OwnedReadHalf>, OwnedWriteHalf>;
+
 /// Opens a connection to an endpoint through a relay.
 ///
 /// # Errors
@@ -28,7 +34,7 @@
     relay: &Relay,
     endpoint: &EndpointRecord,
     from: &InstanceName,
-) -> Result<RelayedStream<TcpStream>, RelayError> {
+) -> Result<RelayedStream, RelayError> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(relay.address));
     let stream = connecting.await.map_err(|_| RelayError::Unreachable)?;
     let mut stream = stream.map_err(|_| RelayError::Unreachable)?;
@@ -41,7 +47,8 @@
         }
         Err(_) => return Err(RelayError::Unreachable),
     }
-    Ok(RelayedStream::new(stream))
+    let (reader, writer) = stream.into_split();
+    Ok(tokio::io::join(RelayedReader::new(reader), writer))
 }
 
 async fn ask(
--- a/coriandergw/src/relays/stream.rs
+++ b/coriandergw/src/relays/stream.rs
@@ -32,9 +32,9 @@
     writer.write_all(&buf).await
 }
 
-/// A connection to an endpoint through a relay.
+/// Reads what an endpoint sends through a relay.
 #[derive(Debug)]
-pub struct RelayedStream<S> {
+pub struct RelayedReader<S> {
     stream: S,
     head: [u8; HEAD_BYTES],
     head_read: usize,
@@ -43,8 +43,8 @@
     has_ended: bool,
 }
 
-impl<S> RelayedStream<S> {
-    /// Wraps a connection to a relay that has connected to the endpoint.
+impl<S> RelayedReader<S> {
+    /// Wraps the receiving half of a connection to a relay that has connected to the endpoint.
     pub(super) fn new(stream: S) -> Self {
         Self { stream, head: [0; HEAD_BYTES], head_read: 0, remaining: 0, has_ended: false }
     }
@@ -54,7 +54,7 @@
     io::Error::new(io::ErrorKind::ConnectionReset, "the relayed connection broke off")
 }
 
-impl<S> RelayedStream<S>
+impl<S> RelayedReader<S>
 where
     S: AsyncRead + Unpin,
 {
@@ -76,7 +76,7 @@
     }
 }
 
-impl<S> AsyncRead for RelayedStream<S>
+impl<S> AsyncRead for RelayedReader<S>
 where
     S: AsyncRead + Unpin,
 {
@@ -104,36 +104,3 @@
         Poll::Ready(Ok(()))
     }
 }
-
-impl<S> AsyncWrite for RelayedStream<S>
-where
-    S: AsyncWrite + Unpin,
-{
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
--- a/coriandergw/src/relays/tests.rs
+++ b/coriandergw/src/relays/tests.rs
@@ -3,7 +3,7 @@
 use tokio::io::AsyncWriteExt;
 
 use super::*;
-use crate::relays::stream::RelayedStream;
+use crate::relays::stream::RelayedReader;
 use crate::relays::stream::write_part;
 
 /// Reads what arrives in chunks of at most `chunk` bytes, until the end.
@@ -15,7 +15,7 @@
         let _ = writer.write_all(&wire).await;
     });
     let mut content = Vec::new();
-    let read = RelayedStream::new(reader).read_to_end(&mut content).await;
+    let read = RelayedReader::new(reader).read_to_end(&mut content).await;
     writing.abort();
     read.map(|_| content)
 }
