fix(crashes): count crashes at instances that do not reach the endpoint

Seen in a test, by reading the change: a request that crashes endpoints, sent to an instance without links, crashed 10 of 10 endpoints through relays. The instance asked the endpoint itself whether it had ended, got no answer, and reported nothing.

Change: where the path is lost the relay's word decides, which compares the endpoint with others before it says that it is refused. Where it is not, the endpoint itself is asked first, for 50 ms as before the relays.

--- a/coriandergw/src/forwarding/connecting.rs
+++ b/coriandergw/src/forwarding/connecting.rs
@@ -45,6 +45,10 @@
 /// usual round trip, below the retransmission of a lost packet.
 pub(super) const RELAY_AFTER: Duration = Duration::from_millis(150);
 
+/// How long an endpoint that lost a response may take to accept or refuse a connection: several round
+/// trips between data centres.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// The maximum number of relays that are asked for one connection.
 const RELAYS_ASKED: usize = 4;
 
@@ -259,24 +263,31 @@
         entry_instances.is_some_and(|count| count <= 1)
     }
 
-    /// Returns whether an endpoint has ended: it refuses connections of this instance, and of another
-    /// one that reaches other endpoints.
+    /// Returns whether an endpoint has ended: it refuses connections of another instance that reaches
+    /// other endpoints, and of this one unless it does not reach the endpoint anyway.
     pub(super) async fn has_ended(&self, endpoint: &EndpointRecord) -> bool {
-        match self.connect(endpoint, RELAY_AFTER).await {
+        let is_direct = self.with_paths(|paths| paths.to(&endpoint.id)) == Path::Direct;
+        if is_direct {
+            match self.connect(endpoint, REFUSAL_TIMEOUT).await {
+                Ok(connection) => {
+                    self.pool.put(&endpoint.id, endpoint.address, connection, self.now());
+                    return false;
+                }
+                // Without an answer, an end cannot be told from a cut.
+                Err(Fault::Silent) => return false,
+                Err(Fault::Refused) => {}
+            }
+        }
+        match self.open_relayed(endpoint).await {
+            Err(RelayError::Refused) => true,
+            Err(_) => is_direct && self.is_alone(),
             Ok(connection) => {
+                if is_direct {
+                    self.note_lost(endpoint, Fault::Refused);
+                }
                 self.pool.put(&endpoint.id, endpoint.address, connection, self.now());
                 false
             }
-            Err(Fault::Silent) => false,
-            Err(Fault::Refused) => match self.open_relayed(endpoint).await {
-                Err(RelayError::Refused) => true,
-                Err(_) => self.is_alone(),
-                Ok(connection) => {
-                    self.note_lost(endpoint, Fault::Refused);
-                    self.pool.put(&endpoint.id, endpoint.address, connection, self.now());
-                    false
-                }
-            },
         }
     }
 
--- a/coriandergw/src/roles/tests/paths.rs
+++ b/coriandergw/src/roles/tests/paths.rs
@@ -32,7 +32,10 @@
 use crate::test_support::wait_for;
 
 /// The number of endpoints of each service.
-const ENDPOINTS: usize = 6;
+const ENDPOINTS: usize = 10;
+
+/// The crashes after which a request is stopped, and the repetitions that are tolerated after that.
+const CRASHES_MAX: usize = 3 + 3;
 
 /// The time after a cut within which requests may still fail, `contact_ms` of the deployments.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -50,6 +53,9 @@
     if attempt.starts_with("lost") {
         return vec![Step::Reset];
     }
+    if attempt.starts_with("crash") {
+        return vec![Step::Crash];
+    }
     if attempt.starts_with("open-ended") {
         let end = if attempt.ends_with("reset") { Step::Reset } else { Step::Close };
         let head = format!("HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n\r\nhalf");
@@ -241,6 +247,21 @@
     assert_eq!(crashes, 0, "endpoints were reported as crashed");
 }
 
+// Guards against a request that crashes one endpoint after the other through relays, since its
+// instance cannot see for itself that they have ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_endpoints_is_stopped_at_an_instance_without_links() {
+    let fleet = Fleet::start(2).await;
+    fleet.links.set(LinkState::Silent);
+    fleet.send_for(CONTACT).await;
+    for number in 0..ENDPOINTS {
+        let attempt = format!("crash-{number}");
+        ask_at(fleet.callers(), &post("/safe/x", &attempt, DEADLINE, "crash")).await;
+    }
+    let crashed = fleet.endpoints.iter().filter(|endpoint| endpoint.has_crashed()).count();
+    assert!(crashed <= CRASHES_MAX, "{crashed} endpoints crashed, allowed {CRASHES_MAX}");
+}
+
 // Guards against an answer without a length that its endpoint reset and that looks complete, since a
 // relay passes on how a connection ends.
 #[tokio::test(flavor = "multi_thread")]
