fix(forwarding): leave relays that stop, and keep those that only are not named any more

Seen in a test: requests that must not be repeated got 502 when the instance that relayed them was stopped in order, since idle connections through it were used until its process ended.

Change: an idle relayed connection carries another request only while its relay is named. A silent one is checked with its own relay, and given up only if that one does not answer or has lost its links.

Evidence: requests_leave_a_relay_that_is_stopping failed (502) and passes.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -179,6 +179,7 @@
     ) -> Result<UpstreamResponse, Failure> {
         let EndpointRecord { id, address, .. } = &self.endpoint;
         let pooled = self.pool.take(id, *address, self.idle_limit, self.now);
+        let pooled = pooled.filter(|connection| self.connector.is_usable(&connection.path));
         let mut connection = match pooled {
             Some(connection) => connection,
             None => self.connector.open(&self.endpoint).await.map_err(no_connection)?,
--- a/coriandergw/src/forwarding/connecting.rs
+++ b/coriandergw/src/forwarding/connecting.rs
@@ -169,6 +169,18 @@
         self.known.lock().expect("not poisoned").len()
     }
 
+    /// Returns whether an idle connection may carry another request. An instance that stops is named
+    /// as a relay no more, some time before it closes its connections.
+    pub(super) fn is_usable(&self, path: &ConnectionPath) -> bool {
+        match path {
+            ConnectionPath::Direct => true,
+            ConnectionPath::Relayed { relay, .. } => {
+                let now = self.now();
+                self.roster.with_view(|view| view.relays(now)).contains(relay)
+            }
+        }
+    }
+
     /// Opens a connection to an endpoint.
     ///
     /// # Errors
@@ -366,7 +378,7 @@
         match client::open(&relay, endpoint, &self.cx.instance).await {
             Ok(stream) => {
                 let guard = self.note_relay_used(&relay.name);
-                let path = ConnectionPath::Relayed { relay: relay.name.clone(), _guard: guard };
+                let path = ConnectionPath::Relayed { relay: relay.clone(), _guard: guard };
                 let connection = pool::open_on(stream, path).await.map_err(|cause| {
                     log::debug!("connection through relay {} failed: {cause}", relay.name);
                     RelayError::Unreachable
--- a/coriandergw/src/forwarding/paths.rs
+++ b/coriandergw/src/forwarding/paths.rs
@@ -212,7 +212,8 @@
         is_due
     }
 
-    /// Records that the endpoint answers neither this instance nor another one.
+    /// Records that the endpoint answers neither this instance nor another one, as far as any could be
+    /// asked.
     pub fn note_silent_to_all(&mut self, endpoint: &EndpointName, now: Timestamp) {
         self.pair(endpoint).silent_to_all_at = Some(now);
     }
--- a/coriandergw/src/forwarding/pool.rs
+++ b/coriandergw/src/forwarding/pool.rs
@@ -22,7 +22,7 @@
 use crate::forwarding::bounded_reader::UnproductiveBytes;
 use crate::forwarding::connecting::RelayUseGuard;
 use crate::ids::EndpointName;
-use crate::ids::InstanceName;
+use crate::roster::Relay;
 
 /// How long an idle connection is kept at most; also the default if the endpoint sends no
 /// `Keep-Alive` header.
@@ -50,7 +50,7 @@
     /// One of another instance, which copies bytes.
     Relayed {
         /// The other instance.
-        relay: InstanceName,
+        relay: Relay,
         _guard: RelayUseGuard,
     },
 }
--- a/coriandergw/src/forwarding/watching.rs
+++ b/coriandergw/src/forwarding/watching.rs
@@ -8,10 +8,10 @@
 use crate::forwarding::connecting::RELAY_AFTER;
 use crate::forwarding::paths::Fault;
 use crate::forwarding::pool::ConnectionPath;
-use crate::ids::InstanceName;
 use crate::relays::RelayError;
 use crate::relays::client;
 use crate::roster::EndpointRecord;
+use crate::roster::Relay;
 
 /// How long an endpoint on an open connection may be silent before its path is checked.
 const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(300);
@@ -132,27 +132,19 @@
         }
     }
 
-    /// Returns why a relayed connection is given up: its relay does not open another one while
-    /// another relay does.
-    async fn check_relay(&self, endpoint: &EndpointRecord, relay: &InstanceName) -> Option<String> {
-        let now = self.now();
-        let relays = self.roster.with_view(|view| view.relays(now));
-        let used = relays.iter().find(|one| one.name == *relay);
-        let opened = match used {
-            Some(used) => client::open(used, endpoint, &self.cx.instance).await.map(|_| ()),
-            None => Err(RelayError::Unreachable),
-        };
-        match opened {
-            Ok(()) => None,
+    /// Returns why a relayed connection is given up: its relay does not answer or has lost its links.
+    async fn check_relay(&self, endpoint: &EndpointRecord, relay: &Relay) -> Option<String> {
+        match client::open(relay, endpoint, &self.cx.instance).await {
             Err(RelayError::Silent) => {
+                let now = self.now();
                 self.with_paths(|paths| paths.note_silent_to_all(&endpoint.id, now));
                 None
             }
-            Err(RelayError::Refused) => None,
-            Err(fault) => {
-                self.note_relay_failed(relay);
-                Some(format!("relay {relay} failed: {fault}"))
+            Err(fault @ (RelayError::Unreachable | RelayError::NoLinks)) => {
+                self.note_relay_failed(&relay.name);
+                Some(format!("relay {} failed: {fault}", relay.name))
             }
+            Ok(_) | Err(RelayError::Refused | RelayError::Unlisted | RelayError::Busy) => None,
         }
     }
 }
