fix(forwarding): go on elsewhere when an endpoint answers no instance

Seen by reading the change: a request whose route allows one endpoint was given up when that endpoint lost its power, since an endpoint is taken off those that may run a request only if it refuses connections.

Change: an endpoint that answers neither this instance nor another one that reaches other endpoints counts as ended too. An instance that is alone takes its own word for it.

Evidence: a_stream_goes_on_elsewhere_once_its_endpoint_answers_no_instance failed (the stream ended after its first event) and passes.

--- a/coriandergw/src/forwarding/connecting.rs
+++ b/coriandergw/src/forwarding/connecting.rs
@@ -65,7 +65,8 @@
 /// Says why no connection to an endpoint could be opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NoConnection {
-    /// The endpoint refuses connections, of this instance and of others: its process has ended.
+    /// The endpoint refuses or does not answer another instance too, which reaches other endpoints, or
+    /// there is no other instance.
     EndpointEnded,
     /// The endpoint cannot be reached; others can perhaps.
     EndpointUnreachable,
@@ -194,7 +195,7 @@
             Path::Relayed => self.open_relayed(endpoint).await.map_err(|fault| {
                 let is_cut_off = self.with_paths(|paths| paths.is_cut_off());
                 let kind = match fault {
-                    RelayError::Silent | RelayError::Refused => NoConnection::EndpointUnreachable,
+                    RelayError::Silent | RelayError::Refused => NoConnection::EndpointEnded,
                     _ if is_cut_off => NoConnection::NoPath,
                     _ => NoConnection::EndpointUnreachable,
                 };
@@ -260,8 +261,10 @@
             self.record(endpoint, change, "does not answer, and no relay says whether it can");
         }
         let kind = match (fault, error) {
-            (Fault::Refused, RelayError::Refused) => NoConnection::EndpointEnded,
-            (Fault::Refused, _) if self.is_alone() => NoConnection::EndpointEnded,
+            (Fault::Refused, RelayError::Refused) | (Fault::Silent, RelayError::Silent) => {
+                NoConnection::EndpointEnded
+            }
+            _ if self.is_alone() => NoConnection::EndpointEnded,
             _ if self.with_paths(|paths| paths.is_cut_off()) => NoConnection::NoPath,
             _ => NoConnection::EndpointUnreachable,
         };
--- a/coriandergw/src/roles/tests/links.rs
+++ b/coriandergw/src/roles/tests/links.rs
@@ -29,15 +29,24 @@
 }
 
 /// The links of one entry instance.
-pub struct Links(watch::Sender<LinkState>);
+pub struct Links {
+    state: watch::Sender<LinkState>,
+    /// The endpoint that answers nothing any more, as after a loss of its power.
+    dark: watch::Sender<Option<SocketAddr>>,
+}
 
 impl Links {
     pub fn open() -> Arc<Self> {
-        Arc::new(Self(watch::Sender::new(LinkState::Open)))
+        let (state, dark) = (watch::Sender::new(LinkState::Open), watch::Sender::default());
+        Arc::new(Self { state, dark })
     }
 
     pub fn set(&self, state: LinkState) {
-        self.0.send_replace(state);
+        self.state.send_replace(state);
+    }
+
+    pub fn set_dark(&self, endpoint: SocketAddr) {
+        self.dark.send_replace(Some(endpoint));
     }
 }
 
@@ -49,7 +58,11 @@
 #[async_trait]
 impl Dialer for Links {
     async fn dial(&self, address: SocketAddr) -> io::Result<TcpStream> {
-        let mut state = self.0.subscribe();
+        let mut state = self.state.subscribe();
+        let mut dark = self.dark.subscribe();
+        if *dark.borrow() == Some(address) {
+            return std::future::pending().await;
+        }
         until_not_silent(&mut state).await;
         if *state.borrow() == LinkState::Refused {
             return Err(io::ErrorKind::ConnectionRefused.into());
@@ -58,7 +71,15 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let (dialed, accepted) =
             tokio::join!(TcpStream::connect(listener.local_addr()?), listener.accept());
-        tokio::spawn(connect(accepted?.0, target, state));
+        let near = accepted?.0;
+        tokio::spawn(async move {
+            // Neither side hears anything any more.
+            let is_dark = async move { dark.wait_for(|dark| *dark == Some(address)).await.is_ok() };
+            tokio::select! {
+                () = connect(near, target, state) => {}
+                true = is_dark => std::future::pending().await,
+            }
+        });
         dialed
     }
 }
--- a/coriandergw/src/roles/tests/paths.rs
+++ b/coriandergw/src/roles/tests/paths.rs
@@ -65,10 +65,14 @@
         let pause = Step::Wait(Duration::from_millis(100));
         return vec![pause, Step::Send(answer(&attempt, "done"))];
     }
-    if !seen.path().starts_with("/stream/") {
+    if !seen.path().starts_with("/stream/") && !seen.path().starts_with("/single/") {
         return vec![Step::Send(answer(&attempt, "done"))];
     }
-    let mut steps = vec![Step::Send(stream_head(&attempt)), Step::Send(chunk(&event(1)))];
+    let last_event = seen.header("last-event").and_then(|id| id.parse().ok()).unwrap_or(0);
+    let mut steps = vec![Step::Send(stream_head(&attempt))];
+    if last_event < 1 {
+        steps.push(Step::Send(chunk(&event(1))));
+    }
     if attempt.starts_with("paused") {
         steps.push(Step::Wait(Duration::from_millis(300)));
     }
@@ -339,6 +343,23 @@
     assert_eq!(status(&answer), "200", "{answer}");
 }
 
+// Guards against a request that may run at one endpoint only and is given up, since the endpoint lost
+// its power and counts as one that may still run it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_elsewhere_once_its_endpoint_answers_no_instance() {
+    let fleet = Fleet::start(2).await;
+    let callers = fleet.callers();
+    let request = get("/single/x", "paused", "deadline: 10000\r\n");
+    let asked = tokio::spawn(async move { ask_at(callers, &request).await });
+    let running = || fleet.endpoints.iter().find(|one| !one.seen().is_empty());
+    wait_for("the stream at an endpoint", || running().is_some()).await;
+    let dark = running().expect("it runs").address;
+    fleet.links.set_dark(dark);
+    fleet.others.iter().for_each(|(_, links)| links.set_dark(dark));
+    let answer = asked.await.expect("asked");
+    assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
+}
+
 // Guards against a stream that is read in again elsewhere because its sound endpoint, which no
 // instance reaches for a second, makes a pause.
 #[tokio::test(flavor = "multi_thread")]
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -124,6 +124,7 @@
             route("once", RetryPolicy::Once, "plain"),
             route("stream", RetryPolicy::ResumableStream, "engines"),
             route("fragile", RetryPolicy::Stream, "engines"),
+            Route { endpoints_max: 1, ..route("single", RetryPolicy::ResumableStream, "engines") },
         ];
         let engine = EngineTraits { slots: 8, tokens_per_event: 3 };
         let service =
