feat(log-groups): report members that know no leader, and logs that ended

Event 210 comes after a second without a leader, then every 5 s, with the term, the role, the votes, the voters and what is synced; event 211 when a leader is known again; event 212 when the log ended other than by a stop. The gauge cgw_state{name="log_<group>_leader"} is 1 while a leader is known.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -122,6 +122,12 @@
     VoterChangeStarted = 209, Info;
     /// A message of the log could not be used.
     LogMessageRefused = 208, Warning;
+    /// A member of a log group has known no leader for a while.
+    LogLeaderMissing = 210, Warning;
+    /// A member of a log group knows a leader again.
+    LogLeaderFound = 211, Info;
+    /// A member of the log ended other than by a stop.
+    LogStopped = 212, Error;
     /// A program was created.
     ProgramCreated = 300, Debug;
     /// A call was accepted.
--- a/coriandergw/src/log_groups/core/election.rs
+++ b/coriandergw/src/log_groups/core/election.rs
@@ -15,6 +15,13 @@
     granted: BTreeSet<InstanceName>,
 }
 
+impl VoteTally {
+    /// Returns how many members granted their vote.
+    pub(super) fn count(&self) -> usize {
+        self.granted.len()
+    }
+}
+
 impl Core {
     fn may_campaign(&self) -> bool {
         !self.log_lost && self.members().voters.contains(&self.name)
--- a/coriandergw/src/log_groups/core/replica.rs
+++ b/coriandergw/src/log_groups/core/replica.rs
@@ -166,6 +166,35 @@
         self.log_lost
     }
 
+    /// Returns whether this instance is a member of the group, voting or not.
+    pub fn is_member(&self) -> bool {
+        let members = self.members();
+        members.voters.contains(&self.name) || members.learners.contains(&self.name)
+    }
+
+    /// Describes what this member waits for, for logs.
+    pub fn describe(&self) -> String {
+        let members = self.members();
+        let role = match &self.role {
+            Role::Follower => "follower".to_owned(),
+            Role::PreCandidate(tally) => format!("pre-candidate pre_votes={}", tally.count()),
+            Role::Candidate(tally) => format!("candidate votes={}", tally.count()),
+            Role::Leader(_) => "leader".to_owned(),
+        };
+        format!(
+            "term={} role={role} quorum={} voters={} votes_itself={} log_lost={} commit={} last={} \
+             synced={}",
+            self.term,
+            members.quorum(),
+            members.voters.iter().map(InstanceName::as_str).collect::<Vec<_>>().join(","),
+            members.voters.contains(&self.name),
+            self.log_lost,
+            self.commit,
+            self.log.last_index(),
+            self.durable_index,
+        )
+    }
+
     /// Returns the most recent snapshot.
     pub fn snapshot(&self) -> &Snapshot {
         self.log.snapshot()
--- a/coriandergw/src/log_groups/driver.rs
+++ b/coriandergw/src/log_groups/driver.rs
@@ -86,6 +86,8 @@
     awaiting_sync: Outgoing,
     outgoing: Outgoing,
     pulses: Arc<Mutex<PulseCodec>>,
+    /// Whether a stop was asked for.
+    is_stopped: bool,
 }
 
 type Outgoing = BTreeMap<InstanceName, Vec<(GroupId, Message)>>;
@@ -112,6 +114,7 @@
             awaiting_sync: Outgoing::new(),
             outgoing: Outgoing::new(),
             pulses,
+            is_stopped: false,
         }
     }
 
@@ -136,6 +139,10 @@
         for group in self.groups.values_mut() {
             group.shut_down();
         }
+        if !self.is_stopped {
+            let detail = "this instance takes no further part in its log groups";
+            self.report(EventNumber::LogStopped, detail.to_owned());
+        }
     }
 
     /// Returns how long to wait for an input before the next deadline of a group.
@@ -159,7 +166,10 @@
         let mut bytes = 0;
         for _ in 0..INPUTS_PER_TURN {
             match next {
-                None | Some(Input::Stop) => return false,
+                None | Some(Input::Stop) => {
+                    self.is_stopped = true;
+                    return false;
+                }
                 Some(input) => bytes += self.handle_input(input),
             }
             if bytes > BYTES_PER_TURN {
--- a/coriandergw/src/log_groups/group.rs
+++ b/coriandergw/src/log_groups/group.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::oneshot;
@@ -35,6 +36,12 @@
 /// after the next one.
 const TRAILING_DIVISOR: u64 = 8;
 
+/// How long a member may know no leader before it reports that; longer than an election.
+const LEADER_MISSING_AFTER: Duration = Duration::from_secs(1);
+
+/// The interval between two reports of a leader that stays unknown.
+const LEADER_MISSING_INTERVAL: Duration = Duration::from_secs(5);
+
 /// A proposal that has been appended but not yet applied.
 struct PendingProposal {
     term: u64,
@@ -54,6 +61,15 @@
     leadership: watch::Sender<Leadership>,
     lease_until: Arc<AtomicU64>,
     members: watch::Sender<Members>,
+    leader_search: LeaderSearch,
+}
+
+/// Since when a member has known no leader, and when to report that next.
+#[derive(Debug, Clone, Copy, Default)]
+struct LeaderSearch {
+    since: Option<Timestamp>,
+    report_due: Timestamp,
+    is_reported: bool,
 }
 
 impl Group {
@@ -75,6 +91,7 @@
             leadership: watch::Sender::default(),
             lease_until: Arc::default(),
             members: watch::Sender::default(),
+            leader_search: LeaderSearch::default(),
         }
     }
 
@@ -199,6 +216,7 @@
             }
             changed
         });
+        self.report_leader(cx, now);
         let next = Leadership {
             term: self.core.term(),
             leader: self.core.leader().cloned(),
@@ -219,6 +237,40 @@
         self.leadership.send_replace(next);
     }
 
+    /// Reports a leader that has been unknown for [`LEADER_MISSING_AFTER`], and its return.
+    fn report_leader(&mut self, cx: &Context, now: Timestamp) {
+        let leader = self.core.leader();
+        let is_known = cx.metrics.states.with_label_values(&[&format!("log_{}_leader", self.id)]);
+        is_known.set(leader.is_some().into());
+        let subject = Subject { epoch: Some(self.core.term()), ..Subject::default() };
+        if let Some(leader) = leader {
+            let search = std::mem::take(&mut self.leader_search);
+            if let Some(since) = search.since.filter(|_| search.is_reported) {
+                let waited_ms = now.since(since).as_millis();
+                let message = format!("group {} leader={leader} waited_ms={waited_ms}", self.id);
+                cx.events.record(EventNumber::LogLeaderFound, subject, message);
+            }
+            return;
+        }
+        // An instance that is no member hears from no leader.
+        if !self.core.is_member() {
+            return;
+        }
+        let search = &mut self.leader_search;
+        let since = *search.since.get_or_insert_with(|| {
+            search.report_due = now + LEADER_MISSING_AFTER;
+            now
+        });
+        if now < search.report_due {
+            return;
+        }
+        search.report_due = now + LEADER_MISSING_INTERVAL;
+        search.is_reported = true;
+        let waited_ms = now.since(since).as_millis();
+        let message = format!("group {} waited_ms={waited_ms} {}", self.id, self.core.describe());
+        cx.events.record(EventNumber::LogLeaderMissing, subject, message);
+    }
+
     /// Ends this member's leadership: fails pending proposals and withdraws the lease.
     pub fn shut_down(&mut self) {
         self.fail_pending_proposals("the log stopped on the leader");
