test(log-groups): show that a write refused once ends a member for good

A disk of the tests now refuses writes wholly or in the middle of one, takes them again, fails syncs in the way of a file system (what was appended is read back, a later sync does not make it durable) and loses power.

--- a/coriandergw/src/log_groups/test_cluster.rs
+++ b/coriandergw/src/log_groups/test_cluster.rs
@@ -1,6 +1,8 @@
 //! A cluster of log nodes over an in-memory network, with disks that fail on demand.
 
+use std::collections::BTreeMap;
 use std::io;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -62,11 +64,19 @@
     }
 }
 
-/// An in-memory disk with injectable sync failures and limited space.
+/// An in-memory disk that refuses writes and loses power on demand.
+///
+/// Like a file system, it reads back appended bytes that are not durable yet. A failed sync marks
+/// them as written, so that a later sync does not make them durable.
 pub struct FaultyDisk {
+    /// The content as it is read.
     pub files: MemoryDisk,
+    /// The content that remains after a loss of power.
+    durable: MemoryDisk,
+    /// The appended ranges of each file that the next sync makes durable.
+    dirty: Mutex<BTreeMap<String, Vec<Range<usize>>>>,
     pub fails_syncs: AtomicBool,
-    /// The size of the largest append that succeeds, in bytes.
+    /// The bytes that can still be appended to one file; an append beyond them is cut short.
     pub free_bytes: AtomicUsize,
 }
 
@@ -74,41 +84,87 @@
     fn default() -> Self {
         Self {
             files: MemoryDisk::default(),
+            durable: MemoryDisk::default(),
+            dirty: Mutex::default(),
             fails_syncs: AtomicBool::new(false),
             free_bytes: AtomicUsize::new(usize::MAX),
         }
     }
 }
 
+impl FaultyDisk {
+    /// Refuses all writes, or takes them again.
+    pub fn set_full(&self, is_full: bool) {
+        self.free_bytes.store(if is_full { 0 } else { usize::MAX }, Ordering::SeqCst);
+    }
+
+    /// Drops what is not durable.
+    pub fn lose_power(&self) {
+        self.files.replace_all(&self.durable);
+        self.dirty.lock().expect("not poisoned").clear();
+    }
+
+    fn is_full(&self) -> bool {
+        self.free_bytes.load(Ordering::SeqCst) == 0
+    }
+
+    fn check_space(&self) -> io::Result<()> {
+        if self.is_full() { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
+    fn length(&self, name: &str) -> io::Result<usize> {
+        Ok(self.files.read(name)?.unwrap_or_default().len())
+    }
+}
+
 impl Disk for FaultyDisk {
     fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
         self.files.read(name)
     }
 
     fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        if bytes.len() > self.free_bytes.load(Ordering::SeqCst) {
+        let start = self.length(name)?;
+        let written = bytes.len().min(self.free_bytes.load(Ordering::SeqCst));
+        self.files.append(name, &bytes[..written])?;
+        let mut dirty = self.dirty.lock().expect("not poisoned");
+        dirty.entry(name.to_owned()).or_default().push(start..start + written);
+        if written < bytes.len() {
             return Err(io::ErrorKind::StorageFull.into());
         }
-        self.files.append(name, bytes)
+        Ok(())
     }
 
     fn sync(&self, name: &str) -> io::Result<()> {
+        let ranges = self.dirty.lock().expect("not poisoned").remove(name).unwrap_or_default();
         if self.fails_syncs.load(Ordering::SeqCst) {
             return Err(io::Error::other("injected"));
         }
-        self.files.sync(name)
+        let content = self.files.read(name)?.unwrap_or_default();
+        let mut durable = self.durable.read(name)?.unwrap_or_default();
+        for range in ranges {
+            durable.resize(durable.len().max(range.end), 0);
+            durable[range.clone()].copy_from_slice(&content[range]);
+        }
+        self.durable.replace(name, &durable)
     }
 
     fn truncate(&self, name: &str, bytes: u64) -> io::Result<()> {
-        self.files.truncate(name, bytes)
+        self.dirty.lock().expect("not poisoned").remove(name);
+        self.files.truncate(name, bytes)?;
+        self.durable.truncate(name, bytes)
     }
 
     fn replace(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        self.files.replace(name, bytes)
+        self.check_space()?;
+        self.dirty.lock().expect("not poisoned").remove(name);
+        self.files.replace(name, bytes)?;
+        self.durable.replace(name, bytes)
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
-        self.files.rename(from, to)
+        self.check_space()?;
+        self.files.rename(from, to)?;
+        self.durable.rename(from, to)
     }
 }
 
@@ -139,6 +195,18 @@
         !self.cx.events.select(|event| event.number == number.number()).is_empty()
     }
 
+    /// Makes the disk refuse writes until the member has noticed, and then takes them again.
+    pub async fn refuse_one_write(&self) {
+        let count = || {
+            let failed = EventNumber::LogStorageFailed.number();
+            self.cx.events.select(|event| event.number == failed).len()
+        };
+        let before = count();
+        self.disk.set_full(true);
+        wait_for("a refused write", || count() > before).await;
+        self.disk.set_full(false);
+    }
+
     pub async fn stop(&mut self) {
         if let Some(node) = self.node.take() {
             node.stop().await;
--- a/coriandergw/src/log_groups/tests.rs
+++ b/coriandergw/src/log_groups/tests.rs
@@ -37,6 +37,8 @@
 use crate::test_support;
 use crate::test_support::wait_for;
 
+mod disks;
+
 /// A snapshot interval larger than the number of entries that any test writes.
 const NO_SNAPSHOTS: u64 = 1_000_000;
 
--- a/coriandergw/src/storage/memory_disk.rs
+++ b/coriandergw/src/storage/memory_disk.rs
@@ -12,6 +12,15 @@
     files: Mutex<BTreeMap<String, Vec<u8>>>,
 }
 
+impl MemoryDisk {
+    /// Replaces all files by those of another disk.
+    #[cfg(test)]
+    pub fn replace_all(&self, other: &Self) {
+        let files = other.files.lock().expect("not poisoned").clone();
+        *self.files.lock().expect("not poisoned") = files;
+    }
+}
+
 impl Disk for MemoryDisk {
     fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
         Ok(self.files.lock().expect("not poisoned").get(name).cloned())
