fix(storage): make durable what is read when the data folder is opened

What callers could see: a configuration that was acknowledged is gone after a loss of power of all core instances. Cause: a process that is killed between a write and its sync leaves bytes that are read back, and its next start took them for durable: the member acknowledged entries and repeated votes that were in no file yet. Evidence: what_is_read_at_the_start_is_durable_before_it_is_acknowledged had 0 of 148 bytes left after a loss of power.

Disk::sync_all makes the content and the names of all files durable; the store calls it before it replays them. A temporary file is not synced; one whose writing failed is removed, so that it takes no room from the files in use. A descriptor is closed when its file is truncated after an error, since it may not report the failure of a sync again.

--- a/coriandergw/src/log_groups/test_cluster.rs
+++ b/coriandergw/src/log_groups/test_cluster.rs
@@ -166,6 +166,11 @@
         self.files.rename(from, to)?;
         self.durable.rename(from, to)
     }
+
+    fn sync_all(&self) -> io::Result<()> {
+        let dirty: Vec<String> = self.dirty.lock().expect("not poisoned").keys().cloned().collect();
+        dirty.iter().try_for_each(|name| self.sync(name))
+    }
 }
 
 /// One instance of a [`Cluster`].
--- a/coriandergw/src/storage/file_disk.rs
+++ b/coriandergw/src/storage/file_disk.rs
@@ -14,6 +14,9 @@
 /// The file that is locked while a process uses the folder.
 const LOCK_FILE: &str = "lock";
 
+/// The end of the name of a file that is to replace another one.
+const TEMPORARY_SUFFIX: &str = ".new";
+
 /// A folder of files that is locked for use by a single process.
 pub struct FileDisk {
     folder: PathBuf,
@@ -81,16 +84,22 @@
     }
 
     fn truncate(&self, name: &str, bytes: u64) -> io::Result<()> {
+        // A descriptor may not report the failure of an earlier sync again.
+        self.close_append_handle(name);
         let file = OpenOptions::new().write(true).open(self.path(name))?;
         file.set_len(bytes)?;
         file.sync_all()
     }
 
     fn replace(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let temporary = self.path(&format!("{name}.new"));
-        let mut file = File::create(&temporary)?;
-        file.write_all(bytes)?;
-        file.sync_all()?;
+        let temporary = self.path(&format!("{name}{TEMPORARY_SUFFIX}"));
+        if let Err(cause) = write_durably(&temporary, bytes) {
+            // The part that was written takes room from the files in use.
+            if let Err(cause) = std::fs::remove_file(&temporary) {
+                log::warn!("{} could not be removed: {cause}", temporary.display());
+            }
+            return Err(cause);
+        }
         std::fs::rename(&temporary, self.path(name))?;
         self.close_append_handle(name);
         self.sync_folder()
@@ -101,4 +110,21 @@
         self.close_append_handle(from);
         self.sync_folder()
     }
+
+    fn sync_all(&self) -> io::Result<()> {
+        for entry in std::fs::read_dir(&self.folder)? {
+            let path = entry?.path();
+            let is_temporary = path.to_string_lossy().ends_with(TEMPORARY_SUFFIX);
+            if path.is_file() && !is_temporary {
+                File::open(&path)?.sync_all()?;
+            }
+        }
+        self.sync_folder()
+    }
+}
+
+fn write_durably(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let mut file = File::create(path)?;
+    file.write_all(bytes)?;
+    file.sync_all()
 }
--- a/coriandergw/src/storage/memory_disk.rs
+++ b/coriandergw/src/storage/memory_disk.rs
@@ -54,4 +54,8 @@
         files.insert(to.to_owned(), content);
         Ok(())
     }
+
+    fn sync_all(&self) -> io::Result<()> {
+        Ok(())
+    }
 }
--- a/coriandergw/src/storage/mod.rs
+++ b/coriandergw/src/storage/mod.rs
@@ -40,6 +40,9 @@
 
     /// Renames a file, replacing any file of the new name.
     fn rename(&self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Makes the content and the names of all files durable as they are read now.
+    fn sync_all(&self) -> io::Result<()>;
 }
 
 /// The reason why the data folder cannot be used.
--- a/coriandergw/src/storage/store.rs
+++ b/coriandergw/src/storage/store.rs
@@ -93,6 +93,8 @@
             snapshot_indices: BTreeMap::new(),
             failure: None,
         };
+        // A process that was killed before a sync leaves bytes that are read back and not durable.
+        store.disk.sync_all().map_err(|e| StorageError::failed(LOG_FILE, &e))?;
         match store.replay(options) {
             Ok(replayed) => store.finish_open(replayed),
             Err(damage @ StorageError::Corrupt { .. }) => store.set_aside(options, damage),
--- a/testkit/src/bench_log/cluster.rs
+++ b/testkit/src/bench_log/cluster.rs
@@ -97,6 +97,10 @@
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         self.disk.rename(from, to)
     }
+
+    fn sync_all(&self) -> io::Result<()> {
+        self.disk.sync_all()
+    }
 }
 
 struct CountingTransport {
