fix(log-groups): take part in the log again once the disk takes writes

Cause: the log driver ended at the first write that the disk refused, the store kept that error for good, and nothing watched the driver's task. The process stayed up and counted as a living voter, so one fault that passed was a voter lost for good, and a second one on another disk took the quorum. At a start it was the same: the first vote could not be written.

Change: log_groups/writer.rs owns the store. After a refused write this member steps down, fails what is pending, neither votes nor accepts entries, and names the leader that it still hears to those that propose here. What a state machine has applied stays applied. A log that is shorter than what was synced is damaged. A driver that ends otherwise says so (212); event 213 says how long the disk refused writes.

In the test with random faults all members are now checked before the first is stopped: the version committed failing stopped them in turn, which could fail for that reason alone.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -106,7 +106,7 @@
     LogLeaderElected = 200, Info;
     /// The instance stopped leading a log group.
     LogLeaderLost = 201, Warning;
-    /// Writing to the data folder failed; the instance takes no further part in the log.
+    /// The disk refused a write; the instance takes no part in the log until it takes writes again.
     LogStorageFailed = 202, Error;
     /// A damaged log was set aside; the instance learns it anew and does not vote until readmitted.
     LogSetAside = 203, Error;
@@ -128,6 +128,8 @@
     LogLeaderFound = 211, Info;
     /// A member of the log ended other than by a stop.
     LogStopped = 212, Error;
+    /// The disk takes writes again; the instance takes part in the log again.
+    LogStorageRegained = 213, Info;
     /// A program was created.
     ProgramCreated = 300, Debug;
     /// A call was accepted.
--- a/coriandergw/src/log_groups/core/message.rs
+++ b/coriandergw/src/log_groups/core/message.rs
@@ -37,6 +37,11 @@
         };
         self.term <= NUMBER_MAX && index <= NUMBER_MAX
     }
+
+    /// Returns whether only the leader of the term sends such a message.
+    pub fn is_leaders(&self) -> bool {
+        matches!(self.body, Body::Append { .. } | Body::Heartbeat { .. } | Body::Chunk { .. })
+    }
 }
 
 /// The body of a message.
--- a/coriandergw/src/log_groups/core/mod.rs
+++ b/coriandergw/src/log_groups/core/mod.rs
@@ -7,7 +7,8 @@
 //!   driver calls [`Core::synced`]; only one batch may be outstanding at a time;
 //! - steps from [`Core::take_apply`] are applied in order.
 //!
-//! After a failed sync the driver drops the core, because nothing further may be acknowledged.
+//! After a failed sync the driver drops the core, because nothing further may be acknowledged. It
+//! creates another one from what is durable and lets it [`Core::resume_after`] what was applied.
 
 mod config_change;
 mod deadline;
--- a/coriandergw/src/log_groups/core/recovery.rs
+++ b/coriandergw/src/log_groups/core/recovery.rs
@@ -94,6 +94,11 @@
         Ok(())
     }
 
+    /// Returns the record of the term and the vote.
+    pub fn hard_state(&self) -> Record {
+        Record::HardState { term: self.term, voted_for: self.voted_for.clone() }
+    }
+
     /// Returns the last index covered by the snapshot.
     pub fn snapshot_index(&self) -> u64 {
         self.log.snapshot().index
--- a/coriandergw/src/log_groups/core/replica.rs
+++ b/coriandergw/src/log_groups/core/replica.rs
@@ -119,6 +119,16 @@
         self
     }
 
+    /// Leaves out the entries up to `index` when the log is applied, because the state machine has
+    /// applied them already.
+    pub fn resume_after(mut self, index: u64) -> Self {
+        if self.delivered_index <= index {
+            self.restore = None;
+            self.delivered_index = index;
+        }
+        self
+    }
+
     /// Sets the size limits of messages.
     pub fn with_limits(mut self, limits: MessageLimits) -> Self {
         self.limits = limits;
--- a/coriandergw/src/log_groups/driver.rs
+++ b/coriandergw/src/log_groups/driver.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio::task::JoinHandle;
+use tokio::sync::watch;
 
 use crate::clock::Timestamp;
 use crate::context::Context;
@@ -21,12 +21,16 @@
 use crate::log_groups::core::ProposeFault;
 use crate::log_groups::core::Record;
 use crate::log_groups::group::Group;
+use crate::log_groups::group::new_core;
 use crate::log_groups::propose::Outcome;
 use crate::log_groups::pulse::PulseCodec;
 use crate::log_groups::voters::VoterChange;
 use crate::log_groups::wire;
+use crate::log_groups::writer::DiskOutcome;
+use crate::log_groups::writer::Finished;
+use crate::log_groups::writer::LogWriter;
+use crate::log_groups::writer::Reopened;
 use crate::storage::StorageError;
-use crate::storage::store::Store;
 use crate::transport::Kind;
 use crate::transport::Transport;
 
@@ -73,15 +77,16 @@
     Stop,
 }
 
-/// Owns the cores, the state machines and the write-ahead log file.
+/// Owns the cores, the state machines and the writer of the log.
 pub struct Driver {
     pub(super) cx: Context,
     pub(super) transport: Arc<dyn Transport>,
     pub(super) cluster: String,
     pub(super) groups: BTreeMap<GroupId, Group>,
-    pub(super) store: Arc<Mutex<Store>>,
     pub(super) inputs: mpsc::Receiver<Input>,
-    sync: Option<JoinHandle<Result<(), StorageError>>>,
+    writer: LogWriter,
+    has_leases: bool,
+    is_writable: watch::Sender<bool>,
     /// Messages to be sent when the sync in progress completes.
     awaiting_sync: Outgoing,
     outgoing: Outgoing,
@@ -90,27 +95,45 @@
     is_stopped: bool,
 }
 
+/// Messages by the instance that they go to.
 type Outgoing = BTreeMap<InstanceName, Vec<(GroupId, Message)>>;
 
+/// What a driver is created from.
+pub struct DriverParts {
+    /// The context of the instance.
+    pub cx: Context,
+    /// Sends messages to the other members.
+    pub transport: Arc<dyn Transport>,
+    /// The name of the cluster.
+    pub cluster: String,
+    /// The groups, recovered from the store of the writer.
+    pub groups: BTreeMap<GroupId, Group>,
+    /// Writes the records of all groups.
+    pub writer: LogWriter,
+    /// Whether anything relies on the leader's lease.
+    pub has_leases: bool,
+    /// Receives whether the disk takes writes.
+    pub is_writable: watch::Sender<bool>,
+    /// The inputs of other tasks.
+    pub inputs: mpsc::Receiver<Input>,
+    /// Packs heartbeats.
+    pub pulses: Arc<Mutex<PulseCodec>>,
+}
+
 impl Driver {
-    /// Creates a driver for groups that were recovered from `store`.
-    pub fn new(
-        cx: Context,
-        transport: Arc<dyn Transport>,
-        cluster: String,
-        groups: BTreeMap<GroupId, Group>,
-        store: Store,
-        inputs: mpsc::Receiver<Input>,
-        pulses: Arc<Mutex<PulseCodec>>,
-    ) -> Self {
+    /// Creates a driver.
+    pub fn new(parts: DriverParts) -> Self {
+        let DriverParts { cx, transport, cluster, groups, .. } = parts;
+        let DriverParts { writer, has_leases, is_writable, inputs, pulses, .. } = parts;
         Self {
             cx,
             transport,
             cluster,
             groups,
-            store: Arc::new(Mutex::new(store)),
             inputs,
-            sync: None,
+            writer,
+            has_leases,
+            is_writable,
             awaiting_sync: Outgoing::new(),
             outgoing: Outgoing::new(),
             pulses,
@@ -118,13 +141,14 @@
         }
     }
 
-    /// Runs until the driver is stopped, the storage fails or a state machine refuses a snapshot.
+    /// Runs until the driver is stopped, the data folder is of no use any more or a state machine
+    /// refuses a snapshot.
     pub async fn run(mut self) {
         loop {
             let wait = self.wait();
             let keeps_running = tokio::select! {
                 input = self.inputs.recv() => self.handle_inputs(input),
-                synced = sync_completion(&mut self.sync) => self.on_sync_completed(synced),
+                finished = self.writer.completed() => self.on_disk_finished(finished),
                 () = tokio::time::sleep(wait) => true,
             };
             self.tick();
@@ -132,29 +156,32 @@
                 break;
             }
         }
-        if let Some(sync) = self.sync.take() {
-            // The data folder is in use until the write in progress has ended.
-            let _ = sync.await;
-        }
         for group in self.groups.values_mut() {
-            group.shut_down();
+            group.suspend("the log stopped on the leader");
         }
         if !self.is_stopped {
             let detail = "this instance takes no further part in its log groups";
             self.report(EventNumber::LogStopped, detail.to_owned());
         }
+        self.writer.close().await;
     }
 
     /// Returns how long to wait for an input before the next deadline of a group.
     fn wait(&self) -> Duration {
         let now = self.cx.clock.now();
-        let deadlines = self.groups.values().map(|group| group.core.next_deadline(now));
-        let wait = deadlines.min().map_or(LONGEST_WAIT, |deadline| deadline.since(now));
+        let deadline = match self.writer.is_refused() {
+            true => self.writer.next_deadline(),
+            false => self.groups.values().map(|group| group.core.next_deadline(now)).min(),
+        };
+        let wait = deadline.map_or(LONGEST_WAIT, |deadline| deadline.since(now));
         wait.clamp(SHORTEST_WAIT, LONGEST_WAIT)
     }
 
     fn tick(&mut self) {
         let now = self.cx.clock.now();
+        if self.writer.is_refused() {
+            return self.writer.tick(now);
+        }
         for group in self.groups.values_mut() {
             group.core.tick(now);
         }
@@ -185,6 +212,10 @@
 
     /// Handles one input; returns the size of the proposed command, in bytes.
     fn handle_input(&mut self, input: Input) -> usize {
+        if self.writer.is_refused() {
+            self.decline_input(input);
+            return 0;
+        }
         let now = self.cx.clock.now();
         match input {
             Input::Messages { from, messages } => {
@@ -216,26 +247,91 @@
         }
     }
 
-    /// Handles the end of a sync; returns false if it failed, after which the driver must stop.
-    fn on_sync_completed(&mut self, result: Result<(), StorageError>) -> bool {
-        self.sync = None;
-        if let Err(cause) = result {
-            self.report(EventNumber::LogStorageFailed, cause.to_string());
-            return false;
+    /// Handles an input while the disk refuses writes: this member neither votes nor accepts entries.
+    fn decline_input(&mut self, input: Input) {
+        match input {
+            Input::Messages { from, messages } => {
+                for (group, message) in messages.iter().filter(|(_, message)| message.is_leaders())
+                {
+                    if let Some(group) = self.groups.get_mut(group) {
+                        group.note_leader(&from, message.term);
+                    }
+                }
+            }
+            Input::Propose { group, reply, .. } => {
+                let leader = self.groups.get(&group).and_then(Group::known_leader);
+                answer(reply, Outcome::NotLeader(leader));
+            }
+            Input::ChangeVoters { reply, .. } => {
+                let _ = reply.send(Err(ProposeFault::NotLeader));
+            }
+            Input::Stop => {}
         }
+    }
+
+    /// Handles the end of an operation on the disk; returns false if the driver must stop.
+    fn on_disk_finished(&mut self, finished: Finished) -> bool {
         let now = self.cx.clock.now();
+        match self.writer.finish(finished, now) {
+            DiskOutcome::Synced => self.on_synced(now),
+            DiskOutcome::Refused(cause) => self.suspend(&cause),
+            DiskOutcome::StillRefused => {}
+            DiskOutcome::Regained(reopened) => self.resume(reopened),
+            DiskOutcome::Unusable(cause) => {
+                self.report(EventNumber::LogStorageFailed, cause.to_string());
+                return false;
+            }
+        }
+        true
+    }
+
+    fn on_synced(&mut self, now: Timestamp) {
         for group in self.groups.values_mut() {
             group.core.synced(now);
         }
         for (to, messages) in std::mem::take(&mut self.awaiting_sync) {
             self.outgoing.entry(to).or_default().extend(messages);
         }
-        true
+    }
+
+    /// Takes this instance out of all groups, and drops the messages that depend on the refused
+    /// records.
+    fn suspend(&mut self, cause: &StorageError) {
+        self.report(EventNumber::LogStorageFailed, cause.to_string());
+        self.set_writable(false);
+        self.awaiting_sync.clear();
+        self.outgoing.clear();
+        for group in self.groups.values_mut() {
+            group.suspend("the disk of the leader refused a write");
+        }
+    }
+
+    fn resume(&mut self, reopened: Reopened) {
+        let Reopened { groups, damage, refused_for } = reopened;
+        if let Some(damage) = damage {
+            self.report(EventNumber::LogSetAside, damage.to_string());
+        }
+        for (id, recovered) in groups {
+            if let Some(group) = self.groups.get_mut(&id) {
+                group.resume(new_core(&self.cx, recovered, self.has_leases));
+            }
+        }
+        self.set_writable(true);
+        let detail = format!("refused_ms={}", refused_for.as_millis());
+        self.report(EventNumber::LogStorageRegained, detail);
+    }
+
+    fn set_writable(&self, is_writable: bool) {
+        self.cx.metrics.states.with_label_values(&["log_writable"]).set(is_writable.into());
+        self.is_writable.send_replace(is_writable);
     }
 
     /// Executes the work that the cores return; returns false if a state machine refused a
     /// snapshot.
     fn process_output(&mut self) -> bool {
+        if self.writer.is_refused() {
+            return true;
+        }
         let now = self.cx.clock.now();
         for (id, group) in &mut self.groups {
             queue(&mut self.outgoing, *id, group.core.take_messages(now));
@@ -244,7 +340,7 @@
             self.report(EventNumber::LogStorageFailed, cause.to_string());
             return false;
         }
-        if self.sync.is_none() {
+        if self.writer.is_ready() {
             self.start_sync();
         }
         for (to, mut messages) in std::mem::take(&mut self.outgoing) {
@@ -279,15 +375,11 @@
             return;
         }
         self.awaiting_sync = messages;
-        let needs_rewrite = self.store.lock().expect("not poisoned").needs_rewrite();
+        let needs_rewrite = self.writer.needs_rewrite();
         if needs_rewrite {
             records = self.live_records();
         }
-        let store = self.store.clone();
-        self.sync = Some(tokio::task::spawn_blocking(move || {
-            let mut store = store.lock().expect("not poisoned");
-            if needs_rewrite { store.rewrite(records) } else { store.write(records) }
-        }));
+        self.writer.write(records, needs_rewrite);
     }
 
     fn live_records(&self) -> Vec<(GroupId, Record)> {
@@ -313,17 +405,3 @@
 pub fn answer(reply: oneshot::Sender<Outcome>, outcome: Outcome) {
     let _ = reply.send(outcome);
 }
-
-/// Waits for the sync in progress; never completes if there is none.
-async fn sync_completion(
-    sync: &mut Option<JoinHandle<Result<(), StorageError>>>,
-) -> Result<(), StorageError> {
-    let Some(handle) = sync else {
-        return std::future::pending().await;
-    };
-    let panicked = |cause: tokio::task::JoinError| StorageError::Failed {
-        file: "the write-ahead log file".to_owned(),
-        reason: cause.to_string(),
-    };
-    handle.await.unwrap_or_else(|cause| Err(panicked(cause)))
-}
--- a/coriandergw/src/log_groups/group.rs
+++ b/coriandergw/src/log_groups/group.rs
@@ -15,6 +15,7 @@
 use crate::events::EventNumber;
 use crate::events::Subject;
 use crate::ids::GroupId;
+use crate::ids::InstanceName;
 use crate::log_groups::Leadership;
 use crate::log_groups::RestoreError;
 use crate::log_groups::StateMachine;
@@ -24,6 +25,7 @@
 use crate::log_groups::core::Members;
 use crate::log_groups::core::Payload;
 use crate::log_groups::core::ProposeFault;
+use crate::log_groups::core::Recovered;
 use crate::log_groups::driver::answer;
 use crate::log_groups::propose::Outcome;
 use crate::log_groups::voters::VoterChange;
@@ -48,6 +50,13 @@
     reply: oneshot::Sender<Outcome>,
 }
 
+/// Creates the core of a member from its durable state.
+pub fn new_core(cx: &Context, recovered: Recovered, has_leases: bool) -> Core {
+    let now = cx.clock.now();
+    let core = Core::new(cx.instance.clone(), recovered, rand::random(), now);
+    if has_leases { core } else { core.without_lease(now) }
+}
+
 /// A group as owned by the driver.
 pub struct Group {
     pub(super) core: Core,
@@ -271,14 +280,38 @@
         cx.events.record(EventNumber::LogLeaderMissing, subject, message);
     }
 
-    /// Ends this member's leadership: fails pending proposals and withdraws the lease.
-    pub fn shut_down(&mut self) {
-        self.fail_pending_proposals("the log stopped on the leader");
+    /// Takes this member out of its group until it resumes: fails pending proposals, withdraws the
+    /// lease and steps down.
+    pub fn suspend(&mut self, reason: &str) {
+        self.fail_pending_proposals(reason);
         self.lease_until.store(0, Ordering::Release);
         let term = self.core.term();
         self.leadership.send_replace(Leadership { term, ..Leadership::default() });
     }
 
+    /// Takes part in the group again with a core that was created from what is durable.
+    ///
+    /// The state machine keeps what it has applied: committed entries never change.
+    pub fn resume(&mut self, core: Core) {
+        self.core = core.resume_after(self.applied);
+    }
+
+    /// Records which member leads while this one is suspended, so that proposals are sent there.
+    pub fn note_leader(&mut self, leader: &InstanceName, term: u64) {
+        self.leadership.send_if_modified(|known| {
+            let is_new = term >= known.term && known.leader.as_ref() != Some(leader);
+            if is_new {
+                *known = Leadership { term, leader: Some(leader.clone()), is_leader: false };
+            }
+            is_new
+        });
+    }
+
+    /// Returns the leader as last published.
+    pub fn known_leader(&self) -> Option<InstanceName> {
+        self.leadership.borrow().leader.clone()
+    }
+
     fn fail_pending_proposals(&mut self, reason: &str) {
         for pending in std::mem::take(&mut self.pending).into_values() {
             answer(pending.reply, Outcome::Unknown(reason.to_owned()));
--- a/coriandergw/src/log_groups/mod.rs
+++ b/coriandergw/src/log_groups/mod.rs
@@ -20,6 +20,7 @@
 mod pulse;
 pub mod voters;
 pub mod wire;
+mod writer;
 
 /// The reason why a proposal has no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/coriandergw/src/log_groups/node.rs
+++ b/coriandergw/src/log_groups/node.rs
@@ -27,16 +27,18 @@
 use crate::log_groups::RestoreError;
 use crate::log_groups::StateMachine;
 use crate::log_groups::client::LogClient;
-use crate::log_groups::core::Core;
 use crate::log_groups::core::Members;
 use crate::log_groups::core::ProposeFault;
 use crate::log_groups::driver::Driver;
+use crate::log_groups::driver::DriverParts;
 use crate::log_groups::driver::Input;
 use crate::log_groups::group::Group;
+use crate::log_groups::group::new_core;
 use crate::log_groups::propose::LocalProposer;
 use crate::log_groups::pulse::PulseCodec;
 use crate::log_groups::voters::VoterChange;
 use crate::log_groups::wire;
+use crate::log_groups::writer::LogWriter;
 use crate::storage::Disk;
 use crate::storage::StorageError;
 use crate::storage::store::Opened;
@@ -110,6 +112,7 @@
     client: LogClient,
     inputs: mpsc::Sender<Input>,
     views: BTreeMap<GroupId, GroupView>,
+    writable: watch::Receiver<bool>,
     task: Mutex<Option<JoinHandle<()>>>,
 }
 
@@ -140,10 +143,7 @@
             let Some(recovered) = recovered.remove(&id) else {
                 continue;
             };
-            let seed = rand::random();
-            let now = cx.clock.now();
-            let core = Core::new(cx.instance.clone(), recovered, seed, now);
-            let core = if has_leases { core } else { core.without_lease(now) };
+            let core = new_core(&cx, recovered, has_leases);
             let mut group = Group::new(id, core, machine, snapshot_every);
             group.apply(&cx)?;
             started.insert(id, group);
@@ -162,9 +162,20 @@
         transport.register(Kind::Propose, Arc::new(local.clone()));
         let client = LogClient::new(transport.clone(), voters);
         let client = client.with_local(cx.instance.clone(), local);
-        let driver = Driver::new(cx, transport, cluster, started, store, receiver, pulses);
+        let (is_writable, writable) = watch::channel(true);
+        let driver = Driver::new(DriverParts {
+            cx,
+            transport,
+            cluster,
+            groups: started,
+            writer: LogWriter::new(store, store_options),
+            has_leases,
+            is_writable,
+            inputs: receiver,
+            pulses,
+        });
         let task = Mutex::new(Some(tokio::spawn(driver.run())));
-        Ok(Arc::new(Self { client, inputs, views, task }))
+        Ok(Arc::new(Self { client, inputs, views, writable, task }))
     }
 
     /// Returns a watch on the leadership of a group; `None` for an unknown group.
@@ -193,6 +204,16 @@
         self.views.get(&group).map(|view| view.members.clone())
     }
 
+    /// Returns whether the disk takes writes; without them this instance takes no part in its groups.
+    pub fn is_writable(&self) -> bool {
+        *self.writable.borrow()
+    }
+
+    /// Waits until the log has ended, whether it was stopped or cannot go on.
+    pub async fn ended(&self) {
+        self.inputs.closed().await;
+    }
+
     /// Sets the voters that proposals from this instance may be sent to.
     pub fn note_voters(&self, voters: Vec<InstanceName>) {
         self.client.set_voters(voters);
--- a/coriandergw/src/log_groups/tests/disks.rs
+++ b/coriandergw/src/log_groups/tests/disks.rs
@@ -191,7 +191,7 @@
         stop.send_replace(true);
         let acknowledged = proposals.await.expect("no panic");
         assert!(!acknowledged.is_empty(), "nothing was acknowledged with seed {seed}");
-        for member in &mut cluster.members {
+        for member in &cluster.members {
             let lost = || {
                 let applied = member.applied.lock().expect("not poisoned");
                 acknowledged.iter().filter(|command| !applied.contains(command)).count()
@@ -199,6 +199,8 @@
             wait_for("the acknowledged commands", || lost() == 0).await;
             let damaged = member.has_event(EventNumber::LogSetAside);
             assert!(!damaged, "the log of {} was set aside with seed {seed}", member.name);
+        }
+        for member in &mut cluster.members {
             member.stop().await;
         }
     }
--- a/coriandergw/src/storage/store.rs
+++ b/coriandergw/src/storage/store.rs
@@ -27,6 +27,7 @@
 const REWRITE_FRAME_ENTRIES: usize = 1_024;
 
 /// The options of a store: its owner and its groups.
+#[derive(Debug, Clone)]
 pub struct StoreOptions {
     /// The name of the cluster.
     pub cluster: String,
@@ -49,6 +50,9 @@
     snapshot_indices: BTreeMap<GroupId, u64>,
     /// The first error of a write, with which every later write fails.
     failure: Option<StorageError>,
+    /// Whether the error was one of replacing the write-ahead log file, which then is the old or the
+    /// new one as a whole.
+    is_log_replaced: bool,
 }
 
 /// The result of opening a data folder.
@@ -80,6 +84,25 @@
     /// # Errors
     /// Fails if the folder cannot be used or belongs to another cluster or instance.
     pub fn open(disk: Arc<dyn Disk>, options: &StoreOptions) -> Result<Opened, StorageError> {
+        Self::open_up_to(disk, options, None)
+    }
+
+    /// Opens the data folder again after a failed write, with what was durable before that write.
+    ///
+    /// # Errors
+    /// Fails as [`Store::open`] does, and while the disk still refuses to truncate or sync.
+    pub fn reopen(&self, options: &StoreOptions) -> Result<Opened, StorageError> {
+        let durable_bytes = (!self.is_log_replaced).then_some(self.log_bytes);
+        Self::open_up_to(self.disk.clone(), options, durable_bytes)
+    }
+
+    /// Opens the data folder with the first `durable_bytes` of the write-ahead log file, or with all
+    /// of it.
+    fn open_up_to(
+        disk: Arc<dyn Disk>,
+        options: &StoreOptions,
+        durable_bytes: Option<u64>,
+    ) -> Result<Opened, StorageError> {
         let identity = match Identity::read(&*disk)? {
             Some(identity) => identity,
             None => initialise_folder(&*disk, options)?,
@@ -92,16 +115,29 @@
             bytes_after_rewrite: 0,
             snapshot_indices: BTreeMap::new(),
             failure: None,
+            is_log_replaced: false,
         };
+        let truncated = durable_bytes.map_or(Ok(()), |bytes| store.truncate_to(bytes));
         // A process that was killed before a sync leaves bytes that are read back and not durable.
         store.disk.sync_all().map_err(|e| StorageError::failed(LOG_FILE, &e))?;
-        match store.replay(options) {
+        match truncated.and_then(|()| store.replay(options)) {
             Ok(replayed) => store.finish_open(replayed),
             Err(damage @ StorageError::Corrupt { .. }) => store.set_aside(options, damage),
             Err(cause) => Err(cause),
         }
     }
 
+    /// Removes the bytes of a failed write. They may be read back although they are not durable.
+    fn truncate_to(&self, durable_bytes: u64) -> Result<(), StorageError> {
+        let found = read(&*self.disk, LOG_FILE)?.map_or(0, |bytes| bytes.len() as u64);
+        if found < durable_bytes {
+            let fault = format!("{found} bytes are left of {durable_bytes} that were synced");
+            return Err(StorageError::corrupt(LOG_FILE, fault));
+        }
+        let truncated = self.disk.truncate(LOG_FILE, durable_bytes);
+        truncated.map_err(|e| StorageError::failed(LOG_FILE, &e))
+    }
+
     fn finish_open(mut self, replayed: Replayed) -> Result<Opened, StorageError> {
         let Replayed { groups, intact_bytes, file_bytes } = replayed;
         let truncated_bytes = file_bytes - intact_bytes;
@@ -230,8 +266,10 @@
                 let offset = buf.len() as u64;
                 frames::push_frame(&mut buf, offset, &wire::encode_records(vec![record]));
             }
+            store.is_log_replaced = true;
             let replaced = store.disk.replace(LOG_FILE, &buf);
             replaced.map_err(|e| StorageError::failed(LOG_FILE, &e))?;
+            store.is_log_replaced = false;
             store.log_bytes = buf.len() as u64;
             store.bytes_after_rewrite = store.log_bytes;
             store.clear_lost_groups(&regained)
