test(platform): show with real processes that a disk that refused once is lost

Cause: the task of the replicated log ends at its first failed write, and nothing watches it; the process stays up. The second such disk takes the quorum of three voters.

Change: `testkit::cluster::file_limit` makes the writes of a running process fail and succeed again by its limit on file sizes (prlimit, RLIMIT_FSIZE, with SIGXFSZ ignored), wholly or in the middle of a frame, without privileges. A disk that answers nothing is left out: without privileges only the whole process can be stopped.

--- a/testkit/src/cluster/mod.rs
+++ b/testkit/src/cluster/mod.rs
@@ -22,6 +22,7 @@
 use crate::wait;
 
 pub mod binary;
+pub mod file_limit;
 pub mod files;
 pub mod process;
 
--- a/testkit/tests/imports.rs
+++ b/testkit/tests/imports.rs
@@ -55,6 +55,7 @@
 datatest_stable::harness! {
     { test = check_file, root = "../coriandergw/src", pattern = r"\.rs$" },
     { test = check_file, root = "../platform/src", pattern = r"\.rs$" },
+    { test = check_file, root = "../platform/tests", pattern = r"\.rs$" },
     { test = check_file, root = "src", pattern = r"\.rs$" },
     { test = check_file, root = "tests", pattern = r"\.rs$" },
 }
