fix(supervision): end the process when one of its background tasks ends

Callers saw: a process whose task had panicked or returned stayed up, said that it was ready and did a part of its work only (no polls, no accepts, no budget commands, no lease), until somebody started it anew.

Cause: tasks were started with tokio::spawn or in a JoinSet that nobody joined.

Change: coriandergw::supervision. `essential` and `finite` tasks record event 111 with the task and the reason, count cgw_tasks_failed_total{task} and end the wait of the process, which exits with code 4 without draining (platform and coriandergw run). `isolated` tasks of a connection, request or message log their panic. An end during an orderly stop and an abort are no failure. The transports take the context in place of the name and of the metrics.

--- a/coriandergw/src/cli/dev.rs
+++ b/coriandergw/src/cli/dev.rs
@@ -5,10 +5,10 @@
 
 use gumdrop::Options;
 
-use crate::cli::EXIT_FAILED;
 use crate::cli::EXIT_INVALID;
 use crate::cli::fail;
 use crate::cli::run::block_on;
+use crate::cli::run::exit_code;
 use crate::events::log_output;
 use crate::instance;
 use crate::settings::DEV_LISTEN;
@@ -36,6 +36,6 @@
     log_output::start(settings.log);
     match block_on(instance::run_dev(settings)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(cause) => fail(EXIT_FAILED, cause),
+        Err(cause) => fail(exit_code(&cause), cause),
     }
 }
--- a/coriandergw/src/cli/mod.rs
+++ b/coriandergw/src/cli/mod.rs
@@ -39,7 +39,8 @@
   coriandergw timeline --program p-… --svg timeline.svg
   coriandergw follow --request 697a3eb9bfeea870 logs/*
 
-Exit codes: 0 done, 1 failed, 2 invalid command line or settings, 3 another change came first.";
+Exit codes: 0 done, 1 failed, 2 invalid command line or settings, 3 another change came first,
+4 a background task ended.";
 
 #[derive(Debug, Options)]
 struct Arguments {
--- a/coriandergw/src/cli/run.rs
+++ b/coriandergw/src/cli/run.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use gumdrop::Options;
 
@@ -12,6 +13,11 @@
 use crate::cli::fail;
 use crate::events::log_output;
 use crate::instance;
+use crate::instance::RunError;
+use crate::supervision::EXIT_TASK_ENDED;
+
+/// How long work that blocks a thread, such as a write to a stalled disk, may delay the exit.
+const SHUTDOWN_LIMIT: Duration = Duration::from_secs(1);
 
 /// The arguments of `run`.
 #[derive(Debug, Options)]
@@ -31,7 +37,15 @@
     log_output::start(settings.log);
     match block_on(instance::run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(cause) => fail(EXIT_FAILED, cause),
+        Err(cause) => fail(exit_code(&cause), cause),
+    }
+}
+
+/// Returns the exit code of an instance that could not run on.
+pub(super) fn exit_code(cause: &RunError) -> u8 {
+    match cause {
+        RunError::Task { .. } => EXIT_TASK_ENDED,
+        _ => EXIT_FAILED,
     }
 }
 
@@ -41,5 +55,7 @@
     F: Future<Output = T>,
 {
     let runtime = tokio::runtime::Runtime::new().expect("the runtime can be started");
-    runtime.block_on(future)
+    let output = runtime.block_on(future);
+    runtime.shutdown_timeout(SHUTDOWN_LIMIT);
+    output
 }
--- a/coriandergw/src/context.rs
+++ b/coriandergw/src/context.rs
@@ -6,6 +6,7 @@
 use crate::events::Recorder;
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
+use crate::supervision::Supervisor;
 
 /// Shared by all features of one instance.
 #[derive(Clone)]
@@ -20,4 +21,6 @@
     pub events: Arc<Recorder>,
     /// Counts and times what happens.
     pub metrics: Arc<crate::metrics::Metrics>,
+    /// Keeps the first failure of a background task.
+    pub supervisor: Arc<Supervisor>,
 }
--- a/coriandergw/src/crashes/reporter.rs
+++ b/coriandergw/src/crashes/reporter.rs
@@ -21,6 +21,7 @@
 use crate::ids::EndpointName;
 use crate::roster::Role;
 use crate::roster::poller::Roster;
+use crate::supervision;
 use crate::transport::Kind;
 use crate::transport::Transport;
 
@@ -48,7 +49,8 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let sender =
             ReportSender { cx: cx.clone(), roster: roster.clone(), transport, tx: tx.downgrade() };
-        tokio::spawn(sender.run(rx));
+        let sending = sender.run(rx);
+        tokio::spawn(supervision::finite(cx.clone(), "send reports of crashes", sending));
         Self { cx, roster, tx }
     }
 
@@ -132,7 +134,8 @@
                 next = rx.try_recv().ok();
             }
             // A core instance that does not answer must not delay later reports.
-            tokio::spawn(self.clone().send(batch.into_values().collect()));
+            let sending = self.clone().send(batch.into_values().collect());
+            tokio::spawn(supervision::isolated("send a report of crashes", sending));
         }
     }
 
--- a/coriandergw/src/dispatch/releases.rs
+++ b/coriandergw/src/dispatch/releases.rs
@@ -13,6 +13,7 @@
 use crate::ids::EndpointName;
 use crate::ids::FencingNumber;
 use crate::ids::ProgramId;
+use crate::supervision;
 
 /// How long this instance retries a release. After that, the periodic sweep of the engines releases
 /// the memory.
@@ -44,7 +45,8 @@
     pub fn release(self: &Arc<Self>, program: &ProgramId) {
         let sent_to = self.sent_to.lock().expect("not poisoned").remove(program);
         for endpoint in sent_to.unwrap_or_default() {
-            tokio::spawn(self.clone().release_on(program.clone(), endpoint));
+            let releasing = self.clone().release_on(program.clone(), endpoint);
+            tokio::spawn(supervision::isolated("release memory of an engine", releasing));
         }
     }
 
--- a/coriandergw/src/dispatch/scheduled.rs
+++ b/coriandergw/src/dispatch/scheduled.rs
@@ -50,6 +50,7 @@
 use crate::queueing::engine_priority;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
+use crate::supervision;
 
 mod call_slot;
 
@@ -137,9 +138,12 @@
             engine_priorities: settings.engine_priorities,
             state: Mutex::new(State { scheduler, waiters: HashMap::new() }),
         });
-        tokio::spawn(tick_forever(Arc::downgrade(&inner), settings.tick));
+        let cx = inner.cx.clone();
+        let assigning = tick_forever(Arc::downgrade(&inner), settings.tick);
+        tokio::spawn(supervision::finite(cx.clone(), "assign calls to endpoints", assigning));
         let interval = settings.cache_poll_interval;
-        tokio::spawn(cache_feeds::poll_forever(Arc::downgrade(&inner), interval));
+        let polling = cache_feeds::poll_forever(Arc::downgrade(&inner), interval);
+        tokio::spawn(supervision::finite(cx, "poll the engines' caches", polling));
         Arc::new(Self { inner })
     }
 }
--- a/coriandergw/src/endpoints/gossip.rs
+++ b/coriandergw/src/endpoints/gossip.rs
@@ -37,6 +37,7 @@
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
 use crate::ids::NameError;
+use crate::supervision;
 use crate::transport::Handler;
 use crate::transport::Kind;
 use crate::transport::Transport;
@@ -110,7 +111,8 @@
             sponsors: Mutex::default(),
         });
         transport.register(Kind::Endpoints, Arc::new(GossipHandler(gossip.clone())));
-        tokio::spawn(run(Arc::downgrade(&gossip)));
+        let gossiping = run(Arc::downgrade(&gossip));
+        tokio::spawn(supervision::finite(gossip.cx.clone(), "gossip about endpoints", gossiping));
         gossip
     }
 
--- a/coriandergw/src/events/log_output.rs
+++ b/coriandergw/src/events/log_output.rs
@@ -1,5 +1,7 @@
 //! Writes log lines to standard error or standard output, one an event.
 
+use std::time::Duration;
+
 use logforth::append::Stderr;
 use logforth::append::Stdout;
 use logforth::append::asynchronous::AsyncBuilder;
@@ -31,6 +33,17 @@
     log::logger().flush();
 }
 
+/// Writes the lines that wait, but gives up after `limit` if their reader stalls.
+pub fn flush_within(limit: Duration) {
+    let (tx, rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        flush();
+        // The receiver is gone once the limit has passed.
+        let _ = tx.send(());
+    });
+    let _ = rx.recv_timeout(limit);
+}
+
 /// Sets up the log of this process; later calls change the level only.
 pub fn start(settings: LogSettings) {
     let appender = match settings.format {
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -62,6 +62,8 @@
     SettingsRefused = 108, Error;
     /// The process did not run for a while: frozen, starved or held up by its disk.
     ProcessStalled = 109, Warning;
+    /// A background task ended before the process was asked to stop; the process ends.
+    TaskEnded = 111, Error;
     /// Other keys are in use between instances.
     KeysReloaded = 105, Info;
     /// New keys could not be used; the old ones stay in use.
--- a/coriandergw/src/forwarding/connecting.rs
+++ b/coriandergw/src/forwarding/connecting.rs
@@ -37,6 +37,7 @@
 use crate::roster::EndpointRecord;
 use crate::roster::Relay;
 use crate::roster::poller::Roster;
+use crate::supervision;
 
 /// The timeout of a direct connection: enough for several round trips between data centres.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -493,7 +494,8 @@
             let due = self.with_paths(|paths| paths.take_trials(&names, self.now()));
             for record in known.into_iter().filter(|record| due.contains(&record.id)) {
                 let connector = self.clone();
-                tokio::spawn(async move { connector.try_direct(record).await });
+                let trying = async move { connector.try_direct(record).await };
+                tokio::spawn(supervision::isolated("try a direct path", trying));
             }
         }
     }
--- a/coriandergw/src/forwarding/pool.rs
+++ b/coriandergw/src/forwarding/pool.rs
@@ -23,6 +23,7 @@
 use crate::forwarding::connecting::RelayUseGuard;
 use crate::ids::EndpointName;
 use crate::roster::Relay;
+use crate::supervision;
 
 /// How long an idle connection is kept at most; also the default if the endpoint sends no
 /// `Keep-Alive` header.
@@ -164,11 +165,12 @@
     let reader = BoundedReader::new(stream, unproductive.clone());
     let handshake = http1::Builder::new().handshake(TokioIo::new(reader)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
-    let driver = tokio::spawn(async move {
+    let driver = async move {
         if let Err(cause) = connection.await {
             log::debug!("connection to an endpoint closed with an error: {cause}");
         }
-    });
+    };
+    let driver = tokio::spawn(supervision::isolated("drive a connection to an endpoint", driver));
     let driver = driver.abort_handle();
     let (keep_alive, is_reused) = (IDLE_TIMEOUT, false);
     Ok(Connection { sender, driver, keep_alive, is_reused, unproductive, path })
--- a/coriandergw/src/forwarding/server.rs
+++ b/coriandergw/src/forwarding/server.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 
 use crate::forwarding::forwarder::Forwarder;
+use crate::supervision;
 
 /// How long the accept loop pauses after a failed accept, for example when no file descriptors are
 /// left.
@@ -58,7 +59,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                connections.spawn(serve_connection(stream, forwarder.clone(), phase.clone()));
+                let serving = serve_connection(stream, forwarder.clone(), phase.clone());
+                connections.spawn(supervision::isolated("serve a caller", serving));
             }
             Err(cause) => {
                 log::warn!("failed to accept a connection from a caller: {cause}");
--- a/coriandergw/src/http_server/mod.rs
+++ b/coriandergw/src/http_server/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::http_server::connection::ConnectionServer;
 use crate::http_server::connection::PeerLimits;
+use crate::supervision;
 
 mod connection;
 
@@ -116,10 +117,11 @@
             };
             let watcher = graceful.watcher();
             let connection = connections.clone();
-            tokio::spawn(async move {
+            let serving = async move {
                 connection.serve(stream, peer, watcher).await;
                 drop(place);
-            });
+            };
+            tokio::spawn(supervision::isolated("serve a connection", serving));
         }
         drop(self.listener);
         graceful.shutdown().await;
--- a/coriandergw/src/instance/cluster.rs
+++ b/coriandergw/src/instance/cluster.rs
@@ -43,6 +43,7 @@
 use crate::programs::Programs;
 use crate::settings::Settings;
 use crate::storage::file_disk::FileDisk;
+use crate::supervision;
 use crate::transport::Kind;
 use crate::transport::Transport;
 use crate::transport::quic::QuicTransport;
@@ -122,7 +123,7 @@
         membership.leave();
         control.leave();
     };
-    serve(server, shared, leave).await;
+    serve(server, shared, leave).await?;
     sweeper.abort();
     control.stop();
     if let Some(node) = node {
@@ -141,11 +142,12 @@
     let peers = settings.cluster.peers.clone();
     let listen = settings.instance.peer_listen;
     let bind_error = |cause| RunError::Bind { address: listen, cause };
-    let transport = QuicTransport::start(listen, tls, peers, cx.metrics.clone())
+    let transport = QuicTransport::start(listen, tls, peers, cx)
         .map_err(|StartError::Bind { cause, .. }| bind_error(cause))?;
     let address = transport.local_address().map_err(bind_error)?;
     println!("coriandergw {} peers at {address}", cx.instance);
-    tokio::spawn(reload_keys(cx.clone(), files.clone(), Arc::downgrade(&transport)));
+    let reloading = reload_keys(cx.clone(), files.clone(), Arc::downgrade(&transport));
+    tokio::spawn(supervision::finite(cx.clone(), "reload the keys", reloading));
     Ok((transport, address))
 }
 
--- a/coriandergw/src/instance/dev.rs
+++ b/coriandergw/src/instance/dev.rs
@@ -30,6 +30,7 @@
 use crate::programs::ProgramLivenessClient;
 use crate::programs::Programs;
 use crate::settings::Settings;
+use crate::supervision;
 
 /// The number of journal groups of an instance that is alone.
 const JOURNAL_GROUPS: u32 = 1;
@@ -46,7 +47,8 @@
     let endpoints = start_endpoints(&cx.data_centre)
         .await
         .map_err(|cause| RunError::Bind { address: settings.instance.listen, cause })?;
-    tokio::spawn(renew_forever(cx.clone(), directory.clone(), endpoints));
+    let renewing = renew_forever(cx.clone(), directory.clone(), endpoints);
+    tokio::spawn(supervision::essential(cx.clone(), "renew announcements", renewing));
     let catalogue = Arc::new(MemoryCatalogue::with_entries([default_entry()]));
     let dispatcher = ScheduledDispatcher::start(
         cx.clone(),
@@ -82,7 +84,7 @@
         membership: None,
         stage: Arc::default(),
     });
-    serve(server, shared, || {}).await;
+    serve(server, shared, || {}).await?;
     sweeper.abort();
     Ok(())
 }
--- a/coriandergw/src/instance/error.rs
+++ b/coriandergw/src/instance/error.rs
@@ -10,6 +10,7 @@
 use crate::leases;
 use crate::log_groups::node::LogStartError;
 use crate::result_code::ResultCode;
+use crate::supervision::TaskFailure;
 use crate::transport::tls::KeyError;
 
 /// Says why an instance could not run.
@@ -59,6 +60,12 @@
         /// Why not.
         cause: leases::StartError,
     },
+    /// A background task ended before the instance was asked to stop.
+    #[display("{} {cause}", ResultCode::Internal)]
+    Task {
+        /// The task and why it ended.
+        cause: TaskFailure,
+    },
     /// The metrics could not be set up.
     #[display("{} metrics: {cause}", ResultCode::Internal)]
     Metrics {
--- a/coriandergw/src/instance/mod.rs
+++ b/coriandergw/src/instance/mod.rs
@@ -117,5 +117,6 @@
         clock,
         events: Arc::new(events),
         metrics: Arc::new(Metrics::new().map_err(|cause| RunError::Metrics { cause })?),
+        supervisor: Arc::default(),
     })
 }
--- a/coriandergw/src/leases/start.rs
+++ b/coriandergw/src/leases/start.rs
@@ -18,6 +18,7 @@
 use crate::leases::revision_file::RevisionFile;
 use crate::log_groups::ReplicatedLog;
 use crate::result_code::ResultCode;
+use crate::supervision;
 use crate::transport::Kind;
 use crate::transport::Transport;
 
@@ -87,7 +88,7 @@
         ))
     });
     let client = Arc::new(ControlClient::new(
-        cx,
+        cx.clone(),
         transport.clone(),
         log.clone(),
         registration,
@@ -98,8 +99,10 @@
     client.set_local_handler(handler.clone());
     transport.register(Kind::Control, handler);
     if let Some(leader) = leader {
-        client.add_task(tokio::spawn(leader.run()));
+        let leading = supervision::essential(cx.clone(), "lead the control group", leader.run());
+        client.add_task(tokio::spawn(leading));
     }
-    client.add_task(tokio::spawn(client.clone().run()));
+    let renewing = supervision::essential(cx, "renew the lease", client.clone().run());
+    client.add_task(tokio::spawn(renewing));
     Ok(client)
 }
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod routes;
 pub mod settings;
 pub mod storage;
+pub mod supervision;
 #[cfg(test)]
 mod test_support;
 pub mod token_bucket;
--- a/coriandergw/src/membership/driver.rs
+++ b/coriandergw/src/membership/driver.rs
@@ -25,6 +25,7 @@
 use crate::membership::Outgoing;
 use crate::membership::Timing;
 use crate::membership::wire;
+use crate::supervision;
 use crate::transport::Handler;
 use crate::transport::Kind;
 use crate::transport::Transport;
@@ -85,7 +86,8 @@
             avoided: ArcSwap::default(),
         });
         transport.register(Kind::Membership, Arc::new(ProbeHandler(membership.clone())));
-        tokio::spawn(run(Arc::downgrade(&membership)));
+        let probing = run(Arc::downgrade(&membership));
+        tokio::spawn(supervision::finite(membership.cx.clone(), "probe members", probing));
         membership
     }
 
@@ -166,7 +168,8 @@
     fn send_all(self: &Arc<Self>, outgoing: Vec<Outgoing>) {
         for Outgoing { to, message } in outgoing {
             if expects_answer(&message.kind) {
-                tokio::spawn(self.clone().exchange(to, message));
+                let exchanging = self.clone().exchange(to, message);
+                tokio::spawn(supervision::isolated("probe a member", exchanging));
             } else {
                 self.transport.send(&to, Kind::Membership, wire::encode(message));
             }
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -43,6 +43,8 @@
     pub endpoint_connects: IntCounterVec,
     /// Permits for requests to limited endpoints, by source and outcome.
     pub permits: IntCounterVec,
+    /// Background tasks that ended before the process was asked to stop, by task.
+    pub tasks_failed: IntCounterVec,
     /// Partitions held and similar states, by name.
     pub states: IntGaugeVec,
     /// Messages of control traffic by kind and direction.
@@ -137,6 +139,11 @@
                 "Payload bytes between instances",
                 &["kind", "direction"],
             )?,
+            tasks_failed: counters(
+                "cgw_tasks_failed_total",
+                "Background tasks that ended before the process was asked to stop",
+                &["task"],
+            )?,
             states,
             registry,
         })
--- a/coriandergw/src/orders/driver.rs
+++ b/coriandergw/src/orders/driver.rs
@@ -20,6 +20,7 @@
 use crate::orders::Order;
 use crate::orders::OrderSender;
 use crate::orders::plan;
+use crate::supervision;
 use crate::token_bucket::TokenBucket;
 
 /// The pause between two reconciliation rounds.
@@ -84,12 +85,14 @@
             desired,
             client: EndpointClient::default(),
         };
-        tokio::spawn(async move {
+        let cx = driver.cx.clone();
+        let sending = async move {
             loop {
                 driver.round().await;
                 tokio::time::sleep(ROUND_INTERVAL).await;
             }
-        })
+        };
+        tokio::spawn(supervision::essential(cx, "send orders to engines", sending))
     }
 
     async fn round(&self) {
--- a/coriandergw/src/orders/sweeper.rs
+++ b/coriandergw/src/orders/sweeper.rs
@@ -20,6 +20,7 @@
 use crate::orders::MemorySweep;
 use crate::orders::ProgramLivenessSource;
 use crate::orders::pause_after;
+use crate::supervision;
 
 /// The most engines whose held memory is read concurrently.
 const MAX_CONCURRENT_ENGINES: usize = 16;
@@ -52,12 +53,14 @@
 
     /// Spawns the sweeper as a task.
     pub fn start(mut self) -> tokio::task::JoinHandle<()> {
-        tokio::spawn(async move {
+        let cx = self.cx.clone();
+        let sweeping = async move {
             loop {
                 let held = self.round().await;
                 tokio::time::sleep(pause_after(held)).await;
             }
-        })
+        };
+        tokio::spawn(supervision::essential(cx, "sweep the engines' memory", sweeping))
     }
 
     /// Sweeps each engine once. Returns the number of programs that memory is held for.
--- a/coriandergw/src/programs/accept.rs
+++ b/coriandergw/src/programs/accept.rs
@@ -39,6 +39,7 @@
 use crate::programs::state::Tree;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
+use crate::supervision;
 
 /// How long a streamed model call continues after its last listener has disconnected.
 const LISTENER_GRACE: Duration = Duration::from_secs(2);
@@ -228,10 +229,11 @@
         drop(live);
         let programs = self.clone();
         let (handle, call, task) = (handle.clone(), call.clone(), started.clone());
-        tokio::spawn(async move {
+        let running = async move {
             let _running = RunningGuard::new(&programs.running);
             programs.run_to_completion(&handle, &call, &task, start).await;
-        });
+        };
+        tokio::spawn(supervision::isolated("run a call", running));
         Ok(started)
     }
 }
--- a/coriandergw/src/programs/home.rs
+++ b/coriandergw/src/programs/home.rs
@@ -41,6 +41,7 @@
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
 use crate::settings::ProgramSettings;
+use crate::supervision;
 
 /// The `Retry-After` of a request whose program currently has no home.
 pub const NO_HOME_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -132,7 +133,8 @@
             in_flight: InFlightRequests::default(),
             settled_leases: Mutex::default(),
         });
-        tokio::spawn(Self::run_sweeps(Arc::downgrade(&programs)));
+        let sweeping = Self::run_sweeps(Arc::downgrade(&programs));
+        tokio::spawn(supervision::finite(programs.cx.clone(), "sweep programs", sweeping));
         programs
     }
 
--- a/coriandergw/src/relays/server.rs
+++ b/coriandergw/src/relays/server.rs
@@ -32,6 +32,7 @@
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
 use crate::roster::poller::Roster;
+use crate::supervision;
 
 /// The maximum number of connections that one instance relays at the same time.
 const RELAYED_MAX: usize = 256;
@@ -95,7 +96,8 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn(self.clone().serve(stream));
+                    let serving = self.clone().serve(stream);
+                    connections.spawn(supervision::isolated("relay a connection", serving));
                 }
                 Err(cause) => {
                     log::warn!("failed to accept a connection to relay: {cause}");
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -39,6 +39,7 @@
 use crate::roster::state::ConfigState;
 use crate::roster::state::UnknownEndpoint;
 use crate::storage::Disk;
+use crate::supervision;
 use crate::transport::Kind;
 use crate::versions::Versions;
 use crate::versions::machine::VersionsMachine;
@@ -100,16 +101,19 @@
         let versions = Versions::new(node.clone());
         base.roster.update_presence(|presence| presence.ready = true);
         base.start_polling(settings);
-        base.tasks.spawn(roster_server.clone().expire_silent());
-        base.tasks.spawn(keep_reports(base.roster.clone(), roster_server.clone()));
+        base.spawn("expire silent endpoints", roster_server.clone().expire_silent());
+        let keeping = keep_reports(base.roster.clone(), roster_server.clone());
+        base.spawn("keep the reports of other core instances", keeping);
         let stop_storing = watch::Sender::new(false);
-        let storing = tokio::spawn(apply_and_store(
+        let storing = apply_and_store(
             base.cx.clone(),
             config_states,
             roster_server.clone(),
             disk,
             stop_storing.subscribe(),
-        ));
+        );
+        let storing = supervision::essential(base.cx.clone(), "store the configuration", storing);
+        let storing = tokio::spawn(storing);
         let voter_set_controller = VoterSetController {
             cx: base.cx.clone(),
             group: CONTROL_GROUP,
@@ -118,7 +122,7 @@
             node: node.clone(),
             roster: base.roster.clone(),
         };
-        base.tasks.spawn(voter_set_controller.run());
+        base.spawn("keep the voters", voter_set_controller.run());
         let founder = JournalGroupFounder {
             cx: base.cx.clone(),
             versions: versions.clone(),
@@ -126,7 +130,7 @@
             roster: base.roster.clone(),
             wanted: settings.voters_wanted(),
         };
-        base.tasks.spawn(founder.run());
+        base.spawn_finite("found the journal group", founder.run());
         Ok(Self {
             versions,
             roster_server,
@@ -171,6 +175,7 @@
 
     /// Announces that this instance is leaving, stops its log node and releases the data folder.
     pub async fn stop(&self) {
+        self.cx.supervisor.start_stop();
         self.roster.update_presence(|presence| presence.leaving = true);
         self.node.stop().await;
         self.stop_storing.send_replace(true);
@@ -293,3 +298,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/roles/directory.rs
+++ b/coriandergw/src/roles/directory.rs
@@ -56,8 +56,9 @@
         base.transport.register(Kind::Roster, roster_server.clone());
         base.roster.update_presence(|presence| presence.ready = true);
         base.start_polling(settings);
-        base.tasks.spawn(roster_server.clone().expire_silent());
-        base.tasks.spawn(publish_cores(base.cx.clone(), base.roster.clone(), roster_server));
+        base.spawn("expire silent endpoints", roster_server.clone().expire_silent());
+        let publishing = publish_cores(base.cx.clone(), base.roster.clone(), roster_server);
+        base.spawn("publish the core instances", publishing);
         let detail = "no data folder: answers look-ups and redirects announcements and changes";
         base.cx.events.record(EventNumber::RoleReduced, Subject::default(), detail);
         Ok(Self { cx: base.cx, roster: base.roster, _tasks: base.tasks })
@@ -72,6 +73,7 @@
 
     /// Announces that this instance is leaving.
     pub fn stop(&self) {
+        self.cx.supervisor.start_stop();
         self.roster.update_presence(|presence| presence.leaving = true);
     }
 }
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -28,6 +28,7 @@
 use crate::roster::Role;
 use crate::roster::poller::Roster;
 use crate::roster::pulses::send_pulses;
+use crate::supervision;
 use crate::token_budgets::client::BUDGET_GROUP;
 use crate::token_budgets::client::BudgetClient;
 
@@ -81,8 +82,8 @@
         base.roster.update_presence(|presence| presence.relay_address = Some(relay_address));
         base.start_polling(settings);
         let log = Arc::new(LogClient::new(base.transport.clone(), Vec::new()));
-        base.tasks.spawn(send_pulses(base.roster.clone(), base.transport.clone()));
-        base.tasks.spawn(follow_journal(base.roster.clone(), log.clone()));
+        base.spawn("send pulses", send_pulses(base.roster.clone(), base.transport.clone()));
+        base.spawn("follow the journal", follow_journal(base.roster.clone(), log.clone()));
         let budgets = BudgetClient::start(base.cx.clone(), log);
         let roster = base.roster.clone();
         let warm_up = WarmUp::new(Instant::now(), settings.warm_up);
@@ -91,13 +92,16 @@
         let crashes = CrashReporter::start(cx.clone(), roster.clone(), base.transport.clone());
         let clients = Clients { budgets, permits, crashes: Arc::new(crashes) };
         let forwarder = Forwarder::new(cx, adapters, roster.clone(), clients, warm_up);
-        base.tasks.spawn(forwarder.clone().follow_roster());
-        base.tasks.spawn(forwarder.clone().regain_paths());
+        base.spawn("follow the roster", forwarder.clone().follow_roster());
+        base.spawn("regain paths", forwarder.clone().regain_paths());
         let relay_server = RelayServer::new(base.cx.clone(), roster.clone(), forwarder.links());
-        base.tasks.spawn(relay_server.run(relay_listener));
-        base.tasks.spawn(announce_when_ready(roster.clone(), forwarder.clone()));
+        base.spawn("serve relays", relay_server.run(relay_listener));
+        let announcing = announce_when_ready(roster.clone(), forwarder.clone());
+        base.spawn_finite("announce that requests are served", announcing);
         let (phase, phases) = watch::channel(Phase::Serving);
-        let serving = tokio::spawn(server::serve(listener, forwarder.clone(), phases));
+        let serving = server::serve(listener, forwarder.clone(), phases);
+        let serving = supervision::essential(base.cx.clone(), "serve callers", serving);
+        let serving = tokio::spawn(serving);
         let serving = Mutex::new(Some(serving));
         Ok(Self { cx: base.cx, roster, forwarder, phase, serving, _tasks: base.tasks })
     }
@@ -111,6 +115,7 @@
     /// Withdraws from address answers, waits until cached answers have expired, and finishes the
     /// requests in progress.
     pub async fn stop(&self) {
+        self.cx.supervisor.start_stop();
         self.roster.update_presence(|presence| presence.leaving = true);
         self.forwarder.drain();
         tokio::time::sleep(ADDRESS_TTL * ADDRESS_CACHE_FACTOR + LEAVE_MARGIN).await;
--- a/coriandergw/src/roles/journal.rs
+++ b/coriandergw/src/roles/journal.rs
@@ -42,7 +42,10 @@
         let name = load_or_create_name(settings, Role::Journal, &*disk)?;
         let mut base = ProcessParts::start(settings, Role::Journal, name.clone()).await?;
         base.start_polling(settings);
-        let voters = first_voters(&base.roster, &name, &*disk).await?;
+        let voters = tokio::select! {
+            voters = first_voters(&base.roster, &name, &*disk) => voters?,
+            cause = base.cx.supervisor.failed() => return Err(StartError::Task { cause }),
+        };
         let options = LogOptions {
             cluster: CLUSTER.to_owned(),
             voters,
@@ -61,12 +64,13 @@
             node: node.clone(),
             roster: base.roster.clone(),
         };
-        base.tasks.spawn(voter_set_controller.run());
+        base.spawn("keep the voters", voter_set_controller.run());
         Ok(Self { node, cx: base.cx, roster: base.roster, _tasks: base.tasks })
     }
 
     /// Announces that this instance is leaving, stops its log node and releases the data folder.
     pub async fn stop(&self) {
+        self.cx.supervisor.start_stop();
         self.roster.update_presence(|presence| presence.leaving = true);
         self.node.stop().await;
     }
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -31,6 +31,8 @@
 use crate::storage::StorageError;
 use crate::storage::file_disk::FileDisk;
 use crate::storage::identity::Identity;
+use crate::supervision;
+use crate::supervision::TaskFailure;
 use crate::transport::Transport;
 use crate::transport::tcp::TcpTransport;
 
@@ -156,6 +158,12 @@
         /// Error of the metrics library.
         cause: prometheus::Error,
     },
+    /// A background task ended while the process waited for others.
+    #[display("{cause}")]
+    Task {
+        /// The task and why it ended.
+        cause: TaskFailure,
+    },
     /// The settings do not give a valid instance name.
     #[display("{cause}")]
     Name {
@@ -210,9 +218,10 @@
             clock: clock.clone(),
             events: Arc::new(events),
             metrics: Arc::new(metrics),
+            supervisor: Arc::default(),
         };
         let address = SocketAddr::new(settings.ip, settings.port(role));
-        let transport = TcpTransport::start(name.clone(), address)
+        let transport = TcpTransport::start(&cx, address)
             .await
             .map_err(|cause| StartError::Bind { address, cause })?;
         let presence = Presence {
@@ -231,15 +240,31 @@
             lost_endpoints: false,
         };
         let roster = Roster::new(cx.clone(), presence);
-        let mut tasks = JoinSet::new();
-        tasks.spawn(report_stalls(cx.clone()));
-        Ok(Self { cx, transport, roster, tasks })
+        let mut base = Self { cx, transport, roster, tasks: JoinSet::new() };
+        base.spawn("report stalls", report_stalls(base.cx.clone()));
+        Ok(base)
     }
 
     /// Starts the task that polls the roster of the core instances.
     fn start_polling(&mut self, settings: &ProcessSettings) {
         let (transport, seeds) = (self.transport.clone(), settings.seed_addresses());
-        self.tasks.spawn(self.roster.clone().run(transport, seeds));
+        self.spawn("poll the roster", self.roster.clone().run(transport, seeds));
+    }
+
+    /// Starts a task that has to run until the process stops.
+    fn spawn<F>(&mut self, task: &'static str, future: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.tasks.spawn(supervision::essential(self.cx.clone(), task, future));
+    }
+
+    /// Starts a task that returns when its work is done.
+    fn spawn_finite<F>(&mut self, task: &'static str, future: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.tasks.spawn(supervision::finite(self.cx.clone(), task, future));
     }
 }
 
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -15,4 +15,4 @@
 mod routing;
 mod streams;
 mod versions;
-mod world;
+pub(super) mod world;
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -28,6 +28,7 @@
 use crate::roster::view::PollAnswer;
 use crate::roster::view::RosterView;
 use crate::roster::wire;
+use crate::supervision;
 use crate::transport::Kind;
 use crate::transport::Transport;
 use crate::transport::tcp::address_of;
@@ -124,6 +125,8 @@
             for core in wanted {
                 polls.entry(core).or_insert_with(|| {
                     let poll = self.clone().poll_core(transport.clone(), core);
+                    let cx = self.cx.clone();
+                    let poll = supervision::essential(cx, "poll a core instance", poll);
                     AbortOnDropHandle::new(tokio::spawn(poll))
                 });
             }
--- a/coriandergw/src/token_budgets/client.rs
+++ b/coriandergw/src/token_budgets/client.rs
@@ -16,6 +16,7 @@
 use crate::ids::GroupId;
 use crate::log_groups::ProposeError;
 use crate::log_groups::ReplicatedLog;
+use crate::supervision;
 use crate::token_budgets::BudgetError;
 use crate::token_budgets::ProposedEngine;
 use crate::token_budgets::Reservation;
@@ -62,7 +63,8 @@
     pub fn start(cx: Context, log: Arc<dyn ReplicatedLog>) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
         let in_flight = Arc::new(Semaphore::new(MAX_COMMANDS_IN_FLIGHT));
-        tokio::spawn(CommandSender { cx, log, in_flight }.run(rx));
+        let sending = CommandSender { cx: cx.clone(), log, in_flight }.run(rx);
+        tokio::spawn(supervision::finite(cx, "send budget commands", sending));
         Self { tx }
     }
 
@@ -184,10 +186,11 @@
                 batch.add(request);
             }
             let sender = self.clone();
-            tokio::spawn(async move {
+            let sending = async move {
                 sender.send_batch(batch).await;
                 drop(permit);
-            });
+            };
+            tokio::spawn(supervision::isolated("send a budget command", sending));
         }
     }
 
@@ -244,7 +247,7 @@
             return;
         }
         let sender = self.clone();
-        tokio::spawn(async move {
+        let retrying = async move {
             let wall_ms = sender.cx.clock.wall().0;
             let command = raw::Command { settles, wall_ms, ..raw::Command::default() };
             for _ in 0..MAX_SETTLE_RETRIES {
@@ -254,7 +257,8 @@
                     Err(cause) => sender.record_failure(&command, &cause),
                 }
             }
-        });
+        };
+        tokio::spawn(supervision::isolated("retry settlements", retrying));
     }
 
     fn record_failure(&self, command: &raw::Command, cause: &BudgetError) {
--- a/coriandergw/src/transport/quic.rs
+++ b/coriandergw/src/transport/quic.rs
@@ -21,8 +21,10 @@
 use tokio::sync::Mutex;
 use tokio::sync::Semaphore;
 
+use crate::context::Context;
 use crate::ids::InstanceName;
 use crate::metrics::Metrics;
+use crate::supervision;
 use crate::transport::Handler;
 use crate::transport::Kind;
 use crate::transport::PAYLOAD_MAX_BYTES;
@@ -92,7 +94,7 @@
         listen: SocketAddr,
         tls: TlsConfigs,
         fixed_peers: BTreeMap<InstanceName, SocketAddr>,
-        metrics: Arc<Metrics>,
+        cx: &Context,
     ) -> Result<Arc<Self>, StartError> {
         let endpoint = Endpoint::server(server_config(&tls), listen)
             .map_err(|cause| StartError::Bind { address: listen, cause })?;
@@ -101,11 +103,12 @@
             tls: ArcSwap::from_pointee(tls),
             peers: PeerAddresses::new(fixed_peers),
             handlers: Handlers::default(),
-            metrics,
+            metrics: cx.metrics.clone(),
             connections: Mutex::default(),
             one_way: Arc::new(Semaphore::new(ONE_WAY_IN_FLIGHT)),
         });
-        tokio::spawn(accept_connections(shared.clone()));
+        let accepting = accept_connections(shared.clone());
+        tokio::spawn(supervision::essential(cx.clone(), "accept other instances", accepting));
         Ok(Arc::new(Self { shared }))
     }
 
@@ -151,11 +154,12 @@
 async fn accept_connections(shared: Arc<Shared>) {
     while let Some(incoming) = shared.endpoint.accept().await {
         let shared = shared.clone();
-        tokio::spawn(async move {
+        let serving = async move {
             if let Ok(connection) = incoming.await {
                 serve_connection(shared, connection).await;
             }
-        });
+        };
+        tokio::spawn(supervision::isolated("serve an instance", serving));
     }
 }
 
@@ -168,11 +172,17 @@
         let (shared, from) = (shared.clone(), from.clone());
         tokio::select! {
             call = connection.accept_bi() => match call {
-                Ok((send, recv)) => drop(tokio::spawn(serve_call(shared, from, send, recv))),
+                Ok((send, recv)) => {
+                    let serving = serve_call(shared, from, send, recv);
+                    tokio::spawn(supervision::isolated("answer an instance", serving));
+                }
                 Err(_) => return,
             },
             message = connection.accept_uni() => match message {
-                Ok(recv) => drop(tokio::spawn(serve_message(shared, from, recv))),
+                Ok(recv) => {
+                    let serving = serve_message(shared, from, recv);
+                    tokio::spawn(supervision::isolated("take a message", serving));
+                }
                 Err(_) => return,
             },
         }
@@ -366,12 +376,13 @@
         };
         let shared = self.shared.clone();
         let to = to.clone();
-        tokio::spawn(async move {
+        let sending = async move {
             let delivery = shared.deliver(&to, kind, payload);
             // One-way messages are allowed to be lost; their senders repeat them.
             let _ = tokio::time::timeout(ONE_WAY_TIMEOUT, delivery).await;
             drop(permit);
-        });
+        };
+        tokio::spawn(supervision::isolated("send a message", sending));
     }
 
     async fn call(
@@ -401,13 +412,14 @@
 
     fn reconnect(&self, peer: &InstanceName) {
         let (shared, peer) = (self.shared.clone(), peer.clone());
-        tokio::spawn(async move {
+        let reconnecting = async move {
             let slot = shared.connections.lock().await.get(&peer).cloned();
             // A slot that is taken is being connected anew anyway.
             if let Some(mut connection) = slot.as_ref().and_then(|slot| slot.try_lock().ok()) {
                 *connection = None;
             }
-        });
+        };
+        tokio::spawn(supervision::isolated("reconnect to an instance", reconnecting));
     }
 }
 
--- a/coriandergw/src/transport/quic/tests.rs
+++ b/coriandergw/src/transport/quic/tests.rs
@@ -17,7 +17,7 @@
 use crate::keys::KeyPem;
 use crate::keys::make_authority;
 use crate::keys::make_certificate;
-use crate::metrics::Metrics;
+use crate::test_support;
 use crate::transport::Handler;
 use crate::transport::Kind;
 use crate::transport::PAYLOAD_MAX_BYTES;
@@ -72,9 +72,9 @@
 
 fn start(authority: &KeyPem, instance: &str, peers: &[(&str, SocketAddr)]) -> Arc<QuicTransport> {
     let peers: BTreeMap<_, _> = peers.iter().map(|(peer, at)| (name(peer), *at)).collect();
-    let metrics = Arc::new(Metrics::new().expect("metrics"));
+    let cx = test_support::context(name(instance), "dc", Arc::new(SystemClock::default()));
     let listen = "127.0.0.1:0".parse().expect("an address");
-    let transport = QuicTransport::start(listen, tls(authority, instance), peers, metrics);
+    let transport = QuicTransport::start(listen, tls(authority, instance), peers, &cx);
     let transport = transport.expect("the port is free");
     transport.register(Kind::Events, Arc::new(Echo));
     transport
--- a/coriandergw/src/transport/tcp.rs
+++ b/coriandergw/src/transport/tcp.rs
@@ -26,7 +26,9 @@
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::context::Context;
 use crate::ids::InstanceName;
+use crate::supervision;
 use crate::transport::Handler;
 use crate::transport::Kind;
 use crate::transport::PAYLOAD_MAX_BYTES;
@@ -89,10 +91,13 @@
     ///
     /// # Errors
     /// Fails if the address cannot be bound.
-    pub async fn start(name: InstanceName, listen: SocketAddr) -> std::io::Result<Arc<Self>> {
+    pub async fn start(cx: &Context, listen: SocketAddr) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind(listen).await?;
         let handlers = Arc::<Handlers>::default();
-        let accepting = tokio::spawn(accept(listener, name.clone(), handlers.clone()));
+        let name = cx.instance.clone();
+        let accepting = accept(listener, name.clone(), handlers.clone());
+        let accepting = supervision::essential(cx.clone(), "accept other instances", accepting);
+        let accepting = tokio::spawn(accepting);
         Ok(Arc::new(Self {
             name,
             handlers,
@@ -117,7 +122,7 @@
         let _ = tx.try_send(outbound);
         links.insert(to.clone(), tx);
         let link = Link { own: self.name.clone(), peer: to.clone(), address, rx };
-        tokio::spawn(link.run());
+        tokio::spawn(supervision::isolated("exchange with an instance", link.run()));
         Ok(())
     }
 }
@@ -328,7 +333,8 @@
         match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                connections.spawn(serve(stream, own.clone(), handlers.clone()));
+                let serving = serve(stream, own.clone(), handlers.clone());
+                connections.spawn(supervision::isolated("serve an instance", serving));
             }
             Err(cause) => {
                 log::warn!("a connection of another instance was not accepted: {cause}");
@@ -408,13 +414,14 @@
         }
         (FrameKind::Call, Some(handler)) => {
             let (from, tx) = (from.clone(), tx.clone());
-            tokio::spawn(async move {
+            let answering = async move {
                 let (kind, payload) = match handler.handle(&from, payload).await {
                     Ok(payload) => (FrameKind::Answer, payload),
                     Err(reason) => (FrameKind::Refusal, Bytes::from(reason)),
                 };
                 let _ = tx.send(Frame { kind, id, message, payload }).await;
-            });
+            };
+            tokio::spawn(supervision::isolated("answer an instance", answering));
         }
         (FrameKind::Call, None) => {
             let payload = Bytes::from_static(b"no handler for this kind");
--- a/coriandergw/src/transport/tcp/tests.rs
+++ b/coriandergw/src/transport/tcp/tests.rs
@@ -8,7 +8,9 @@
 use bytes::BytesMut;
 use tokio::net::TcpListener;
 
+use crate::clock::SystemClock;
 use crate::ids::InstanceName;
+use crate::test_support;
 use crate::transport::Handler;
 use crate::transport::Kind;
 use crate::transport::Transport;
@@ -45,7 +47,8 @@
 async fn start(incarnation: &str) -> (InstanceName, Arc<TcpTransport>) {
     let address = free_address().await;
     let name = name(&format!("{address}/{incarnation}"));
-    let transport = TcpTransport::start(name.clone(), address).await.expect("started");
+    let context = test_support::context(name.clone(), "dc", Arc::new(SystemClock::default()));
+    let transport = TcpTransport::start(&context, address).await.expect("started");
     transport.register(Kind::Control, Arc::new(Echo));
     (name, transport)
 }
