fix(forwarding): take no late copy of a refusal for the answer to the next request

Callers saw: a request that must not repeat ran twice, or was answered with a failure of another request, when an endpoint wrote an earlier refusal once more on a connection in use again and the copy stated no attempt. Cause: only a success had to echo the attempt of its request; a refusal without one was taken as the answer. Change: on a connection from which an answer has been read, every further one must state its attempt; one that does not is a lost answer. A refusal without an attempt on a new connection still means that the request has not run.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -140,8 +140,9 @@
     }
 
     /// Returns the connection to the pool after the whole response has been read.
-    pub(super) fn finish(self, pool: &Pool, now: Timestamp) {
+    pub(super) fn finish(mut self, pool: &Pool, now: Timestamp) {
         if !self.closes_connection {
+            self.connection.has_answered = true;
             pool.put(&self.endpoint.id, self.endpoint.address, self.connection, now);
         }
     }
@@ -217,8 +218,9 @@
             Some(attempt) if *attempt != upstream_request.head.attempt => {
                 return Err(lost("the response belongs to another request", is_reused));
             }
-            // Only the attempt tells a late copy of an earlier response from this one.
-            None if parts.status.is_success() => {
+            // Only the attempt tells a late copy of an earlier response, also of a refusal, from
+            // this one.
+            None if parts.status.is_success() || connection.has_answered => {
                 return Err(lost("the response does not state its request", is_reused));
             }
             _ => {}
--- a/coriandergw/src/forwarding/pool.rs
+++ b/coriandergw/src/forwarding/pool.rs
@@ -62,6 +62,8 @@
     /// How long the endpoint keeps the connection open while idle.
     pub(super) keep_alive: Duration,
     pub(super) is_reused: bool,
+    /// Whether a response has been read from it, of which a copy may follow.
+    pub(super) has_answered: bool,
     /// What was read since the last head or content.
     pub(super) unproductive: UnproductiveBytes,
     pub(super) path: ConnectionPath,
@@ -170,8 +172,9 @@
         }
     });
     let driver = driver.abort_handle();
-    let (keep_alive, is_reused) = (IDLE_TIMEOUT, false);
-    Ok(Connection { sender, driver, keep_alive, is_reused, unproductive, path })
+    let keep_alive = IDLE_TIMEOUT;
+    let (is_reused, has_answered) = (false, false);
+    Ok(Connection { sender, driver, keep_alive, is_reused, has_answered, unproductive, path })
 }
 
 /// The pool, shared between the requests of an instance.
--- a/coriandergw/src/roles/tests/dishonest.rs
+++ b/coriandergw/src/roles/tests/dishonest.rs
@@ -1,8 +1,14 @@
 //! Tests with faulty endpoints: truncated, duplicate, misattributed, unsigned and non-HTTP answers.
 
+use std::time::Duration;
+
 use crate::roles::tests::endpoint::Endpoint;
+use crate::roles::tests::endpoint::Seen;
 use crate::roles::tests::endpoint::Step;
 use crate::roles::tests::endpoint::answer;
+use crate::roles::tests::endpoint::chunk;
+use crate::roles::tests::endpoint::last_chunk;
+use crate::roles::tests::endpoint::stream_head;
 use crate::roles::tests::world::World;
 use crate::roles::tests::world::get;
 use crate::roles::tests::world::post;
@@ -120,6 +126,99 @@
     }
 }
 
+/// The status lines and headers of refusals and failures that an endpoint writes.
+const REFUSALS: [&str; 6] = [
+    "503 Busy\r\nnot-run: 1",
+    "429 Slow Down\r\nnot-run: 1",
+    "421 Misdirected\r\nnot-run: 1",
+    "400 Bad\r\nnot-run: 1",
+    "503 Busy",
+    "500 Failed",
+];
+
+/// Returns a refusal that states the attempt of another request or none.
+fn refusal_of(refusal: &str, attempt: Option<&str>) -> Vec<u8> {
+    let attempt = attempt.map(|attempt| format!("attempt: {attempt}\r\n")).unwrap_or_default();
+    format!("HTTP/1.1 {refusal}\r\n{attempt}content-length: 0\r\n\r\n").into_bytes()
+}
+
+/// Returns a whole answer to a request, an event stream where the route has those.
+fn whole_answer(seen: &Seen) -> Vec<u8> {
+    let attempt = seen.header("attempt").unwrap_or_default();
+    match seen.path() {
+        "/fragile/x" => {
+            [stream_head(&attempt), chunk(&format!("id: 1\ndata: of {attempt}\n\n")), last_chunk()]
+                .concat()
+        }
+        _ => answer(&attempt, &format!("of {attempt}")),
+    }
+}
+
+// Guards against a late copy of an earlier refusal that is taken for the answer to a request that
+// the endpoint runs: told as not run, or run a second time.
+#[tokio::test]
+async fn a_late_copy_of_a_refusal_is_not_the_answer_to_the_next_request() {
+    for path in ["/once/x", "/fragile/x"] {
+        for (refusal, attempt) in REFUSALS.iter().flat_map(|one| [(one, None), (one, Some("t1"))]) {
+            let world = World::start().await;
+            let endpoint = Endpoint::start(move |number, seen| match number {
+                1 => vec![Step::Send(refusal_of(refusal, attempt)), Step::Send(whole_answer(seen))],
+                _ => vec![Step::Send(whole_answer(seen))],
+            })
+            .await;
+            world.announce("a", "plain", &endpoint).await;
+            world.announce("b", "engines", &endpoint).await;
+            let first = world.ask(&post(path, "t1", "", "pay")).await;
+            assert!(first.contains("of t1"), "{first}");
+            let second = world.ask(&post(path, "t2", "", "pay")).await;
+            assert_eq!(status(&second), "502", "{path}, {refusal}, {attempt:?}: {second}");
+            assert!(second.contains("\"not_run\":false"), "{path}, {refusal}: {second}");
+            assert_eq!(endpoint.seen().len(), 2, "{path}, {refusal}, {attempt:?}");
+        }
+    }
+}
+
+// Guards against a copy of a refusal that arrives around the time at which the next request is
+// written, before or after it.
+#[tokio::test]
+async fn a_copy_of_a_refusal_on_an_idle_connection_is_not_the_answer_to_the_next_request() {
+    for pause in [0, 0, 0, 0, 1, 1, 2, 3, 5, 30].map(Duration::from_millis) {
+        for refusal in REFUSALS {
+            let world = World::start().await;
+            let endpoint = Endpoint::start(move |number, seen| match number {
+                0 => vec![Step::Send(whole_answer(seen)), Step::Send(refusal_of(refusal, None))],
+                _ => vec![Step::Send(whole_answer(seen))],
+            })
+            .await;
+            world.announce("a", "plain", &endpoint).await;
+            world.ask(&post("/once/x", "t1", "", "pay")).await;
+            tokio::time::sleep(pause).await;
+            let second = world.ask(&post("/once/x", "t2", "", "pay")).await;
+            let is_own = second.ends_with("of t2") || status(&second) == "502";
+            assert!(is_own, "{refusal} after {pause:?}: {second}");
+            assert_eq!(endpoint.seen().len(), 2, "{refusal} after {pause:?}: {second}");
+        }
+    }
+}
+
+// Guards against refusals that do not state the attempt being taken for lost answers although no
+// other request was sent on their connection.
+#[tokio::test]
+async fn a_refusal_without_an_attempt_on_a_new_connection_has_not_run() {
+    for refusal in &REFUSALS[..4] {
+        let world = World::start().await;
+        let endpoint = Endpoint::start(move |number, seen| match number {
+            0 => vec![Step::Send(refusal_of(refusal, None))],
+            _ => vec![Step::Send(whole_answer(seen))],
+        })
+        .await;
+        world.announce("a", "plain", &endpoint).await;
+        let reply = world.ask(&post("/once/x", "t1", "", "pay")).await;
+        assert!(reply.ends_with("of t1"), "{refusal}: {reply}");
+        assert_eq!(endpoint.seen().len(), 2, "{refusal}");
+    }
+}
+
 #[tokio::test]
 async fn a_refusal_that_has_not_run_goes_to_another_endpoint() {
     let world = World::start().await;
