fix(forwarding): break a stream off when the next answer does not continue it

Callers saw: text of another answer in the middle of a resumed stream, and events without identifiers twice. Cause: only the status of the answer to a resumption was checked, not its type or its events; a stream whose events have no identifiers was resumed from its start. Evidence, the new tests on the code before: `200, plain` failed with the foreign text in the reply, and `a_stream_whose_events_have_no_ids_is_not_resumed` with the first event more than once. 500, 500 with an event and 503 passed before; the cases after `200, plain` were not reached on the code before. Change: a resumed stream must have the media type of the first and no content encoding, begin with a numbered event, with the next number where the numbers grew by one so far, and not end before the last event that was passed on; else the stream is broken off. A stream with events without identifiers is not resumed.

--- a/coriandergw/src/forwarding/events.rs
+++ b/coriandergw/src/forwarding/events.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use derive_more::Display;
 
 /// The maximum size of a buffered incomplete event, in bytes.
 const EVENT_MAX_BYTES: usize = 1 << 20;
@@ -15,6 +16,34 @@
     pub(super) count: u64,
 }
 
+/// Why bytes are not passed on as events of the stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
+pub(super) enum EventFault {
+    /// The incomplete event exceeds [`EVENT_MAX_BYTES`].
+    #[display("an event exceeds the limit of {EVENT_MAX_BYTES} bytes")]
+    TooLarge,
+    /// The resumed stream goes on after events that the caller has not received.
+    #[display("event {found} does not follow event {last} in the resumed stream")]
+    Gap {
+        /// The last event that the caller received.
+        last: u64,
+        /// The first event of the resumed stream that is new.
+        found: u64,
+    },
+    /// The resumed stream does not begin with an event that has an identifier.
+    #[display("the resumed stream begins with something other than a numbered event")]
+    Unnumbered,
+    /// The stream started anew and ended before the last event that the caller received.
+    #[display("the stream ended after event {found}, event {last} was passed on before")]
+    EndedBefore {
+        /// The last event that the caller received.
+        last: u64,
+        /// The last event of the stream.
+        found: u64,
+    },
+}
+
 /// Buffers bytes until they form complete events.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
@@ -22,6 +51,15 @@
     /// The offset at which the search for the end of an event continues.
     searched: usize,
     last_id: Option<u64>,
+    /// The last event that was skipped since the stream started or was resumed.
+    skipped: Option<u64>,
+    /// Whether the stream was resumed and no new event has followed yet.
+    is_resuming: bool,
+    /// The widest step between the identifiers of consecutive events.
+    widest_step: u64,
+    /// Whether something other than a comment was passed on without an identifier, which a resumed
+    /// stream would repeat.
+    has_unnumbered: bool,
 }
 
 impl EventSplitter {
@@ -46,27 +84,78 @@
         self.searched = 0;
     }
 
-    /// Adds bytes and returns the events that they complete; `None` if the incomplete event exceeds
-    /// [`EVENT_MAX_BYTES`].
-    pub(super) fn push(&mut self, data: &[u8]) -> Option<CompleteEvents> {
+    /// Returns whether a stream resumed after the last identifier repeats nothing.
+    pub(super) fn can_resume(&self) -> bool {
+        !self.has_unnumbered
+    }
+
+    /// Prepares for a stream that is to go on after the last complete event.
+    pub(super) fn start_resumption(&mut self) {
+        self.discard_partial_event();
+        self.skipped = None;
+        self.is_resuming = true;
+    }
+
+    /// Adds bytes and returns the events that they complete.
+    ///
+    /// # Errors
+    /// Says why the bytes are no events of the stream.
+    pub(super) fn push(&mut self, data: &[u8]) -> Result<CompleteEvents, EventFault> {
         self.buf.extend_from_slice(data);
         let mut complete = BytesMut::new();
         let mut count = 0;
         while let Some(end) = self.event_end() {
             let event = self.buf.split_to(end);
             self.searched = 0;
-            let id = event_id(&event);
-            // Skip events that the caller has already received.
-            if id.is_some() && id <= self.last_id {
-                continue;
+            match event_id(&event) {
+                // Skip events that the caller has already received.
+                Some(id) if Some(id) <= self.last_id => {
+                    self.skipped = self.skipped.max(Some(id));
+                    continue;
+                }
+                Some(id) => self.note_new(id)?,
+                None if is_comment(&event) => {}
+                None if self.is_resuming && self.last_id.is_some() => {
+                    return Err(EventFault::Unnumbered);
+                }
+                None => self.has_unnumbered = true,
             }
-            self.last_id = id.or(self.last_id);
             count += 1;
             complete.unsplit(event);
         }
         self.searched = self.buf.len().saturating_sub(3);
-        (self.buf.len() <= EVENT_MAX_BYTES)
-            .then(|| CompleteEvents { bytes: complete.freeze(), count })
+        match self.buf.len() <= EVENT_MAX_BYTES {
+            true => Ok(CompleteEvents { bytes: complete.freeze(), count }),
+            false => Err(EventFault::TooLarge),
+        }
+    }
+
+    /// Records the identifier of a new event.
+    fn note_new(&mut self, id: u64) -> Result<(), EventFault> {
+        let last = self.last_id.unwrap_or(0);
+        let step = id - last;
+        // Identifiers that have not grown by one each time say nothing of what is missing.
+        if self.is_resuming && self.widest_step == 1 && step > 1 {
+            return Err(EventFault::Gap { last, found: id });
+        }
+        self.widest_step = self.widest_step.max(step);
+        self.last_id = Some(id);
+        self.is_resuming = false;
+        self.has_unnumbered = false;
+        Ok(())
+    }
+
+    /// Checks a stream that ended in order.
+    ///
+    /// # Errors
+    /// Fails if the stream ended before the last event that the caller received.
+    pub(super) fn check_end(&self) -> Result<(), EventFault> {
+        match (self.skipped, self.last_id) {
+            (Some(found), Some(last)) if found < last && self.is_resuming => {
+                Err(EventFault::EndedBefore { last, found })
+            }
+            _ => Ok(()),
+        }
     }
 
     /// Returns the length of the first event, including the empty line that terminates it.
@@ -86,3 +175,9 @@
     let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
     id.trim().parse().ok()
 }
+
+/// Returns whether each line is a comment or sets the delay before a reconnection.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| matches!(byte, b'\r' | b'\n'));
+    lines.all(|line| line.is_empty() || line.starts_with(b":") || line.starts_with(b"retry:"))
+}
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -8,6 +8,7 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Frame;
@@ -15,6 +16,7 @@
 
 use crate::forwarding::attempt::UpstreamRequest;
 use crate::forwarding::attempt::UpstreamResponse;
+use crate::forwarding::events::EventFault;
 use crate::forwarding::events::EventSplitter;
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::forwarder::RequestPlan;
@@ -93,20 +95,26 @@
             let failure = match tokio::time::timeout_at(deadline, frame).await {
                 Err(_) => return self.deadline_passed(),
                 Ok(Err(reason)) => reason,
-                Ok(Ok(None)) if !self.splitter.has_partial_event() => return self.finish(),
+                Ok(Ok(None)) if !self.splitter.has_partial_event() => {
+                    return match self.splitter.check_end() {
+                        Ok(()) => self.finish(),
+                        Err(fault) => self.abort(fault.to_string()),
+                    };
+                }
                 Ok(Ok(None)) => "the stream ended in the middle of an event".to_owned(),
                 Ok(Ok(Some(Err(cause)))) => cause.to_string(),
                 Ok(Ok(Some(Ok(frame)))) => match frame.into_data() {
                     Err(_) => continue,
                     Ok(data) => match self.splitter.push(&data) {
-                        Some(events) if events.count == 0 => continue,
-                        Some(events) => {
+                        Ok(events) if events.count == 0 => continue,
+                        Ok(events) => {
                             if let Err(reason) = self.keep_version().await {
                                 return self.abort(reason);
                             }
                             return self.forward_events(events.bytes, events.count);
                         }
-                        None => "an event exceeds the size limit".to_owned(),
+                        Err(fault @ EventFault::TooLarge) => fault.to_string(),
+                        Err(fault) => return self.abort(fault.to_string()),
                     },
                 },
             };
@@ -170,8 +178,9 @@
             return Err(failure.to_owned());
         };
         let endpoint = response.endpoint.clone();
+        let media_type = media_type(&response.headers);
         drop(response);
-        self.splitter.discard_partial_event();
+        self.splitter.start_resumption();
         let retryable = self.forwarder.record_lost_response(
             &mut self.plan,
             &self.upstream_request,
@@ -179,6 +188,9 @@
             failure,
         );
         retryable.await.map_err(|refusal| refusal.to_string())?;
+        if !self.splitter.can_resume() {
+            return Err(format!("{failure}; the events have no identifiers to resume after"));
+        }
         let forwarder = self.forwarder.clone();
         let last_event = self.splitter.last_id();
         let resumed =
@@ -190,6 +202,10 @@
                 response.status.as_u16()
             ));
         }
+        let found = self::media_type(&response.headers);
+        if found != media_type || response.headers.contains_key(header::CONTENT_ENCODING) {
+            return Err(format!("resuming the stream failed with content type {found:?}"));
+        }
         if let Some(turn) = &mut self.turn {
             turn.set_engine(&response.endpoint);
         }
@@ -198,6 +214,13 @@
     }
 }
 
+/// Returns the media type of a response in lower case, without parameters; empty if there is none.
+fn media_type(headers: &HeaderMap) -> String {
+    let value = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let essence = value.and_then(|value| value.split(';').next()).unwrap_or_default();
+    essence.trim().to_ascii_lowercase()
+}
+
 /// Passes an endpoint's response on unchanged, without inspecting its body. `beginning` is the part
 /// of the body that has already been read.
 pub(super) fn pass_through(
--- a/coriandergw/src/roles/tests/streams.rs
+++ b/coriandergw/src/roles/tests/streams.rs
@@ -141,3 +141,109 @@
     assert!(!reply.ends_with("0\r\n\r\n"), "it does not look complete: {reply}");
     wait_for("the end of the connection to the endpoint", || endpoint.closed() == 1).await;
 }
+
+/// What the caller must not find in its stream.
+const FOREIGN: &str = "foreign text";
+
+/// Returns the head of an answer with the attempt of a request and a signature.
+fn signed_head(seen: &Seen, status: &str, more: &str) -> Vec<u8> {
+    let attempt = seen.header("attempt").unwrap_or_default();
+    format!("HTTP/1.1 {status}\r\nattempt: {attempt}\r\nsigned: yes\r\n{more}\r\n").into_bytes()
+}
+
+/// Returns an answer whose body is `body`.
+fn whole(seen: &Seen, status: &str, content_type: &str, body: &str) -> Vec<Step> {
+    let more = format!("content-type: {content_type}\r\ncontent-length: {}\r\n", body.len());
+    vec![Step::Send([signed_head(seen, status, &more), body.as_bytes().to_vec()].concat())]
+}
+
+/// An answer of the next endpoint that does not continue the stream.
+type WrongAnswer = fn(&Seen) -> Vec<Step>;
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+const WRONG_ANSWERS: [(&str, WrongAnswer); 12] = [
+    ("500", |seen| whole(seen, "500 Failed", "text/plain", &format!("{FOREIGN}\n\n"))),
+    ("500 with an event", |seen| {
+        whole(seen, "500 Failed", EVENT_STREAM, &format!("id: 4\ndata: {FOREIGN}\n\n"))
+    }),
+    ("503, not run", |seen| {
+        let more = format!("not-run: 1\r\ncontent-length: {}\r\n", FOREIGN.len());
+        let head = signed_head(seen, "503 Busy", &more);
+        vec![Step::Send([head, FOREIGN.as_bytes().to_vec()].concat())]
+    }),
+    ("200, plain", |seen| whole(seen, "200 OK", "text/plain", &format!("{FOREIGN}\n\n"))),
+    ("200, plain with an event", |seen| {
+        whole(seen, "200 OK", "application/json", &format!("id: 4\ndata: {FOREIGN}\n\n"))
+    }),
+    ("200, no content", |seen| whole(seen, "200 OK", "text/plain", "")),
+    ("a gap", |seen| whole(seen, "200 OK", EVENT_STREAM, &format!("id: 6\ndata: {FOREIGN}\n\n"))),
+    ("no id", |seen| whole(seen, "200 OK", EVENT_STREAM, &format!("data: {FOREIGN}\n\n"))),
+    ("an error and no id", |seen| {
+        let error = format!("event: error\ndata: {FOREIGN}\n\n");
+        whole(seen, "200 OK", EVENT_STREAM, &format!("{}{error}", event(3)))
+    }),
+    ("an earlier end", |seen| {
+        whole(seen, "200 OK", EVENT_STREAM, &format!("{}{}", event(1), event(2)))
+    }),
+    ("204", |seen| vec![Step::Send(signed_head(seen, "204 No Content", ""))]),
+    ("206", |seen| whole(seen, "206 Partial Content", EVENT_STREAM, &event(4))),
+];
+
+// Guards against an answer that does not continue a stream being found in the stream, or taken for
+// its end.
+#[tokio::test]
+async fn a_stream_is_broken_off_when_the_next_answer_does_not_continue_it() {
+    for (name, wrong) in WRONG_ANSWERS {
+        let world = World::start().await;
+        let endpoint = Endpoint::start(move |number, seen| match number {
+            0 => truncated_stream(seen),
+            _ => wrong(seen),
+        })
+        .await;
+        world.announce("a", "engines", &endpoint).await;
+        let reply = world.ask(&post("/stream/x", "t1", "deadline: 3000\r\n", "prompt")).await;
+        assert_eq!(event_ids(&reply), [1, 2, 3], "{name}: {reply}");
+        assert!(!reply.contains(FOREIGN), "{name}: {reply}");
+        assert_eq!(reply.matches("HTTP/1.1").count(), 1, "{name}: {reply}");
+        assert!(!reply.ends_with("0\r\n\r\n"), "{name}: {reply}");
+        assert!(endpoint.seen().len() >= 2, "{name}: the stream was to be resumed");
+    }
+}
+
+// Guards against a stream that lost just its end being broken off for good.
+#[tokio::test]
+async fn a_stream_that_lacks_only_its_end_is_complete_when_nothing_follows() {
+    for events in [vec![], vec![3], vec![1, 2, 3]] {
+        let world = World::start().await;
+        let endpoint = Endpoint::start(move |number, seen| match number {
+            0 => truncated_stream(seen),
+            _ => {
+                let body: String = events.iter().map(|id| event(*id)).collect();
+                whole(seen, "200 OK", "text/event-stream; charset=utf-8", &body)
+            }
+        })
+        .await;
+        world.announce("a", "engines", &endpoint).await;
+        let reply = world.ask(&post("/stream/x", "t1", "", "prompt")).await;
+        assert_eq!(event_ids(&reply), [1, 2, 3], "{reply}");
+        assert!(reply.ends_with("0\r\n\r\n"), "{reply}");
+    }
+}
+
+// Guards against events that are passed on twice because they have no ID to resume after.
+#[tokio::test]
+async fn a_stream_whose_events_have_no_ids_is_not_resumed() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        let bytes = [stream_head(&attempt), chunk("data: one\n\n"), chunk("data: tw")].concat();
+        vec![Step::Send(bytes), Step::Close]
+    })
+    .await;
+    world.announce("a", "engines", &endpoint).await;
+    let reply = world.ask(&post("/stream/x", "t1", "deadline: 1000\r\n", "prompt")).await;
+    assert_eq!(reply.matches("data: one").count(), 1, "{reply}");
+    assert!(!reply.ends_with("0\r\n\r\n"), "{reply}");
+    assert_eq!(endpoint.seen().len(), 1);
+}
