fix(forwarding): write the events that came before a break

Callers saw: a closed connection without a head or an event, where an endpoint's whole events and the end of its stream within an event arrived together. Cause: the server drops what it has not written when the body of a response fails. Evidence, the new test on the code before: `framing 1`, left [] right [1, 2, 3]. Change: the relay yields once before it fails the body. What the connection to the caller does not take at once is still dropped. Result: `a_stream_that_ends_in_order_within_an_event_is_not_complete` passes.

--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -74,7 +74,12 @@
             let mut relay = relay?;
             match relay.next().await {
                 StreamStep::Data(bytes) => Some((Ok(Frame::data(bytes)), Some(relay))),
-                StreamStep::Failed(reason) => Some((Err(BodyError::from(reason)), None)),
+                StreamStep::Failed(reason) => {
+                    // The server drops what it has not written when the body fails, so that it gets
+                    // a turn to write before.
+                    tokio::task::yield_now().await;
+                    Some((Err(BodyError::from(reason)), None))
+                }
                 StreamStep::End => None,
             }
         });
--- a/coriandergw/src/roles/tests/streams.rs
+++ b/coriandergw/src/roles/tests/streams.rs
@@ -247,3 +247,47 @@
     assert!(!reply.ends_with("0\r\n\r\n"), "{reply}");
     assert_eq!(endpoint.seen().len(), 1);
 }
+
+/// Returns the answers that end in order within the fourth event: in chunks, with a length, and with
+/// their connection.
+fn ended_within_event(seen: &Seen) -> [Vec<Step>; 3] {
+    let attempt = seen.header("attempt").unwrap_or_default();
+    let part = "id: 4\ndata: pie\n";
+    let events: String = (1..=3).map(event).collect();
+    let body = format!("{events}{part}");
+    let chunked = [stream_head(&attempt), chunk(&events), chunk(part), last_chunk()].concat();
+    let head = signed_head(seen, "200 OK", "content-type: text/event-stream\r\n");
+    let until_close = [head, body.as_bytes().to_vec()].concat();
+    [
+        vec![Step::Send(chunked)],
+        whole(seen, "200 OK", EVENT_STREAM, &body),
+        vec![Step::Send(until_close), Step::Close],
+    ]
+}
+
+// Guards against a stream that ends in order within an event being taken for complete, or the part
+// of the event being passed on.
+#[tokio::test]
+async fn a_stream_that_ends_in_order_within_an_event_is_not_complete() {
+    for framing in 0..3 {
+        let world = World::start().await;
+        let endpoint = Endpoint::start(move |number, seen| match (number, seen.path()) {
+            (0, _) | (_, "/fragile/x") => {
+                ended_within_event(seen).into_iter().nth(framing).expect("an answer")
+            }
+            _ => remaining_events(seen),
+        })
+        .await;
+        world.announce("a", "engines", &endpoint).await;
+        let reply = world.ask(&post("/stream/x", "t1", "", "prompt")).await;
+        assert_eq!(event_ids(&reply), [1, 2, 3, 4, 5, 6], "framing {framing}: {reply}");
+        assert!(!reply.contains("pie\n"), "framing {framing}: {reply}");
+        assert!(reply.ends_with("0\r\n\r\n"), "framing {framing}: {reply}");
+        assert_eq!(endpoint.seen().len(), 2, "framing {framing}");
+        let reply = world.ask(&post("/fragile/x", "t2", "", "prompt")).await;
+        assert_eq!(event_ids(&reply), [1, 2, 3], "framing {framing}: {reply}");
+        assert!(!reply.contains("pie\n"), "framing {framing}: {reply}");
+        assert!(!reply.ends_with("0\r\n\r\n"), "framing {framing}: {reply}");
+        assert_eq!(endpoint.seen().len(), 3, "framing {framing}");
+    }
+}
