test(entry): cut answers off at every byte and end them with their connection

Answers with a length, in chunks, without a length, of HTTP/1.0 and event streams, each cut after every byte by a close and by a reset; answers without a length that end by a close, by the end of the sending half and by a reset.

--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -3,6 +3,7 @@
 
 mod budgets;
 mod crashes;
+mod cut_off;
 mod directory;
 mod dishonest;
 mod endless;
--- a/coriandergw/src/roles/tests/endpoint.rs
+++ b/coriandergw/src/roles/tests/endpoint.rs
@@ -45,6 +45,8 @@
     Reset,
     /// Closes the connection after the bytes sent so far.
     Close,
+    /// Ends the sending half of the connection and goes on to read requests.
+    EndSending,
     /// Ends the endpoint with all its connections; further ones are refused.
     Crash,
     /// Sends nothing more and keeps the connection open until the peer closes it.
@@ -151,6 +153,11 @@
                     }
                     Step::Wait(pause) => tokio::time::sleep(pause).await,
                     Step::Close => return,
+                    Step::EndSending => {
+                        if stream.shutdown().await.is_err() {
+                            return;
+                        }
+                    }
                     Step::Crash => {
                         self.crashed.cancel();
                         return;
