fix(log-groups): end the process when its log ends for good

What callers could see: turns or changes that one instance never takes part in again, from a process that looks healthy, as after a panic in the log's task. The test lets the data folder become another instance's while its disk refuses a write.

Also fits the tests of released frames to the transport, which takes the context now.

--- a/coriandergw/src/compatibility/transport.rs
+++ b/coriandergw/src/compatibility/transport.rs
@@ -12,7 +12,10 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::clock::SystemClock;
+use crate::context::Context;
 use crate::ids::InstanceName;
+use crate::test_support;
 use crate::transport::Handler;
 use crate::transport::Kind;
 use crate::transport::Transport as _;
@@ -33,6 +36,10 @@
     InstanceName::try_from(text).expect("a name")
 }
 
+fn context(instance: InstanceName) -> Context {
+    test_support::context(instance, "dc", Arc::new(SystemClock::default()))
+}
+
 /// Returns the hello of the released build.
 fn hello(from: &str, to: &str) -> Vec<u8> {
     let names = [from, to].map(|name| [&[name.len() as u8], name.as_bytes()].concat());
@@ -45,7 +52,7 @@
     let address = free.local_addr().expect("an address");
     drop(free);
     let own = format!("{address}/0");
-    let transport = TcpTransport::start(name(&own), address).await.expect("started");
+    let transport = TcpTransport::start(&context(name(&own)), address).await.expect("started");
     transport.register(Kind::Roster, Arc::new(Echo));
     let mut stream = TcpStream::connect(address).await.expect("connected");
     stream.write_all(&hello("10.0.0.9:7380/1", &own)).await.expect("written");
@@ -93,7 +100,7 @@
     let peer = format!("{}/0", listener.local_addr().expect("an address"));
     let own = name("127.0.0.1:1/3");
     let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let transport = TcpTransport::start(own.clone(), listen).await.expect("started");
+    let transport = TcpTransport::start(&context(own.clone()), listen).await.expect("started");
     let serving = tokio::spawn({
         let expected = [
             hello(own.as_str(), &peer),
--- a/coriandergw/src/log_groups/driver.rs
+++ b/coriandergw/src/log_groups/driver.rs
@@ -142,8 +142,8 @@
     }
 
     /// Runs until the driver is stopped, the data folder is of no use any more or a state machine
-    /// refuses a snapshot.
-    pub async fn run(mut self) {
+    /// refuses a snapshot; returns whether it was stopped.
+    pub async fn run(mut self) -> bool {
         loop {
             let wait = self.wait();
             let keeps_running = tokio::select! {
@@ -164,6 +164,7 @@
             self.report(EventNumber::LogStopped, detail.to_owned());
         }
         self.writer.close().await;
+        self.is_stopped
     }
 
     /// Returns how long to wait for an input before the next deadline of a group.
--- a/coriandergw/src/log_groups/node.rs
+++ b/coriandergw/src/log_groups/node.rs
@@ -44,6 +44,7 @@
 use crate::storage::store::Opened;
 use crate::storage::store::Store;
 use crate::storage::store::StoreOptions;
+use crate::supervision;
 use crate::transport::Handler;
 use crate::transport::Kind;
 use crate::transport::Transport;
@@ -164,7 +165,7 @@
         let client = client.with_local(cx.instance.clone(), local);
         let (is_writable, writable) = watch::channel(true);
         let driver = Driver::new(DriverParts {
-            cx,
+            cx: cx.clone(),
             transport,
             cluster,
             groups: started,
@@ -174,7 +175,8 @@
             inputs: receiver,
             pulses,
         });
-        let task = Mutex::new(Some(tokio::spawn(driver.run())));
+        let running = supervision::until_stopped(cx, "run the log groups", driver.run());
+        let task = Mutex::new(Some(tokio::spawn(running)));
         Ok(Arc::new(Self { client, inputs, views, writable, task }))
     }
 
@@ -209,11 +211,6 @@
         *self.writable.borrow()
     }
 
-    /// Waits until the log has ended, whether it was stopped or cannot go on.
-    pub async fn ended(&self) {
-        self.inputs.closed().await;
-    }
-
     /// Sets the voters that proposals from this instance may be sent to.
     pub fn note_voters(&self, voters: Vec<InstanceName>) {
         self.client.set_voters(voters);
--- a/coriandergw/src/log_groups/tests/disks.rs
+++ b/coriandergw/src/log_groups/tests/disks.rs
@@ -17,6 +17,7 @@
 use crate::log_groups::test_cluster::name;
 use crate::log_groups::tests::NO_SNAPSHOTS;
 use crate::storage::Disk;
+use crate::storage::identity::IDENTITY_FILE;
 use crate::storage::store::LOG_FILE;
 use crate::test_support::wait_for;
 
@@ -205,3 +206,18 @@
         }
     }
 }
+
+/// Guards against a process that stays up after its log has ended for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_whose_data_folder_became_foreign_ends_the_process() {
+    let cluster = Cluster::start(NO_SNAPSHOTS).await;
+    let leader = cluster.leader(None).await;
+    let (at, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    let foreign = cluster.members[other].disk.read(IDENTITY_FILE).expect("reads");
+    let foreign = foreign.expect("is there");
+    cluster.members[at].disk.replace(IDENTITY_FILE, &foreign).expect("replaces");
+    refuse_one_write(&cluster, at).await;
+    let failure = cluster.members[at].cx.supervisor.failed().await;
+    assert_eq!(failure.task, "run the log groups");
+    assert!(cluster.members[at].has_event(EventNumber::LogStopped));
+}
--- a/coriandergw/src/supervision/mod.rs
+++ b/coriandergw/src/supervision/mod.rs
@@ -97,6 +97,19 @@
     }
 }
 
+/// Runs a task that returns whether it was stopped by its owner. Any other end is a failure.
+pub async fn until_stopped<F>(cx: Context, task: &'static str, future: F)
+where
+    F: Future<Output = bool>,
+{
+    let reason = match AssertUnwindSafe(future).catch_unwind().await {
+        Ok(true) => return,
+        Ok(false) => "it cannot go on".to_owned(),
+        Err(panic) => describe(&*panic),
+    };
+    report(&cx, TaskFailure { task, reason });
+}
+
 /// Runs the task of one connection or request. A panic is logged and ends nothing else.
 pub async fn isolated<F>(task: &'static str, future: F)
 where
--- a/testkit/tests/supervision.rs
+++ b/testkit/tests/supervision.rs
@@ -5,17 +5,20 @@
 type CheckResult = datatest_stable::Result<()>;
 
 /// How a supervised task is started: each of these handles the panic of its task.
-const SUPERVISED: [&str; 3] =
-    ["supervision::essential(", "supervision::finite(", "supervision::isolated("];
+const SUPERVISED: [&str; 4] = [
+    "supervision::essential(",
+    "supervision::finite(",
+    "supervision::isolated(",
+    "supervision::until_stopped(",
+];
 
 /// Files that start tasks without supervision: how many, and who notices the end of the task.
-const UNSUPERVISED: [(&str, usize, &str); 10] = [
+const UNSUPERVISED: [(&str, usize, &str); 9] = [
     ("coriandergw/src/crashes/reporter.rs", 1, "the sender of the report joins its calls"),
     ("coriandergw/src/dev/mod.rs", 1, "stand-ins of a trial"),
     ("coriandergw/src/events/file.rs", 1, "the log has each event too"),
     ("coriandergw/src/events/log_output.rs", 1, "runs while the process exits"),
     ("coriandergw/src/forwarding/crash_check.rs", 1, "the request joins its check"),
-    ("coriandergw/src/log_groups/node.rs", 1, "not noticed yet, but by what reads its output"),
     ("coriandergw/src/programs/accept.rs", 2, "the caller joins the first; the other only waits"),
     ("coriandergw/src/programs/append.rs", 1, "the caller joins it"),
     ("coriandergw/src/programs/end.rs", 1, "the caller joins it"),
