fix(forwarding): take a switch of protocols for a lost answer

What callers saw: a 101 of an endpoint, passed on as if it were the answer, though nobody had asked for another protocol.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -213,6 +213,9 @@
         };
         connection.unproductive.reset();
         let (parts, body) = response.into_parts();
+        if parts.status.is_informational() {
+            return Err(lost("the endpoint switched to another protocol", is_reused));
+        }
         let head = self.header_codec.read_response(parts.status, &parts.headers);
         match &head.attempt {
             Some(attempt) if *attempt != upstream_request.head.attempt => {
--- a/coriandergw/src/roles/tests/cut_off.rs
+++ b/coriandergw/src/roles/tests/cut_off.rs
@@ -240,3 +240,21 @@
         wait_for("the end of the connection", || endpoint.closed() == closed).await;
     }
 }
+
+// Guards against a switch of protocols that nobody asked for being passed on to the caller.
+#[tokio::test]
+async fn a_switch_of_protocols_is_no_answer() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 101 Switching Protocols\r\nattempt: {attempt}\r\nsigned: yes\r\n\
+             upgrade: other\r\nconnection: upgrade\r\n\r\n"
+        );
+        vec![Step::Send(head.into_bytes()), Step::Send(b"0\r\n\r\n".to_vec())]
+    })
+    .await;
+    world.announce("a", "plain", &endpoint).await;
+    let reply = world.ask(&post("/once/x", "t1", "", "pay")).await;
+    assert_eq!(status(&reply), "502", "{reply}");
+}
