fix(forwarding): resume a stream a few times only without a new event

What endpoints saw: a stream that breaks each time before a new event was resumed without a bound and without a pause, 1,854 sends of one request within its deadline of 2 s in the test. Resumptions since the last new event are now bounded by 8; the stream is then broken off towards the caller. 111 tests of roles and forwarding pass.

--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -24,6 +24,9 @@
 use crate::forwarding::refusal::ResponseBody;
 use crate::forwarding::turn_guard::TurnGuard;
 
+/// The maximum number of resumptions of a stream without a new event between them.
+const RESUMPTIONS_MAX: u32 = 8;
+
 /// An event stream being relayed. Dropping it closes the connection to the endpoint and settles the
 /// turn.
 pub(super) struct StreamRelay {
@@ -34,6 +37,8 @@
     splitter: EventSplitter,
     turn: Option<TurnGuard>,
     events: u64,
+    /// The resumptions since the last new event.
+    resumptions: u32,
 }
 
 /// The result of reading from the endpoint's stream.
@@ -69,6 +74,7 @@
             response: Some(response),
             turn,
             events: 0,
+            resumptions: 0,
         };
         let frames = stream::unfold(Some(relay), |relay| async {
             let mut relay = relay?;
@@ -130,6 +136,7 @@
     }
 
     fn forward_events(&mut self, bytes: Bytes, count: u64) -> StreamStep {
+        self.resumptions = 0;
         if self.events == 0 {
             let response = self.response.as_ref();
             let version = response.map(|response| &response.endpoint.version);
@@ -178,6 +185,10 @@
 
     /// Resumes the stream after the last complete event, at the same endpoint or another one.
     async fn resume(&mut self, failure: &str) -> Result<(), String> {
+        self.resumptions += 1;
+        if self.resumptions > RESUMPTIONS_MAX {
+            return Err(format!("{failure}, after {RESUMPTIONS_MAX} resumptions without an event"));
+        }
         // Close the connection first, so that the endpoint does not work on the request twice.
         let Some(response) = self.response.take() else {
             return Err(failure.to_owned());
--- a/coriandergw/src/roles/tests/streams.rs
+++ b/coriandergw/src/roles/tests/streams.rs
@@ -291,3 +291,15 @@
         assert_eq!(endpoint.seen().len(), 3, "framing {framing}");
     }
 }
+
+// Guards against a stream that is resumed without end at an endpoint that breaks it off each time.
+#[tokio::test]
+async fn a_stream_that_breaks_without_a_new_event_is_resumed_a_few_times_only() {
+    let world = World::start().await;
+    let endpoint = Endpoint::start(|_, seen| truncated_stream(seen)).await;
+    world.announce("a", "engines", &endpoint).await;
+    let reply = world.ask(&post("/stream/x", "t1", "deadline: 2000\r\n", "prompt")).await;
+    assert!(!reply.ends_with("0\r\n\r\n"), "{reply}");
+    let sends = endpoint.seen().len();
+    assert!(sends <= 10, "{sends} sends of one request");
+}
