fix(crashes): decide who is to blame after all reports have arrived

Cause: an instance blocked a request for good as soon as it knew of three crashes with it, if it knew of no other suspect of the same three. The report that says that the crashing request was there too comes from another instance and may arrive later. A request that shares the blame is to be tried once more after 5 s, but was given up at once if it had been sent before.

Change: whether a request is the only suspect of three crashes is decided 500 ms after the last report. A request that was sent before waits for that, and for its further try, if its deadline allows; others are refused as before.

--- a/coriandergw/src/crashes/table.rs
+++ b/coriandergw/src/crashes/table.rs
@@ -20,6 +20,10 @@
 /// same three. It is then tried once more.
 const SHARED_BLAME_BLOCK: Duration = Duration::from_secs(5);
 
+/// How long reports of a crash by other instances may take to arrive. Until then a request is not
+/// known to be the only one that is a suspect of all three crashes.
+const REPORTS_LATENCY: Duration = Duration::from_millis(500);
+
 /// How long the crashes of a blocked request are kept after it last came again.
 const BLOCK_RETENTION: Duration = Duration::from_secs(3_600);
 
@@ -194,15 +198,20 @@
         if crashes < CRASHES_UNTIL_BLOCKED {
             return Standing::Suspected;
         }
-        if crashes > CRASHES_UNTIL_BLOCKED || !shares_blame(request, &held) {
+        if crashes > CRASHES_UNTIL_BLOCKED {
             return Standing::Blocked { crashes, retry_after: BLOCK_RETENTION };
         }
         let last = held.iter().map(|known| known.learned_at).max().unwrap_or(now);
-        match SHARED_BLAME_BLOCK.checked_sub(now.since(last)) {
+        let blocked = Standing::Blocked { crashes, retry_after: BLOCK_RETENTION };
+        let (block, after) = match shares_blame(request, &held) {
+            true => (SHARED_BLAME_BLOCK, Standing::Suspected),
+            false => (REPORTS_LATENCY, blocked),
+        };
+        match block.checked_sub(now.since(last)) {
             Some(retry_after) if !retry_after.is_zero() => {
                 Standing::Blocked { crashes, retry_after }
             }
-            _ => Standing::Suspected,
+            _ => after,
         }
     }
 
--- a/coriandergw/src/crashes/table/tests.rs
+++ b/coriandergw/src/crashes/table/tests.rs
@@ -14,6 +14,7 @@
 use crate::crashes::table::CRASH_RETENTION;
 use crate::crashes::table::CRASHES_MAX;
 use crate::crashes::table::CrashTable;
+use crate::crashes::table::REPORTS_LATENCY;
 use crate::crashes::table::REQUESTS_MAX;
 use crate::crashes::table::SHARED_BLAME_BLOCK;
 use crate::crashes::table::Standing;
@@ -85,6 +86,20 @@
     assert_eq!(table.standing(&request(8), later), Standing::Free);
 }
 
+// Guards against blocking, for good, a request whose third crash other instances have not reported yet.
+#[test]
+fn a_request_is_not_to_blame_alone_until_the_reports_of_other_instances_have_arrived() {
+    let mut table = table(&[(1, &[7, 8]), (2, &[7, 8]), (3, &[8])]);
+    let wait = |table: &CrashTable, now| match table.standing(&request(8), now) {
+        Standing::Blocked { retry_after, .. } => retry_after,
+        _ => Duration::ZERO,
+    };
+    assert_eq!(wait(&table, START), REPORTS_LATENCY);
+    assert_eq!(wait(&table, START + REPORTS_LATENCY), BLOCK_RETENTION);
+    table.merge(crash(3, &[7]), START);
+    assert_eq!(wait(&table, START), SHARED_BLAME_BLOCK);
+}
+
 #[test]
 fn a_complete_answer_clears_a_request_of_all_crashes_wherever_it_arrives() {
     let mut first = table(&[(1, &[7, 8]), (2, &[7]), (3, &[7])]);
--- a/coriandergw/src/forwarding/crash_check.rs
+++ b/coriandergw/src/forwarding/crash_check.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::crashes::Incarnation;
 use crate::crashes::table::Standing;
@@ -19,8 +20,9 @@
 const REPORTS_DELAY: Duration = Duration::from_millis(25);
 
 impl Forwarder {
-    /// Refuses a request that crashed too many endpoints, at this instance or at others.
-    pub(super) fn admit(
+    /// Refuses a request that crashed too many endpoints, at this instance or at others. One that was
+    /// sent before waits as long as it may still be admitted before its deadline.
+    pub(super) async fn admit(
         &self,
         plan: &RequestPlan,
         upstream_request: &UpstreamRequest,
@@ -29,8 +31,14 @@
             return Ok(());
         }
         let digest = upstream_request.digest();
-        let Standing::Blocked { crashes, retry_after } = self.crashes.admit(&digest) else {
-            return Ok(());
+        let (crashes, retry_after) = loop {
+            let Standing::Blocked { crashes, retry_after } = self.crashes.admit(&digest) else {
+                return Ok(());
+            };
+            if !plan.may_have_run || Instant::now() + retry_after >= plan.deadline {
+                break (crashes, retry_after);
+            }
+            tokio::time::sleep(retry_after).await;
         };
         let message = format!("this request (digest {digest}) crashed {crashes} endpoints");
         Err(match plan.may_have_run {
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -436,7 +436,7 @@
         upstream_request: UpstreamRequest,
         mut turn: Option<TurnGuard>,
     ) -> Result<Response<ResponseBody>, Refusal> {
-        self.admit(plan, &upstream_request)?;
+        self.admit(plan, &upstream_request).await?;
         if let Some(turn) = &mut turn {
             self.reserve(plan, &upstream_request.head, turn).await?;
         }
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -128,7 +128,7 @@
         self.wait_for_endpoint(plan).await;
         let mut retries = RetryState::default();
         for attempt_number in 0..ATTEMPTS_MAX {
-            self.admit(plan, upstream_request)?;
+            self.admit(plan, upstream_request).await?;
             let choice = self.choose(plan, upstream_request, &retries.excluded).await;
             retries.limited_for = match &choice {
                 Choice::Limited(time) => Some(*time),
