refactor: reword what a reader of the change had to read twice

Read as a newcomer: Message::is_leaders is is_from_leader; two comments and two messages name their subject; the parts of a driver are taken apart once. The gauge of the disk is set from the start, so that it is 1 before the first refused write and not missing. A log that could not be written within its limit at the exit is reported on standard error.

--- a/coriandergw/src/events/log_output.rs
+++ b/coriandergw/src/events/log_output.rs
@@ -41,7 +41,9 @@
         // The receiver is gone once the limit has passed.
         let _ = tx.send(());
     });
-    let _ = rx.recv_timeout(limit);
+    if rx.recv_timeout(limit).is_err() {
+        eprintln!("the log was not written within {} ms", limit.as_millis());
+    }
 }
 
 /// Sets up the log of this process; later calls change the level only.
--- a/coriandergw/src/forwarding/events.rs
+++ b/coriandergw/src/forwarding/events.rs
@@ -35,7 +35,9 @@
     #[display("the resumed stream begins with something other than a numbered event")]
     Unnumbered,
     /// The stream started anew and ended before the last event that the caller received.
-    #[display("the stream ended after event {found}, event {last} was passed on before")]
+    #[display(
+        "the resumed stream ended at event {found}, before event {last}, which was passed on already"
+    )]
     EndedBefore {
         /// The last event that the caller received.
         last: u64,
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -81,8 +81,8 @@
             match relay.next().await {
                 StreamStep::Data(bytes) => Some((Ok(Frame::data(bytes)), Some(relay))),
                 StreamStep::Failed(reason) => {
-                    // The server drops what it has not written when the body fails, so that it gets
-                    // a turn to write before.
+                    // The server drops what it has not written when the body fails, so it is given a
+                    // turn to write first.
                     tokio::task::yield_now().await;
                     Some((Err(BodyError::from(reason)), None))
                 }
--- a/coriandergw/src/log_groups/core/message.rs
+++ b/coriandergw/src/log_groups/core/message.rs
@@ -39,7 +39,7 @@
     }
 
     /// Returns whether only the leader of the term sends such a message.
-    pub fn is_leaders(&self) -> bool {
+    pub fn is_from_leader(&self) -> bool {
         matches!(self.body, Body::Append { .. } | Body::Heartbeat { .. } | Body::Chunk { .. })
     }
 }
--- a/coriandergw/src/log_groups/driver.rs
+++ b/coriandergw/src/log_groups/driver.rs
@@ -123,8 +123,17 @@
 impl Driver {
     /// Creates a driver.
     pub fn new(parts: DriverParts) -> Self {
-        let DriverParts { cx, transport, cluster, groups, .. } = parts;
-        let DriverParts { writer, has_leases, is_writable, inputs, pulses, .. } = parts;
+        let DriverParts {
+            cx,
+            transport,
+            cluster,
+            groups,
+            writer,
+            has_leases,
+            is_writable,
+            inputs,
+            pulses,
+        } = parts;
         Self {
             cx,
             transport,
@@ -141,9 +150,10 @@
         }
     }
 
-    /// Runs until the driver is stopped, the data folder is of no use any more or a state machine
+    /// Runs until the driver is stopped, the data folder cannot be used any more or a state machine
     /// refuses a snapshot; returns whether it was stopped.
     pub async fn run(mut self) -> bool {
+        self.set_writable(true);
         loop {
             let wait = self.wait();
             let keeps_running = tokio::select! {
@@ -252,7 +262,8 @@
     fn decline_input(&mut self, input: Input) {
         match input {
             Input::Messages { from, messages } => {
-                for (group, message) in messages.iter().filter(|(_, message)| message.is_leaders())
+                for (group, message) in
+                    messages.iter().filter(|(_, message)| message.is_from_leader())
                 {
                     if let Some(group) = self.groups.get_mut(group) {
                         group.note_leader(&from, message.term);
