--- a/review/standins/harness.rs
+++ b/review/standins/harness.rs
@@ -244,7 +244,7 @@
         self.machines.iter().filter(|machine| machine.is_storage).cloned().collect()
     }
 
-    /// Starts all processes for the first time, and waits until a configuration can be stored.
+    /// Starts all processes for the first time.
     pub fn start_all(&self) {
         for machine in &self.machines {
             self.start_machine(machine, true);
