--- a/review/5/main.rs
+++ b/review/5/main.rs
@@ -1,12 +1,13 @@
-//! A few of a service's many workers crash together while each runs the same request, and come back.
+//! Heartbeats of another writer name the addresses of the workers of a service, under a service that
+//! no configuration names.
 
 #[path = "../standins/harness.rs"]
 mod harness;
 
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::Barrier;
-use std::sync::Mutex;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use harness::BROKEN;
 use harness::Deployment;
@@ -24,18 +25,8 @@
 /// The time that a worker takes for a request, in milliseconds; the site's longest is 107.
 const WORK_MS: u64 = 80;
 
-/// The workers of the service, and how many of them crash: a share of 0.143.
-const WORKERS: u8 = 28;
-const CRASHING: usize = 4;
-
-/// The rounds in which the request is sent at most until as many workers run it at once.
-const ROUNDS_MAX: usize = 60;
-
-/// How long the workers are down, in milliseconds.
-const DOWN_MS: u64 = 4_000;
-
-/// How long after the workers' return the steady state is judged, in milliseconds.
-const SETTLE_MS: u64 = 10_000;
+/// How long after the last foreign heartbeat the steady state is judged, in milliseconds.
+const SETTLE_MS: u64 = 15_000;
 
 /// The requests of each route whose answers are judged.
 const JUDGED: usize = 60;
@@ -44,8 +35,8 @@
     let route = |name: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
-             \"kind\":\"unsafe\",\"timeout_ms\":3000,\"target_latency_ms\":500,\"priority\":2,\
-             \"service\":\"{name}-app\",\"max_attempts\":1}}"
+             \"kind\":\"safe\",\"timeout_ms\":1200,\"target_latency_ms\":150,\"priority\":2,\
+             \"service\":\"{name}-app\",\"max_attempts\":2}}"
         )
     };
     let service = |name: &str| {
@@ -66,44 +57,43 @@
     )
 }
 
-/// The workers that run the request now.
-type Running = Arc<Mutex<Vec<String>>>;
+fn work(worker: &Worker, request: &Received, stream: &mut TcpStream) -> bool {
+    worker.record.note(format!("{} runs {} {}", worker.id, request.attempt(), request.path));
+    sleep_ms(WORK_MS);
+    worker.answer(request, stream, "{\"rate\":25}")
+}
 
-/// Starts the workers of a service at the addresses from `first_host` on.
-fn start_workers(
-    deployment: &Deployment,
-    service: &str,
-    first_host: u8,
-    count: u8,
-    running: &Running,
-) -> Vec<Arc<Worker>> {
-    let start = |number: u8| {
-        let host = first_host + number;
-        start_worker(deployment, service, host, &format!("i-{service}-{host}"), running)
-    };
-    (0..count).map(start).collect()
+/// Starts the four workers of a service.
+fn start_workers(deployment: &Deployment, service: &str, first_host: u8) -> Vec<Arc<Worker>> {
+    let controls: Vec<_> = deployment.cores().iter().map(|core| core.control()).collect();
+    (0..4)
+        .map(|number| {
+            let address = (deployment.worker_ip(first_host + number), 8080).into();
+            let id = format!("i-{service}-{number}");
+            let service = format!("{service}-app");
+            let record = &deployment.record;
+            let worker = Worker::start(record, &id, &service, "v1", address, Arc::new(work));
+            worker.keep_announcing(controls.clone());
+            worker
+        })
+        .collect()
 }
 
-fn start_worker(
-    deployment: &Deployment,
-    service: &str,
-    host: u8,
-    id: &str,
-    running: &Running,
-) -> Arc<Worker> {
-    let running = running.clone();
-    let work = move |worker: &Worker, request: &Received, stream: &mut TcpStream| {
-        worker.record.note(format!("{} runs {} {}", worker.id, request.attempt(), request.path));
-        running.lock().unwrap().push(worker.id.clone());
-        sleep_ms(WORK_MS);
-        running.lock().unwrap().retain(|id| *id != worker.id);
-        worker.answer(request, stream, "{\"rate\":25}")
-    };
-    let address = (deployment.worker_ip(host), 8080).into();
-    let service = format!("{service}-app");
-    let worker = Worker::start(&deployment.record, id, &service, "v1", address, Arc::new(work));
-    worker.keep_announcing(deployment.cores().iter().map(|core| core.control()).collect());
-    worker
+/// Sends one heartbeat of another writer: its own name, a service that is not named here, and the
+/// address of a worker.
+fn announce_as_another(deployment: &Deployment, number: usize, worker: &Worker) {
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let body = format!(
+        "{{\"service\":\"node-metrics\",\"address\":\"{}\",\"zone\":\"zone-a\",\
+         \"version\":\"v1\",\"slots\":1,\"state\":\"ready\",\"cold_remaining_ms\":0,\
+         \"sequence\":1,\"born\":{born}}}",
+        worker.address
+    );
+    let control = deployment.cores()[number % 3].control();
+    let path = format!("/Instances.Heartbeat/metrics-agent-{number}");
+    let answer = call(control, "POST", &path, &[], body.as_bytes(), 1_000);
+    let status = answer.map(|answer| answer.status);
+    deployment.record.note(format!("another writer sends POST {path} {body}: {status:?}"));
 }
 
 /// Sends one request to a front machine; returns whether it was served.
@@ -111,9 +101,9 @@
     let headers = [
         ("Host", HOST.to_owned()),
         ("X-Attempt-Id", attempt.to_owned()),
-        ("X-Deadline-Ms", "3000".to_owned()),
+        ("X-Deadline-Ms", "1200".to_owned()),
     ];
-    let answer = call(front.front(), "POST", path, &headers, b"{}", 4_000);
+    let answer = call(front.front(), "GET", path, &headers, b"", 2_000);
     let outcome = match &answer {
         Ok(answer) => format!(
             "status {}, signed: {}, {}",
@@ -126,61 +116,20 @@
         ),
         Err(cause) => cause.clone(),
     };
-    record.note(format!("{attempt} POST {path} at {}: {outcome}", front.name));
+    record.note(format!("{attempt} GET {path} at {}: {outcome}", front.name));
     answer.is_ok_and(|answer| answer.status == 200)
 }
 
-/// Sends the request at all front machines at the same time, in rounds, until it runs at
-/// [`CRASHING`] workers at once; crashes these then. Returns the hosts of those that crashed.
-fn press(
-    deployment: &Deployment,
-    fronts: &[Machine],
-    workers: &[Arc<Worker>],
-    running: &Running,
-) -> Vec<Arc<Worker>> {
-    let record = &deployment.record;
-    for round in 0..ROUNDS_MAX {
-        let barrier = Arc::new(Barrier::new(fronts.len() + 1));
-        let mut clients = Vec::new();
-        for (client, front) in fronts.iter().cloned().enumerate() {
-            let (record, barrier) = (record.clone(), barrier.clone());
-            clients.push(std::thread::spawn(move || {
-                barrier.wait();
-                ask(&record, &front, "/rates/refresh", &format!("round-{round}-{client}"));
-            }));
-        }
-        barrier.wait();
-        sleep_ms(WORK_MS / 2);
-        let mut ids = running.lock().unwrap().clone();
-        ids.sort();
-        ids.dedup();
-        let is_due = round >= 5 && ids.len() == CRASHING;
-        let mut crashed = Vec::new();
-        if is_due && has_trouble() {
-            crashed = workers.iter().filter(|one| ids.contains(&one.id)).cloned().collect();
-            let crash = |worker: Arc<Worker>| std::thread::spawn(move || worker.crash());
-            let crashing: Vec<_> = crashed.iter().cloned().map(crash).collect();
-            crashing.into_iter().for_each(|thread| thread.join().unwrap_or_default());
-        }
-        clients.into_iter().for_each(|client| client.join().unwrap_or_default());
-        if is_due {
-            return crashed;
-        }
-        sleep_ms(50);
-    }
-    harness::give_up(record, "the request never ran at enough workers at once")
-}
-
 fn main() {
     let record = Record::create();
     let mut deployment = Deployment::new(record.clone());
-    deployment.lay_out(4, 0, 4);
+    deployment.lay_out(3, 1, 3);
     deployment.start_all();
-    let fronts = deployment.cores();
+    let fronts: Vec<Machine> =
+        deployment.machines.iter().filter(|machine| !machine.is_storage).cloned().collect();
     deployment.configure(&configuration(1, false));
-    let (running, other) = (Running::default(), Running::default());
-    let _base = start_workers(&deployment, "base", 101, 4, &other);
-    let rates = start_workers(&deployment, "rates", 1, WORKERS, &running);
+    let _base = start_workers(&deployment, "base", 1);
+    let rates = start_workers(&deployment, "rates", 11);
     for front in &fronts {
         deployment.wait_ready(front, 20_000);
     }
@@ -188,31 +137,31 @@
     deployment.configure(&configuration(2, true));
     sleep_ms(2_500);
 
-    let crashed = press(&deployment, &fronts, &rates, &running);
-    sleep_ms(DOWN_MS);
-    let restart = |worker: &Arc<Worker>| {
-        let std::net::IpAddr::V4(ip) = worker.address.ip() else {
-            harness::give_up(&record, "a worker has no IPv4 address")
-        };
-        let (host, id) = (ip.octets()[3], format!("{}-again", worker.id));
-        start_worker(&deployment, "rates", host, &id, &running)
-    };
-    let _returned: Vec<Arc<Worker>> = crashed.iter().map(restart).collect();
+    for number in 0..8 {
+        let front = &fronts[number % fronts.len()];
+        if !ask(&record, front, "/rates/table", &format!("before-{number}")) {
+            harness::give_up(&record, "a quiet request was not served");
+        }
+    }
+    if has_trouble() {
+        for (number, worker) in rates.iter().enumerate() {
+            announce_as_another(&deployment, number, worker);
+        }
+    }
     sleep_ms(SETTLE_MS);
 
     record.note("the steady state is judged from here");
     let (mut base_served, mut rates_served) = (0, 0);
     for number in 0..JUDGED {
         let front = &fronts[number % fronts.len()];
-        base_served += usize::from(ask(&record, front, "/base/refresh", &format!("base-{number}")));
+        base_served += usize::from(ask(&record, front, "/base/table", &format!("base-{number}")));
         let attempt = format!("rates-{number}");
-        rates_served += usize::from(ask(&record, front, "/rates/refresh", &attempt));
+        rates_served += usize::from(ask(&record, front, "/rates/table", &attempt));
         sleep_ms(100);
     }
     let text = format!(
-        "{} of {WORKERS} workers crashed; on the first route {base_served} of {JUDGED} requests were \
-         served, on the route added later {rates_served} of {JUDGED}",
-        crashed.len()
+        "on the first route {base_served} of {JUDGED} requests were served, on the route added later \
+         {rates_served} of {JUDGED}"
     );
     let is_broken = rates_served * 4 < base_served;
     deployment.finish(if is_broken { BROKEN } else { HELD }, &text)
--- a/review/standins/harness.rs
+++ b/review/standins/harness.rs
@@ -821,15 +821,19 @@
         })
     }
 
-    /// Sends one heartbeat to the control machines in turn until one acknowledges it.
-    pub fn announce(&self, controls: &[SocketAddr], state: &str) -> bool {
+    /// Returns the body of the next heartbeat.
+    pub fn next_announcement(&self, state: &str) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let body = format!(
+        format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"zone-a\",\"version\":\"{}\",\
              \"slots\":64,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\
              \"born\":{}}}",
             self.service, self.address, self.version, self.born
-        );
+        )
+    }
+
+    /// Sends a heartbeat to the control machines in turn until one acknowledges it.
+    pub fn send_announcement(&self, controls: &[SocketAddr], body: &str) -> bool {
         let path = format!("/Instances.Heartbeat/{}", self.id);
         controls.iter().any(|control| {
             let answer = call(*control, "POST", &path, &[], body.as_bytes(), 1_000);
@@ -837,6 +841,11 @@
         })
     }
 
+    /// Sends the next heartbeat in the same way.
+    pub fn announce(&self, controls: &[SocketAddr], state: &str) -> bool {
+        self.send_announcement(controls, &self.next_announcement(state))
+    }
+
     /// Announces itself now and every 1.2 s until it is stopped.
     pub fn keep_announcing(self: &Arc<Self>, controls: Vec<SocketAddr>) {
         let worker = self.clone();
