fix(stopping): make the end of the grace a deadline of each request

Cause: the time to finish was a constant of 4.2 s after the 2.2 s in which callers' addresses expire. The relay for other instances ended with the callers' own requests.

Evidence: the exit is at 6.4 s in each run whatever the requests' length; the streams that were cut had up to 1 s of their own limits left, and their endpoints went on.

Change: the stop ends 0.5 s before the grace. A request whose limit is later is refused as not run before each send, on kept connections too; one that still runs at the end is answered with what is true, or its stream is broken off after whole events; the exit waits for callers' requests and relayed connections, no longer. This holds for any grace and timeout, since the two are compared for each request.

--- a/coriandergw/src/forwarding/crash_check.rs
+++ b/coriandergw/src/forwarding/crash_check.rs
@@ -20,13 +20,17 @@
 const REPORTS_DELAY: Duration = Duration::from_millis(25);
 
 impl Forwarder {
-    /// Refuses a request that crashed too many endpoints, at this instance or at others. One that was
-    /// sent before waits as long as it may still be admitted before its deadline.
+    /// Refuses a request that crashed too many endpoints, at this instance or at others, or that may
+    /// take longer than a stopping instance runs. One that was sent before waits as long as it may
+    /// still be admitted before its deadline.
     pub(super) async fn admit(
         &self,
         plan: &RequestPlan,
         upstream_request: &UpstreamRequest,
     ) -> Result<(), Refusal> {
+        if !plan.may_have_run {
+            self.drain.admit(plan.deadline)?;
+        }
         if self.crashes.is_empty() {
             return Ok(());
         }
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -33,6 +32,8 @@
 use crate::forwarding::attempt::UpstreamResponse;
 use crate::forwarding::choice;
 use crate::forwarding::connecting::Connector;
+use crate::forwarding::drain;
+use crate::forwarding::drain::Drain;
 use crate::forwarding::headers;
 use crate::forwarding::leaving::LeavingEndpoints;
 use crate::forwarding::loads::Loads;
@@ -119,7 +120,7 @@
     /// The number of updates from the roster so far; wakes requests that wait for one.
     refreshes: watch::Sender<u64>,
     warm_up: WarmUp,
-    is_draining: AtomicBool,
+    pub(super) drain: Drain,
 }
 
 /// What is decided for a request when it is routed, and the endpoints that it may have run on.
@@ -140,8 +141,10 @@
     pub(super) recorded_version: Option<Arc<str>>,
     /// The version whose endpoints alone may run the request, since the caller has events of it.
     pub(super) required_version: Option<Arc<str>>,
-    /// Whether any endpoint may have run the request.
+    /// Whether any endpoint may have run the request, other than in the current attempt.
     pub(super) may_have_run: bool,
+    /// Whether an attempt is under way, or an endpoint's answer is being read.
+    pub(super) is_sent: bool,
     /// The endpoints that may have run the request and are not known to have ended.
     pub(super) ran_on: Vec<EndpointName>,
     pub(super) report: RequestReport,
@@ -194,7 +197,7 @@
             entry_instances: AtomicUsize::new(1),
             refreshes: watch::Sender::default(),
             warm_up,
-            is_draining: AtomicBool::new(false),
+            drain: Drain::default(),
         })
     }
 
@@ -209,9 +212,10 @@
         self.table.load().as_ref().map(|table| table.limits()).unwrap_or_default()
     }
 
-    /// Adds `Connection: close` to every response from now on.
-    pub fn drain(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
+    /// Adds `Connection: close` to every response from now on, refuses requests that may take longer
+    /// than until `ends_at`, and ends those that are still running then.
+    pub fn drain(&self, ends_at: Instant) {
+        self.drain.start(ends_at);
     }
 
     /// Applies every change of the roster until the process ends.
@@ -334,7 +338,7 @@
             Ok(res) => res,
             Err(refusal) => refusal::to_response(&refusal),
         };
-        if self.is_draining.load(Ordering::Relaxed) {
+        if self.drain.is_started() {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         res
@@ -370,11 +374,16 @@
         let deadline = started + limit;
         let (plan, turn) = self.plan(&table, route, &head, deadline, started)?;
         let mut open = OpenRequest { cx: self.cx.clone(), plan, is_open: true };
-        let upstream_request = buffer_request(req, head, table.limits().body_bytes, deadline).await;
-        let result = match upstream_request {
-            Ok(upstream_request) => self.clone().run(&mut open.plan, upstream_request, turn).await,
-            Err(refusal) => Err(refusal),
+        let handling = async {
+            let body_max_bytes = table.limits().body_bytes;
+            let upstream_request = buffer_request(req, head, body_max_bytes, deadline).await?;
+            self.clone().run(&mut open.plan, upstream_request, turn).await
         };
+        let result = tokio::select! {
+            result = handling => Some(result),
+            () = self.drain.ended() => None,
+        };
+        let result = result.unwrap_or_else(|| Err(stopped_refusal(&open.plan)));
         open.is_open = false;
         result.inspect_err(|refusal| open.plan.report.refused(&self.cx, refusal))
     }
@@ -423,6 +432,7 @@
                 self.entry_instances.load(Ordering::Relaxed),
             ),
             may_have_run: false,
+            is_sent: false,
             ran_on: Vec::new(),
             report,
             route,
@@ -510,6 +520,19 @@
     }
 }
 
+/// Returns the answer to a request that was still running when the drain ended.
+fn stopped_refusal(plan: &RequestPlan) -> Refusal {
+    if plan.is_sent || plan.may_have_run {
+        let code = match plan.route.retry_policy.allows_retry() {
+            true => ResultCode::AnswerLate,
+            false => ResultCode::OutcomeUnknown,
+        };
+        return Refusal::may_have_run(code, drain::STOPPED);
+    }
+    let message = "this instance stopped before the request was sent to an endpoint";
+    Refusal::not_run(ResultCode::Draining, message).retry_after(TRANSIENT_RETRY_AFTER)
+}
+
 /// A request without an answer yet. Dropping it while it is open, which happens when its caller
 /// leaves, records that.
 struct OpenRequest {
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -18,6 +18,7 @@
 pub mod choice;
 mod connecting;
 mod crash_check;
+mod drain;
 mod events;
 pub mod forwarder;
 mod headers;
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -16,6 +16,7 @@
 
 use crate::forwarding::attempt::UpstreamRequest;
 use crate::forwarding::attempt::UpstreamResponse;
+use crate::forwarding::drain;
 use crate::forwarding::events::EventFault;
 use crate::forwarding::events::EventSplitter;
 use crate::forwarding::forwarder::Forwarder;
@@ -78,7 +79,13 @@
         };
         let frames = stream::unfold(Some(relay), |relay| async {
             let mut relay = relay?;
-            match relay.next().await {
+            let forwarder = relay.forwarder.clone();
+            let step = tokio::select! {
+                biased;
+                step = relay.next() => Some(step),
+                () = forwarder.drain.ended() => None,
+            };
+            match step.unwrap_or_else(|| relay.abort(drain::STOPPED.to_owned())) {
                 StreamStep::Data(bytes) => Some((Ok(Frame::data(bytes)), Some(relay))),
                 StreamStep::Failed(reason) => {
                     // The server drops what it has not written when the body fails, so it is given a
@@ -252,10 +259,21 @@
     let first = (!beginning.is_empty()).then(|| Ok(Frame::data(beginning)));
     let rest = stream::unfold(Some((forwarder, response)), move |state| async move {
         let (forwarder, mut response) = state?;
-        match tokio::time::timeout_at(deadline, response.frame()).await {
+        let limit = async {
+            tokio::select! {
+                () = tokio::time::sleep_until(deadline) => "the deadline of the request has passed",
+                () = forwarder.drain.ended() => drain::STOPPED,
+            }
+        };
+        let step = tokio::select! {
+            biased;
+            frame = response.frame() => Ok(frame),
+            reason = limit => Err(reason),
+        };
+        match step {
             Ok(Some(Ok(frame))) => Some((Ok(frame), Some((forwarder, response)))),
             Ok(Some(Err(cause))) => Some((Err(BodyError::from(cause)), None)),
-            Err(_) => Some((Err(BodyError::from("the deadline of the request has passed")), None)),
+            Err(reason) => Some((Err(BodyError::from(reason)), None)),
             Ok(None) => {
                 let now = forwarder.cx.clock.now();
                 response.finish(&forwarder.pool, now);
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -149,12 +149,14 @@
                 retries.new_connection_only,
             );
             plan.report.note_send();
+            plan.is_sent = true;
             let result = attempt.send(upstream_request).await;
             if let Some(response) =
                 self.note_result(plan, &mut retries, upstream_request, &endpoint, result).await?
             {
                 return Ok(response);
             }
+            plan.is_sent = false;
             if Instant::now() >= plan.deadline {
                 break;
             }
--- a/coriandergw/src/relays/server.rs
+++ b/coriandergw/src/relays/server.rs
@@ -107,6 +107,20 @@
         }
     }
 
+    /// Declines further connections and waits until the relayed ones have ended.
+    pub async fn finish(&self) {
+        // Nobody else can take a place while this waits for all of them.
+        match self.places.acquire_many(RELAYED_MAX as u32).await {
+            Ok(places) => places.forget(),
+            Err(cause) => log::error!("the relayed connections cannot be counted: {cause}"),
+        }
+    }
+
+    /// Returns the number of relayed connections.
+    pub fn relayed(&self) -> usize {
+        RELAYED_MAX - self.places.available_permits()
+    }
+
     async fn serve(self: Arc<Self>, stream: TcpStream) {
         if let Err(cause) = self.relay(stream).await {
             log::debug!("a relayed connection ended with an error: {cause}");
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -13,6 +13,8 @@
 use crate::context::Context;
 use crate::crashes::reporter::CrashReporter;
 use crate::endpoint_limits::client::PermitClient;
+use crate::events::EventNumber;
+use crate::events::Subject;
 use crate::forwarding::forwarder::Clients;
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::forwarder::ForwarderAdapters;
@@ -43,8 +45,15 @@
 /// Time until all instances know that this one is leaving, plus the time of a look-up.
 const LEAVE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Time for requests in progress to finish once no new ones are accepted.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(4_200);
+/// Time before the end of the grace at which the requests that are still running are ended. It covers
+/// the delays of a busy machine.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
+/// The largest share of the grace that [`EXIT_MARGIN`] takes, as a divisor.
+const EXIT_MARGIN_DIVISOR: u32 = 4;
+
+/// Time for the answers to requests that the stop ended to be written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A running entry instance.
 pub struct EntryProcess {
@@ -55,6 +64,7 @@
     /// Forwards callers' requests to endpoints.
     pub forwarder: Arc<Forwarder>,
     phase: watch::Sender<Phase>,
+    relay_server: Arc<RelayServer>,
     serving: Mutex<Option<JoinHandle<()>>>,
     _tasks: JoinSet<()>,
 }
@@ -95,7 +105,7 @@
         base.spawn("follow the roster", forwarder.clone().follow_roster());
         base.spawn("regain paths", forwarder.clone().regain_paths());
         let relay_server = RelayServer::new(base.cx.clone(), roster.clone(), forwarder.links());
-        base.spawn("serve relays", relay_server.run(relay_listener));
+        base.spawn("serve relays", relay_server.clone().run(relay_listener));
         let announcing = announce_when_ready(roster.clone(), forwarder.clone());
         base.spawn_finite("announce that requests are served", announcing);
         let (phase, phases) = watch::channel(Phase::Serving);
@@ -103,7 +113,15 @@
         let serving = supervision::essential(base.cx.clone(), "serve callers", serving);
         let serving = tokio::spawn(serving);
         let serving = Mutex::new(Some(serving));
-        Ok(Self { cx: base.cx, roster, forwarder, phase, serving, _tasks: base.tasks })
+        Ok(Self {
+            cx: base.cx,
+            roster,
+            forwarder,
+            phase,
+            relay_server,
+            serving,
+            _tasks: base.tasks,
+        })
     }
 
     /// Returns whether requests can be served.
@@ -113,18 +131,39 @@
     }
 
     /// Withdraws from address answers, waits until cached answers have expired, and finishes the
-    /// requests in progress.
-    pub async fn stop(&self) {
+    /// requests in progress and the connections that it relays for other instances.
+    ///
+    /// Returns once they have ended, and in any case before `grace` has passed, the time after which
+    /// the process is killed. Requests that might take longer are refused; those that do nevertheless
+    /// are ended [`EXIT_MARGIN`] before it.
+    pub async fn stop(&self, grace: Duration) {
+        let started = Instant::now();
+        let ends_at = started + grace - EXIT_MARGIN.min(grace / EXIT_MARGIN_DIVISOR);
         self.cx.supervisor.start_stop();
         self.roster.update_presence(|presence| presence.leaving = true);
-        self.forwarder.drain();
-        tokio::time::sleep(ADDRESS_TTL * ADDRESS_CACHE_FACTOR + LEAVE_MARGIN).await;
+        self.forwarder.drain(ends_at);
+        let addresses_expire = started + ADDRESS_TTL * ADDRESS_CACHE_FACTOR + LEAVE_MARGIN;
+        tokio::time::sleep_until(addresses_expire.min(ends_at)).await;
         self.phase.send_replace(Phase::Draining);
-        // Requests that take longer are cut off when the process exits.
         let serving = self.serving.lock().expect("not poisoned").take();
-        if let Some(serving) = serving {
-            let _ = tokio::time::timeout(DRAIN_TIMEOUT, serving).await;
-        }
+        let finishing = async {
+            if let Some(Err(cause)) = async { Some(serving?.await) }.await {
+                log::error!("the task that serves callers failed: {cause}");
+            }
+            self.relay_server.finish().await;
+        };
+        let result = tokio::time::timeout_at(ends_at + FLUSH_TIMEOUT, finishing).await;
+        let (number, outcome) = match result {
+            Ok(()) => (EventNumber::DrainFinished, "all requests are finished"),
+            Err(_) => (EventNumber::DrainLimitReached, "connections were still open"),
+        };
+        let detail = format!(
+            "{outcome} after_ms={} limit_ms={} relayed={}",
+            started.elapsed().as_millis(),
+            (ends_at - started).as_millis(),
+            self.relay_server.relayed(),
+        );
+        self.cx.events.record(number, Subject::default(), detail);
     }
 }
 
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -14,6 +14,7 @@
 mod links;
 mod paths;
 mod routing;
+mod stopping;
 mod streams;
 mod versions;
 pub(super) mod world;
--- a/coriandergw/src/roles/tests/paths.rs
+++ b/coriandergw/src/roles/tests/paths.rs
@@ -40,6 +40,9 @@
 /// The time after a cut within which requests may still fail, `contact_ms` of the deployments.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// The grace of the users' deployments.
+const GRACE: Duration = Duration::from_secs(8);
+
 /// How long callers of these tests wait for an answer.
 const DEADLINE: &str = "deadline: 1200\r\n";
 
@@ -61,6 +64,10 @@
         let head = format!("HTTP/1.1 200 OK\r\nattempt: {attempt}\r\nsigned: yes\r\n\r\nhalf");
         return vec![Step::Send(head.into_bytes()), Step::Wait(Duration::from_millis(50)), end];
     }
+    if attempt.starts_with("very-slow") {
+        let pause = Step::Wait(Duration::from_secs(4));
+        return vec![pause, Step::Send(answer(&attempt, "done"))];
+    }
     if attempt.starts_with("slow") {
         let pause = Step::Wait(Duration::from_millis(100));
         return vec![pause, Step::Send(answer(&attempt, "done"))];
@@ -289,7 +296,7 @@
     let callers = fleet.callers();
     let (relay, _links) = fleet.others.remove(0);
     let stopping = tokio::spawn(async move {
-        relay.stop().await;
+        relay.stop(GRACE).await;
         // Ends its tasks, as the end of its process does.
         drop(relay);
     });
@@ -304,6 +311,27 @@
     }
 }
 
+// Guards against requests of other instances that are cut since the instance that relays them has
+// answered all of its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_relay_finishes_the_request_that_it_carries() {
+    let mut fleet = Fleet::start(1).await;
+    fleet.links.set(LinkState::Silent);
+    fleet.send_for(CONTACT).await;
+    let callers = fleet.callers();
+    let request = get("/once/x", "very-slow", "deadline: 6000\r\n");
+    let asking = tokio::spawn(async move { ask_at(callers, &request).await });
+    let is_sent = |seen: &Seen| seen.header("attempt").is_some_and(|one| one == "very-slow");
+    let is_running = || fleet.endpoints.iter().any(|one| one.seen().iter().any(is_sent));
+    wait_for("the request at an endpoint", is_running).await;
+    let (relay, _links) = fleet.others.remove(0);
+    relay.stop(GRACE).await;
+    // Ends its tasks, as the end of its process does.
+    drop(relay);
+    let answer = asking.await.expect("an answer");
+    assert_eq!(status(&answer), "200", "{answer}");
+}
+
 // Guards against a relay that connects to any address that it is told.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_relay_connects_to_listed_endpoints_only() {
--- a/coriandergw/src/roles/tests/routing.rs
+++ b/coriandergw/src/roles/tests/routing.rs
@@ -17,6 +17,9 @@
 use crate::roles::tests::world::status;
 use crate::test_support::wait_for;
 
+/// A grace that no request of these tests outlasts.
+const STOP_GRACE: Duration = Duration::from_secs(30);
+
 async fn echo() -> Endpoint {
     Endpoint::start(|_, seen| {
         let attempt = seen.header("attempt").unwrap_or_default();
@@ -108,7 +111,7 @@
     let endpoint = echo().await;
     world.announce("a", "plain", &endpoint).await;
     let mut open = world.connect().await;
-    let stopping = world.entry.stop();
+    let stopping = world.entry.stop(STOP_GRACE);
     let asking = async {
         wait_for("the drain", || !world.entry.is_ready()).await;
         let request = "GET /safe/x HTTP/1.1\r\nhost: host\r\nattempt: t1\r\n\r\n";
@@ -205,7 +208,7 @@
         }
         callers
     };
-    let ((), callers) = tokio::join!(world.entry.stop(), arriving);
+    let ((), callers) = tokio::join!(world.entry.stop(STOP_GRACE), arriving);
     let unanswered: Vec<String> = callers.join_all().await.into_iter().flatten().collect();
     let passed_on: Vec<String> =
         endpoint.seen().iter().filter_map(|seen| seen.header("attempt")).collect();
