fix(departures): commit a departure before it is acknowledged

Callers saw: requests that must not be repeated went to an endpoint whose departure had been acknowledged, and were cut when it exited.

Cause: departures and drains were kept in the memory of core instances, and so was the copy that the acknowledgement waited for. After the kill, the late heartbeat was the first word of the endpoint.

Evidence: without the kill the same heartbeat changes nothing, and so it is when core instances are killed one after the other. With the commit left out, a_departure_outlives_the_end_of_all_core_instances and a_departure_is_acknowledged_only_when_the_control_group_has_committed_it fail.

Change: a departure of (endpoint, incarnation) is a command of the control group, acknowledged when committed, else refused with 503 so that the endpoint asks the next instance. Committed departures are published to all processes, which apply them to whatever any core instance announces. This works since the log outlives what the fault tolerance allows, and since a record is compared with the departure wherever it arrives.

A build without it reads a command without a kind, which changes nothing; until all instances run this build, a departure is remembered by those that do.

Also here: the test of a stop that lasts until the endpoint has answered compared two clocks of tasks that wake together, and failed once in two runs of the whole suite; it now compares the end of the stop with the endpoint's own time, which is as strict.

--- a/coriandergw/src/compatibility/machines.rs
+++ b/coriandergw/src/compatibility/machines.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use sha2::Digest as _;
 use sha2::Sha256;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::compatibility::encodings::released;
@@ -91,11 +92,14 @@
         put(3, "other"),
         put(9, "nine"),
     ];
-    kinds.into_iter().map(|kind| versions::Command { kind: Some(kind) }).collect()
+    kinds
+        .into_iter()
+        .map(|kind| versions::Command { kind: Some(kind), ..versions::Command::default() })
+        .collect()
 }
 
 fn versions_machine() -> VersionsMachine {
-    VersionsMachine::new(watch::channel(ConfigState::default()).0)
+    VersionsMachine::new(watch::channel(ConfigState::default()).0, mpsc::unbounded_channel().0)
 }
 
 // Guards against voters of two builds whose budgets, engines or versions differ after the same
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -5,6 +5,9 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use derive_more::Display;
+use derive_more::Error;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
@@ -30,9 +33,9 @@
 use crate::roles::load_or_create_name;
 use crate::roles::open_disk;
 use crate::roster::EndpointRecord;
-use crate::roster::EndpointState;
 use crate::roster::Presence;
 use crate::roster::Role;
+use crate::roster::departure::Departure;
 use crate::roster::poller::Roster;
 use crate::roster::pulses::PulseHandler;
 use crate::roster::server::RosterServer;
@@ -46,6 +49,10 @@
 use crate::voter_set::driver::VoterSetController;
 use crate::voter_set::founding;
 
+/// How long an acknowledgement of a departure waits for the control group. Endpoints wait a second for
+/// it, and the copy that follows takes a part of that.
+const DEPARTURE_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Interval between checks whether the journal group can be founded.
 const FOUNDING_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -88,7 +95,8 @@
             roster_server.apply_config_state(config_state);
         }
         let (published, config_states) = watch::channel(ConfigState::default());
-        let machine = VersionsMachine::new(published);
+        let (published_departures, departures) = mpsc::unbounded_channel();
+        let machine = VersionsMachine::new(published, published_departures);
         let options = LogOptions {
             cluster: CLUSTER.to_owned(),
             voters,
@@ -102,6 +110,8 @@
         base.roster.update_presence(|presence| presence.ready = true);
         base.start_polling(settings);
         base.spawn("expire silent endpoints", roster_server.clone().expire_silent());
+        let noting = note_departures(departures, roster_server.clone());
+        base.spawn_finite("note departures", noting);
         let keeping = keep_reports(base.roster.clone(), roster_server.clone());
         base.spawn("keep the reports of other core instances", keeping);
         let stop_storing = watch::Sender::new(false);
@@ -143,7 +153,8 @@
         })
     }
 
-    /// Records the departure of an endpoint and waits for a copy at another core instance.
+    /// Records the departure of an endpoint and commits it, so that no loss of instances that the
+    /// control group survives takes it back.
     /// `started_ms` is the start time of the departing incarnation in milliseconds since the Unix
     /// epoch, if the endpoint stated it.
     ///
@@ -151,26 +162,49 @@
     /// it counts too.
     ///
     /// # Errors
-    /// Fails if no reachable core instance has heard of the endpoint.
+    /// Fails if no reachable core instance has heard of the endpoint, or the control group did not
+    /// commit the departure in time. In the latter case it holds until the core instances end.
     pub async fn depart(
         &self,
         id: &EndpointName,
         started_ms: Option<u64>,
-    ) -> Result<(), UnknownEndpoint> {
+    ) -> Result<(), DepartureError> {
         let published = self.roster.with_view(|view| view.endpoint(id).cloned());
-        self.roster_server.depart(id, started_ms, published)?;
-        self.roster_server.wait_for_copy().await;
-        Ok(())
+        let departed = self.roster_server.depart(id, started_ms, published);
+        self.commit_departure(&departed.map_err(|cause| DepartureError::Unknown { cause })?).await
+    }
+
+    /// Records the announcement of an endpoint; if the endpoint is leaving, commits that.
+    ///
+    /// # Errors
+    /// Fails if the control group did not commit the departure in time.
+    pub async fn announce(&self, record: EndpointRecord) -> Result<(), DepartureError> {
+        self.roster_server.announce(record.clone());
+        self.commit_departure(&record).await
     }
 
-    /// Records the announcement of an endpoint; if the endpoint is leaving, waits for a copy at
-    /// another core instance.
-    pub async fn announce(&self, record: EndpointRecord) {
-        let is_leaving = record.state != EndpointState::Ready;
-        self.roster_server.announce(record);
-        if is_leaving {
-            self.roster_server.wait_for_copy().await;
+    async fn commit_departure(&self, record: &EndpointRecord) -> Result<(), DepartureError> {
+        let Some(departure) = Departure::of(record) else {
+            return Ok(());
+        };
+        if !self.roster_server.has_committed(&departure) {
+            let committing = self.versions.depart(&departure);
+            let result = tokio::time::timeout(DEPARTURE_TIMEOUT, committing).await;
+            let reason = match result {
+                Ok(Ok(())) => None,
+                Ok(Err(cause)) => Some(cause.to_string()),
+                Err(_) => Some(format!("no answer in {} ms", DEPARTURE_TIMEOUT.as_millis())),
+            };
+            if let Some(reason) = reason {
+                let cause = DepartureError::NotCommitted { id: departure.endpoint, reason };
+                let subject = Subject { peer: Some(record.id.to_string()), ..Subject::default() };
+                self.cx.events.record(EventNumber::EndpointRefused, subject, cause.to_string());
+                return Err(cause);
+            }
+            self.roster_server.note_departure(departure);
         }
+        self.roster_server.wait_for_copy().await;
+        Ok(())
     }
 
     /// Announces that this instance is leaving, stops its log node and releases the data folder.
@@ -187,6 +221,26 @@
     }
 }
 
+/// Reason why a departure is not acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum DepartureError {
+    /// There is no endpoint that the departure could be applied to.
+    #[display("{cause}")]
+    Unknown {
+        /// The endpoint that the departure names.
+        cause: UnknownEndpoint,
+    },
+    /// The departure would be forgotten with the core instances.
+    #[display("the departure of endpoint {id} was not committed: {reason}")]
+    NotCommitted {
+        /// The endpoint that leaves.
+        id: EndpointName,
+        /// Why the control group did not commit it.
+        reason: String,
+    },
+}
+
 fn first_voters(
     settings: &ProcessSettings,
     name: &InstanceName,
@@ -230,12 +284,22 @@
     }
 }
 
+/// Publishes the departures of endpoints that the control group commits.
+async fn note_departures(
+    mut departures: mpsc::UnboundedReceiver<Departure>,
+    roster_server: Arc<RosterServer>,
+) {
+    while let Some(departure) = departures.recv().await {
+        roster_server.note_departure(departure);
+    }
+}
+
 /// Records the departures of endpoints that other core instances acknowledged, and the crashes that
 /// they publish.
 ///
-/// A core instance keeps announcements in memory only. Without a copy, a departure would be unknown
-/// once the instance that acknowledged it restarts, and a process that starts then would use the
-/// endpoint as an older announcement at another core instance lists it.
+/// A core instance keeps announcements in memory only. Without a copy, the full record of a departed
+/// endpoint would be unknown once the instance that acknowledged it restarts. The copy also holds a
+/// departure that the control group has not committed.
 async fn keep_reports(roster: Arc<Roster>, roster_server: Arc<RosterServer>) {
     let mut changes = roster.changes();
     let mut crash_revision = 0;
--- a/coriandergw/src/roles/tests/groups.rs
+++ b/coriandergw/src/roles/tests/groups.rs
@@ -3,6 +3,7 @@
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::roles::core::CoreProcess;
+use crate::roles::core::DepartureError;
 use crate::roles::directory::DirectoryProcess;
 use crate::roles::tests::world::Machine;
 use crate::roles::tests::world::Site;
@@ -98,6 +99,61 @@
     wait_for("the departure at the process that started", has_departed).await;
 }
 
+// Guards against requests to an endpoint whose departure was acknowledged and forgotten when all core
+// instances were killed, since a late announcement of it arrived afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_departure_outlives_the_end_of_all_core_instances() {
+    for state in [EndpointState::Draining, EndpointState::Gone] {
+        let mut site = Site::new(1, 0).await;
+        let machine = site.machine(true);
+        let core = CoreProcess::start(&machine.settings).await.expect("starts");
+        let id = EndpointName::try_from("a").expect("a name");
+        let late = record(&id, "plain", ([10, 0, 0, 1], 80).into());
+        let first = EndpointRecord { sequence: 0, ..late.clone() };
+        core.announce(first).await.expect("nothing to commit");
+        match state {
+            EndpointState::Gone => core.depart(&id, Some(1)).await.expect("acknowledged"),
+            state => {
+                let draining = EndpointRecord { state, sequence: 2, ..late.clone() };
+                core.announce(draining).await.expect("acknowledged");
+            }
+        }
+        core.stop().await;
+        drop(core);
+        // The stopped instance's address stays bound in this test process, so it restarts at another.
+        let moved = site.machine(false);
+        let mut settings = machine.settings.clone();
+        settings.ip = moved.settings.ip;
+        let restarted = CoreProcess::start(&settings).await.expect("starts");
+        restarted.announce(late).await.expect("nothing to commit");
+        let has_departed = || restarted.roster_server.endpoint_state(&id) == Some(state);
+        wait_for("the departure at the instance that started again", has_departed).await;
+    }
+}
+
+// Guards against a departure that is acknowledged although it would be forgotten with the core
+// instances that know it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_departure_is_acknowledged_only_when_the_control_group_has_committed_it() {
+    let mut site = Site::new(3, 1).await;
+    let (_machines, mut cores) = three_cores(&mut site).await;
+    put_until_committed(&cores[0].versions, 7).await;
+    let id = EndpointName::try_from("a").expect("a name");
+    let ready = record(&id, "plain", ([10, 0, 0, 1], 80).into());
+    cores[0].announce(ready.clone()).await.expect("nothing to commit");
+    for lost in cores.drain(1..) {
+        lost.stop().await;
+    }
+    let draining = EndpointRecord { state: EndpointState::Draining, sequence: 2, ..ready };
+    for _ in 0..2 {
+        let result = cores[0].announce(draining.clone()).await;
+        assert!(matches!(result, Err(DepartureError::NotCommitted { .. })), "{result:?}");
+    }
+    assert!(cores[0].depart(&id, None).await.is_err());
+    // What it knows it tells nevertheless.
+    wait_until_gone(&cores, &id, 1).await;
+}
+
 /// Waits until every core instance lists the endpoint as gone, in the given incarnation.
 async fn wait_until_gone(cores: &[CoreProcess], id: &EndpointName, started_ms: u64) {
     let is_gone = |core: &CoreProcess| {
--- a/coriandergw/src/roles/tests/stopping.rs
+++ b/coriandergw/src/roles/tests/stopping.rs
@@ -55,23 +55,25 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopping_entry_answers_what_ends_before_the_end_of_the_grace() {
     let world = World::start().await;
-    let endpoint = answering_after(Duration::from_millis(4_950)).await;
+    let work = Duration::from_millis(4_950);
+    let endpoint = answering_after(work).await;
     world.announce("a", "plain", &endpoint).await;
     let mut caller = world.connect().await;
     let asking = async {
         wait_for("the drain", || !world.entry.is_ready()).await;
         tokio::time::sleep(Duration::from_millis(1_600)).await;
+        let sent_at = Instant::now();
         send(&mut caller, "/once/x", "t1", "deadline: 5000\r\n", true).await;
-        (receive(&mut caller).await, Instant::now())
+        (receive(&mut caller).await, sent_at)
     };
     let stopping = async {
         world.entry.stop(GRACE).await;
         Instant::now()
     };
-    let (stopped_at, (reply, answered_at)) = tokio::join!(stopping, asking);
+    let (stopped_at, (reply, sent_at)) = tokio::join!(stopping, asking);
     assert!(reply.ends_with("done"), "{reply}");
     // The process exits when the stop returns.
-    assert!(answered_at <= stopped_at, "the answer came after the exit");
+    assert!(stopped_at >= sent_at + work, "the exit came before the endpoint's answer");
 }
 
 // Guards against requests that are taken during a stop and cut at its end: they might take longer
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -65,6 +65,23 @@
     /// The number of the last change of an entry instance, which the relays were chosen by.
     #[prost(uint64, tag = "15")]
     pub relays_as_of: u64,
+    /// Departures of endpoints that the control group has committed.
+    #[prost(message, repeated, tag = "16")]
+    pub departures: ::prost::alloc::vec::Vec<Departure>,
+}
+/// An endpoint that is leaving or has left.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Departure {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// The start of the incarnation, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+    /// Draining 2, gone 3.
+    #[prost(uint32, tag = "3")]
+    pub state: u32,
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
 }
 /// An instance that relays connections to endpoints.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -22,6 +22,7 @@
 use crate::roster::Presence;
 use crate::roster::Relay;
 use crate::roster::RosterError;
+use crate::roster::departure::Departure;
 use crate::roster::generated as raw;
 use crate::roster::state::ReportedPresence;
 use crate::roster::state::poll_wait;
@@ -239,6 +240,8 @@
         let endpoints: Result<Vec<EndpointRecord>, _> =
             raw.endpoints.into_iter().map(EndpointRecord::try_from).collect();
         let crashes: Result<Vec<Crash>, _> = raw.crashes.into_iter().map(Crash::decode).collect();
+        let departures: Result<Vec<Departure>, _> =
+            raw.departures.into_iter().map(Departure::try_from).collect();
         let relays: Result<Vec<Relay>, _> = raw.relays.into_iter().map(Relay::try_from).collect();
         let parse_presence = |raw: raw::Presence| {
             let heard = raw.heard;
@@ -260,6 +263,7 @@
             // Decoded with the time at which the response arrived.
             limits: Vec::new(),
             crashes: crashes.map_err(|_| RosterError { field: "crash" })?,
+            departures: departures?,
             relays: relays?,
             relays_as_of: raw.relays_as_of,
         })
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -23,6 +23,7 @@
 use crate::roster::EndpointState;
 use crate::roster::Presence;
 use crate::roster::Role;
+use crate::roster::departure::Departure;
 use crate::roster::generated as raw;
 use crate::roster::state::Audience;
 use crate::roster::state::ConfigState;
@@ -90,21 +91,26 @@
     /// Records the announcement of an endpoint.
     pub fn announce(&self, record: EndpointRecord) {
         let now = self.cx.clock.now();
-        let (id, state) = (record.id.to_string(), record.state);
+        let id = record.id.clone();
         let detail = format!(
-            "state={state:?} service={} address={} started_ms={} sequence={}",
+            "service={} address={} started_ms={} sequence={}",
             record.service, record.address, record.started_ms, record.sequence
         );
-        if self.with_state(|roster| roster.announce(record, now)) {
+        let announced = self.with_state(|roster| {
+            // A committed departure may have replaced the state that was announced.
+            roster.announce(record, now).then(|| roster.endpoint_state(&id)).flatten()
+        });
+        if let Some(state) = announced {
             let number = match state {
                 EndpointState::Ready => EventNumber::EndpointAnnounced,
                 _ => EventNumber::EndpointLeaving,
             };
-            self.cx.events.record(number, Subject { peer: Some(id), ..Subject::default() }, detail);
+            let subject = Subject { peer: Some(id.to_string()), ..Subject::default() };
+            self.cx.events.record(number, subject, format!("state={state:?} {detail}"));
         }
     }
 
-    /// Marks an endpoint as gone, see [`RosterState::depart`].
+    /// Marks an endpoint as gone and returns its record, see [`RosterState::depart`].
     ///
     /// # Errors
     /// Fails if the endpoint is unknown.
@@ -113,7 +119,7 @@
         id: &EndpointName,
         started_ms: Option<u64>,
         published: Option<EndpointRecord>,
-    ) -> Result<(), UnknownEndpoint> {
+    ) -> Result<EndpointRecord, UnknownEndpoint> {
         let now = self.cx.clock.now();
         let recorded = self.with_state(|roster| roster.depart(id, started_ms, published, now));
         let outcome = match &recorded {
@@ -123,7 +129,30 @@
         let detail = format!("departure, stated started_ms={started_ms:?}: {outcome}");
         let subject = Subject { peer: Some(id.to_string()), ..Subject::default() };
         self.cx.events.record(EventNumber::EndpointLeaving, subject, detail);
-        recorded.map(|_| ())
+        recorded
+    }
+
+    /// Publishes a departure that the control group has committed.
+    pub fn note_departure(&self, departure: Departure) {
+        let now = self.cx.clock.now();
+        let subject = Subject { peer: Some(departure.endpoint.to_string()), ..Subject::default() };
+        let detail = format!(
+            "committed departure, state={:?} started_ms={} sequence={}",
+            departure.state, departure.started_ms, departure.sequence
+        );
+        if self.with_state(|roster| roster.note_departure(departure, now)) {
+            self.cx.events.record(EventNumber::EndpointLeaving, subject, detail);
+        }
+    }
+
+    /// Returns the state of an endpoint; `None` if it is not listed.
+    pub fn endpoint_state(&self, id: &EndpointName) -> Option<EndpointState> {
+        self.with_state(|roster| roster.endpoint_state(id))
+    }
+
+    /// Returns whether a departure is committed, see [`RosterState::has_committed`].
+    pub fn has_committed(&self, departure: &Departure) -> bool {
+        self.with_state(|roster| roster.has_committed(departure))
     }
 
     /// Publishes the limits that endpoints named to an entry instance.
@@ -287,6 +316,7 @@
             entry_instances: roster.entry_instances() as u32,
             limits: changes.limits.iter().map(|one| one.encode(now)).collect(),
             crashes: changes.crashes.iter().map(Crash::encode).collect(),
+            departures: changes.departures.iter().map(Into::into).collect(),
             relays: relays.iter().map(Into::into).collect(),
             relays_as_of,
         }
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -21,6 +21,7 @@
 use crate::roster::Presence;
 use crate::roster::Relay;
 use crate::roster::Role;
+use crate::roster::departure::Departure;
 
 /// The longest time that a poll waits for a change.
 pub const POLL_WAIT: Duration = Duration::from_millis(200);
@@ -172,6 +173,8 @@
     pub limits: Vec<StatedLimit>,
     /// The crashes of endpoints that are new or of which more is known.
     pub crashes: Vec<Crash>,
+    /// The departures of endpoints that the control group has committed.
+    pub departures: Vec<Departure>,
 }
 
 /// The roster state of one core instance.
@@ -183,6 +186,8 @@
     endpoints: BTreeMap<EndpointName, Tracked<EndpointRecord>>,
     instances: BTreeMap<InstanceName, Tracked<ReportedPresence>>,
     limits: BTreeMap<EndpointName, Tracked<StatedLimit>>,
+    /// The departures that the control group has committed.
+    departures: BTreeMap<EndpointName, Tracked<Departure>>,
     crashes: CrashTable,
     /// The number of the last change of each crash.
     crash_changes: BTreeMap<Incarnation, u64>,
@@ -201,6 +206,7 @@
             endpoints: BTreeMap::new(),
             instances: BTreeMap::new(),
             limits: BTreeMap::new(),
+            departures: BTreeMap::new(),
             crashes: CrashTable::default(),
             crash_changes: BTreeMap::new(),
             config_state: ConfigState::default(),
@@ -294,7 +300,13 @@
 
     /// Records an announcement; returns whether it changed more than the sequence number and the
     /// remaining warm-up time. The start or end of the warm-up counts as such a change.
-    pub fn announce(&mut self, record: EndpointRecord, now: Timestamp) -> bool {
+    ///
+    /// A record that is no newer than a committed departure of the endpoint is taken as that
+    /// departure.
+    pub fn announce(&mut self, mut record: EndpointRecord, now: Timestamp) -> bool {
+        if let Some(departure) = self.departures.get(&record.id) {
+            departure.value.apply_to(&mut record);
+        }
         let Some(entry) = self.endpoints.get_mut(&record.id) else {
             let id = record.id.clone();
             self.endpoints.insert(id.clone(), Tracked::new(record, 0, now));
@@ -361,6 +373,46 @@
         Ok(gone)
     }
 
+    /// Records a departure that the control group has committed; returns whether it changed the record
+    /// of a listed endpoint.
+    pub fn note_departure(&mut self, departure: Departure, now: Timestamp) -> bool {
+        let id = departure.endpoint.clone();
+        let known = self.departures.get(&id);
+        if known.is_some_and(|known| !departure.supersedes(&known.value)) {
+            return false;
+        }
+        let is_changed = match self.endpoints.get_mut(&id) {
+            Some(entry) => departure.apply_to(&mut entry.value),
+            None => false,
+        };
+        if is_changed {
+            self.publish_endpoint(&id);
+        }
+        let number = self.next_change(ChangeScope::General);
+        self.departures.insert(id, Tracked::new(departure, number, now));
+        is_changed
+    }
+
+    /// Returns the state of an endpoint; `None` if it is not listed.
+    pub fn endpoint_state(&self, id: &EndpointName) -> Option<EndpointState> {
+        self.endpoints.get(id).map(|entry| entry.value.state)
+    }
+
+    /// Returns whether the control group has committed this departure, or a later one that covers
+    /// what the endpoint announced meanwhile.
+    pub fn has_committed(&self, departure: &Departure) -> bool {
+        let Some(known) = self.departures.get(&departure.endpoint) else {
+            return false;
+        };
+        let record = self.endpoints.get(&departure.endpoint).map(|entry| &entry.value);
+        let is_ready_again = record.is_some_and(|record| {
+            record.state == EndpointState::Ready && !known.value.covers(record)
+        });
+        known.value.started_ms >= departure.started_ms
+            && known.value.state >= departure.state
+            && !is_ready_again
+    }
+
     /// Publishes the limit that an endpoint named, if it is newer than the one known. A limit that
     /// is named again is no change.
     pub fn publish_limit(&mut self, stated: &StatedLimit, now: Timestamp) {
@@ -483,6 +535,7 @@
         self.endpoints.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         self.instances.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         self.limits.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
+        self.departures.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         self.crashes.expire(now);
         let crashes = &self.crashes;
         self.crash_changes.retain(|incarnation, _| crashes.has_crashed(incarnation));
@@ -499,6 +552,7 @@
         let instances = self.instances.values().filter(|entry| entry.changed > cursor);
         let instances = instances.filter(|entry| is_needed(&entry.value));
         let limits = self.limits.values().filter(|entry| entry.changed > cursor);
+        let departures = self.departures.values().filter(|entry| entry.changed > cursor);
         let is_later = |crash: &&Crash| {
             self.crash_changes.get(&crash.incarnation).is_some_and(|changed| *changed > cursor)
         };
@@ -506,6 +560,7 @@
             endpoints: endpoints.map(|entry| entry.value.clone()).collect(),
             instances: instances.map(|entry| entry.value.clone()).collect(),
             limits: limits.map(|entry| entry.value.clone()).collect(),
+            departures: departures.map(|entry| entry.value.clone()).collect(),
             crashes: self.crashes.crashes().filter(is_later).cloned().collect(),
         }
     }
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -21,6 +21,7 @@
 use crate::roster::Presence;
 use crate::roster::Relay;
 use crate::roster::Role;
+use crate::roster::departure::Departure;
 use crate::roster::state::Audience;
 use crate::roster::state::ConfigState;
 use crate::roster::state::ENTRY_POLL_WAIT;
@@ -694,3 +695,75 @@
     view.merge(core_address(1), unchanged, time_at(20));
     assert_eq!(view.relays(time_at(30)).len(), 2);
 }
+
+fn departure(record: &EndpointRecord) -> Departure {
+    Departure::of(record).expect("it departs")
+}
+
+// Guards against an endpoint that is used again at an announcement that was sent before its departure.
+#[test]
+fn a_late_announcement_of_a_departed_endpoint_does_not_list_it_as_ready() {
+    let mut state = RosterState::new(ENDPOINT_SILENCE, time_at(0));
+    state.note_departure(departure(&record("a", 1, 5, EndpointState::Gone)), time_at(0));
+    state.note_departure(departure(&record("b", 1, 5, EndpointState::Draining)), time_at(0));
+    state.announce(record("a", 1, 9, EndpointState::Ready), time_at(1));
+    state.announce(record("b", 1, 4, EndpointState::Ready), time_at(1));
+    let name = |id: &str| EndpointName::try_from(id).expect("a name");
+    assert_eq!(state.endpoint_state(&name("a")), Some(EndpointState::Gone));
+    assert_eq!(state.endpoint_state(&name("b")), Some(EndpointState::Draining));
+    state.announce(record("a", 2, 1, EndpointState::Ready), time_at(2));
+    assert_eq!(state.endpoint_state(&name("a")), Some(EndpointState::Ready), "it started again");
+}
+
+// Guards against an endpoint that stays in use where the departure arrives after the announcement.
+#[test]
+fn a_committed_departure_changes_the_listed_record_and_is_sent_to_all() {
+    let mut state = RosterState::new(ENDPOINT_SILENCE, time_at(0));
+    state.announce(record("a", 1, 4, EndpointState::Ready), time_at(0));
+    let cursor = state.last_change();
+    let gone = departure(&record("a", 1, 5, EndpointState::Gone));
+    assert!(!state.has_committed(&gone));
+    assert!(state.note_departure(gone.clone(), time_at(1)));
+    assert!(!state.note_departure(gone.clone(), time_at(2)), "it is known");
+    assert!(state.has_committed(&gone));
+    let changes = state.changes_after(cursor, Audience::Other);
+    assert_eq!(changes.departures, [gone]);
+    assert_eq!(changes.endpoints, [record("a", 1, 4, EndpointState::Gone)]);
+}
+
+// Guards against a drain that is acknowledged without a commit, since an earlier drain, which the
+// endpoint took back, had been committed.
+#[test]
+fn a_drain_after_a_later_announcement_is_committed_again() {
+    let mut state = RosterState::new(ENDPOINT_SILENCE, time_at(0));
+    state.note_departure(departure(&record("a", 1, 5, EndpointState::Draining)), time_at(0));
+    let again = departure(&record("a", 1, 6, EndpointState::Draining));
+    assert!(state.has_committed(&again), "a repetition");
+    state.announce(record("a", 1, 8, EndpointState::Ready), time_at(1));
+    assert!(!state.has_committed(&departure(&record("a", 1, 9, EndpointState::Draining))));
+}
+
+// Guards against requests to a departed endpoint that a core instance lists as ready, since it has not
+// caught up with the control group.
+#[test]
+fn a_departure_from_one_core_instance_holds_against_announcements_at_another() {
+    let departed = record("a", 1, 5, EndpointState::Gone);
+    let told =
+        PollAnswer { core_start: 1, departures: vec![departure(&departed)], ..Default::default() };
+    let listed = PollAnswer {
+        core_start: 1,
+        endpoints: vec![record("a", 1, 4, EndpointState::Ready)],
+        ..Default::default()
+    };
+    for is_told_first in [true, false] {
+        let mut view = RosterView::new(POLL_WAIT);
+        let mut answers = vec![(core_address(1), told.clone()), (core_address(2), listed.clone())];
+        if !is_told_first {
+            answers.reverse();
+        }
+        for (core, answer) in answers {
+            view.merge(core, answer, time_at(0));
+        }
+        assert!(view.usable_endpoints().is_empty(), "told first: {is_told_first}");
+    }
+}
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -20,6 +20,7 @@
 use crate::roster::Presence;
 use crate::roster::Relay;
 use crate::roster::Role;
+use crate::roster::departure::Departure;
 use crate::roster::state::GONE_RETENTION;
 use crate::roster::state::POLL_WAIT;
 use crate::roster::state::ReportedPresence;
@@ -70,6 +71,8 @@
     pub limits: Vec<StatedLimit>,
     /// The crashes of endpoints that are new or of which more is known.
     pub crashes: Vec<Crash>,
+    /// The departures of endpoints that the control group has committed.
+    pub departures: Vec<Departure>,
     /// The instances that relay connections to endpoints for this one, unless `relays_as_of` is the
     /// number given in the poll.
     pub relays: Vec<Relay>,
@@ -107,6 +110,8 @@
     cores: BTreeMap<SocketAddr, CoreView>,
     endpoints: BTreeMap<EndpointName, KnownEndpoint>,
     limits: BTreeMap<EndpointName, StatedLimit>,
+    /// The committed departures, each with the time at which it became known.
+    departures: BTreeMap<EndpointName, (Departure, Timestamp)>,
     crashes: CrashTable,
     config_version: u64,
     config: Bytes,
@@ -122,6 +127,7 @@
             cores: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             limits: BTreeMap::new(),
+            departures: BTreeMap::new(),
             crashes: CrashTable::default(),
             config_version: 0,
             config: Bytes::new(),
@@ -160,6 +166,9 @@
         for reported in answer.instances {
             view.instances.insert(reported.presence.name.clone(), reported);
         }
+        for departure in answer.departures {
+            is_changed |= self.merge_departure(departure, now);
+        }
         for record in answer.endpoints {
             is_changed |= self.merge_endpoint(core, record, now);
         }
@@ -187,7 +196,16 @@
 
     /// Merges a record; returns whether it changed more than the sequence number and the remaining
     /// warm-up time.
-    fn merge_endpoint(&mut self, core: SocketAddr, record: EndpointRecord, now: Timestamp) -> bool {
+    fn merge_endpoint(
+        &mut self,
+        core: SocketAddr,
+        mut record: EndpointRecord,
+        now: Timestamp,
+    ) -> bool {
+        // A core instance that has not caught up with the control group may list it as ready.
+        if let Some((departure, _)) = self.departures.get(&record.id) {
+            departure.apply_to(&mut record);
+        }
         let Some(known) = self.endpoints.get_mut(&record.id) else {
             let reporters = BTreeSet::from([core]);
             let known =
@@ -220,6 +238,20 @@
         !is_repeated
     }
 
+    /// Merges a committed departure; returns whether it changed the record of the endpoint.
+    fn merge_departure(&mut self, departure: Departure, now: Timestamp) -> bool {
+        let known = self.departures.get(&departure.endpoint);
+        if known.is_some_and(|(known, _)| !departure.supersedes(known)) {
+            return false;
+        }
+        let is_changed = match self.endpoints.get_mut(&departure.endpoint) {
+            Some(known) => departure.apply_to(&mut known.record),
+            None => false,
+        };
+        self.departures.insert(departure.endpoint.clone(), (departure, now));
+        is_changed
+    }
+
     fn merge_limit(&mut self, stated: StatedLimit) -> bool {
         let known = self.limits.get(&stated.endpoint);
         let is_newer = known.is_none_or(|known| stated.supersedes(known));
@@ -264,6 +296,7 @@
     /// [`GONE_RETENTION`]; returns the removed endpoints that were neither silent nor gone.
     pub fn expire(&mut self, now: Timestamp) -> Vec<EndpointName> {
         self.crashes.expire(now);
+        self.departures.retain(|_, (_, known_at)| now.since(*known_at) < GONE_RETENTION);
         let reachable: Vec<SocketAddr> = self.reachable_cores(now).collect();
         if reachable.is_empty() {
             // Without any reachable core instance, the last known state is kept.
--- a/coriandergw/src/roster/wire.rs
+++ b/coriandergw/src/roster/wire.rs
@@ -65,6 +65,16 @@
     table.iter().find(|(_, known)| *known == number).map(|(value, _)| *value)
 }
 
+/// Encodes the state of an endpoint.
+pub(super) fn encode_state(state: EndpointState) -> u32 {
+    encode_enum(&STATES, state)
+}
+
+/// Decodes the state of an endpoint; `None` if the number is unknown.
+pub(super) fn decode_state(number: u32) -> Option<EndpointState> {
+    decode_enum(&STATES, number)
+}
+
 impl From<&Presence> for raw::Presence {
     fn from(presence: &Presence) -> Self {
         let group = &presence.group;
@@ -149,7 +159,7 @@
             address: record.address.to_string(),
             data_centre: record.data_centre.to_string(),
             slots: record.slots,
-            state: encode_enum(&STATES, record.state),
+            state: encode_state(record.state),
             started_ms: record.started_ms,
             sequence: record.sequence,
             cold_ms: record.cold_ms,
@@ -168,7 +178,7 @@
             address: raw.address.parse().map_err(|_| invalid_field("endpoint address"))?,
             data_centre: raw.data_centre.into(),
             slots: raw.slots,
-            state: decode_enum(&STATES, raw.state).ok_or_else(|| invalid_field("state"))?,
+            state: decode_state(raw.state).ok_or_else(|| invalid_field("state"))?,
             started_ms: raw.started_ms,
             sequence: raw.sequence,
             cold_ms: raw.cold_ms,
--- a/coriandergw/src/versions/mod.rs
+++ b/coriandergw/src/versions/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The operator chooses the version, and the configuration is always replaced as a whole. The
 //! highest version wins: a later configuration with the same or a lower version changes nothing.
-//! The group also stores the first voters of the journal group, which are set once, and the nodes
-//! whose journal instances are being retired.
+//! The group also stores the first voters of the journal group, which are set once, the nodes whose
+//! journal instances are being retired, and the departures of endpoints.
 //!
 //! This is the control group of core instances. The control group of cluster instances, which
 //! applies other commands, is in [`crate::control`].
@@ -19,6 +19,7 @@
 use crate::ids::InstanceName;
 use crate::log_groups::ProposeError;
 use crate::log_groups::ReplicatedLog;
+use crate::roster::departure::Departure;
 use crate::roster::state::ConfigState;
 use crate::versions::generated as raw;
 
@@ -92,11 +93,23 @@
         self.propose(raw::command::Kind::Retire(raw::Retire { node: node.to_owned() })).await
     }
 
+    /// Commits the departure of an endpoint.
+    ///
+    /// # Errors
+    /// Fails if the group did not answer. The departure may have been committed nevertheless.
+    pub async fn depart(&self, departure: &Departure) -> Result<(), VersionsError> {
+        let departure = machine::encode_departure(departure);
+        self.propose_command(raw::Command { kind: None, departure }).await.map(|_| ())
+    }
+
     async fn propose(&self, kind: raw::command::Kind) -> Result<ConfigState, VersionsError> {
-        let command = raw::Command { kind: Some(kind) }.encode_to_vec();
-        let proposed = self.log.propose(CONTROL_GROUP, command.into()).await;
-        let answer = proposed.map_err(|cause| VersionsError::Log { cause })?;
-        machine::decode_state(answer).ok_or(VersionsError::Unreadable)
+        let command = raw::Command { kind: Some(kind), ..raw::Command::default() };
+        machine::decode_state(self.propose_command(command).await?).ok_or(VersionsError::Unreadable)
+    }
+
+    async fn propose_command(&self, command: raw::Command) -> Result<Bytes, VersionsError> {
+        let proposed = self.log.propose(CONTROL_GROUP, command.encode_to_vec().into()).await;
+        proposed.map_err(|cause| VersionsError::Log { cause })
     }
 }
 
