fix(roster): let records of unknown services change no endpoint

Cause: each claim of a record took effect before it was known that the configuration names its service. By address, the record that started last took the endpoint out of use; by name, start and sequence it would have replaced the endpoint's own record at core instances and followers; by a drain it would have departed it.

Change: records and departures are kept by name and service. Where endpoints are chosen, only records of services in the configuration compete, by name and by address; a departure by name applies to each service's record. This works whatever collides, since a foreign record now shares no key with an endpoint and is not compared with it, and whenever the configuration changes, since nothing is refused when it is heard. Event 415 and the gauge foreign_claims say what is ignored.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -180,6 +180,9 @@
     LinksRegained = 413, Info;
     /// A connection that another instance asked for was not relayed.
     RelayDeclined = 414, Info;
+    /// A record that states a service without a configuration claims the name or the address of an
+    /// endpoint; it is ignored.
+    ForeignClaim = 415, Warning;
     /// An attempt of a call failed at its endpoint.
     AttemptFailed = 403, Warning;
     /// An engine confirmed an order.
--- a/coriandergw/src/forwarding/connecting.rs
+++ b/coriandergw/src/forwarding/connecting.rs
@@ -509,6 +509,10 @@
 
 #[async_trait]
 impl DirectLinks for Connector {
+    fn endpoints(&self) -> Vec<EndpointRecord> {
+        self.known.lock().expect("not poisoned").clone()
+    }
+
     async fn dial(&self, endpoint: &EndpointRecord, limit: Duration) -> Result<TcpStream, Fault> {
         Connector::dial(self, endpoint, limit).await
     }
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -1,7 +1,9 @@
 //! Handles a request from routing and token reservation to the response.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -53,9 +55,9 @@
 use crate::rendezvous::hash_of;
 use crate::result_code::Refusal;
 use crate::result_code::ResultCode;
+use crate::roster::EndpointKey;
 use crate::roster::EndpointRecord;
 use crate::roster::poller::Roster;
-use crate::roster::view::RosterView;
 use crate::routes::RetryPolicy;
 use crate::routes::Route;
 use crate::routes::RouteTable;
@@ -64,6 +66,9 @@
 /// The retry delay sent to callers when a request is refused for a short-lived reason.
 pub(super) const TRANSIENT_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// The maximum number of log lines on new foreign claims after one update from the roster.
+const FOREIGN_CLAIMS_REPORTED_MAX: usize = 8;
+
 /// The largest response that is buffered completely before it is passed on, in bytes.
 const BUFFERED_RESPONSE_MAX_BYTES: u64 = 1 << 20;
 
@@ -112,6 +117,8 @@
     table: ArcSwapOption<RouteTable>,
     pub(super) endpoints: ArcSwap<Endpoints>,
     leaving: LeavingEndpoints,
+    /// The ignored records that claim the name or the address of an endpoint.
+    foreign_claims: Mutex<BTreeSet<EndpointKey>>,
     pub(super) permits: PermitClient,
     pub(super) crashes: Arc<CrashReporter>,
     /// The number of entry instances (those that serve callers) that accept requests, including
@@ -192,6 +199,7 @@
             table: ArcSwapOption::empty(),
             endpoints: ArcSwap::default(),
             leaving: LeavingEndpoints::default(),
+            foreign_claims: Mutex::default(),
             permits,
             crashes,
             entry_instances: AtomicUsize::new(1),
@@ -255,7 +263,14 @@
         if let Some(entry_instances) = entry_instances {
             self.entry_instances.store(entry_instances.max(1), Ordering::Relaxed);
         }
-        let mut endpoints: Endpoints = self.roster.with_view(RosterView::usable_endpoints);
+        let table = self.table.load_full();
+        let is_configured =
+            |service: &str| table.as_ref().is_some_and(|table| table.service(service).is_some());
+        let (mut endpoints, claims): (Endpoints, Vec<EndpointRecord>) =
+            self.roster.with_view(|view| {
+                (view.usable_endpoints(is_configured), view.foreign_claims(is_configured))
+            });
+        self.report_foreign_claims(&claims);
         let is_listed =
             |id: &EndpointName| self.roster.with_view(|view| view.endpoint(id).is_some());
         self.leaving.expire(is_listed, now);
@@ -276,14 +291,27 @@
         self.connector.set_known(endpoints.values().flatten().cloned().collect());
         let before = self.endpoints.load();
         for unused in before.values().flatten().filter(|record| !is_known(&record.id)) {
-            let state =
-                self.roster.with_view(|view| view.endpoint(&unused.id).map(|known| known.state));
+            let state = self.roster.with_view(|view| {
+                let mut known = view.endpoints_named(&unused.id);
+                known.find(|known| known.service == unused.service).map(|known| known.state)
+            });
             RequestReport::endpoint_unused(&self.cx, unused, state);
         }
         self.endpoints.store(Arc::new(endpoints));
         self.refreshes.send_modify(|count| *count += 1);
     }
 
+    /// Records the claims that were not known before.
+    fn report_foreign_claims(&self, claims: &[EndpointRecord]) {
+        let latest: BTreeSet<EndpointKey> = claims.iter().map(EndpointRecord::key).collect();
+        let mut known = self.foreign_claims.lock().expect("not poisoned");
+        let new = claims.iter().filter(|record| !known.contains(&record.key()));
+        new.take(FOREIGN_CLAIMS_REPORTED_MAX)
+            .for_each(|record| RequestReport::foreign_claim(&self.cx, record, claims.len()));
+        self.cx.metrics.states.with_label_values(&["foreign_claims"]).set(claims.len() as i64);
+        *known = latest;
+    }
+
     /// Sends no more requests to an endpoint that stated in an answer that it is leaving.
     pub(super) fn note_leaving(&self, endpoint: &EndpointRecord) {
         if self.leaving.note(endpoint, self.cx.clock.now()) {
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -227,6 +227,17 @@
         cx.events.record(EventNumber::EndpointUnused, subject, detail);
     }
 
+    /// Records that `record` is ignored, which claims the name or the address of an endpoint; `claims`
+    /// is the number of such records.
+    pub(super) fn foreign_claim(cx: &Context, record: &EndpointRecord, claims: usize) {
+        let subject = Subject { peer: Some(record.id.to_string()), ..Subject::default() };
+        let detail = format!(
+            "no configuration names service {}, address={} started_ms={} ignored={claims}",
+            record.service, record.address, record.started_ms
+        );
+        cx.events.record(EventNumber::ForeignClaim, subject, detail);
+    }
+
     /// Records that a configuration was applied, or that it was rejected because of `fault`.
     pub(super) fn config_applied(cx: &Context, version: u64, fault: Option<&str>) {
         if fault.is_none() {
--- a/coriandergw/src/relays/server.rs
+++ b/coriandergw/src/relays/server.rs
@@ -63,6 +63,9 @@
     /// Says how the endpoint failed to accept it.
     async fn dial(&self, endpoint: &EndpointRecord, limit: Duration) -> Result<TcpStream, Fault>;
 
+    /// Returns the endpoints that requests may be sent to.
+    fn endpoints(&self) -> Vec<EndpointRecord>;
+
     /// Returns whether this instance reaches endpoints directly, as far as it knows.
     fn has_links(&self) -> bool;
 
@@ -181,18 +184,18 @@
     /// Returns the endpoint if the roster lists this incarnation at this address.
     fn listed(&self, open: &raw::Open) -> Option<EndpointRecord> {
         let id = EndpointName::try_from(open.endpoint.clone()).ok()?;
-        let record = self.roster.with_view(|view| view.endpoint(&id).cloned())?;
-        let is_same = record.started_ms == open.started_ms
-            && record.address.to_string() == open.address
-            && record.state != EndpointState::Gone;
-        is_same.then_some(record)
+        let is_same = |record: &&EndpointRecord| {
+            record.started_ms == open.started_ms
+                && record.address.to_string() == open.address
+                && record.state != EndpointState::Gone
+        };
+        self.roster.with_view(|view| view.endpoints_named(&id).find(is_same).cloned())
     }
 
     /// Returns whether any of a few other endpoints accepts a connection, or there is no other one.
     async fn compare(&self, endpoint: &EndpointRecord, fault: Fault) -> bool {
-        let usable = self.roster.with_view(|view| view.usable_endpoints());
-        let others: Vec<EndpointRecord> =
-            usable.into_values().flatten().filter(|record| record.id != endpoint.id).collect();
+        let mut others = self.links.endpoints();
+        others.retain(|record| record.id != endpoint.id);
         let chosen: Vec<EndpointRecord> =
             others.choose_multiple(&mut rand::rng(), COMPARED_ENDPOINTS).cloned().collect();
         let dials = chosen.iter().map(|other| self.links.dial(other, CONNECT_TIMEOUT));
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -169,9 +169,13 @@
         id: &EndpointName,
         started_ms: Option<u64>,
     ) -> Result<(), DepartureError> {
-        let published = self.roster.with_view(|view| view.endpoint(id).cloned());
+        let published =
+            self.roster.with_view(|view| view.endpoints_named(id).cloned().collect::<Vec<_>>());
         let departed = self.roster_server.depart(id, started_ms, published);
-        self.commit_departure(&departed.map_err(|cause| DepartureError::Unknown { cause })?).await
+        for record in departed.map_err(|cause| DepartureError::Unknown { cause })? {
+            self.commit_departure(&record).await?;
+        }
+        Ok(())
     }
 
     /// Records the announcement of an endpoint; if the endpoint is leaving, commits that.
@@ -196,7 +200,7 @@
                 Err(_) => Some(format!("no answer in {} ms", DEPARTURE_TIMEOUT.as_millis())),
             };
             if let Some(reason) = reason {
-                let cause = DepartureError::NotCommitted { id: departure.endpoint, reason };
+                let cause = DepartureError::NotCommitted { id: departure.endpoint.id, reason };
                 let subject = Subject { peer: Some(record.id.to_string()), ..Subject::default() };
                 self.cx.events.record(EventNumber::EndpointRefused, subject, cause.to_string());
                 return Err(cause);
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -8,6 +8,7 @@
 mod dishonest;
 mod endless;
 mod endpoint;
+mod foreign;
 mod groups;
 mod leaving;
 mod limits;
--- a/coriandergw/src/roles/tests/groups.rs
+++ b/coriandergw/src/roles/tests/groups.rs
@@ -109,6 +109,7 @@
         let core = CoreProcess::start(&machine.settings).await.expect("starts");
         let id = EndpointName::try_from("a").expect("a name");
         let late = record(&id, "plain", ([10, 0, 0, 1], 80).into());
+        let key = late.key();
         let first = EndpointRecord { sequence: 0, ..late.clone() };
         core.announce(first).await.expect("nothing to commit");
         match state {
@@ -126,7 +127,7 @@
         settings.ip = moved.settings.ip;
         let restarted = CoreProcess::start(&settings).await.expect("starts");
         restarted.announce(late).await.expect("nothing to commit");
-        let has_departed = || restarted.roster_server.endpoint_state(&id) == Some(state);
+        let has_departed = || restarted.roster_server.endpoint_state(&key) == Some(state);
         wait_for("the departure at the instance that started again", has_departed).await;
     }
 }
--- a/coriandergw/src/roles/tests/versions.rs
+++ b/coriandergw/src/roles/tests/versions.rs
@@ -52,8 +52,11 @@
             world.announce_record(at_version(name, version, &endpoint)).await;
             endpoints.push((name, version, endpoint));
         }
-        let count =
-            || other.roster.with_view(|view| view.usable_endpoints().values().flatten().count());
+        let count = || {
+            other
+                .roster
+                .with_view(|view| view.usable_endpoints(|_| true).values().flatten().count())
+        };
         wait_for("the endpoints at the other instance", || count() == endpoints.len()).await;
         Self { world, other, endpoints }
     }
@@ -72,7 +75,7 @@
         let id = EndpointName::try_from(name).expect("a name");
         let is_used = |entry: &EntryProcess| {
             entry.roster.with_view(|view| {
-                view.usable_endpoints().values().flatten().any(|record| record.id == id)
+                view.usable_endpoints(|_| true).values().flatten().any(|record| record.id == id)
             })
         };
         wait_for("no use", || !is_used(&self.world.entry) && !is_used(&self.other)).await;
--- a/coriandergw/src/roster/departure.rs
+++ b/coriandergw/src/roster/departure.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use crate::ids::EndpointName;
+use crate::roster::EndpointKey;
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
 use crate::roster::RosterError;
@@ -17,8 +18,8 @@
 /// An endpoint that said that it is leaving.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Departure {
-    /// The endpoint.
-    pub endpoint: EndpointName,
+    /// The endpoint, with the service that it stated.
+    pub endpoint: EndpointKey,
     /// The start time of the incarnation, in milliseconds since the Unix epoch.
     pub started_ms: u64,
     /// Either [`EndpointState::Draining`] or [`EndpointState::Gone`].
@@ -31,7 +32,7 @@
     /// Returns the departure that a record announces, if any.
     pub fn of(record: &EndpointRecord) -> Option<Self> {
         matches!(record.state, EndpointState::Draining | EndpointState::Gone).then(|| Self {
-            endpoint: record.id.clone(),
+            endpoint: record.key(),
             started_ms: record.started_ms,
             state: record.state,
             sequence: record.sequence,
@@ -68,7 +69,8 @@
 impl From<&Departure> for raw::Departure {
     fn from(departure: &Departure) -> Self {
         Self {
-            endpoint: departure.endpoint.to_string(),
+            endpoint: departure.endpoint.id.to_string(),
+            service: departure.endpoint.service.to_string(),
             started_ms: departure.started_ms,
             state: wire::encode_state(departure.state),
             sequence: departure.sequence,
@@ -80,12 +82,13 @@
     type Error = RosterError;
 
     fn try_from(raw: raw::Departure) -> Result<Self, RosterError> {
-        let endpoint = EndpointName::try_from(raw.endpoint);
+        let id = EndpointName::try_from(raw.endpoint);
+        let id = id.map_err(|_| RosterError { field: "endpoint of a departure" })?;
         let state = wire::decode_state(raw.state);
         let is_departing =
             |state: &EndpointState| matches!(state, EndpointState::Draining | EndpointState::Gone);
         Ok(Self {
-            endpoint: endpoint.map_err(|_| RosterError { field: "endpoint of a departure" })?,
+            endpoint: EndpointKey { id, service: raw.service.into() },
             started_ms: raw.started_ms,
             state: state
                 .filter(is_departing)
@@ -101,8 +104,8 @@
 /// member of the control group, unlike the time.
 #[derive(Debug, Default)]
 pub struct Departures {
-    by_endpoint: BTreeMap<EndpointName, (u64, Departure)>,
-    by_number: BTreeMap<u64, EndpointName>,
+    by_endpoint: BTreeMap<EndpointKey, (u64, Departure)>,
+    by_number: BTreeMap<u64, EndpointKey>,
     last_number: u64,
 }
 
--- a/coriandergw/src/roster/departure/tests.rs
+++ b/coriandergw/src/roster/departure/tests.rs
@@ -4,12 +4,7 @@
 use crate::test_support::incarnation;
 
 fn departure(state: EndpointState, started_ms: u64, sequence: u64) -> Departure {
-    Departure {
-        endpoint: EndpointName::try_from("a").expect("a name"),
-        started_ms,
-        state,
-        sequence,
-    }
+    Departure { endpoint: incarnation(started_ms).key(), started_ms, state, sequence }
 }
 
 // Guards against a late announcement that takes a departure back, and against a departure that keeps
@@ -45,7 +40,10 @@
 #[test]
 fn the_oldest_departures_are_dropped_also_after_a_copy_in_order() {
     let numbered = |number: usize| Departure {
-        endpoint: EndpointName::try_from(format!("e{number}")).expect("a name"),
+        endpoint: EndpointKey {
+            id: EndpointName::try_from(format!("e{number}")).expect("a name"),
+            service: "models".into(),
+        },
         ..departure(EndpointState::Gone, 1, 1)
     };
     let mut first = Departures::default();
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -82,6 +82,9 @@
     pub state: u32,
     #[prost(uint64, tag = "4")]
     pub sequence: u64,
+    /// The service that the endpoint stated.
+    #[prost(string, tag = "5")]
+    pub service: ::prost::alloc::string::String,
 }
 /// An instance that relays connections to endpoints.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -114,6 +114,16 @@
     Gone,
 }
 
+/// Identifies what is known of an endpoint. Records of one name that state different services are kept
+/// apart, since at most one of them is meant by the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointKey {
+    /// The endpoint name.
+    pub id: EndpointName,
+    /// The service that the record states.
+    pub service: Arc<str>,
+}
+
 /// The last known announcement of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointRecord {
@@ -141,6 +151,11 @@
 }
 
 impl EndpointRecord {
+    /// Returns the key under which the record is kept.
+    pub fn key(&self) -> EndpointKey {
+        EndpointKey { id: self.id.clone(), service: self.service.clone() }
+    }
+
     /// Returns whether this record replaces `old`.
     ///
     /// A later incarnation replaces an earlier one. Within an incarnation, a departure replaces any
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -19,6 +19,7 @@
 use crate::events::Subject;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
+use crate::roster::EndpointKey;
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
 use crate::roster::Presence;
@@ -91,26 +92,26 @@
     /// Records the announcement of an endpoint.
     pub fn announce(&self, record: EndpointRecord) {
         let now = self.cx.clock.now();
-        let id = record.id.clone();
+        let key = record.key();
         let detail = format!(
             "service={} address={} started_ms={} sequence={}",
             record.service, record.address, record.started_ms, record.sequence
         );
         let announced = self.with_state(|roster| {
             // A committed departure may have replaced the state that was announced.
-            roster.announce(record, now).then(|| roster.endpoint_state(&id)).flatten()
+            roster.announce(record, now).then(|| roster.endpoint_state(&key)).flatten()
         });
         if let Some(state) = announced {
             let number = match state {
                 EndpointState::Ready => EventNumber::EndpointAnnounced,
                 _ => EventNumber::EndpointLeaving,
             };
-            let subject = Subject { peer: Some(id.to_string()), ..Subject::default() };
+            let subject = Subject { peer: Some(key.id.to_string()), ..Subject::default() };
             self.cx.events.record(number, subject, format!("state={state:?} {detail}"));
         }
     }
 
-    /// Marks an endpoint as gone and returns its record, see [`RosterState::depart`].
+    /// Marks an endpoint as gone and returns its records, see [`RosterState::depart`].
     ///
     /// # Errors
     /// Fails if the endpoint is unknown.
@@ -118,12 +119,15 @@
         &self,
         id: &EndpointName,
         started_ms: Option<u64>,
-        published: Option<EndpointRecord>,
-    ) -> Result<EndpointRecord, UnknownEndpoint> {
+        published: Vec<EndpointRecord>,
+    ) -> Result<Vec<EndpointRecord>, UnknownEndpoint> {
         let now = self.cx.clock.now();
         let recorded = self.with_state(|roster| roster.depart(id, started_ms, published, now));
         let outcome = match &recorded {
-            Ok(record) => format!("state={:?} started_ms={}", record.state, record.started_ms),
+            Ok(gone) => {
+                let describe = |one: &EndpointRecord| format!("{}/{}", one.service, one.started_ms);
+                format!("gone={}", gone.iter().map(describe).collect::<Vec<_>>().join(","))
+            }
             Err(cause) => cause.to_string(),
         };
         let detail = format!("departure, stated started_ms={started_ms:?}: {outcome}");
@@ -135,10 +139,11 @@
     /// Publishes a departure that the control group has committed.
     pub fn note_departure(&self, departure: Departure) {
         let now = self.cx.clock.now();
-        let subject = Subject { peer: Some(departure.endpoint.to_string()), ..Subject::default() };
+        let subject =
+            Subject { peer: Some(departure.endpoint.id.to_string()), ..Subject::default() };
         let detail = format!(
-            "committed departure, state={:?} started_ms={} sequence={}",
-            departure.state, departure.started_ms, departure.sequence
+            "committed departure, service={} state={:?} started_ms={} sequence={}",
+            departure.endpoint.service, departure.state, departure.started_ms, departure.sequence
         );
         if self.with_state(|roster| roster.note_departure(departure, now)) {
             self.cx.events.record(EventNumber::EndpointLeaving, subject, detail);
@@ -146,8 +151,8 @@
     }
 
     /// Returns the state of an endpoint; `None` if it is not listed.
-    pub fn endpoint_state(&self, id: &EndpointName) -> Option<EndpointState> {
-        self.with_state(|roster| roster.endpoint_state(id))
+    pub fn endpoint_state(&self, endpoint: &EndpointKey) -> Option<EndpointState> {
+        self.with_state(|roster| roster.endpoint_state(endpoint))
     }
 
     /// Returns whether a departure is committed, see [`RosterState::has_committed`].
--- a/coriandergw/src/roster/simulation.rs
+++ b/coriandergw/src/roster/simulation.rs
@@ -559,7 +559,7 @@
     }
 
     fn check_view(&self, process: &ProcessSim) {
-        let usable = process.view.usable_endpoints();
+        let usable = process.view.usable_endpoints(|_| true);
         let usable: BTreeMap<&EndpointName, u64> =
             usable.values().flatten().map(|record| (&record.id, record.started_ms)).collect();
         for (id, started_ms, at) in &self.departures {
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -16,6 +16,7 @@
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::rendezvous::hash_of;
+use crate::roster::EndpointKey;
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
 use crate::roster::Presence;
@@ -183,11 +184,11 @@
     endpoint_silence: Duration,
     last_change: u64,
     last_changes: LastChanges,
-    endpoints: BTreeMap<EndpointName, Tracked<EndpointRecord>>,
+    endpoints: BTreeMap<EndpointKey, Tracked<EndpointRecord>>,
     instances: BTreeMap<InstanceName, Tracked<ReportedPresence>>,
     limits: BTreeMap<EndpointName, Tracked<StatedLimit>>,
     /// The departures that the control group has committed.
-    departures: BTreeMap<EndpointName, Tracked<Departure>>,
+    departures: BTreeMap<EndpointKey, Tracked<Departure>>,
     crashes: CrashTable,
     /// The number of the last change of each crash.
     crash_changes: BTreeMap<Incarnation, u64>,
@@ -304,13 +305,13 @@
     /// A record that is no newer than a committed departure of the endpoint is taken as that
     /// departure.
     pub fn announce(&mut self, mut record: EndpointRecord, now: Timestamp) -> bool {
-        if let Some(departure) = self.departures.get(&record.id) {
+        let key = record.key();
+        if let Some(departure) = self.departures.get(&key) {
             departure.value.apply_to(&mut record);
         }
-        let Some(entry) = self.endpoints.get_mut(&record.id) else {
-            let id = record.id.clone();
-            self.endpoints.insert(id.clone(), Tracked::new(record, 0, now));
-            self.publish_endpoint(&id);
+        let Some(entry) = self.endpoints.get_mut(&key) else {
+            self.endpoints.insert(key.clone(), Tracked::new(record, 0, now));
+            self.publish_endpoint(&key);
             return true;
         };
         // A repeated departure is ignored here, but acknowledged like the first one.
@@ -318,18 +319,17 @@
             return false;
         }
         let is_changed = !entry.value.is_equivalent(&record);
-        let id = record.id.clone();
         entry.value = record;
         entry.heard_at = now;
         if is_changed {
-            self.publish_endpoint(&id);
+            self.publish_endpoint(&key);
         }
         is_changed
     }
 
-    fn publish_endpoint(&mut self, id: &EndpointName) {
+    fn publish_endpoint(&mut self, key: &EndpointKey) {
         let number = self.next_change(ChangeScope::General);
-        if let Some(entry) = self.endpoints.get_mut(id) {
+        if let Some(entry) = self.endpoints.get_mut(key) {
             entry.changed = number;
         }
     }
@@ -344,58 +344,78 @@
         }
     }
 
-    /// Marks an endpoint as gone on a departure message that carries no full record.
+    /// Marks an endpoint as gone on a departure message that carries no full record; returns the records
+    /// that are gone.
     ///
-    /// `published` is the record that all core instances together publish of the endpoint. The
-    /// departure concerns the incarnation started at `started_ms`, or the latest known one if the
-    /// message does not state it.
+    /// `published` are the records that all core instances together publish of the endpoint, one for
+    /// each service. The departure concerns the incarnation started at `started_ms`, or the latest
+    /// known one of each service if the message does not state it.
     ///
     /// # Errors
     /// Fails if the endpoint is unknown, since there is nothing that the departure could be applied
     /// to.
-    pub fn depart(
+    pub fn depart<P>(
         &mut self,
         id: &EndpointName,
         started_ms: Option<u64>,
-        published: Option<EndpointRecord>,
+        published: P,
         now: Timestamp,
-    ) -> Result<EndpointRecord, UnknownEndpoint> {
-        let own = self.endpoints.get(id).map(|entry| entry.value.clone());
-        let known = own.into_iter().chain(published);
-        let latest = known.max_by_key(|record| (record.started_ms, record.sequence));
-        let latest = latest.ok_or_else(|| UnknownEndpoint { id: id.clone() })?;
-        if started_ms.is_some_and(|started| started < latest.started_ms) {
-            return Ok(latest);
+    ) -> Result<Vec<EndpointRecord>, UnknownEndpoint>
+    where
+        P: IntoIterator<Item = EndpointRecord>,
+    {
+        let mut latest: BTreeMap<EndpointKey, EndpointRecord> = BTreeMap::new();
+        let own = self.endpoints.values().map(|entry| &entry.value);
+        let own: Vec<EndpointRecord> = own.filter(|record| record.id == *id).cloned().collect();
+        for record in own.into_iter().chain(published) {
+            let known = latest.entry(record.key()).or_insert_with(|| record.clone());
+            if (record.started_ms, record.sequence) > (known.started_ms, known.sequence) {
+                *known = record;
+            }
+        }
+        if latest.is_empty() {
+            return Err(UnknownEndpoint { id: id.clone() });
+        }
+        let concerned = latest.into_values().filter(|record| {
+            // A departure of an earlier incarnation says nothing of the latest one.
+            started_ms.is_none_or(|started| started >= record.started_ms)
+        });
+        let gone: Vec<EndpointRecord> = concerned
+            .map(|record| EndpointRecord {
+                state: EndpointState::Gone,
+                started_ms: started_ms.unwrap_or(record.started_ms),
+                ..record
+            })
+            .collect();
+        for record in &gone {
+            self.announce(record.clone(), now);
         }
-        let started_ms = started_ms.unwrap_or(latest.started_ms);
-        let gone = EndpointRecord { state: EndpointState::Gone, started_ms, ..latest };
-        self.announce(gone.clone(), now);
         Ok(gone)
     }
 
     /// Records a departure that the control group has committed; returns whether it changed the record
     /// of a listed endpoint.
     pub fn note_departure(&mut self, departure: Departure, now: Timestamp) -> bool {
-        let id = departure.endpoint.clone();
-        let known = self.departures.get(&id);
+        let key = departure.endpoint.clone();
+        let known = self.departures.get(&key);
         if known.is_some_and(|known| !departure.supersedes(&known.value)) {
             return false;
         }
-        let is_changed = match self.endpoints.get_mut(&id) {
+        let is_changed = match self.endpoints.get_mut(&key) {
             Some(entry) => departure.apply_to(&mut entry.value),
             None => false,
         };
         if is_changed {
-            self.publish_endpoint(&id);
+            self.publish_endpoint(&key);
         }
         let number = self.next_change(ChangeScope::General);
-        self.departures.insert(id, Tracked::new(departure, number, now));
+        self.departures.insert(key, Tracked::new(departure, number, now));
         is_changed
     }
 
     /// Returns the state of an endpoint; `None` if it is not listed.
-    pub fn endpoint_state(&self, id: &EndpointName) -> Option<EndpointState> {
-        self.endpoints.get(id).map(|entry| entry.value.state)
+    pub fn endpoint_state(&self, endpoint: &EndpointKey) -> Option<EndpointState> {
+        self.endpoints.get(endpoint).map(|entry| entry.value.state)
     }
 
     /// Returns whether the control group has committed this departure, or a later one that covers
@@ -506,11 +526,13 @@
             self.instances.values_mut().for_each(|entry| entry.heard_at = entry.heard_at + gap);
         }
         let mut silent = Vec::new();
-        for entry in self.endpoints.values_mut() {
+        let mut silent_endpoints = Vec::new();
+        for (key, entry) in &mut self.endpoints {
             let is_overdue = now.since(entry.heard_at) > self.endpoint_silence;
             if is_overdue && entry.value.state < EndpointState::Silent {
                 entry.value.state = EndpointState::Silent;
-                silent.push(SilentPeer::Endpoint(entry.value.id.clone()));
+                silent.push(SilentPeer::Endpoint(key.id.clone()));
+                silent_endpoints.push(key.clone());
             }
         }
         for entry in self.instances.values_mut() {
@@ -526,10 +548,12 @@
                 silent.push(SilentPeer::Instance(entry.value.presence.name.clone()));
             }
         }
+        for key in &silent_endpoints {
+            self.publish_endpoint(key);
+        }
         for peer in &silent {
-            match peer {
-                SilentPeer::Endpoint(id) => self.publish_endpoint(id),
-                SilentPeer::Instance(name) => self.publish_instance(name),
+            if let SilentPeer::Instance(name) = peer {
+                self.publish_instance(name);
             }
         }
         self.endpoints.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -72,7 +72,7 @@
 }
 
 fn usable(view: &RosterView) -> Vec<String> {
-    let usable = view.usable_endpoints();
+    let usable = view.usable_endpoints(|_| true);
     usable.get("models").into_iter().flatten().map(|record| record.id.to_string()).collect()
 }
 
@@ -708,11 +708,13 @@
     state.note_departure(departure(&record("b", 1, 5, EndpointState::Draining)), time_at(0));
     state.announce(record("a", 1, 9, EndpointState::Ready), time_at(1));
     state.announce(record("b", 1, 4, EndpointState::Ready), time_at(1));
-    let name = |id: &str| EndpointName::try_from(id).expect("a name");
-    assert_eq!(state.endpoint_state(&name("a")), Some(EndpointState::Gone));
-    assert_eq!(state.endpoint_state(&name("b")), Some(EndpointState::Draining));
+    let state_of = |state: &RosterState, id| {
+        state.endpoint_state(&record(id, 1, 1, EndpointState::Ready).key())
+    };
+    assert_eq!(state_of(&state, "a"), Some(EndpointState::Gone));
+    assert_eq!(state_of(&state, "b"), Some(EndpointState::Draining));
     state.announce(record("a", 2, 1, EndpointState::Ready), time_at(2));
-    assert_eq!(state.endpoint_state(&name("a")), Some(EndpointState::Ready), "it started again");
+    assert_eq!(state_of(&state, "a"), Some(EndpointState::Ready), "it started again");
 }
 
 // Guards against an endpoint that stays in use where the departure arrives after the announcement.
@@ -764,6 +766,101 @@
         for (core, answer) in answers {
             view.merge(core, answer, time_at(0));
         }
-        assert!(view.usable_endpoints().is_empty(), "told first: {is_told_first}");
+        assert!(view.usable_endpoints(|_| true).is_empty(), "told first: {is_told_first}");
+    }
+}
+
+/// Returns the record of another writer: a service that no configuration names, and a later start.
+fn foreign(id: &str, state: EndpointState) -> EndpointRecord {
+    EndpointRecord { service: "node-metrics".into(), ..record(id, 9, 1, state) }
+}
+
+// Guards against records of another writer that take endpoints out of use, whichever of their claims
+// collide and however they say that they leave.
+#[test]
+fn records_of_a_service_that_is_not_configured_change_no_endpoint() {
+    let endpoint = record("a", 1, 4, EndpointState::Ready);
+    let elsewhere = SocketAddr::from(([10, 1, 0, 9], 8_000));
+    let states = [EndpointState::Ready, EndpointState::Draining, EndpointState::Gone];
+    for is_first in [true, false] {
+        for state in states {
+            let claims = [
+                foreign("b", state),
+                foreign("a", state),
+                EndpointRecord { address: elsewhere, ..foreign("a", state) },
+            ];
+            for claim in claims {
+                let mut announced = vec![claim.clone(), endpoint.clone()];
+                if !is_first {
+                    announced.reverse();
+                }
+                let mut state = RosterState::new(ENDPOINT_SILENCE, time_at(0));
+                for record in announced {
+                    state.announce(record, time_at(0));
+                }
+                Departure::of(&claim).map(|one| state.note_departure(one, time_at(1)));
+                let changes = state.changes_after(0, Audience::Other);
+                let mut view = RosterView::new(POLL_WAIT);
+                let answer = PollAnswer {
+                    core_start: 1,
+                    endpoints: changes.endpoints,
+                    departures: changes.departures,
+                    ..Default::default()
+                };
+                view.merge(core_address(1), answer, time_at(1));
+                let is_configured = |service: &str| service == "models";
+                let usable = view.usable_endpoints(is_configured);
+                assert_eq!(usable.get("models"), Some(&vec![endpoint.clone()]), "{claim:?}");
+                assert_eq!(usable.len(), 1, "{claim:?}");
+                assert_eq!(view.foreign_claims(is_configured), [claim]);
+            }
+        }
+    }
+}
+
+// Guards against an endpoint that stays unused since it announced itself before the configuration that
+// names its service, or whose service was taken out for a while.
+#[test]
+fn an_endpoint_is_used_as_soon_as_and_as_long_as_its_service_is_configured() {
+    let mut view = RosterView::new(POLL_WAIT);
+    let endpoint = record("a", 1, 4, EndpointState::Ready);
+    let endpoints = vec![endpoint.clone(), foreign("b", EndpointState::Ready)];
+    let answer = PollAnswer { core_start: 1, endpoints, ..Default::default() };
+    view.merge(core_address(1), answer, time_at(0));
+    for is_present in [false, true, false, true] {
+        let usable = view.usable_endpoints(|service| is_present && service == "models");
+        assert_eq!(usable.get("models").is_some(), is_present);
+    }
+}
+
+// Guards against two incarnations of one endpoint, or of one address, that are both used.
+#[test]
+fn of_the_records_of_configured_services_the_one_that_started_last_is_used() {
+    let mut view = RosterView::new(POLL_WAIT);
+    let earlier = record("a", 1, 4, EndpointState::Ready);
+    let moved = EndpointRecord {
+        service: "tools".into(),
+        address: SocketAddr::from(([10, 1, 0, 9], 8_000)),
+        ..record("a", 2, 1, EndpointState::Ready)
+    };
+    let endpoints = vec![earlier, moved.clone()];
+    let answer = PollAnswer { core_start: 1, endpoints, ..Default::default() };
+    view.merge(core_address(1), answer, time_at(0));
+    let usable = view.usable_endpoints(|_| true);
+    assert_eq!(usable.into_values().flatten().collect::<Vec<_>>(), [moved]);
+}
+
+// Guards against the departure of an endpoint that is recorded for a record of another writer under
+// the same name only.
+#[test]
+fn a_departure_by_name_concerns_the_endpoint_and_not_only_a_foreign_record() {
+    for started_ms in [None, Some(1)] {
+        let mut state = RosterState::new(ENDPOINT_SILENCE, time_at(0));
+        let endpoint = record("a", 1, 4, EndpointState::Ready);
+        state.announce(foreign("a", EndpointState::Ready), time_at(0));
+        let gone = state.depart(&endpoint.id, started_ms, [endpoint.clone()], time_at(1));
+        let gone = gone.expect("it is known");
+        assert!(gone.iter().any(|one| one.key() == endpoint.key()), "{started_ms:?}: {gone:?}");
+        assert_eq!(state.endpoint_state(&endpoint.key()), Some(EndpointState::Gone));
     }
 }
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -15,6 +15,7 @@
 use crate::endpoint_limits::StatedLimit;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
+use crate::roster::EndpointKey;
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
 use crate::roster::Presence;
@@ -102,16 +103,42 @@
     unconfirmed_since: Option<Timestamp>,
 }
 
+/// The latest start of an endpoint, by its name and by its address.
+#[derive(Debug, Default)]
+struct LastStarts {
+    by_id: HashMap<EndpointName, u64>,
+    by_address: HashMap<SocketAddr, u64>,
+}
+
+impl LastStarts {
+    fn note(&mut self, record: &EndpointRecord) {
+        let EndpointRecord { id, address, started_ms, .. } = record;
+        let of_id = self.by_id.entry(id.clone()).or_default();
+        *of_id = (*of_id).max(*started_ms);
+        let of_address = self.by_address.entry(*address).or_default();
+        *of_address = (*of_address).max(*started_ms);
+    }
+
+    fn is_last(&self, record: &EndpointRecord) -> bool {
+        self.by_id.get(&record.id) == Some(&record.started_ms)
+            && self.by_address.get(&record.address) == Some(&record.started_ms)
+    }
+
+    fn has_claim(&self, record: &EndpointRecord) -> bool {
+        self.by_id.contains_key(&record.id) || self.by_address.contains_key(&record.address)
+    }
+}
+
 /// The merged responses of all core instances.
 #[derive(Debug)]
 pub struct RosterView {
     /// How long a voter of the control group may be silent and count as reached.
     quorum_silence: Duration,
     cores: BTreeMap<SocketAddr, CoreView>,
-    endpoints: BTreeMap<EndpointName, KnownEndpoint>,
+    endpoints: BTreeMap<EndpointKey, KnownEndpoint>,
     limits: BTreeMap<EndpointName, StatedLimit>,
     /// The committed departures, each with the time at which it became known.
-    departures: BTreeMap<EndpointName, (Departure, Timestamp)>,
+    departures: BTreeMap<EndpointKey, (Departure, Timestamp)>,
     crashes: CrashTable,
     config_version: u64,
     config: Bytes,
@@ -203,14 +230,15 @@
         now: Timestamp,
     ) -> bool {
         // A core instance that has not caught up with the control group may list it as ready.
-        if let Some((departure, _)) = self.departures.get(&record.id) {
+        let key = record.key();
+        if let Some((departure, _)) = self.departures.get(&key) {
             departure.apply_to(&mut record);
         }
-        let Some(known) = self.endpoints.get_mut(&record.id) else {
+        let Some(known) = self.endpoints.get_mut(&key) else {
             let reporters = BTreeSet::from([core]);
             let known =
                 KnownEndpoint { reporters, updated_at: now, unconfirmed_since: None, record };
-            self.endpoints.insert(known.record.id.clone(), known);
+            self.endpoints.insert(key, known);
             return true;
         };
         let is_same_incarnation = record.started_ms == known.record.started_ms;
@@ -303,7 +331,7 @@
             return Vec::new();
         }
         let mut dropped = Vec::new();
-        self.endpoints.retain(|id, known| {
+        self.endpoints.retain(|key, known| {
             match reachable.iter().any(|core| known.reporters.contains(core)) {
                 true => known.unconfirmed_since = None,
                 false => {
@@ -315,12 +343,12 @@
             let is_expired = known.record.state >= EndpointState::Silent
                 && now.since(known.updated_at) > GONE_RETENTION;
             if is_lost && known.record.state < EndpointState::Silent {
-                dropped.push(id.clone());
+                dropped.push(key.id.clone());
             }
             !is_lost && !is_expired
         });
-        let endpoints = &self.endpoints;
-        self.limits.retain(|id, _| endpoints.contains_key(id));
+        let listed: BTreeSet<&EndpointName> = self.endpoints.keys().map(|key| &key.id).collect();
+        self.limits.retain(|id, _| listed.contains(id));
         dropped
     }
 
@@ -331,26 +359,43 @@
         self.cores.iter().filter(move |(_, view)| is_reachable(view)).map(|(core, _)| *core)
     }
 
-    /// Returns the endpoints that requests may be sent to, by service.
+    /// Returns the endpoints that requests may be sent to, by service; `is_configured` tells which
+    /// services the configuration names.
     ///
-    /// If several endpoints claim the same address, only the one that started last is returned.
-    pub fn usable_endpoints(&self) -> BTreeMap<Arc<str>, Vec<EndpointRecord>> {
-        let mut latest_start: HashMap<SocketAddr, u64> = HashMap::new();
-        for EndpointRecord { address, started_ms, .. } in self.records() {
-            let latest = latest_start.entry(*address).or_default();
-            *latest = (*latest).max(*started_ms);
+    /// If several of them claim the same name or the same address, only the one that started last is
+    /// returned. A record that states another service takes no part in that: it may come from a writer
+    /// that is no endpoint of this system.
+    pub fn usable_endpoints<F>(&self, is_configured: F) -> BTreeMap<Arc<str>, Vec<EndpointRecord>>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let configured = || self.records().filter(|record| is_configured(&record.service));
+        let mut last_starts = LastStarts::default();
+        for record in configured() {
+            last_starts.note(record);
         }
-        let is_usable = |record: &&EndpointRecord| {
-            record.state == EndpointState::Ready
-                && latest_start.get(&record.address) == Some(&record.started_ms)
-        };
         let mut usable: BTreeMap<Arc<str>, Vec<EndpointRecord>> = BTreeMap::new();
-        for record in self.records().filter(is_usable) {
-            usable.entry(record.service.clone()).or_default().push(record.clone());
+        for record in configured() {
+            if record.state == EndpointState::Ready && last_starts.is_last(record) {
+                usable.entry(record.service.clone()).or_default().push(record.clone());
+            }
         }
         usable
     }
 
+    /// Returns the records that state a service that the configuration does not name, and the name or
+    /// the address of an endpoint of one that it names.
+    pub fn foreign_claims<F>(&self, is_configured: F) -> Vec<EndpointRecord>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let mut last_starts = LastStarts::default();
+        let (configured, others): (Vec<&EndpointRecord>, Vec<&EndpointRecord>) =
+            self.records().partition(|record| is_configured(&record.service));
+        configured.into_iter().for_each(|record| last_starts.note(record));
+        others.into_iter().filter(|record| last_starts.has_claim(record)).cloned().collect()
+    }
+
     /// Returns the endpoints that announced their departure.
     pub fn departing_endpoints(&self) -> Vec<EndpointRecord> {
         let is_departing = |state| matches!(state, EndpointState::Draining | EndpointState::Gone);
@@ -361,9 +406,17 @@
         self.endpoints.values().map(|known| &known.record)
     }
 
-    /// Returns the current record of an endpoint, whatever its state.
+    /// Returns the current records of an endpoint, one for each service that was stated, whatever their
+    /// state.
+    pub fn endpoints_named(&self, id: &EndpointName) -> impl Iterator<Item = &EndpointRecord> {
+        let first = EndpointKey { id: id.clone(), service: "".into() };
+        let from_first = self.endpoints.range(first..).map(|(_, known)| &known.record);
+        from_first.take_while(move |record| record.id == *id)
+    }
+
+    /// Returns the record of an endpoint that started last, whatever its state.
     pub fn endpoint(&self, id: &EndpointName) -> Option<&EndpointRecord> {
-        self.endpoints.get(id).map(|known| &known.record)
+        self.endpoints_named(id).max_by_key(|record| record.started_ms)
     }
 
     /// Returns whether any watcher of an instance hears it; `None` if none of its watchers has
--- a/coriandergw/src/versions/tests.rs
+++ b/coriandergw/src/versions/tests.rs
@@ -8,6 +8,7 @@
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 use crate::log_groups::StateMachine;
+use crate::roster::EndpointKey;
 use crate::roster::EndpointState;
 use crate::roster::departure::Departure;
 use crate::roster::state::ConfigState;
@@ -77,7 +78,8 @@
 }
 
 fn departure(endpoint: &str, state: EndpointState, sequence: u64) -> Departure {
-    let endpoint = EndpointName::try_from(endpoint).expect("valid name");
+    let id = EndpointName::try_from(endpoint).expect("valid name");
+    let endpoint = EndpointKey { id, service: "models".into() };
     Departure { endpoint, started_ms: 1, state, sequence }
 }
 
