fix(roster): keep one odd entry from hiding all others

Operators of similar systems saw processes that end, or stop following the list of endpoints, after one odd entry of another writer.

Cause: the list was read and sent as a whole. A follower dropped the whole answer of a core instance for one record that it could not read, at each poll anew; a text of megabytes in an announcement was published, and a poll's answer has room for 8 MiB. Port 0 was accepted.

Change: texts of announcements have at most 256 bytes and a port that can be connected to; a follower leaves out what it cannot read, with a log line. So neither the size nor the content of one record decides whether the others are followed. Not run on the whole system.

--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -124,6 +124,9 @@
     pub service: Arc<str>,
 }
 
+/// The longest text of an announcement that is accepted, in bytes.
+pub const RECORD_TEXT_MAX_BYTES: usize = 256;
+
 /// The last known announcement of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndpointRecord {
@@ -156,6 +159,13 @@
         EndpointKey { id: self.id.clone(), service: self.service.clone() }
     }
 
+    /// Returns whether the record may be published: its texts are short enough for the messages between
+    /// instances, and its address can be connected to.
+    pub fn is_sound(&self) -> bool {
+        let texts = [&self.service, &self.data_centre, &self.version];
+        texts.iter().all(|text| text.len() <= RECORD_TEXT_MAX_BYTES) && self.address.port() != 0
+    }
+
     /// Returns whether this record replaces `old`.
     ///
     /// A later incarnation replaces an earlier one. Within an incarnation, a departure replaces any
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -237,8 +237,17 @@
     type Error = RosterError;
 
     fn try_from(raw: raw::PollAnswer) -> Result<Self, RosterError> {
-        let endpoints: Result<Vec<EndpointRecord>, _> =
-            raw.endpoints.into_iter().map(EndpointRecord::try_from).collect();
+        // One record that cannot be read must not hide all others.
+        let endpoints = raw.endpoints.into_iter().filter_map(|raw| {
+            let id = raw.id.clone();
+            let report = |cause: &RosterError| {
+                log::warn!(
+                    "the record of endpoint {id:?} from a core instance is ignored: {cause}"
+                );
+            };
+            EndpointRecord::try_from(raw).inspect_err(report).ok()
+        });
+        let endpoints: Vec<EndpointRecord> = endpoints.collect();
         let crashes: Result<Vec<Crash>, _> = raw.crashes.into_iter().map(Crash::decode).collect();
         let departures: Result<Vec<Departure>, _> =
             raw.departures.into_iter().map(Departure::try_from).collect();
@@ -252,7 +261,7 @@
         Ok(Self {
             core_start: raw.core_start,
             cursor: raw.cursor,
-            endpoints: endpoints?,
+            endpoints,
             instances: instances?,
             config_version: raw.config_version,
             config: (!raw.config.is_empty()).then_some(raw.config),
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -22,6 +22,7 @@
 use crate::roster::Relay;
 use crate::roster::Role;
 use crate::roster::departure::Departure;
+use crate::roster::generated as raw;
 use crate::roster::state::Audience;
 use crate::roster::state::ConfigState;
 use crate::roster::state::ENTRY_POLL_WAIT;
@@ -829,7 +830,7 @@
     view.merge(core_address(1), answer, time_at(0));
     for is_present in [false, true, false, true] {
         let usable = view.usable_endpoints(|service| is_present && service == "models");
-        assert_eq!(usable.get("models").is_some(), is_present);
+        assert_eq!(usable.contains_key("models"), is_present);
     }
 }
 
@@ -864,3 +865,26 @@
         assert_eq!(state.endpoint_state(&endpoint.key()), Some(EndpointState::Gone));
     }
 }
+
+// Guards against a process that stops following a core instance since one record in its answer cannot be
+// read.
+#[test]
+fn a_record_that_cannot_be_read_hides_no_other() {
+    let sound = record("a", 1, 4, EndpointState::Ready);
+    let odd = |change: &dyn Fn(&mut raw::Endpoint)| {
+        let mut odd = raw::Endpoint::from(&record("b", 1, 1, EndpointState::Ready));
+        change(&mut odd);
+        odd
+    };
+    let answer = raw::PollAnswer {
+        endpoints: vec![
+            odd(&|one| one.address = "10.0.0.1:70000".to_owned()),
+            raw::Endpoint::from(&sound),
+            odd(&|one| one.state = 99),
+            odd(&|one| one.id = "not a name".to_owned()),
+        ],
+        ..Default::default()
+    };
+    let answer = PollAnswer::try_from(answer).expect("an answer");
+    assert_eq!(answer.endpoints, [sound]);
+}
