fix(stopping): log no relayed connections after a clean stop

Event 103 of a stopped entry instance said relayed=256, the number of places, when none was relayed: the places that the stop takes were not given back. It now closes them, which declines further connections too. Found by reading the change; the test of a stop checks the line.

--- a/coriandergw/src/relays/server.rs
+++ b/coriandergw/src/relays/server.rs
@@ -112,10 +112,10 @@
 
     /// Declines further connections and waits until the relayed ones have ended.
     pub async fn finish(&self) {
-        // Nobody else can take a place while this waits for all of them.
-        match self.places.acquire_many(RELAYED_MAX as u32).await {
-            Ok(places) => places.forget(),
-            Err(cause) => log::error!("the relayed connections cannot be counted: {cause}"),
+        // Nobody else can take a place while this waits for all of them. The places are closed only
+        // here, so an error says that nothing is relayed any more.
+        if self.places.acquire_many(RELAYED_MAX as u32).await.is_ok() {
+            self.places.close();
         }
     }
 
--- a/coriandergw/src/roles/tests/stopping.rs
+++ b/coriandergw/src/roles/tests/stopping.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::events::EventNumber;
 use crate::roles::tests::endpoint::Endpoint;
 use crate::roles::tests::endpoint::Step;
 use crate::roles::tests::endpoint::answer;
@@ -74,6 +75,10 @@
     assert!(reply.ends_with("done"), "{reply}");
     // The process exits when the stop returns.
     assert!(stopped_at >= sent_at + work, "the exit came before the endpoint's answer");
+    let finished = EventNumber::DrainFinished.number();
+    let finished = world.entry.cx.events.select(|event| event.number == finished);
+    assert_eq!(finished.len(), 1, "{finished:?}");
+    assert!(finished[0].message.contains("relayed=0"), "{finished:?}");
 }
 
 // Guards against requests that are taken during a stop and cut at its end: they might take longer
