test(fakes): let the transfer of the weight store outlast the second order

The store refuses only while a transfer of 20 ms goes on, and the second order came later than that.

The check is unchanged; the transfer takes 500 ms, so that the two overlap. No code of the product takes part.

--- a/testkit/src/fakes/tests.rs
+++ b/testkit/src/fakes/tests.rs
@@ -207,7 +207,8 @@
 
 #[tokio::test]
 async fn engine_loads_from_a_store_that_refuses_at_first() {
-    let store = WeightStore::start(1, Duration::from_millis(20)).await.expect("a port is free");
+    // The second order must arrive while the first transfer goes on.
+    let store = WeightStore::start(1, Duration::from_millis(500)).await.expect("a port is free");
     let weight_store = Some(store.address());
     let options = EngineOptions { weight_store, ..EngineOptions::default() };
     let engine = Engine::start(options).await.expect("a port is free");
