feat(accounts): serve callers by the account of their key

Cause: the entry path knew no client accounts. Keys of callers were forwarded to endpoints, and a request with an unknown key was served.

The account is decided for each request, the key is removed before the request is forwarded, and endpoints get the name of the account. Without a list of accounts nothing changes.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::Timestamp;
 use crate::crashes::RequestDigest;
+use crate::forwarding::AccountHeader;
 use crate::forwarding::ForwardingHeaders;
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::RequestHeaders;
@@ -164,6 +165,7 @@
     /// The last event already received, if the gateway resumes the stream.
     pub(super) last_event: Option<u64>,
     pub(super) urgency: Option<u8>,
+    pub(super) account: AccountHeader,
     /// Whether the request may be sent to another endpoint although it may have run.
     pub(super) is_repeatable: bool,
     pub(super) now: Timestamp,
@@ -264,6 +266,7 @@
             time_left,
             last_event: self.last_event,
             urgency: self.urgency,
+            account: self.account.clone(),
         };
         let mut req = Request::new(Full::new(upstream_request.body.clone()));
         *req.method_mut() = upstream_request.method.clone();
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -23,11 +23,13 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::accounts::Account;
 use crate::context::Context;
 use crate::crashes::reporter::CrashReporter;
 use crate::dialer::Dialer;
 use crate::endpoint_limits::StatedLimit;
 use crate::endpoint_limits::client::PermitClient;
+use crate::forwarding::AccountHeader;
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::RequestHeaders;
 use crate::forwarding::attempt::UpstreamRequest;
@@ -134,6 +136,10 @@
 pub(super) struct RequestPlan {
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<str>,
+    /// The client account as endpoints are told of it.
+    pub(super) account: AccountHeader,
+    /// The priority of the client account, if it has one.
+    pub(super) account_priority: Option<u8>,
     pub(super) is_engine: bool,
     pub(super) tokens_per_event: u64,
     pub(super) deadline: Instant,
@@ -158,11 +164,25 @@
 }
 
 impl RequestPlan {
+    /// Returns the priority of the request; 0 is the most urgent.
+    pub(super) fn priority(&self) -> u8 {
+        self.account_priority.unwrap_or(self.route.priority)
+    }
+
+    /// Sets the client account in a configuration that lists accounts.
+    fn set_account(&mut self, account: Option<&Account>) {
+        self.account_priority = account.and_then(|account| account.priority);
+        self.account = account
+            .map_or(AccountHeader::Anonymous, |account| AccountHeader::Named(account.name.clone()));
+        self.report.set_account(account.map(|account| account.name.clone()));
+    }
+
     /// Moves the plan out for a stream relay, which outlives the function that handles the request.
     pub(super) fn take(&mut self) -> Self {
         Self {
             route: self.route.clone(),
             service: self.service.clone(),
+            account: self.account.clone(),
             key: self.key.clone(),
             placed_engine: self.placed_engine.take(),
             recorded_version: self.recorded_version.take(),
@@ -398,9 +418,13 @@
             self.adapters.header_codec.read_request(req.headers()).map_err(|fault| {
                 Refusal::not_run(ResultCode::MalformedRequest, fault.to_string())
             })?;
+        let account = identify(&self.cx, &table, &route, &head)?;
         let limit = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let deadline = started + limit;
-        let (plan, turn) = self.plan(&table, route, &head, deadline, started)?;
+        let (mut plan, turn) = self.plan(&table, route, &head, deadline, started)?;
+        if table.accounts().is_some() {
+            plan.set_account(account.as_deref());
+        }
         let mut open = OpenRequest { cx: self.cx.clone(), plan, is_open: true };
         let handling = async {
             let body_max_bytes = table.limits().body_bytes;
@@ -447,6 +471,8 @@
             .then(|| TurnGuard::new(self.budgets.clone(), versions::record_key(head)));
         let report = RequestReport::new(head, &route, &service, table.version(), started);
         let plan = RequestPlan {
+            account: AccountHeader::default(),
+            account_priority: None,
             is_engine: engine.is_some(),
             tokens_per_event: engine.map_or(1, |engine| u64::from(engine.tokens_per_event)),
             service,
@@ -601,6 +627,22 @@
     Ok(Collected::Whole(body.freeze()))
 }
 
+/// Returns the client account of a request; `None` if it needs and has none.
+fn identify(
+    cx: &Context,
+    table: &RouteTable,
+    route: &Route,
+    head: &RequestHeaders,
+) -> Result<Option<Arc<Account>>, Refusal> {
+    let Some(accounts) = table.accounts() else {
+        return Ok(None);
+    };
+    accounts.identify(&head.credential, route.allows_anonymous).map_err(|cause| {
+        RequestReport::unknown_account(cx, table.version(), head, &cause);
+        Refusal::not_run(ResultCode::Unauthorised, cause.to_string())
+    })
+}
+
 fn host_of(req: &Request<Incoming>) -> String {
     let header = req.headers().get(header::HOST).and_then(|value| value.to_str().ok());
     let host = req.uri().host().or(header).unwrap_or_default();
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -10,6 +10,7 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 
+use crate::accounts::Credential;
 use crate::endpoint_limits::RateLimit;
 use crate::ids::EndpointName;
 
@@ -75,6 +76,22 @@
     pub last_event: Option<u64>,
     /// The attempt that brought the first event of the stream that the caller resumes.
     pub resumes: Option<Arc<str>>,
+    /// The key of the client account.
+    pub credential: Credential,
+    /// The turn that this one continues from, on routes that keep turns.
+    pub previous_turn: Option<Arc<str>>,
+}
+
+/// What an endpoint is told of the client account of a request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum AccountHeader {
+    /// The configuration lists no accounts: what the caller sent.
+    #[default]
+    AsSent,
+    /// The request has no account.
+    Anonymous,
+    /// The name of the account.
+    Named(Arc<str>),
 }
 
 /// The headers that the gateway adds to a forwarded request.
@@ -88,6 +105,8 @@
     pub last_event: Option<u64>,
     /// The scheduling priority for an engine; 0 is the most urgent.
     pub urgency: Option<u8>,
+    /// The client account; its key is never forwarded.
+    pub account: AccountHeader,
 }
 
 /// The load that an endpoint reports in a response.
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -5,6 +5,7 @@
 use hyper::Request;
 use tokio::time::Instant;
 
+use crate::accounts::CredentialError;
 use crate::context::Context;
 use crate::crashes::RequestDigest;
 use crate::events::EventNumber;
@@ -23,6 +24,7 @@
 pub(super) struct RequestReport {
     attempt: Arc<str>,
     program: Option<Arc<str>>,
+    account: Option<Arc<str>>,
     route: Arc<str>,
     service: Arc<str>,
     config_version: u64,
@@ -52,6 +54,7 @@
         Self {
             attempt: head.attempt.clone(),
             program: head.program.as_ref().map(|program| program.program.clone()),
+            account: None,
             route: route.name.clone(),
             service: service.clone(),
             config_version,
@@ -73,6 +76,10 @@
         }
     }
 
+    pub(super) fn set_account(&mut self, account: Option<Arc<str>>) {
+        self.account = account;
+    }
+
     pub(super) fn note_reserved(&mut self) {
         self.reserved = Some(Instant::now());
     }
@@ -111,10 +118,11 @@
 
     fn record(&self, cx: &Context, number: EventNumber, peer: Option<String>, outcome: &str) {
         let detail = format!(
-            "request={} program={} route={} service={} config={} placed={} sends={} reserved_ms={} \
+            "request={} program={} account={} route={} service={} config={} placed={} sends={} reserved_ms={} \
              first_event_ms={} total_ms={} version={} last_event={} resumes={} {outcome}",
             self.attempt,
             self.program.as_deref().unwrap_or("-"),
+            self.account.as_deref().unwrap_or("-"),
             self.route,
             self.service,
             self.config_version,
@@ -207,6 +215,18 @@
         cx.events.record(EventNumber::RequestUnrouted, Subject::default(), detail);
     }
 
+    /// Records a request without the key of an account.
+    pub(super) fn unknown_account(
+        cx: &Context,
+        config_version: u64,
+        head: &RequestHeaders,
+        cause: &CredentialError,
+    ) {
+        cx.metrics.refusals.with_label_values(&["unknown account"]).inc();
+        let detail = format!("config={config_version} request={} {cause}", head.attempt);
+        cx.events.record(EventNumber::RequestUnrouted, Subject::default(), detail);
+    }
+
     /// Records that an endpoint stated in an answer that it is leaving.
     pub(super) fn endpoint_leaving(cx: &Context, endpoint: &EndpointRecord) {
         let subject = Subject { peer: Some(endpoint.id.to_string()), ..Subject::default() };
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -397,7 +397,8 @@
             idle_limit,
             last_event,
             is_repeatable: plan.route.retry_policy.allows_retry(),
-            urgency: plan.is_engine.then_some(plan.route.priority),
+            urgency: plan.is_engine.then(|| plan.priority()),
+            account: plan.account.clone(),
             now: self.cx.clock.now(),
         }
     }
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -14,6 +14,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::accounts::Credential;
 use crate::dialer::Dialer;
 use crate::dialer::TcpDialer;
 use crate::endpoint_limits::RateLimit;
@@ -71,6 +72,8 @@
             affinity: None,
             last_event: number(headers, "last-event"),
             resumes: text(headers, "resumes"),
+            credential: Credential::Missing,
+            previous_turn: text(headers, "previous-turn"),
         })
     }
 
@@ -112,6 +115,8 @@
         services: vec![(service.into(), 1)],
         endpoints_max: 2,
         sticky: false,
+        allows_anonymous: false,
+        retention: None,
     }
 }
 
--- a/coriandergw/src/routes/mod.rs
+++ b/coriandergw/src/routes/mod.rs
@@ -7,6 +7,8 @@
 use derive_more::Display;
 use derive_more::Error;
 
+use crate::accounts::AccountTable;
+
 /// Whether and how a request may be retried after it may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryPolicy {
@@ -57,6 +59,11 @@
     pub endpoints_max: u32,
     /// Whether requests for the same object are sent to the same endpoint if possible.
     pub sticky: bool,
+    /// Whether requests need no account although the configuration lists accounts.
+    pub allows_anonymous: bool,
+    /// How long the turns of this route are kept, so that later turns need not carry them; `None`
+    /// if each turn carries its whole prompt.
+    pub retention: Option<Duration>,
 }
 
 impl Route {
@@ -168,6 +175,7 @@
     by_host: BTreeMap<Arc<str>, Vec<Arc<Route>>>,
     services: BTreeMap<Arc<str>, Service>,
     limits: CallerLimits,
+    accounts: Option<AccountTable>,
 }
 
 impl RouteTable {
@@ -192,7 +200,17 @@
             routes.sort_by(|a, b| (b.prefix.len(), &b.prefix).cmp(&(a.prefix.len(), &a.prefix)));
             check_duplicates(routes)?;
         }
-        Ok(Self { version, by_host, services, limits })
+        Ok(Self { version, by_host, services, limits, accounts: None })
+    }
+
+    /// Adds the client accounts; requests then need a key.
+    pub fn with_accounts(self, accounts: AccountTable) -> Self {
+        Self { accounts: Some(accounts), ..self }
+    }
+
+    /// Returns the client accounts; `None` if callers need no account.
+    pub fn accounts(&self) -> Option<&AccountTable> {
+        self.accounts.as_ref()
     }
 
     /// Returns the version of the configuration.
--- a/coriandergw/src/routes/tests.rs
+++ b/coriandergw/src/routes/tests.rs
@@ -23,6 +23,8 @@
         services: services.iter().map(|(service, weight)| ((*service).into(), *weight)).collect(),
         endpoints_max: 1,
         sticky: false,
+        allows_anonymous: false,
+        retention: None,
     }
 }
 
