feat(kept-turns): define the records, messages and placement of kept turns

Cause: routes may keep what a program and its engine said, and nothing does.

Result codes and kinds of messages for kept turns and for permits of accounts.

Nothing calls the new code yet.

--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod http_server;
 pub mod ids;
 pub mod instance;
+pub mod kept_turns;
 pub mod keys;
 pub mod leases;
 pub mod log_groups;
--- a/coriandergw/src/result_code.rs
+++ b/coriandergw/src/result_code.rs
@@ -78,6 +78,8 @@
     BudgetSpent = 1020, 402;
     /// The body of the request did not arrive in time.
     BodyTimeout = 1021, 408;
+    /// The turn that the request continues from does not exist, or is another account's.
+    UnknownTurn = 1022, 404;
     /// The instance has more work than it can finish in time.
     Overloaded = 2001, 503;
     /// The call waited in the queue for longer than its class allows.
@@ -106,6 +108,10 @@
     VersionGone = 2013, 503;
     /// The instance reaches no endpoint, directly or through another instance.
     NoPath = 2014, 503;
+    /// The instance that counts the requests of the account does not answer.
+    LimitUnknown = 2015, 503;
+    /// The turn that the request continues from cannot be read, or this one could not be kept.
+    TurnUnavailable = 2016, 503;
     /// The outcome of a call that must not be repeated is unknown.
     OutcomeUnknown = 3001, 502;
     /// The endpoint answered with an error.
--- a/coriandergw/src/transport/mod.rs
+++ b/coriandergw/src/transport/mod.rs
@@ -49,6 +49,10 @@
     Permit = 10,
     /// Reports of endpoints that crashed.
     Crash = 11,
+    /// Requests for permits within the limits of client accounts.
+    AccountPermit = 12,
+    /// Reads and writes of kept turns.
+    KeptTurns = 13,
 }
 
 impl Kind {
@@ -65,6 +69,8 @@
         Kind::Pulse,
         Kind::Permit,
         Kind::Crash,
+        Kind::AccountPermit,
+        Kind::KeptTurns,
     ];
 
     /// Returns the kind with this number on the wire.
