--- a/testkit/tests/platform_names.rs
+++ b/testkit/tests/platform_names.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 /// Names that nothing but the platform uses.
-const NAMES: [&str; 24] = [
+const NAMES: [&str; 29] = [
     "X-Attempt-Id",
     "X-Response-Signature",
     "X-Expect-Instance",
@@ -28,6 +28,11 @@
     "cold_remaining_ms",
     "target_latency_ms",
     "fault_tolerance",
+    "X-Tenant",
+    "X-Previous-Turn",
+    "retention_enabled",
+    "allow_anonymous",
+    "rate_per_s",
 ];
 
 fn check_file(file: &Path) -> datatest_stable::Result<()> {
