feat(kept-turns): convert records and messages to and from the wire

Cause: the client and the store both exchange records of kept turns and need the same checks. Change: kept_turns/wire.rs converts between TurnRecord, TurnKey and the generated types, bounds names, and accepts only records that form one chain, the oldest first.

--- a/coriandergw/src/kept_turns/tests.rs
+++ b/coriandergw/src/kept_turns/tests.rs
@@ -2,8 +2,12 @@
 
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
+use crate::kept_turns::TurnKey;
+use crate::kept_turns::TurnRecord;
+use crate::kept_turns::generated as raw;
 use crate::kept_turns::placement::Holder;
 use crate::kept_turns::placement::order_holders;
+use crate::kept_turns::wire;
 
 fn holders() -> Vec<Holder> {
     let holder = |number: usize| Holder {
@@ -40,3 +44,43 @@
         }
     }
 }
+
+fn record(turn: &str, previous: Option<&str>, root: &str) -> TurnRecord {
+    TurnRecord {
+        key: TurnKey { account: "a".into(), turn: turn.into() },
+        previous: previous.map(Into::into),
+        root: root.into(),
+        input: "in".into(),
+        output: "out\n".into(),
+        expires_ms: 7,
+        is_partial: true,
+    }
+}
+
+// Guards against a field that is lost between instances or on a disk.
+#[test]
+fn a_record_survives_its_encoding() {
+    let chain = vec![record("1", None, "1"), record("2", Some("1"), "1")];
+    let body = raw::request::Body::Keep(raw::Keep { records: wire::encode_records(&chain) });
+    let decoded = wire::decode_request(wire::encode_request(body)).expect("a request");
+    let raw::request::Body::Keep(keep) = decoded else { panic!("another kind of request") };
+    assert_eq!(wire::parse_chain(keep.records), Ok(chain));
+}
+
+// Guards against chains of two accounts or of two roots that are read as one.
+#[test]
+fn records_that_do_not_form_a_chain_are_refused() {
+    let mut foreign = record("2", Some("1"), "1");
+    foreign.key.account = "b".into();
+    for second in [record("2", Some("3"), "1"), record("2", Some("1"), "4"), foreign] {
+        let records = wire::encode_records(&[record("1", None, "1"), second]);
+        assert!(wire::parse_chain(records).is_err());
+    }
+    for single in [record("", None, ""), record("1", None, "2"), record("1", Some("1"), "2")] {
+        assert!(wire::parse_chain(wire::encode_records(&[single])).is_err());
+    }
+    let long = record("1", None, "1");
+    let mut raw = raw::Record::from(&long);
+    raw.account = "a".repeat(wire::NAME_MAX_BYTES + 1);
+    assert!(TurnRecord::try_from(raw).is_err());
+}
