feat(storage): read ranges, list and remove files of a disk

Cause: kept turns need many files of which only parts are read, and which are removed one by one. Change: Disk has read_range, names and remove; FileDisk opens a folder inside the data folder with append handles of its own, so that syncs of one do not delay the other; scan_frames skips damage. The format of existing files is unchanged.

--- a/coriandergw/src/log_groups/mod.rs
+++ b/coriandergw/src/log_groups/mod.rs
@@ -89,6 +89,6 @@
 }
 
 #[cfg(test)]
-mod test_cluster;
+pub(crate) mod test_cluster;
 #[cfg(test)]
 mod tests;
--- a/coriandergw/src/log_groups/test_cluster.rs
+++ b/coriandergw/src/log_groups/test_cluster.rs
@@ -122,6 +122,20 @@
         self.files.read(name)
     }
 
+    fn read_range(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
+        self.files.read_range(name, offset, length)
+    }
+
+    fn names(&self) -> io::Result<Vec<String>> {
+        self.files.names()
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.dirty.lock().expect("not poisoned").remove(name);
+        self.files.remove(name)?;
+        self.durable.remove(name)
+    }
+
     fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let start = self.length(name)?;
         let written = bytes.len().min(self.free_bytes.load(Ordering::SeqCst));
--- a/coriandergw/src/storage/file_disk.rs
+++ b/coriandergw/src/storage/file_disk.rs
@@ -5,6 +5,7 @@
 use std::fs::OpenOptions;
 use std::io;
 use std::io::Write;
+use std::os::unix::fs::FileExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Mutex;
@@ -36,6 +37,18 @@
         Ok(Self { folder: folder.to_owned(), append_handles: Mutex::default(), _lock: lock })
     }
 
+    /// Opens and locks a folder inside the existing folder `parent`, with handles of its own: a sync of
+    /// one of them does not delay the files of the other.
+    ///
+    /// # Errors
+    /// Fails if the folder cannot be used or is locked by another process.
+    pub fn open_inside(parent: &Path, name: &str) -> io::Result<Self> {
+        let disk = Self::open(&parent.join(name))?;
+        // The name of a new folder is durable only once its parent is synced.
+        File::open(parent)?.sync_all()?;
+        Ok(disk)
+    }
+
     fn path(&self, name: &str) -> PathBuf {
         self.folder.join(name)
     }
@@ -75,6 +88,35 @@
         }
     }
 
+    fn read_range(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
+        let mut bytes = vec![0; length];
+        File::open(self.path(name))?.read_exact_at(&mut bytes, offset)?;
+        Ok(bytes)
+    }
+
+    fn names(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in std::fs::read_dir(&self.folder)? {
+            let entry = entry?;
+            let name = entry.file_name().to_string_lossy().into_owned();
+            let is_internal = name == LOCK_FILE || name.ends_with(TEMPORARY_SUFFIX);
+            if entry.file_type()?.is_file() && !is_internal {
+                names.push(name);
+            }
+        }
+        names.sort_unstable();
+        Ok(names)
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.close_append_handle(name);
+        match std::fs::remove_file(self.path(name)) {
+            Ok(()) => self.sync_folder(),
+            Err(cause) if cause.kind() == io::ErrorKind::NotFound => Ok(()),
+            Err(cause) => Err(cause),
+        }
+    }
+
     fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
         self.with_append_handle(name, |file| file.write_all(bytes))
     }
--- a/coriandergw/src/storage/frames.rs
+++ b/coriandergw/src/storage/frames.rs
@@ -56,20 +56,28 @@
     Some(u32::from_le_bytes(word.try_into().ok()?))
 }
 
-/// Returns the payload of the frame at `offset` if it is complete and its checksum matches.
-fn frame_at(bytes: &[u8], offset: usize) -> Option<&[u8]> {
-    let frame = bytes.get(offset..)?;
-    if !frame.starts_with(&MAGIC) {
+/// Returns the size of a frame whose payload has `payload_bytes` bytes.
+pub fn frame_bytes(payload_bytes: usize) -> usize {
+    HEADER_BYTES + payload_bytes
+}
+
+/// Returns the payload of the frame at the start of `bytes`, which were read from `offset` of its
+/// file, if it is complete and its checksum matches.
+pub fn parse_frame(bytes: &[u8], offset: u64) -> Option<&[u8]> {
+    if !bytes.starts_with(&MAGIC) {
         return None;
     }
-    let length = read_u32(frame, 4)?;
-    let payload = frame.get(HEADER_BYTES..HEADER_BYTES.checked_add(length as usize)?)?;
-    (checksum(offset as u64, length, payload) == read_u32(frame, 8)?).then_some(payload)
+    let length = read_u32(bytes, 4)?;
+    let payload = bytes.get(HEADER_BYTES..HEADER_BYTES.checked_add(length as usize)?)?;
+    (checksum(offset, length, payload) == read_u32(bytes, 8)?).then_some(payload)
 }
 
-fn has_valid_frame_after(bytes: &[u8], offset: usize) -> bool {
-    let starts = offset + 1..bytes.len();
-    starts.into_iter().any(|start| frame_at(bytes, start).is_some())
+fn frame_at(bytes: &[u8], offset: usize) -> Option<&[u8]> {
+    parse_frame(bytes.get(offset..)?, offset as u64)
+}
+
+fn valid_frame_after(bytes: &[u8], offset: usize) -> Option<usize> {
+    (offset + 1..bytes.len()).find(|start| frame_at(bytes, *start).is_some())
 }
 
 /// Splits the content of a file into frames.
@@ -83,8 +91,37 @@
         payloads.push(payload);
         offset += HEADER_BYTES + payload.len();
     }
-    if has_valid_frame_after(bytes, offset) {
+    if valid_frame_after(bytes, offset).is_some() {
         return Err(DamagedFrame { offset });
     }
     Ok(Frames { payloads, intact_bytes: offset })
 }
+
+/// The valid frames of a file that may be damaged.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct ScannedFrames<'a> {
+    /// The offset of each valid frame and its payload, in the order of the file.
+    pub frames: Vec<(u64, &'a [u8])>,
+    /// The number of places at which bytes before a valid frame are not valid frames.
+    pub damaged: usize,
+    /// The end of the last valid frame; any bytes after it are an unfinished write.
+    pub intact_bytes: usize,
+}
+
+/// Splits the content of a file into frames, and skips what is damaged.
+pub fn scan_frames(bytes: &[u8]) -> ScannedFrames<'_> {
+    let mut scanned = ScannedFrames::default();
+    let mut offset = 0;
+    loop {
+        if let Some(payload) = frame_at(bytes, offset) {
+            scanned.frames.push((offset as u64, payload));
+            offset += frame_bytes(payload.len());
+            scanned.intact_bytes = offset;
+        } else if let Some(next) = valid_frame_after(bytes, offset) {
+            scanned.damaged += 1;
+            offset = next;
+        } else {
+            return scanned;
+        }
+    }
+}
--- a/coriandergw/src/storage/memory_disk.rs
+++ b/coriandergw/src/storage/memory_disk.rs
@@ -26,6 +26,23 @@
         Ok(self.files.lock().expect("not poisoned").get(name).cloned())
     }
 
+    fn read_range(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
+        let files = self.files.lock().expect("not poisoned");
+        let file = files.get(name).ok_or(io::ErrorKind::NotFound)?;
+        let start = usize::try_from(offset).unwrap_or(usize::MAX);
+        let range = file.get(start..start.saturating_add(length));
+        Ok(range.ok_or(io::ErrorKind::UnexpectedEof)?.to_vec())
+    }
+
+    fn names(&self) -> io::Result<Vec<String>> {
+        Ok(self.files.lock().expect("not poisoned").keys().cloned().collect())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.files.lock().expect("not poisoned").remove(name);
+        Ok(())
+    }
+
     fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let mut files = self.files.lock().expect("not poisoned");
         files.entry(name.to_owned()).or_default().extend_from_slice(bytes);
--- a/coriandergw/src/storage/mod.rs
+++ b/coriandergw/src/storage/mod.rs
@@ -25,6 +25,15 @@
     /// Reads a complete file; `None` if it does not exist.
     fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>>;
 
+    /// Reads `length` bytes of a file; fails if it ends before them.
+    fn read_range(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>>;
+
+    /// Returns the names of all files, sorted.
+    fn names(&self) -> io::Result<Vec<String>>;
+
+    /// Removes a file if it exists.
+    fn remove(&self, name: &str) -> io::Result<()>;
+
     /// Appends to a file, and creates it if it does not exist.
     fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()>;
 
--- a/testkit/src/bench_log/cluster.rs
+++ b/testkit/src/bench_log/cluster.rs
@@ -76,6 +76,18 @@
         self.disk.read(name)
     }
 
+    fn read_range(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
+        self.disk.read_range(name, offset, length)
+    }
+
+    fn names(&self) -> io::Result<Vec<String>> {
+        self.disk.names()
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.disk.remove(name)
+    }
+
     fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
         self.counters.disk_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         self.disk.append(name, bytes)
