--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -217,4 +217,12 @@
     ReadDecided = 513, Info;
     /// The configuration last in force could not be read from or written to the disk.
     LastConfigFailed = 514, Error;
+    /// The disk refused a write of kept turns, or failed while they were read.
+    TurnStoreFailed = 530, Error;
+    /// The disk takes writes of kept turns again.
+    TurnStoreRegained = 531, Info;
+    /// Records of kept turns were not as they were written.
+    TurnsDamaged = 532, Error;
+    /// Kept turns were copied to other instances.
+    TurnsCopied = 533, Info;
 }
--- a/coriandergw/src/kept_turns/mod.rs
+++ b/coriandergw/src/kept_turns/mod.rs
@@ -16,6 +16,7 @@
 #[allow(missing_docs, clippy::all)]
 pub(crate) mod generated;
 pub mod placement;
+pub mod store;
 pub mod wire;
 
 /// Identifies a turn. The same identifier in another account is another turn.
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -43,6 +43,9 @@
     pub endpoint_connects: IntCounterVec,
     /// Permits for requests to limited endpoints, by source and outcome.
     pub permits: IntCounterVec,
+    /// What happened to kept turns on this journal instance: writes by outcome, syncs, damaged records and
+    /// copies sent to other instances.
+    pub kept_turns: IntCounterVec,
     /// Background tasks that ended before the process was asked to stop, by task.
     pub tasks_failed: IntCounterVec,
     /// Partitions held and similar states, by name.
@@ -126,6 +129,11 @@
                 "Permits for requests to limited endpoints",
                 &["source", "outcome"],
             )?,
+            kept_turns: counters(
+                "cgw_kept_turns_total",
+                "Kept turns on a journal instance by what happened",
+                &["what"],
+            )?,
             refusals: counters("cgw_refusals_total", "Refusals by result code", &["code"])?,
             retries: counters("cgw_retries_total", "Retries by kind of call", &["kind"])?,
             orders: counters("cgw_orders_total", "Orders to engines", &["kind", "result"])?,
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -79,6 +79,8 @@
     pub is_first_start: bool,
     /// Number of instances with a disk that may fail at the same time.
     pub tolerated_losses: usize,
+    /// Bytes of the disk that kept turns may take.
+    pub kept_turns_max_bytes: u64,
     /// Time without a message after which an endpoint receives no more requests.
     pub endpoint_silence: Duration,
     /// Address for callers' connections, if this process accepts any.
@@ -238,6 +240,7 @@
             watchers: Vec::new(),
             relay_address: None,
             lost_endpoints: false,
+            holds_turns: false,
         };
         let roster = Roster::new(cx.clone(), presence);
         let mut base = Self { cx, transport, roster, tasks: JoinSet::new() };
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -188,6 +188,7 @@
             data_folder: Some(folder.path().to_owned()),
             is_first_start,
             tolerated_losses: self.tolerated_losses,
+            kept_turns_max_bytes: 16 << 20,
             endpoint_silence: Duration::from_secs(60),
             caller_address: Some(SocketAddr::new(ip, self.first_port + 5)),
             warm_up: Duration::ZERO,
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -143,6 +143,10 @@
     /// Whether it has lost its links to the endpoints.
     #[prost(bool, tag = "17")]
     pub lost_endpoints: bool,
+    /// Whether its disk is needed: it holds kept turns, and, if it is to be emptied, not all of them are
+    /// known to be on enough other instances.
+    #[prost(bool, tag = "18")]
+    pub holds_turns: bool,
 }
 /// One endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -88,6 +88,9 @@
     pub relay_address: Option<SocketAddr>,
     /// Whether the process has lost its links to the endpoints, so that it can relay nothing.
     pub lost_endpoints: bool,
+    /// Whether the disk of the process is needed: it holds kept turns, and, if it is to be emptied, not
+    /// all of them are known to be on enough other instances.
+    pub holds_turns: bool,
 }
 
 /// An instance that relays connections to endpoints for others.
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -458,6 +458,16 @@
         found.into_values().filter(|presence| !is_silent(presence)).collect()
     }
 
+    /// Returns whether a journal instance of a node, live or not, last reported that its disk is needed
+    /// for kept turns. While no core instance is reachable, the last reports of all of them are used.
+    pub fn holds_turns(&self, node: &str, now: Timestamp) -> bool {
+        let reachable: Vec<SocketAddr> = self.reachable_cores(now).collect();
+        let is_counted = |core: &SocketAddr| reachable.is_empty() || reachable.contains(core);
+        let views = self.cores.iter().filter(|(core, _)| is_counted(core)).map(|(_, view)| view);
+        let mut presences = views.flat_map(|view| view.instances.values()).map(|one| &one.presence);
+        presences.any(|one| one.role == Role::Journal && &*one.node == node && one.holds_turns)
+    }
+
     /// Returns whether a majority of the voters of the control group answers; also `true` while no
     /// leader is known.
     pub fn reaches_quorum(&self, now: Timestamp) -> bool {
--- a/coriandergw/src/roster/wire.rs
+++ b/coriandergw/src/roster/wire.rs
@@ -96,6 +96,7 @@
             watchers: to_strings(&presence.watchers),
             relay_address: to_text(presence.relay_address),
             lost_endpoints: presence.lost_endpoints,
+            holds_turns: presence.holds_turns,
         }
     }
 }
@@ -124,6 +125,7 @@
             watchers: parse_names(raw.watchers)?,
             relay_address: parse_address(&raw.relay_address, "relay address")?,
             lost_endpoints: raw.lost_endpoints,
+            holds_turns: raw.holds_turns,
         })
     }
 }
--- a/coriandergw/src/test_support.rs
+++ b/coriandergw/src/test_support.rs
@@ -76,6 +76,7 @@
         watchers: Vec::new(),
         relay_address: None,
         lost_endpoints: false,
+        holds_turns: false,
     }
 }
 
--- a/coriandergw/src/voter_set/tests.rs
+++ b/coriandergw/src/voter_set/tests.rs
@@ -38,6 +38,7 @@
         watchers: Vec::new(),
         relay_address: None,
         lost_endpoints: false,
+        holds_turns: false,
     }
 }
 
