feat(kept-turns): find chains and write turns from entry instances

On a route that keeps turns, the body for the endpoint is the chain and the new input; the last event and the end of an answer wait until the turn is written. The events of a stream that breaks off are kept for a resumption. Routes without retention take the same path as before.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -217,4 +217,8 @@
     ReadDecided = 513, Info;
     /// The configuration last in force could not be read from or written to the disk.
     LastConfigFailed = 514, Error;
+    /// Too few of the instances that may hold a kept turn answered.
+    TurnLookUpFailed = 520, Warning;
+    /// A turn is on fewer disks than it has to be; its answer was broken off.
+    TurnWriteFailed = 521, Warning;
 }
--- a/coriandergw/src/forwarding/events.rs
+++ b/coriandergw/src/forwarding/events.rs
@@ -162,16 +162,35 @@
 
     /// Returns the length of the first event, including the empty line that terminates it.
     fn event_end(&self) -> Option<usize> {
-        let from = &self.buf[self.searched..];
-        let ends = [&b"\n\n"[..], &b"\r\n\r\n"[..]];
-        let found = ends.into_iter().filter_map(|end| {
-            let at = from.windows(end.len()).position(|window| window == end)?;
-            Some(self.searched + at + end.len())
-        });
-        found.min()
+        event_end(&self.buf, self.searched)
     }
 }
 
+/// Returns the events of `bytes` up to the one with identifier `id`; `None` if there is none.
+pub(super) fn events_through(bytes: &Bytes, id: u64) -> Option<Bytes> {
+    let mut start = 0;
+    while let Some(length) = event_end(&bytes[start..], 0) {
+        let end = start + length;
+        if event_id(&bytes[start..end]) == Some(id) {
+            return Some(bytes.slice(..end));
+        }
+        start = end;
+    }
+    None
+}
+
+/// Returns the length of the first event of `bytes`, including the empty line that terminates it,
+/// which does not begin before `searched`.
+fn event_end(bytes: &[u8], searched: usize) -> Option<usize> {
+    let from = &bytes[searched..];
+    let ends = [&b"\n\n"[..], &b"\r\n\r\n"[..]];
+    let found = ends.into_iter().filter_map(|end| {
+        let at = from.windows(end.len()).position(|window| window == end)?;
+        Some(searched + at + end.len())
+    });
+    found.min()
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
     let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -39,6 +39,7 @@
 use crate::forwarding::drain;
 use crate::forwarding::drain::Drain;
 use crate::forwarding::headers;
+use crate::forwarding::kept::KeptTurn;
 use crate::forwarding::leaving::LeavingEndpoints;
 use crate::forwarding::loads::Loads;
 use crate::forwarding::pool::Pool;
@@ -53,6 +54,7 @@
 use crate::forwarding::warm_up::WARM_UP;
 use crate::forwarding::warm_up::WarmUp;
 use crate::ids::EndpointName;
+use crate::kept_turns::KeptTurns;
 use crate::relays::server::DirectLinks;
 use crate::rendezvous::hash_of;
 use crate::result_code::Refusal;
@@ -104,6 +106,8 @@
     pub permits: PermitClient,
     /// Reports crashes of endpoints.
     pub crashes: Arc<CrashReporter>,
+    /// Reads and writes kept turns.
+    pub kept_turns: Arc<dyn KeptTurns>,
 }
 
 /// Forwards callers' requests to endpoints; the roster provides the configuration and the
@@ -123,6 +127,7 @@
     foreign_claims: Mutex<BTreeSet<EndpointKey>>,
     pub(super) permits: PermitClient,
     pub(super) crashes: Arc<CrashReporter>,
+    pub(super) kept_turns: Arc<dyn KeptTurns>,
     /// The number of entry instances (those that serve callers) that accept requests, including
     /// this one.
     pub(super) entry_instances: AtomicUsize,
@@ -161,6 +166,8 @@
     /// The endpoints that may have run the request and are not known to have ended.
     pub(super) ran_on: Vec<EndpointName>,
     pub(super) report: RequestReport,
+    /// What is kept of the turn, on a route that keeps turns.
+    pub(super) kept: Option<KeptTurn>,
 }
 
 impl RequestPlan {
@@ -189,6 +196,7 @@
             required_version: self.required_version.take(),
             ran_on: std::mem::take(&mut self.ran_on),
             report: self.report.clone(),
+            kept: self.kept.take(),
             ..*self
         }
     }
@@ -204,7 +212,7 @@
         clients: Clients,
         warm_up: WarmUp,
     ) -> Arc<Self> {
-        let Clients { budgets, permits, crashes } = clients;
+        let Clients { budgets, permits, crashes, kept_turns } = clients;
         let pool = SharedPool::new(Pool::default());
         let dialer = adapters.dialer.clone();
         let connector = Connector::new(cx.clone(), dialer, pool.clone(), roster.clone());
@@ -222,6 +230,7 @@
             foreign_claims: Mutex::default(),
             permits,
             crashes,
+            kept_turns,
             entry_instances: AtomicUsize::new(1),
             refreshes: watch::Sender::default(),
             warm_up,
@@ -489,6 +498,7 @@
             is_sent: false,
             ran_on: Vec::new(),
             report,
+            kept: None,
             route,
         };
         Ok((plan, turn))
@@ -497,9 +507,11 @@
     async fn run(
         self: Arc<Self>,
         plan: &mut RequestPlan,
-        upstream_request: UpstreamRequest,
+        mut upstream_request: UpstreamRequest,
         mut turn: Option<TurnGuard>,
     ) -> Result<Response<ResponseBody>, Refusal> {
+        // Comes before the admission, which depends on the whole prompt.
+        self.prepend_chain(plan, &mut upstream_request).await?;
         self.admit(plan, &upstream_request).await?;
         if let Some(turn) = &mut turn {
             self.reserve(plan, &upstream_request.head, turn).await?;
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -13,6 +13,7 @@
 use hyper::StatusCode;
 use hyper::body::Frame;
 use hyper::header;
+use tokio::time::Instant;
 
 use crate::forwarding::attempt::UpstreamRequest;
 use crate::forwarding::attempt::UpstreamResponse;
@@ -21,6 +22,7 @@
 use crate::forwarding::events::EventSplitter;
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::forwarder::RequestPlan;
+use crate::forwarding::held_events::HeldEvents;
 use crate::forwarding::refusal::BodyError;
 use crate::forwarding::refusal::ResponseBody;
 use crate::forwarding::turn_guard::TurnGuard;
@@ -40,6 +42,8 @@
     events: u64,
     /// The resumptions since the last new event.
     resumptions: u32,
+    /// The newest events of a turn that is kept.
+    held: HeldEvents,
 }
 
 /// The result of reading from the endpoint's stream.
@@ -76,6 +80,7 @@
             turn,
             events: 0,
             resumptions: 0,
+            held: HeldEvents::default(),
         };
         let frames = stream::unfold(Some(relay), |relay| async {
             let mut relay = relay?;
@@ -85,7 +90,11 @@
                 step = relay.next() => Some(step),
                 () = forwarder.drain.ended() => None,
             };
-            match step.unwrap_or_else(|| relay.abort(drain::STOPPED.to_owned())) {
+            let step = match step {
+                Some(step) => step,
+                None => relay.abort(drain::STOPPED.to_owned()).await,
+            };
+            match step {
                 StreamStep::Data(bytes) => Some((Ok(Frame::data(bytes)), Some(relay))),
                 StreamStep::Failed(reason) => {
                     // The server drops what it has not written when the body fails, so it is given a
@@ -108,15 +117,19 @@
                 return StreamStep::End;
             };
             let deadline = self.plan.deadline;
+            let limit = self.held.release_at().map_or(deadline, |at| at.min(deadline));
             let is_repeatable = self.plan.route.retry_policy.allows_retry();
             let frame = response.watched_frame(&self.forwarder.connector, is_repeatable);
-            let failure = match tokio::time::timeout_at(deadline, frame).await {
-                Err(_) => return self.deadline_passed(),
+            let failure = match tokio::time::timeout_at(limit, frame).await {
+                Err(_) => match self.held.take_due(Instant::now()) {
+                    Some(events) => return StreamStep::Data(events),
+                    None => return self.deadline_passed().await,
+                },
                 Ok(Err(reason)) => reason,
                 Ok(Ok(None)) if !self.splitter.has_partial_event() => {
                     return match self.splitter.check_end() {
-                        Ok(()) => self.finish(),
-                        Err(fault) => self.abort(fault.to_string()),
+                        Ok(()) => self.finish().await,
+                        Err(fault) => self.abort(fault.to_string()).await,
                     };
                 }
                 Ok(Ok(None)) => "the stream ended in the middle of an event".to_owned(),
@@ -127,22 +140,27 @@
                         Ok(events) if events.count == 0 => continue,
                         Ok(events) => {
                             if let Err(reason) = self.keep_version().await {
-                                return self.abort(reason);
+                                return self.abort(reason).await;
+                            }
+                            match self.forward_events(events.bytes, events.count) {
+                                Ok(Some(events)) => return StreamStep::Data(events),
+                                Ok(None) => continue,
+                                Err(reason) => return self.abort(reason).await,
                             }
-                            return self.forward_events(events.bytes, events.count);
                         }
                         Err(fault @ EventFault::TooLarge) => fault.to_string(),
-                        Err(fault) => return self.abort(fault.to_string()),
+                        Err(fault) => return self.abort(fault.to_string()).await,
                     },
                 },
             };
             if let Err(reason) = self.resume(&failure).await {
-                return self.abort(reason);
+                return self.abort(reason).await;
             }
         }
     }
 
-    fn forward_events(&mut self, bytes: Bytes, count: u64) -> StreamStep {
+    /// Returns the bytes to be passed on now: the events, or those before them if the turn is kept.
+    fn forward_events(&mut self, bytes: Bytes, count: u64) -> Result<Option<Bytes>, String> {
         self.resumptions = 0;
         if self.events == 0 {
             let response = self.response.as_ref();
@@ -153,7 +171,19 @@
         if let Some(turn) = &mut self.turn {
             turn.add_used_tokens(count * self.plan.tokens_per_event);
         }
-        StreamStep::Data(bytes)
+        let are_last = self.has_all_tokens();
+        let Some(kept) = &mut self.plan.kept else {
+            return Ok(Some(bytes));
+        };
+        kept.add_events(&bytes)?;
+        Ok(self.held.hold(bytes, are_last, Instant::now()))
+    }
+
+    /// Returns whether the events have all tokens that the turn may generate.
+    fn has_all_tokens(&self) -> bool {
+        let demand = self.upstream_request.head.tokens;
+        let tokens = self.events * self.plan.tokens_per_event;
+        self.plan.is_engine && demand.is_some_and(|demand| tokens >= demand.output_max)
     }
 
     /// Records the version of the endpoint before its first event is passed on.
@@ -165,16 +195,26 @@
         self.forwarder.record_version(&mut self.plan, head, &version).await
     }
 
-    fn deadline_passed(&self) -> StreamStep {
-        self.abort("the deadline of the request has passed".to_owned())
+    async fn deadline_passed(&mut self) -> StreamStep {
+        self.abort("the deadline of the request has passed".to_owned()).await
     }
 
-    fn abort(&self, reason: String) -> StreamStep {
+    /// Breaks the stream off. Events that are held back are not passed on, since they may be the last
+    /// ones.
+    async fn abort(&mut self, reason: String) -> StreamStep {
+        if let Some(kept) = &mut self.plan.kept {
+            kept.keep_partial().await;
+        }
         self.plan.report.stream_aborted(&self.forwarder.cx, self.events, &reason);
         StreamStep::Failed(reason)
     }
 
-    fn finish(&mut self) -> StreamStep {
+    async fn finish(&mut self) -> StreamStep {
+        if let Some(kept) = &mut self.plan.kept
+            && let Err(reason) = kept.keep().await
+        {
+            return self.abort(format!("the turn is not kept: {reason}")).await;
+        }
         self.forwarder.note_complete_answer(&self.upstream_request);
         if let Some(response) = self.response.take() {
             self.plan.report.ended(&self.forwarder.cx, &response, self.events);
@@ -187,7 +227,7 @@
         }
         // Settle the turn before the caller sees the end of the stream.
         self.turn = None;
-        StreamStep::End
+        self.held.take().map_or(StreamStep::End, StreamStep::Data)
     }
 
     /// Resumes the stream after the last complete event, at the same endpoint or another one.
--- /dev/null
+++ b/coriandergw/src/kept_turns/client/look_up.rs
@@ -0,0 +1,186 @@
+//! Looks a chain up.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::time::Instant;
+
+use crate::ids::InstanceName;
+use crate::kept_turns::Chain;
+use crate::kept_turns::FindError;
+use crate::kept_turns::TurnKey;
+use crate::kept_turns::certainty::HolderAnswer;
+use crate::kept_turns::certainty::LookUpScope;
+use crate::kept_turns::client::KeptTurnsClient;
+use crate::kept_turns::client::messages::call;
+use crate::kept_turns::client::messages::decode_chain;
+use crate::kept_turns::client::messages::encode_request;
+use crate::kept_turns::generated as raw;
+use crate::kept_turns::holders::KnownHolders;
+
+/// How long only the instances of the own data centre are asked. A disk there answers within a few
+/// milliseconds; asking the others costs traffic between data centres.
+const LOCAL_WAIT: Duration = Duration::from_millis(15);
+
+/// How long one call may take. A chain of some hundred turns is read from disk within this time; a
+/// restarted instance is asked again before the look-up ends.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The pause before an instance that did not answer is asked again; above the pause of the
+/// transport after a refused connection.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long a whole record is waited for after a partial one was found; several round trips between
+/// data centres.
+const WHOLE_WAIT: Duration = Duration::from_millis(100);
+
+/// What an instance answered.
+enum Answer {
+    Chain(Chain),
+    Other(HolderAnswer),
+}
+
+/// The answers so far.
+struct LookUp {
+    scope: LookUpScope,
+    is_complete: bool,
+    answers: Vec<HolderAnswer>,
+    /// The longest chain that ends with a partial record.
+    partial: Option<Chain>,
+}
+
+impl LookUp {
+    /// Adds an answer; returns the result if no other answer can change it.
+    fn note(&mut self, answer: Answer) -> Option<Result<Chain, FindError>> {
+        match answer {
+            Answer::Chain(chain) if !ends_partially(&chain) => return Some(Ok(chain)),
+            Answer::Chain(chain) => {
+                if output_len(&chain) >= self.partial.as_ref().map_or(0, output_len) {
+                    self.partial = Some(chain);
+                }
+            }
+            Answer::Other(answer) => self.answers.push(answer),
+        }
+        let is_absent = self.partial.is_none()
+            && self.is_complete
+            && self.scope.is_certainly_absent(&self.answers);
+        is_absent.then_some(Err(FindError::Unknown))
+    }
+
+    /// Returns the result when nothing more is to be expected.
+    fn conclude(self) -> Result<Chain, FindError> {
+        if let Some(partial) = self.partial {
+            return Ok(partial);
+        }
+        let roster = if self.is_complete { "" } else { ", and others may not be known yet" };
+        let reason = format!(
+            "{} of {} instances certainly do not have it, {} have to{roster}",
+            self.scope.definite_answers(&self.answers),
+            self.scope.holders,
+            self.scope.answers_needed(),
+        );
+        Err(FindError::Uncertain { reason })
+    }
+}
+
+fn ends_partially(chain: &Chain) -> bool {
+    chain.records.last().is_some_and(|record| record.is_partial)
+}
+
+fn output_len(chain: &Chain) -> usize {
+    chain.records.last().map_or(0, |record| record.output.len())
+}
+
+impl KeptTurnsClient {
+    /// Asks the instances of the own data centre, then all others, for a chain.
+    pub(super) async fn look_up(
+        &self,
+        key: &TurnKey,
+        retention: Duration,
+        deadline: Instant,
+    ) -> Result<Chain, FindError> {
+        let holders = self.directory.holders(retention);
+        let mut look_up = LookUp {
+            scope: LookUpScope {
+                holders: holders.count(),
+                replicas: self.replicas,
+                retention,
+                wall: self.cx.clock.wall(),
+            },
+            is_complete: holders.is_complete,
+            answers: Vec::new(),
+            partial: None,
+        };
+        let (near, far) = self.split(holders);
+        let body = raw::Find { account: key.account.to_string(), turn: key.turn.to_string() };
+        let request = encode_request(raw::request::Body::Find(body));
+        let ask = |holder: InstanceName| self.ask(holder, key, request.clone());
+        let mut asked: FuturesUnordered<_> = near.into_iter().map(ask).collect();
+        let mut far = Some(far);
+        let widen_at = Instant::now() + LOCAL_WAIT;
+        let mut end = deadline;
+        loop {
+            if asked.is_empty() || look_up.partial.is_some() {
+                asked.extend(far.take().into_iter().flatten().map(ask));
+            }
+            tokio::select! {
+                answer = asked.next() => {
+                    let Some(answer) = answer else { break };
+                    if let Some(result) = look_up.note(answer) {
+                        return result;
+                    }
+                    if look_up.partial.is_some() {
+                        end = end.min(Instant::now() + WHOLE_WAIT);
+                    }
+                }
+                () = tokio::time::sleep_until(widen_at), if far.is_some() => {
+                    asked.extend(far.take().into_iter().flatten().map(ask));
+                }
+                () = tokio::time::sleep_until(end) => break,
+            }
+        }
+        drop(asked);
+        look_up.conclude()
+    }
+
+    /// Returns the living instances of the own data centre, and all others.
+    fn split(&self, holders: KnownHolders) -> (Vec<InstanceName>, Vec<InstanceName>) {
+        let living = holders.living.into_iter().map(|one| one.holder);
+        let (near, far): (Vec<_>, Vec<_>) =
+            living.partition(|holder| holder.data_centre == self.cx.data_centre);
+        let far = far.into_iter().chain(holders.silent);
+        (near.into_iter().map(|holder| holder.name).collect(), far.map(|one| one.name).collect())
+    }
+
+    /// Asks one instance until it answers.
+    async fn ask(&self, holder: InstanceName, key: &TurnKey, request: Bytes) -> Answer {
+        loop {
+            match call(&*self.transport, &holder, request.clone(), CALL_TIMEOUT).await {
+                Ok(raw::answer::Body::Find(answer)) => return read_answer(&holder, answer, key),
+                Ok(_) => log::warn!("{holder} answered the look-up of a turn with something else"),
+                Err(cause) => log::debug!("look-up of turn {}: {cause}", key.turn),
+            }
+            self.transport.reconnect(&holder);
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+fn read_answer(holder: &InstanceName, answer: raw::FindAnswer, key: &TurnKey) -> Answer {
+    let raw::FindAnswer { records, complete_since_ms, unreadable } = answer;
+    if unreadable {
+        return Answer::Other(HolderAnswer::Unreadable);
+    }
+    if records.is_empty() {
+        return Answer::Other(HolderAnswer::Absent { complete_since_ms });
+    }
+    match decode_chain(records, key) {
+        Ok(chain) => Answer::Chain(chain),
+        Err(cause) => {
+            log::error!("instance {holder} sent an invalid chain for turn {}: {cause}", key.turn);
+            Answer::Other(HolderAnswer::Unreadable)
+        }
+    }
+}
--- a/coriandergw/src/kept_turns/mod.rs
+++ b/coriandergw/src/kept_turns/mod.rs
@@ -13,8 +13,11 @@
 use derive_more::Error;
 use tokio::time::Instant;
 
+pub mod certainty;
+pub mod client;
 #[allow(missing_docs, clippy::all)]
 pub(crate) mod generated;
+pub mod holders;
 pub mod placement;
 
 /// Identifies a turn. The same identifier in another account is another turn.
@@ -37,7 +40,8 @@
     pub root: Arc<str>,
     /// The new input, as the caller sent it.
     pub input: Bytes,
-    /// The data of each event of the answer, each followed by a line feed.
+    /// The data of each event of the answer, each followed by a line feed. In a partial record the
+    /// events as they were passed on, with their identifiers.
     pub output: Bytes,
     /// When the turn may be forgotten, in milliseconds since the Unix epoch.
     pub expires_ms: u64,
@@ -84,6 +88,7 @@
 #[async_trait]
 pub trait KeptTurns: Send + Sync {
     /// Returns the chain that ends with a turn. `retention` is how long turns of the route are kept.
+    /// The last record is partial only if no whole one was found.
     ///
     /// # Errors
     /// [`FindError::Unknown`] only if it is certain that no such turn is kept.
@@ -105,6 +110,14 @@
         chain: &Chain,
         deadline: Instant,
     ) -> Result<(), KeepError>;
+
+    /// Checks whether a turn that begins now can be expected to be written when it ends.
+    ///
+    /// # Errors
+    /// Fails if too few instances take turns at the moment.
+    fn check_writable(&self) -> Result<(), KeepError> {
+        Ok(())
+    }
 }
 
 #[cfg(test)]
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -43,6 +43,8 @@
     pub endpoint_connects: IntCounterVec,
     /// Permits for requests to limited endpoints, by source and outcome.
     pub permits: IntCounterVec,
+    /// Seconds of look-ups and writes of kept turns, by operation and result.
+    pub kept_turn_seconds: HistogramVec,
     /// Background tasks that ended before the process was asked to stop, by task.
     pub tasks_failed: IntCounterVec,
     /// Partitions held and similar states, by name.
@@ -111,6 +113,11 @@
                 "Seconds from a forwarded request's arrival to a step of it",
                 &["step"],
             )?,
+            kept_turn_seconds: histogram(
+                "cgw_kept_turn_seconds",
+                "Seconds of look-ups and writes of kept turns",
+                &["operation", "result"],
+            )?,
             endpoint_connections: counters(
                 "cgw_endpoint_connections_total",
                 "Connections to endpoints, opened or used again",
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -21,6 +21,9 @@
 use crate::forwarding::server;
 use crate::forwarding::server::Phase;
 use crate::forwarding::warm_up::WarmUp;
+use crate::kept_turns::KeptTurns;
+use crate::kept_turns::client::KeptTurnsClient;
+use crate::kept_turns::holders::RosterDirectory;
 use crate::log_groups::client::LogClient;
 use crate::relays::server::RelayServer;
 use crate::roles::ProcessParts;
@@ -78,6 +81,20 @@
         settings: &ProcessSettings,
         callers: SocketAddr,
         adapters: ForwarderAdapters,
+    ) -> Result<Self, StartError> {
+        Self::start_with(settings, callers, adapters, None).await
+    }
+
+    /// Does the same; turns are kept through `kept_turns`, or on the journal instances if it is
+    /// `None`.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be bound.
+    pub async fn start_with(
+        settings: &ProcessSettings,
+        callers: SocketAddr,
+        adapters: ForwarderAdapters,
+        kept_turns: Option<Arc<dyn KeptTurns>>,
     ) -> Result<Self, StartError> {
         let address = SocketAddr::new(settings.ip, settings.port(Role::Entry));
         let name = instance_name(address, &format!("{:08x}", rand::random::<u32>()))?;
@@ -100,7 +117,13 @@
         let cx = base.cx.clone();
         let permits = PermitClient::new(cx.clone(), roster.clone(), base.transport.clone());
         let crashes = CrashReporter::start(cx.clone(), roster.clone(), base.transport.clone());
-        let clients = Clients { budgets, permits, crashes: Arc::new(crashes) };
+        let kept_turns = kept_turns.unwrap_or_else(|| {
+            let directory = RosterDirectory { cx: cx.clone(), roster: roster.clone() };
+            let (transport, losses) = (base.transport.clone(), settings.tolerated_losses);
+            let client = KeptTurnsClient::new(cx.clone(), Arc::new(directory), transport, losses);
+            Arc::new(client)
+        });
+        let clients = Clients { budgets, permits, crashes: Arc::new(crashes), kept_turns };
         let forwarder = Forwarder::new(cx, adapters, roster.clone(), clients, warm_up);
         base.spawn("follow the roster", forwarder.clone().follow_roster());
         base.spawn("regain paths", forwarder.clone().regain_paths());
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -14,6 +14,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::accounts::Account;
+use crate::accounts::AccountKey;
+use crate::accounts::AccountTable;
 use crate::accounts::Credential;
 use crate::dialer::Dialer;
 use crate::dialer::TcpDialer;
@@ -30,6 +33,7 @@
 use crate::forwarding::forwarder::ForwarderAdapters;
 use crate::ids::DataCentre;
 use crate::ids::EndpointName;
+use crate::kept_turns::KeptTurns;
 use crate::roles::ProcessSettings;
 use crate::roles::core::CoreProcess;
 use crate::roles::entry::EntryProcess;
@@ -72,7 +76,8 @@
             affinity: None,
             last_event: number(headers, "last-event"),
             resumes: text(headers, "resumes"),
-            credential: Credential::Missing,
+            credential: text(headers, "key")
+                .map_or(Credential::Missing, |key| Credential::Key(AccountKey::from(&*key))),
             previous_turn: text(headers, "previous-turn"),
         })
     }
@@ -99,9 +104,19 @@
     }
 }
 
-/// Reads a configuration that consists of its version only; the routes are fixed.
+/// Reads a configuration that consists of its version, and of the names of accounts, whose keys are
+/// the same texts; the routes are fixed.
 struct TestConfig;
 
+/// Returns the table of accounts that are named like their keys.
+fn accounts(names: &[&str]) -> AccountTable {
+    let account = |name: &&str| {
+        let account = Account { name: (*name).into(), limit: None, priority: None };
+        (account, vec![AccountKey::from(*name)])
+    };
+    AccountTable::new(names.iter().map(account).collect()).expect("a table")
+}
+
 fn route(name: &str, retry_policy: RetryPolicy, service: &str) -> Route {
     Route {
         name: name.into(),
@@ -122,21 +137,28 @@
 
 impl ConfigReader for TestConfig {
     fn read(&self, document: &[u8]) -> Result<RouteTable, String> {
-        let version = std::str::from_utf8(document).ok().and_then(|text| text.parse().ok());
-        let version = version.ok_or("no version")?;
+        let text = std::str::from_utf8(document).map_err(|fault| fault.to_string())?;
+        let mut words = text.split(' ');
+        let version = words.next().and_then(|text| text.parse().ok()).ok_or("no version")?;
+        let names: Vec<&str> = words.collect();
         let routes = vec![
             route("safe", RetryPolicy::Idempotent, "plain"),
             route("once", RetryPolicy::Once, "plain"),
             route("stream", RetryPolicy::ResumableStream, "engines"),
             route("fragile", RetryPolicy::Stream, "engines"),
             Route { endpoints_max: 1, ..route("single", RetryPolicy::ResumableStream, "engines") },
+            Route {
+                retention: Some(Duration::from_secs(60)),
+                ..route("kept", RetryPolicy::ResumableStream, "engines")
+            },
         ];
         let engine = EngineTraits { slots: 8, tokens_per_event: 3 };
         let service =
             |name: &str, engine| Service { name: name.into(), connections_max: 100, engine };
         let services = vec![service("plain", None), service("engines", Some(engine))];
-        RouteTable::new(version, routes, services, CallerLimits::default())
-            .map_err(|fault| fault.to_string())
+        let table = RouteTable::new(version, routes, services, CallerLimits::default())
+            .map_err(|fault| fault.to_string())?;
+        Ok(if names.is_empty() { table } else { table.with_accounts(accounts(&names)) })
     }
 }
 
@@ -214,23 +236,37 @@
 
     /// Does the same with an entry instance that opens connections to endpoints through `dialer`.
     pub async fn start_with(dialer: Arc<dyn Dialer>) -> Self {
-        let world = Self::start_machine(Duration::ZERO, dialer).await;
-        world.core.versions.put(1, "1".into()).await.expect("committed");
-        wait_for("the configuration", || world.entry.forwarder.is_ready()).await;
-        world
+        Self::start_machine(Duration::ZERO, dialer, None).await.configured().await
+    }
+
+    /// Starts all roles with an entry instance that keeps turns through `kept_turns`.
+    pub async fn start_keeping(kept_turns: Arc<dyn KeptTurns>) -> Self {
+        let dialer = Arc::new(TcpDialer);
+        let world = Self::start_machine(Duration::ZERO, dialer, Some(kept_turns)).await;
+        world.configured().await
+    }
+
+    async fn configured(self) -> Self {
+        self.core.versions.put(1, "1".into()).await.expect("committed");
+        wait_for("the configuration", || self.entry.forwarder.is_ready()).await;
+        self
     }
 
     pub async fn start_without_configuration() -> Self {
-        Self::start_machine(Duration::ZERO, Arc::new(TcpDialer)).await
+        Self::start_machine(Duration::ZERO, Arc::new(TcpDialer), None).await
     }
 
     /// Starts all roles without a configuration and with a warm-up period longer than any test, so
     /// that requests wait for the configuration and for endpoints.
     pub async fn start_cold() -> Self {
-        Self::start_machine(WAIT_LIMIT, Arc::new(TcpDialer)).await
+        Self::start_machine(WAIT_LIMIT, Arc::new(TcpDialer), None).await
     }
 
-    async fn start_machine(warm_up: Duration, dialer: Arc<dyn Dialer>) -> Self {
+    async fn start_machine(
+        warm_up: Duration,
+        dialer: Arc<dyn Dialer>,
+        kept_turns: Option<Arc<dyn KeptTurns>>,
+    ) -> Self {
         let mut site = Site::new(1, 0).await;
         let mut machine = site.machine(true);
         machine.settings.warm_up = warm_up;
@@ -240,7 +276,9 @@
         let core = CoreProcess::start(&machine.settings).await.expect("the core starts");
         let journal = JournalProcess::start(&journal_settings).await.expect("the journal starts");
         let callers = machine.settings.caller_address.expect("an address");
-        let entry = EntryProcess::start(&machine.settings, callers, adapters(dialer)).await;
+        let adapters = adapters(dialer);
+        let entry =
+            EntryProcess::start_with(&machine.settings, callers, adapters, kept_turns).await;
         let entry = entry.expect("the entry starts");
         Self { core, _journal: journal, entry, callers, site, machines: vec![machine] }
     }
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -458,6 +458,20 @@
         found.into_values().filter(|presence| !is_silent(presence)).collect()
     }
 
+    /// Returns the processes of a role that any core instance lists, also those that are not heard.
+    pub fn listed(&self, role: Role) -> Vec<Presence> {
+        let all = self.cores.values().flat_map(|view| view.instances.values());
+        let of_role = all.filter(|reported| reported.presence.role == role);
+        of_role.map(|reported| reported.presence.clone()).collect()
+    }
+
+    /// Returns when the reachable core instance that has run for longest started, in milliseconds
+    /// since the Unix epoch; `None` if none is reachable.
+    pub fn earliest_core_start_ms(&self, now: Timestamp) -> Option<u64> {
+        let reachable = self.reachable_cores(now).filter_map(|core| self.cores.get(&core));
+        reachable.map(|view| view.start).min()
+    }
+
     /// Returns whether a majority of the voters of the control group answers; also `true` while no
     /// leader is known.
     pub fn reaches_quorum(&self, now: Timestamp) -> bool {
