feat(kept-turns): ask instances that are listed during a look-up

Cause: after a loss of power the holders of a chain come back one after the other, and a look-up asked only those that were listed when it began.

Change: a look-up reads the roster again every 100 ms, and ends with 503 at its deadline only. The refusal names 500 ms to retry after instead of 200 ms.

--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -353,7 +353,7 @@
     /// this remaining time may wait during warm-up.
     ///
     /// The calling function refuses the request if `is_known` still does not hold.
-    async fn wait_until_known<F>(&self, time_left: Duration, is_known: F)
+    pub(super) async fn wait_until_known<F>(&self, time_left: Duration, is_known: F)
     where
         F: Fn() -> bool,
     {
--- a/coriandergw/src/forwarding/kept.rs
+++ b/coriandergw/src/forwarding/kept.rs
@@ -16,7 +16,6 @@
 use crate::forwarding::events::events_through;
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::forwarder::RequestPlan;
-use crate::forwarding::forwarder::TRANSIENT_RETRY_AFTER;
 use crate::kept_turns::Chain;
 use crate::kept_turns::FindError;
 use crate::kept_turns::KeepError;
@@ -35,6 +34,10 @@
 /// The timeout of a write; long enough that lost instances leave the list of live ones.
 const KEEP_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// When a turn that is refused for lack of journal instances should come back. Callers try a few
+/// times only, and a journal instance takes a second or more to restart.
+const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// How long the events of a broken stream may take to be kept before its caller sees the break. It
 /// stays below the time that a stopping process leaves for its last answers.
 const PARTIAL_WAIT: Duration = Duration::from_millis(80);
@@ -97,6 +100,8 @@
         else {
             return Ok(());
         };
+        let time_left = plan.deadline.saturating_duration_since(Instant::now());
+        self.wait_until_known(time_left, || self.kept_turns.check_writable().is_ok()).await;
         self.kept_turns.check_writable().map_err(|cause| unavailable(&cause))?;
         let head = &upstream_request.head;
         let account: Arc<str> = match &plan.account {
@@ -322,5 +327,5 @@
     C: std::fmt::Display,
 {
     let refusal = Refusal::not_run(ResultCode::TurnUnavailable, cause.to_string());
-    refusal.retry_after(TRANSIENT_RETRY_AFTER)
+    refusal.retry_after(UNAVAILABLE_RETRY_AFTER)
 }
--- a/coriandergw/src/kept_turns/client/look_up.rs
+++ b/coriandergw/src/kept_turns/client/look_up.rs
@@ -1,5 +1,6 @@
 //! Looks a chain up.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +20,7 @@
 use crate::kept_turns::client::messages::encode_request;
 use crate::kept_turns::generated as raw;
 use crate::kept_turns::holders::KnownHolders;
+use crate::kept_turns::placement::Holder;
 
 /// How long only the instances of the own data centre are asked. A disk there answers within a few
 /// milliseconds; asking the others costs traffic between data centres.
@@ -36,6 +38,10 @@
 /// data centres.
 const WHOLE_WAIT: Duration = Duration::from_millis(100);
 
+/// How often instances that are listed meanwhile are added: those that restart, for example after
+/// a loss of power.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What an instance answered.
 enum Answer {
     Chain(Chain),
@@ -52,10 +58,20 @@
 }
 
 impl LookUp {
-    /// Adds an answer; returns the result if no other answer can change it.
-    fn note(&mut self, answer: Answer) -> Option<Result<Chain, FindError>> {
+    fn new(scope: LookUpScope) -> Self {
+        Self { scope, is_complete: false, answers: Vec::new(), partial: None }
+    }
+
+    /// Notes which instances may hold the turn as far as is known now.
+    fn note_holders(&mut self, holders: &KnownHolders) {
+        self.scope.holders = self.scope.holders.max(holders.count());
+        self.is_complete = holders.is_complete;
+    }
+
+    /// Adds an answer; returns the chain if it ends with a whole record.
+    fn note(&mut self, answer: Answer) -> Option<Chain> {
         match answer {
-            Answer::Chain(chain) if !ends_partially(&chain) => return Some(Ok(chain)),
+            Answer::Chain(chain) if !ends_partially(&chain) => return Some(chain),
             Answer::Chain(chain) => {
                 if output_len(&chain) >= self.partial.as_ref().map_or(0, output_len) {
                     self.partial = Some(chain);
@@ -63,10 +79,11 @@
             }
             Answer::Other(answer) => self.answers.push(answer),
         }
-        let is_absent = self.partial.is_none()
-            && self.is_complete
-            && self.scope.is_certainly_absent(&self.answers);
-        is_absent.then_some(Err(FindError::Unknown))
+        None
+    }
+
+    fn is_absent(&self) -> bool {
+        self.is_complete && self.partial.is_none() && self.scope.is_certainly_absent(&self.answers)
     }
 
     /// Returns the result when nothing more is to be expected.
@@ -101,57 +118,58 @@
         retention: Duration,
         deadline: Instant,
     ) -> Result<Chain, FindError> {
-        let holders = self.directory.holders(retention);
-        let mut look_up = LookUp {
-            scope: LookUpScope {
-                holders: holders.count(),
-                replicas: self.replicas,
-                retention,
-                wall: self.cx.clock.wall(),
-            },
-            is_complete: holders.is_complete,
-            answers: Vec::new(),
-            partial: None,
-        };
-        let (near, far) = self.split(holders);
         let body = raw::Find { account: key.account.to_string(), turn: key.turn.to_string() };
         let request = encode_request(raw::request::Body::Find(body));
         let ask = |holder: InstanceName| self.ask(holder, key, request.clone());
-        let mut asked: FuturesUnordered<_> = near.into_iter().map(ask).collect();
-        let mut far = Some(far);
-        let widen_at = Instant::now() + LOCAL_WAIT;
+        let mut look_up = LookUp::new(self.scope(retention));
+        let mut asked: BTreeSet<InstanceName> = BTreeSet::new();
+        let mut pending = FuturesUnordered::new();
+        let mut is_wide = false;
+        let mut wake_at = Instant::now() + LOCAL_WAIT;
         let mut end = deadline;
         loop {
-            if asked.is_empty() || look_up.partial.is_some() {
-                asked.extend(far.take().into_iter().flatten().map(ask));
+            let holders = self.directory.holders(retention);
+            look_up.note_holders(&holders);
+            let mut targets = self.targets(holders, is_wide);
+            targets.retain(|holder| asked.insert(holder.clone()));
+            pending.extend(targets.into_iter().map(ask));
+            if look_up.is_absent() {
+                return Err(FindError::Unknown);
+            }
+            if pending.is_empty() && !is_wide {
+                is_wide = true;
+                continue;
             }
             tokio::select! {
-                answer = asked.next() => {
-                    let Some(answer) = answer else { break };
-                    if let Some(result) = look_up.note(answer) {
-                        return result;
+                Some(answer) = pending.next(), if !pending.is_empty() => {
+                    if let Some(chain) = look_up.note(answer) {
+                        return Ok(chain);
                     }
                     if look_up.partial.is_some() {
+                        is_wide = true;
                         end = end.min(Instant::now() + WHOLE_WAIT);
                     }
                 }
-                () = tokio::time::sleep_until(widen_at), if far.is_some() => {
-                    asked.extend(far.take().into_iter().flatten().map(ask));
+                () = tokio::time::sleep_until(wake_at) => {
+                    is_wide = true;
+                    wake_at = Instant::now() + REFRESH_INTERVAL;
                 }
-                () = tokio::time::sleep_until(end) => break,
+                () = tokio::time::sleep_until(end) => return look_up.conclude(),
             }
         }
-        drop(asked);
-        look_up.conclude()
     }
 
-    /// Returns the living instances of the own data centre, and all others.
-    fn split(&self, holders: KnownHolders) -> (Vec<InstanceName>, Vec<InstanceName>) {
+    fn scope(&self, retention: Duration) -> LookUpScope {
+        let (replicas, wall) = (self.replicas, self.cx.clock.wall());
+        LookUpScope { holders: 0, replicas, retention, wall }
+    }
+
+    /// Returns the living instances of the own data centre, or all instances.
+    fn targets(&self, holders: KnownHolders, is_wide: bool) -> Vec<InstanceName> {
         let living = holders.living.into_iter().map(|one| one.holder);
-        let (near, far): (Vec<_>, Vec<_>) =
-            living.partition(|holder| holder.data_centre == self.cx.data_centre);
-        let far = far.into_iter().chain(holders.silent);
-        (near.into_iter().map(|holder| holder.name).collect(), far.map(|one| one.name).collect())
+        let listed = living.chain(holders.silent.into_iter().filter(|_| is_wide));
+        let is_target = |one: &Holder| is_wide || one.data_centre == self.cx.data_centre;
+        listed.filter(is_target).map(|holder| holder.name).collect()
     }
 
     /// Asks one instance until it answers.
--- a/coriandergw/src/kept_turns/client/tests.rs
+++ b/coriandergw/src/kept_turns/client/tests.rs
@@ -272,6 +272,21 @@
     assert!(found.is_ok(), "{found:?}");
 }
 
+// Guards against a look-up that fails since the holders are listed a moment later, for example after
+// a loss of power.
+#[tokio::test(start_paused = true)]
+async fn instances_that_are_listed_during_a_look_up_are_asked_too() {
+    let world = World::new();
+    world.keep("t1", &Chain::default()).await.expect("kept");
+    let listed = std::mem::take(&mut *world.known.0.lock().expect("not poisoned"));
+    let listing = async {
+        tokio::time::sleep(TIMEOUT / 4).await;
+        *world.known.0.lock().expect("not poisoned") = listed;
+    };
+    let (found, ()) = tokio::join!(world.find("t1"), listing);
+    assert!(found.is_ok(), "{found:?}");
+}
+
 // Guards against an answer whose end waits for a silent disk, or is broken off though others write.
 #[tokio::test(start_paused = true)]
 async fn a_write_goes_to_the_next_instances_if_the_first_fail_or_are_silent() {
--- a/coriandergw/src/roles/tests/kept.rs
+++ b/coriandergw/src/roles/tests/kept.rs
@@ -41,6 +41,7 @@
     waiting: Mutex<usize>,
     fails: AtomicBool,
     is_uncertain: AtomicBool,
+    is_full: AtomicBool,
 }
 
 impl FakeTurns {
@@ -51,6 +52,7 @@
             waiting: Mutex::default(),
             fails: AtomicBool::new(false),
             is_uncertain: AtomicBool::new(false),
+            is_full: AtomicBool::new(false),
         })
     }
 
@@ -82,6 +84,13 @@
         Ok(chain)
     }
 
+    fn check_writable(&self) -> Result<(), KeepError> {
+        match self.is_full.load(Ordering::Relaxed) {
+            true => Err(KeepError { written: 0, wanted: 1, reason: "no space".to_owned() }),
+            false => Ok(()),
+        }
+    }
+
     async fn keep(&self, record: TurnRecord, _: &Chain, _: Instant) -> Result<(), KeepError> {
         *self.waiting.lock().expect("not poisoned") += 1;
         self.may_write.subscribe().wait_for(|may| *may).await.expect("the sender lives");
@@ -200,16 +209,21 @@
     assert_eq!((status(&reply), last_body(&endpoint)), ("200", format!("a{OUTPUT}b")));
 }
 
-// Guards against a 404 for a turn that may exist, and against one that runs without its chain.
+// Guards against a 404 for a turn that may exist, and against one that runs without its chain or
+// without a disk to keep it.
 #[tokio::test]
-async fn a_turn_whose_chain_cannot_be_looked_up_is_refused_and_not_run() {
+async fn a_turn_that_cannot_be_looked_up_or_kept_is_refused_and_not_run() {
     let (world, turns, endpoint) = start(|_, seen| answer(seen)).await;
     turn(&world, "t1", "", "", "a").await;
     turns.is_uncertain.store(true, Ordering::Relaxed);
     let reply = turn(&world, "t2", "t1", "", "b").await;
     assert_eq!(status(&reply), "503", "{reply}");
     assert!(reply.contains("CG-2016") && reply.contains("\"not_run\":true"), "{reply}");
-    assert!(reply.to_ascii_lowercase().contains("retry-after: 0.2"), "{reply}");
+    assert!(reply.to_ascii_lowercase().contains("retry-after: 0.5"), "{reply}");
+    turns.is_uncertain.store(false, Ordering::Relaxed);
+    turns.is_full.store(true, Ordering::Relaxed);
+    let reply = turn(&world, "t3", "", "", "b").await;
+    assert!(status(&reply) == "503" && reply.contains("CG-2016"), "{reply}");
     assert_eq!(endpoint.seen().len(), 1);
 }
 
