--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -217,6 +217,10 @@
     ReadDecided = 513, Info;
     /// The configuration last in force could not be read from or written to the disk.
     LastConfigFailed = 514, Error;
+    /// Too few of the instances that may hold a kept turn answered.
+    TurnLookUpFailed = 520, Warning;
+    /// A turn is on fewer disks than it has to be; its answer was broken off.
+    TurnWriteFailed = 521, Warning;
     /// The disk refused a write of kept turns, or failed while they were read.
     TurnStoreFailed = 530, Error;
     /// The disk takes writes of kept turns again.
