--- a/coriandergw/src/forwarding/kept.rs
+++ b/coriandergw/src/forwarding/kept.rs
@@ -54,13 +54,10 @@
 /// The most that a prompt may have, as a multiple of the limit on bodies.
 const PROMPT_BODIES_MAX: usize = 4;
 
-/// The most that a prompt may have in any case. A chain is read in one message between instances;
-/// the rest of the message is for the last output and the names.
-const PROMPT_MAX_BYTES: usize = PAYLOAD_MAX_BYTES - (1 << 20);
-
-/// The most bytes of events that are kept. Without a limit, an answer without end would fill the
-/// memory; one that is longer fits into no message.
-const EVENTS_MAX_BYTES: usize = PROMPT_MAX_BYTES;
+/// The most that a prompt may have in any case, and the most that the input and the events of a turn
+/// may have together. A chain is read in one message between instances; the rest of the message is
+/// for the last output and the names.
+const KEPT_MAX_BYTES: usize = PAYLOAD_MAX_BYTES - (1 << 20);
 
 /// The attempt whose stream a caller resumes.
 struct Resumed {
@@ -125,7 +122,7 @@
             None => turn.find_chain(head, plan.deadline).await?,
         }
         let limit = self.caller_limits().body_bytes.saturating_mul(PROMPT_BODIES_MAX);
-        upstream_request.body = turn.prompt(limit.min(PROMPT_MAX_BYTES))?;
+        upstream_request.body = turn.prompt(limit.min(KEPT_MAX_BYTES))?;
         plan.kept = Some(turn);
         Ok(())
     }
@@ -182,7 +179,8 @@
             }
         };
         let before = chain.records.pop().ok_or_else(|| unavailable(&missing))?;
-        if before.previous != head.previous_turn || before.input != self.input {
+        let is_same = head.previous_turn.is_none() || before.previous == head.previous_turn;
+        if !is_same || before.input != self.input {
             let message = "the resumed attempt has another input or another previous turn";
             return Err(Refusal::not_run(ResultCode::MalformedRequest, message));
         }
@@ -199,9 +197,6 @@
     /// Returns the body for the endpoint: the input and the output of each turn of the chain, then
     /// the new input.
     fn prompt(&self, limit_bytes: usize) -> Result<Bytes, Refusal> {
-        if self.chain.records.is_empty() {
-            return Ok(self.input.clone());
-        }
         let records = self.chain.records.iter();
         let parts = records.flat_map(|record| [&record.input, &record.output]);
         let bytes: usize = parts.clone().map(Bytes::len).sum::<usize>() + self.input.len();
@@ -211,6 +206,9 @@
             );
             return Err(Refusal::not_run(ResultCode::BodyTooLarge, message));
         }
+        if self.chain.records.is_empty() {
+            return Ok(self.input.clone());
+        }
         let mut prompt = BytesMut::with_capacity(bytes);
         parts.for_each(|part| prompt.extend_from_slice(part));
         prompt.extend_from_slice(&self.input);
@@ -222,8 +220,8 @@
     /// # Errors
     /// Fails if the turn gets too large to be kept.
     pub(super) fn add_events(&mut self, events: &[u8]) -> Result<(), String> {
-        if self.events.len() + events.len() > EVENTS_MAX_BYTES {
-            return Err(format!("the events exceed the limit of {EVENTS_MAX_BYTES} bytes"));
+        if self.input.len() + self.events.len() + events.len() > KEPT_MAX_BYTES {
+            return Err(format!("the turn exceeds the limit of {KEPT_MAX_BYTES} bytes"));
         }
         self.events.extend_from_slice(events);
         self.has_unkept_events = true;
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -121,7 +121,7 @@
             let is_repeatable = self.plan.route.retry_policy.allows_retry();
             let frame = response.watched_frame(&self.forwarder.connector, is_repeatable);
             let failure = match tokio::time::timeout_at(limit, frame).await {
-                Err(_) => match self.held.take_due(Instant::now()) {
+                Err(_) => match self.held.take_due(limit) {
                     Some(events) => return StreamStep::Data(events),
                     None => return self.deadline_passed().await,
                 },
--- a/coriandergw/src/roles/tests/kept.rs
+++ b/coriandergw/src/roles/tests/kept.rs
@@ -227,6 +227,19 @@
     assert_eq!(endpoint.seen().len(), 1);
 }
 
+// Guards against a turn that is run and can then be neither written nor read.
+#[tokio::test]
+async fn a_turn_that_is_too_long_with_its_chain_is_refused_and_not_run() {
+    let (world, turns, endpoint) = start(|_, seen| answer(seen)).await;
+    turn(&world, "t1", "", "", "a").await;
+    let mut long = turns.get("t1").expect("kept");
+    long.output = vec![b'x'; 7 << 20].into();
+    turns.records.lock().expect("not poisoned").insert(long.key.clone(), long);
+    let reply = turn(&world, "t2", "t1", "", "b").await;
+    assert!(status(&reply) == "413" && reply.contains("\"not_run\":true"), "{reply}");
+    assert_eq!(endpoint.seen().len(), 1);
+}
+
 // Guards against a caller that has the end of an answer, or its last event, before the turn is kept.
 #[tokio::test]
 async fn the_last_event_and_the_end_of_an_answer_wait_until_the_turn_is_kept() {
@@ -292,6 +305,8 @@
     assert!(turns.get("t1").expect("kept").is_partial);
     let unfinished = turn(&world, "t3", "t1", "", "b").await;
     assert_eq!(status(&unfinished), "503", "{unfinished}");
+    let beyond = turn(&world, "t3", "t0", "last-event: 3\r\nresumes: t1\r\n", "a").await;
+    assert_eq!(status(&beyond), "503", "{beyond}");
     let reply = turn(&world, "t2", "t0", "last-event: 1\r\nresumes: t1\r\n", "a").await;
     assert!(event_ids(&reply) == [2, 3] && is_whole(&reply), "{reply}");
     assert_eq!(last_body(&endpoint), format!("z{OUTPUT}a"));
