feat(account-limits): enforce the rate limits of accounts over all instances

Cause: the limit of a client account was read from the configuration and not applied to its requests.

Change: the leader of the control group grants permits from a token bucket for each account. Entry instances ask it before the tokens of a turn are reserved, wait for the next leader if it does not answer, and use a share of what the limit tolerates meanwhile. When a bucket is less than half full, first requests of new programs need a second token, so that programs in progress go on. Permits of requests that were not run are returned.

The leader grants for 190 ms after the last heartbeat that a quorum answered, while voters refuse to vote for 200 ms, so two keepers do not overlap unless a voter restarts in that time. With the whole lease of 400 ms they could.

An own share is drawn for each window by hashing instead of saved up in a bucket: saved up, 80 instances could each send one request at the same time.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -183,6 +183,12 @@
     /// A record that states a service without a configuration claims the name or the address of an
     /// endpoint; it is ignored.
     ForeignClaim = 415, Warning;
+    /// The instance grants permits of client accounts from now on.
+    LimitKeeperStarted = 420, Info;
+    /// A client account has reached its limit.
+    AccountLimited = 421, Info;
+    /// No instance decides on permits of client accounts.
+    LimitKeeperLost = 422, Warning;
     /// An attempt of a call failed at its endpoint.
     AttemptFailed = 403, Warning;
     /// An engine confirmed an order.
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -23,6 +23,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::account_limits::client::AccountPermit;
+use crate::account_limits::client::AccountPermitClient;
 use crate::accounts::Account;
 use crate::context::Context;
 use crate::crashes::reporter::CrashReporter;
@@ -32,6 +34,7 @@
 use crate::forwarding::AccountHeader;
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::RequestHeaders;
+use crate::forwarding::account_permit;
 use crate::forwarding::attempt::UpstreamRequest;
 use crate::forwarding::attempt::UpstreamResponse;
 use crate::forwarding::choice;
@@ -102,6 +105,8 @@
     pub budgets: BudgetClient,
     /// Acquires permits for requests to limited endpoints.
     pub permits: PermitClient,
+    /// Acquires permits for requests of client accounts with a limit.
+    pub account_permits: Arc<AccountPermitClient>,
     /// Reports crashes of endpoints.
     pub crashes: Arc<CrashReporter>,
 }
@@ -122,6 +127,7 @@
     /// The ignored records that claim the name or the address of an endpoint.
     foreign_claims: Mutex<BTreeSet<EndpointKey>>,
     pub(super) permits: PermitClient,
+    pub(super) account_permits: Arc<AccountPermitClient>,
     pub(super) crashes: Arc<CrashReporter>,
     /// The number of entry instances (those that serve callers) that accept requests, including
     /// this one.
@@ -204,7 +210,7 @@
         clients: Clients,
         warm_up: WarmUp,
     ) -> Arc<Self> {
-        let Clients { budgets, permits, crashes } = clients;
+        let Clients { budgets, permits, account_permits, crashes } = clients;
         let pool = SharedPool::new(Pool::default());
         let dialer = adapters.dialer.clone();
         let connector = Connector::new(cx.clone(), dialer, pool.clone(), roster.clone());
@@ -221,6 +227,7 @@
             leaving: LeavingEndpoints::default(),
             foreign_claims: Mutex::default(),
             permits,
+            account_permits,
             crashes,
             entry_instances: AtomicUsize::new(1),
             refreshes: watch::Sender::default(),
@@ -282,6 +289,7 @@
         // An instance that has lost contact with the control group keeps the last known value.
         if let Some(entry_instances) = entry_instances {
             self.entry_instances.store(entry_instances.max(1), Ordering::Relaxed);
+            self.account_permits.note_entry_instances(entry_instances);
         }
         let table = self.table.load_full();
         let is_configured =
@@ -425,10 +433,14 @@
         if table.accounts().is_some() {
             plan.set_account(account.as_deref());
         }
-        let mut open = OpenRequest { cx: self.cx.clone(), plan, is_open: true };
+        let ask = account_permit::ask(account.as_deref(), table.version(), &head);
+        let mut open = OpenRequest { cx: self.cx.clone(), plan, permit: None, is_open: true };
         let handling = async {
             let body_max_bytes = table.limits().body_bytes;
             let upstream_request = buffer_request(req, head, body_max_bytes, deadline).await?;
+            if let Some(ask) = &ask {
+                open.permit = Some(self.acquire_account_permit(ask, deadline).await?);
+            }
             self.clone().run(&mut open.plan, upstream_request, turn).await
         };
         let result = tokio::select! {
@@ -437,6 +449,7 @@
         };
         let result = result.unwrap_or_else(|| Err(stopped_refusal(&open.plan)));
         open.is_open = false;
+        account_permit::settle(open.permit.take(), !is_not_run(&result));
         result.inspect_err(|refusal| open.plan.report.refused(&self.cx, refusal))
     }
 
@@ -587,17 +600,26 @@
     Refusal::not_run(ResultCode::Draining, message).retry_after(TRANSIENT_RETRY_AFTER)
 }
 
+/// Returns whether the request was refused and certainly has not run.
+fn is_not_run(result: &Result<Response<ResponseBody>, Refusal>) -> bool {
+    result.as_ref().is_err_and(|refusal| refusal.not_run)
+}
+
 /// A request without an answer yet. Dropping it while it is open, which happens when its caller
 /// leaves, records that.
 struct OpenRequest {
     cx: Context,
     plan: RequestPlan,
+    /// The permit of the client account, if that has a limit.
+    permit: Option<AccountPermit>,
     is_open: bool,
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         if self.is_open {
+            let may_have_run = self.plan.is_sent || self.plan.may_have_run;
+            account_permit::settle(self.permit.take(), may_have_run);
             self.plan.report.abandoned(&self.cx);
         }
     }
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 use crate::endpoint_limits::RateLimit;
 use crate::ids::EndpointName;
 
+mod account_permit;
 mod attempt;
 mod bounded_reader;
 pub mod choice;
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -4,6 +4,7 @@
 //! instance keeps its history and budget, runs its calls in dependent order and journals each step
 //! in a replicated log. `docs/DESIGN.md` gives the design.
 
+pub mod account_limits;
 pub mod accounts;
 pub mod addresses;
 pub mod admission;
--- a/coriandergw/src/log_groups/core/mod.rs
+++ b/coriandergw/src/log_groups/core/mod.rs
@@ -43,6 +43,8 @@
 pub use timing::CLOCK_DRIFT_PERCENT;
 pub use timing::HEARTBEAT_INTERVAL;
 pub use timing::LEASE;
+pub use timing::UNLEASED_LEASE;
+pub use timing::UNLEASED_SOLE_LEADER;
 pub use timing::VOTE_PROMISE;
 
 #[cfg(test)]
--- a/coriandergw/src/log_groups/core/timing.rs
+++ b/coriandergw/src/log_groups/core/timing.rs
@@ -21,6 +21,21 @@
 /// The interval between two heartbeats of a leader whose group relies on leases.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long a voter of a group without leases refuses to vote after hearing from a leader.
+const UNLEASED_PROMISE: Duration = Duration::from_millis(200);
+
+/// How long a leader of a group without leases continues without answers from a quorum.
+pub const UNLEASED_LEASE: Duration = Duration::from_millis(400);
+
+/// How long after it sent the last heartbeat that a quorum answered a leader of a group without
+/// leases is the only one.
+///
+/// The promises of the voters outlast it as long as the clock rates differ by at most
+/// [`CLOCK_DRIFT_PERCENT`] and no voter has restarted, since promises are not stored.
+pub const UNLEASED_SOLE_LEADER: Duration = Duration::from_millis(
+    UNLEASED_PROMISE.as_millis() as u64 * (100 - CLOCK_DRIFT_PERCENT as u64) / 100,
+);
+
 /// The bounds of a random wait, in milliseconds: inclusive lower, exclusive upper.
 pub(super) type WaitRange = (u64, u64);
 
@@ -58,8 +73,8 @@
     /// A follower starts an election after four missed heartbeats, and wins it only if a quorum
     /// has missed them too.
     pub const UNLEASED: Self = Self {
-        promise: Duration::from_millis(200),
-        lease: Duration::from_millis(400),
+        promise: UNLEASED_PROMISE,
+        lease: UNLEASED_LEASE,
         heartbeat: Duration::from_millis(50),
         election_ms: (220, 500),
         // A live leader sends a heartbeat within the lower bound.
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -43,6 +43,8 @@
     pub endpoint_connects: IntCounterVec,
     /// Permits for requests to limited endpoints, by source and outcome.
     pub permits: IntCounterVec,
+    /// Requests for permits of client accounts with a limit, by account and outcome.
+    pub account_permits: IntCounterVec,
     /// Background tasks that ended before the process was asked to stop, by task.
     pub tasks_failed: IntCounterVec,
     /// Partitions held and similar states, by name.
@@ -126,6 +128,11 @@
                 "Permits for requests to limited endpoints",
                 &["source", "outcome"],
             )?,
+            account_permits: counters(
+                "cgw_account_permits_total",
+                "Requests for permits of client accounts with a limit",
+                &["account", "outcome"],
+            )?,
             refusals: counters("cgw_refusals_total", "Refusals by result code", &["code"])?,
             retries: counters("cgw_retries_total", "Retries by kind of call", &["kind"])?,
             orders: counters("cgw_orders_total", "Orders to engines", &["kind", "result"])?,
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::account_limits::server::AccountPermitServer;
 use crate::context::Context;
 use crate::crashes::Crash;
 use crate::crashes::server::CrashServer;
@@ -107,6 +108,13 @@
         };
         let node = LogNode::start(base.cx.clone(), base.transport.clone(), options)?;
         let versions = Versions::new(node.clone());
+        let account_permits =
+            AccountPermitServer::new(base.cx.clone(), node.clone(), settings.limit_tolerance);
+        base.transport.register(Kind::AccountPermit, account_permits.clone());
+        if let Some(leadership) = node.leadership(CONTROL_GROUP) {
+            let following = account_permits.follow_leadership(leadership);
+            base.spawn_finite("follow the leadership for account limits", following);
+        }
         base.roster.update_presence(|presence| presence.ready = true);
         base.start_polling(settings);
         base.spawn("expire silent endpoints", roster_server.clone().expire_silent());
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::account_limits::client::AccountPermitClient;
 use crate::context::Context;
 use crate::crashes::reporter::CrashReporter;
 use crate::endpoint_limits::client::PermitClient;
@@ -100,7 +101,13 @@
         let cx = base.cx.clone();
         let permits = PermitClient::new(cx.clone(), roster.clone(), base.transport.clone());
         let crashes = CrashReporter::start(cx.clone(), roster.clone(), base.transport.clone());
-        let clients = Clients { budgets, permits, crashes: Arc::new(crashes) };
+        let account_permits = AccountPermitClient::new(
+            cx.clone(),
+            roster.clone(),
+            base.transport.clone(),
+            settings.limit_tolerance,
+        );
+        let clients = Clients { budgets, permits, account_permits, crashes: Arc::new(crashes) };
         let forwarder = Forwarder::new(cx, adapters, roster.clone(), clients, warm_up);
         base.spawn("follow the roster", forwarder.clone().follow_roster());
         base.spawn("regain paths", forwarder.clone().regain_paths());
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -13,6 +13,7 @@
 use derive_more::Error;
 use tokio::task::JoinSet;
 
+use crate::account_limits::LimitTolerance;
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::context::Context;
@@ -60,7 +61,7 @@
 const RELAY_PORT_OFFSET: u16 = 3;
 
 /// Settings shared by all processes of the entry path.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ProcessSettings {
     /// Name that the operator gave to the machine.
     pub node: Arc<str>,
@@ -85,6 +86,8 @@
     pub caller_address: Option<SocketAddr>,
     /// Period after the start in which requests may wait for the configuration and for endpoints.
     pub warm_up: Duration,
+    /// By how much the requests of a client account may exceed its limit.
+    pub limit_tolerance: LimitTolerance,
 }
 
 impl ProcessSettings {
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -14,6 +14,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::account_limits::LimitTolerance;
 use crate::accounts::Credential;
 use crate::dialer::Dialer;
 use crate::dialer::TcpDialer;
@@ -191,6 +192,7 @@
             endpoint_silence: Duration::from_secs(60),
             caller_address: Some(SocketAddr::new(ip, self.first_port + 5)),
             warm_up: Duration::ZERO,
+            limit_tolerance: LimitTolerance::default(),
         };
         Machine { settings, _folder: folder }
     }
--- a/coriandergw/src/token_bucket.rs
+++ b/coriandergw/src/token_bucket.rs
@@ -42,6 +42,18 @@
         true
     }
 
+    /// Puts tokens back that were taken and not used, up to the maximum.
+    pub fn put_back(&mut self, tokens: f64, now: Timestamp) {
+        self.refill(now);
+        self.tokens = (self.tokens + tokens).min(self.tokens_max);
+    }
+
+    /// Removes all tokens.
+    pub fn clear(&mut self, now: Timestamp) {
+        self.refill(now);
+        self.tokens = 0.0;
+    }
+
     /// Returns the time until the next token is there; zero if there is one.
     pub fn next_token_in(&self, now: Timestamp) -> Duration {
         let tokens = self.tokens_at(now);
@@ -57,7 +69,8 @@
         self.refilled_at = self.refilled_at.max(now);
     }
 
-    fn tokens_at(&self, now: Timestamp) -> f64 {
+    /// Returns the number of tokens at `now`.
+    pub fn tokens_at(&self, now: Timestamp) -> f64 {
         let refill = now.since(self.refilled_at).as_secs_f64() * self.tokens_per_second;
         (self.tokens + refill).min(self.tokens_max)
     }
