--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -48,6 +48,8 @@
     pub kept_turns: IntCounterVec,
     /// Seconds of look-ups and writes of kept turns, by operation and result.
     pub kept_turn_seconds: HistogramVec,
+    /// Requests for permits of client accounts with a limit, by account and outcome.
+    pub account_permits: IntCounterVec,
     /// Background tasks that ended before the process was asked to stop, by task.
     pub tasks_failed: IntCounterVec,
     /// Partitions held and similar states, by name.
@@ -141,6 +143,11 @@
                 "Kept turns on a journal instance by what happened",
                 &["what"],
             )?,
+            account_permits: counters(
+                "cgw_account_permits_total",
+                "Requests for permits of client accounts with a limit",
+                &["account", "outcome"],
+            )?,
             refusals: counters("cgw_refusals_total", "Refusals by result code", &["code"])?,
             retries: counters("cgw_retries_total", "Retries by kind of call", &["kind"])?,
             orders: counters("cgw_orders_total", "Orders to engines", &["kind", "result"])?,
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::account_limits::client::AccountPermitClient;
 use crate::context::Context;
 use crate::crashes::reporter::CrashReporter;
 use crate::endpoint_limits::client::PermitClient;
@@ -123,7 +124,14 @@
             let client = KeptTurnsClient::new(cx.clone(), Arc::new(directory), transport, losses);
             Arc::new(client)
         });
-        let clients = Clients { budgets, permits, crashes: Arc::new(crashes), kept_turns };
+        let account_permits = AccountPermitClient::new(
+            cx.clone(),
+            roster.clone(),
+            base.transport.clone(),
+            settings.limit_tolerance,
+        );
+        let crashes = Arc::new(crashes);
+        let clients = Clients { budgets, permits, account_permits, crashes, kept_turns };
         let forwarder = Forwarder::new(cx, adapters, roster.clone(), clients, warm_up);
         base.spawn("follow the roster", forwarder.clone().follow_roster());
         base.spawn("regain paths", forwarder.clone().regain_paths());
