feat(forwarding): shed turns when engines are nearly full

Cause: a turn was sent to one full engine after the other in up to three rounds.

Change: forwarding/admission.rs decides which engines are worth a send, from their reports with their age, own requests since, and the mean time between completions. A full engine is not tried until one turn of this instance has probably room there; the time grows with refusals, since other instances compete. First turns of programs leave a part of the room to later turns and are refused at once when the known engines are nearly full; 30% of them may use all of the room, so that no kind starves. Later turns wait here for up to their target. A turn that cannot end in time is refused. A turn is refused as full 2 times (first) or 3 times at most. All of this applies only to services with an engine that states its pace. Load reports with a pace are stored at the head of a response, others at its end as before.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -104,6 +104,8 @@
     body: Incoming,
     pub(super) head: ResponseHeaders,
     pub(super) endpoint: EndpointRecord,
+    /// When the attempt began.
+    pub(super) sent_at: Timestamp,
     connection: Connection,
     closes_connection: bool,
     _in_flight: InFlightGuard,
@@ -246,6 +248,7 @@
             body,
             head,
             endpoint: self.endpoint,
+            sent_at: self.now,
             connection,
             closes_connection,
             _in_flight: self.in_flight,
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -154,6 +154,8 @@
     pub(super) recorded_version: Option<Arc<str>>,
     /// The version whose endpoints alone may run the request, since the caller has events of it.
     pub(super) required_version: Option<Arc<str>>,
+    /// Whether the request is certainly the first turn of its program.
+    pub(super) is_first_turn: bool,
     /// Whether any endpoint may have run the request, other than in the current attempt.
     pub(super) may_have_run: bool,
     /// Whether an attempt is under way, or an endpoint's answer is being read.
@@ -485,6 +487,7 @@
                 connections_max,
                 self.entry_instances.load(Ordering::Relaxed),
             ),
+            is_first_turn: false,
             may_have_run: false,
             is_sent: false,
             ran_on: Vec::new(),
@@ -565,10 +568,7 @@
         *res.headers_mut() = response.headers.clone();
         res.headers_mut().remove(header::CONTENT_LENGTH);
         let now = self.cx.clock.now();
-        self.loads.note_success(&response.endpoint.id);
-        if let Some(load) = response.head.load {
-            self.loads.note_report(&response.endpoint.id, load, now);
-        }
+        self.note_ended(&response, now);
         response.finish(&self.pool, now);
         res
     }
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 use crate::endpoint_limits::RateLimit;
 use crate::ids::EndpointName;
 
+pub mod admission;
 mod attempt;
 mod bounded_reader;
 pub mod choice;
@@ -33,6 +34,7 @@
 mod reserving;
 mod sending;
 pub mod server;
+mod shedding;
 mod turn_guard;
 mod versions;
 pub mod warm_up;
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -178,11 +178,8 @@
         self.forwarder.note_complete_answer(&self.upstream_request);
         if let Some(response) = self.response.take() {
             self.plan.report.ended(&self.forwarder.cx, &response, self.events);
-            self.forwarder.loads.note_success(&response.endpoint.id);
             let now = self.forwarder.cx.clock.now();
-            if let Some(load) = response.head.load {
-                self.forwarder.loads.note_report(&response.endpoint.id, load, now);
-            }
+            self.forwarder.note_ended(&response, now);
             response.finish(&self.forwarder.pool, now);
         }
         // Settle the turn before the caller sees the end of the stream.
--- a/coriandergw/src/forwarding/reserving.rs
+++ b/coriandergw/src/forwarding/reserving.rs
@@ -54,7 +54,11 @@
         let result = tokio::time::timeout_at(limit, turn.reserve(reservation)).await;
         plan.report.note_reserved();
         match result {
-            Ok(Ok(ReservationOutcome::Granted { engine, version, .. })) => {
+            Ok(Ok(ReservationOutcome::Granted { left, engine, version })) => {
+                let continues = head.previous_turn.is_some() || head.last_event.is_some();
+                // Of the budget of a program that has had no turn, only this reservation is used.
+                plan.is_first_turn =
+                    tokens > 0 && !continues && left.checked_add(tokens) == Some(budget);
                 plan.report.note_placed(engine.as_ref());
                 plan.placed_engine = engine;
                 plan.recorded_version = version;
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -8,6 +8,7 @@
 
 use crate::endpoint_limits::StatedLimit;
 use crate::endpoint_limits::limiter::Verdict;
+use crate::forwarding::admission::Admission;
 use crate::forwarding::attempt::Attempt;
 use crate::forwarding::attempt::Failure;
 use crate::forwarding::attempt::UpstreamRequest;
@@ -44,6 +45,10 @@
     /// The endpoints that are not tried again in this round.
     excluded: Vec<EndpointName>,
     rounds_done: u32,
+    /// How often endpoints refused the request.
+    refused_sends: u32,
+    /// How long the request has waited for room at engines.
+    waited: Duration,
     /// Whether the next attempt must open a new connection.
     new_connection_only: bool,
     /// When the caller should come back, if limits of endpoints are the reason that none was chosen.
@@ -129,7 +134,28 @@
         let mut retries = RetryState::default();
         for attempt_number in 0..ATTEMPTS_MAX {
             self.admit(plan, upstream_request).await?;
-            let choice = self.choose(plan, upstream_request, &retries.excluded).await;
+            let (refused_sends, waited) = (retries.refused_sends, retries.waited);
+            let admission = self.admit_to_engines(plan, upstream_request, refused_sends, waited);
+            let admitted = match admission {
+                None => None,
+                Some(Admission::Send(admitted)) => Some(admitted),
+                Some(Admission::Wait(pause)) => {
+                    retries.waited += pause;
+                    // After the pause, an engine that refused the turn may have room.
+                    retries.excluded.clear();
+                    tokio::time::sleep(pause).await;
+                    continue;
+                }
+                Some(Admission::Refuse { reason, retry_after }) => {
+                    return Err(self.shed(plan, reason).retry_after(retry_after));
+                }
+            };
+            let is_candidate = |id: &EndpointName| {
+                !retries.excluded.contains(id)
+                    && admitted.as_ref().is_none_or(|admitted| admitted.contains(id))
+            };
+            let was_refused = !retries.excluded.is_empty();
+            let choice = self.choose(plan, upstream_request, was_refused, is_candidate).await;
             retries.limited_for = match &choice {
                 Choice::Limited(time) => Some(*time),
                 _ => None,
@@ -195,6 +221,7 @@
         match result {
             Ok(response) if response.head.not_run => {
                 self.record_not_run(plan, &response);
+                retries.refused_sends += 1;
                 retries.excluded.push(id.clone());
             }
             Ok(response) if response.status.is_success() && !response.head.is_signed => {
@@ -202,6 +229,7 @@
                 self.record_lost_response(plan, upstream_request, endpoint, reason).await?;
             }
             Ok(response) => {
+                self.loads.note_accepted(id, response.head.load, self.cx.clock.now());
                 let used = if response.is_reused() { "again" } else { "first" };
                 self.cx.metrics.endpoint_connections.with_label_values(&[used]).inc();
                 return Ok(Some(response));
@@ -241,11 +269,13 @@
         let now = self.cx.clock.now();
         let id = &response.endpoint.id;
         match response.status {
-            StatusCode::MISDIRECTED_REQUEST => self.loads.note_failure(id, now),
-            _ => self.loads.note_saturated(id, now),
-        }
-        if let Some(load) = response.head.load {
-            self.loads.note_report(id, load, now);
+            StatusCode::MISDIRECTED_REQUEST => {
+                self.loads.note_failure(id, now);
+                if let Some(load) = response.head.load {
+                    self.loads.note_report(id, load, now);
+                }
+            }
+            _ => self.loads.note_saturated(id, response.head.load, now),
         }
         plan.report.attempt_failed(
             &self.cx,
@@ -296,17 +326,20 @@
 
     /// Chooses the endpoint for an attempt: the best one that names no limit, or a better one that
     /// a permit was granted for.
-    async fn choose(
+    async fn choose<F>(
         &self,
         plan: &RequestPlan,
         upstream_request: &UpstreamRequest,
-        excluded: &[EndpointName],
-    ) -> Choice {
-        let ordered = self.order_candidates(plan, upstream_request, excluded);
+        was_refused: bool,
+        is_candidate: F,
+    ) -> Choice
+    where
+        F: Fn(&EndpointName) -> bool,
+    {
+        let ordered = self.order_candidates(plan, upstream_request, is_candidate);
         let limits: Vec<Option<StatedLimit>> =
             ordered.iter().map(|record| self.permits.limit_of(record)).collect();
         let unlimited = limits.iter().position(Option::is_none);
-        let was_refused = !excluded.is_empty();
         let asked = choice::limited_to_ask(plan.is_engine, was_refused, unlimited, limits.len());
         let asked: Vec<StatedLimit> = limits.into_iter().take(asked).flatten().collect();
         let verdict = match asked.is_empty() {
@@ -330,18 +363,21 @@
     }
 
     /// Returns the endpoints that the request may be sent to, best first.
-    fn order_candidates(
+    fn order_candidates<F>(
         &self,
         plan: &RequestPlan,
         upstream_request: &UpstreamRequest,
-        excluded: &[EndpointName],
-    ) -> Vec<EndpointRecord> {
+        is_candidate: F,
+    ) -> Vec<EndpointRecord>
+    where
+        F: Fn(&EndpointName) -> bool,
+    {
         let now = self.cx.clock.now();
         let endpoints = self.endpoints.load();
         let known = endpoints.get(&plan.service).map(Vec::as_slice).unwrap_or_default();
         let is_endpoint_limit_reached = plan.ran_on.len() >= plan.route.endpoints_max as usize;
         let is_allowed = |(_, record): &(usize, &EndpointRecord)| {
-            !excluded.contains(&record.id)
+            is_candidate(&record.id)
                 && plan.required_version.as_ref().is_none_or(|one| *one == record.version)
                 && (!is_endpoint_limit_reached || plan.ran_on.contains(&record.id))
         };
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -41,6 +41,8 @@
     pub endpoint_connections: IntCounterVec,
     /// Connections to endpoints that were to be opened, by path and outcome.
     pub endpoint_connects: IntCounterVec,
+    /// Turns that were refused since engines were nearly full, by kind of turn and reason.
+    pub turns_shed: IntCounterVec,
     /// Permits for requests to limited endpoints, by source and outcome.
     pub permits: IntCounterVec,
     /// Background tasks that ended before the process was asked to stop, by task.
@@ -121,6 +123,11 @@
                 "Connections to endpoints that were to be opened",
                 &["path", "outcome"],
             )?,
+            turns_shed: counters(
+                "cgw_turns_shed_total",
+                "Turns that were refused since engines were nearly full",
+                &["kind", "reason"],
+            )?,
             permits: counters(
                 "cgw_permits_total",
                 "Permits for requests to limited endpoints",
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod limits;
 mod links;
+mod nearly_full;
 mod paths;
 mod routing;
 mod stopping;
