--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -15,6 +15,7 @@
 use crate::ids::EndpointName;
 
 mod account_permit;
+pub mod admission;
 mod attempt;
 mod bounded_reader;
 pub mod choice;
@@ -37,6 +38,7 @@
 mod reserving;
 mod sending;
 pub mod server;
+mod shedding;
 mod turn_guard;
 mod versions;
 pub mod warm_up;
@@ -122,6 +124,9 @@
     pub waiting: u32,
     /// The number of requests that the endpoint can process at once.
     pub slots: u32,
+    /// How long work takes there now, in percent of the usual time; never 0. `None` if the endpoint
+    /// does not state it.
+    pub pace: Option<u32>,
 }
 
 /// The headers of an endpoint's response, decoded by a [`HeaderCodec`].
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -14,6 +14,7 @@
 mod leaving;
 mod limits;
 mod links;
+mod nearly_full;
 mod paths;
 mod routing;
 mod stopping;
