fix(kept-turns): answer 404 from the first start on

Change: a core instance in its first run, which began with an empty disk at the first start of the system, lists all instances that ever held turns. A core instance that restarts no longer reports itself as founder, also if its settings still name the first start; nothing else reads that of core instances.

--- a/coriandergw/src/kept_turns/holders.rs
+++ b/coriandergw/src/kept_turns/holders.rs
@@ -82,9 +82,9 @@
             living.iter().map(|presence| address_of(&presence.name)).collect();
         silent.retain(|name, _| !addresses.contains(&address_of(name)));
         // A core instance lists what it has heard since its start, so a list is complete once its
-        // core instance has run for the retention.
+        // core instance has run for the retention, or since there were turns.
         let listed_for = Duration::from_millis(
-            wall.0.saturating_sub(view.earliest_core_start_ms(now).unwrap_or(u64::MAX)),
+            wall.0.saturating_sub(view.listed_since_ms(now).unwrap_or(u64::MAX)),
         );
         let is_complete = listed_for >= retention.min(GONE_RETENTION)
             && view.leader(Role::Core).is_some()
--- a/coriandergw/src/kept_turns/holders/tests.rs
+++ b/coriandergw/src/kept_turns/holders/tests.rs
@@ -71,6 +71,8 @@
     let at = |wall_ms| holders(vec![(core(), true)], &[], wall_ms).is_complete;
     assert!(!at(CORE_START_MS + 59_999));
     assert!(at(CORE_START_MS + 60_000));
+    let founder = Presence { is_founder: true, ..core() };
+    assert!(holders(vec![(founder, true)], &[], CORE_START_MS).is_complete, "no turn is older");
     assert!(!holders(vec![], &[], 900_000).is_complete, "no leader is known");
 }
 
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -42,6 +42,7 @@
 use crate::roster::state::ConfigState;
 use crate::roster::state::UnknownEndpoint;
 use crate::storage::Disk;
+use crate::storage::identity::Identity;
 use crate::supervision;
 use crate::transport::Kind;
 use crate::versions::Versions;
@@ -80,8 +81,13 @@
     /// Fails if its address or its data folder cannot be used.
     pub async fn start(settings: &ProcessSettings) -> Result<Self, StartError> {
         let disk = open_disk(settings)?;
+        let had_identity = Identity::read(&*disk)?.is_some();
         let name = load_or_create_name(settings, Role::Core, &*disk)?;
         let mut base = ProcessParts::start(settings, Role::Core, name.clone()).await?;
+        if had_identity {
+            // The settings may still name the first start after a restart.
+            base.roster.update_presence(|presence| presence.is_founder = false);
+        }
         let voters = first_voters(settings, &name, &*disk)?;
         let roster_server = RosterServer::new(base.cx.clone(), settings.endpoint_silence);
         base.transport.register(Kind::Roster, roster_server.clone());
--- a/coriandergw/src/roles/core/tests.rs
+++ b/coriandergw/src/roles/core/tests.rs
@@ -23,3 +23,19 @@
     let ended = EventNumber::TaskEnded.number();
     assert!(core.cx.events.select(|event| event.number == ended).is_empty());
 }
+
+/// Guards against a restarted core instance whose new roster counts as complete, so that turns whose
+/// holders start late are answered 404.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_the_first_run_of_a_core_instance_founds_the_system() {
+    let mut site = Site::new(1, 0).await;
+    let machine = site.machine(true);
+    let first = CoreProcess::start(&machine.settings).await.expect("starts");
+    assert!(first.roster.presence().is_founder);
+    first.stop().await;
+    // The stopped instance's address stays bound in this test process, so it restarts at another.
+    let settings =
+        ProcessSettings { ip: site.machine(true).settings.ip, ..machine.settings.clone() };
+    let restarted = CoreProcess::start(&settings).await.expect("starts");
+    assert!(!restarted.roster.presence().is_founder);
+}
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -465,11 +465,21 @@
         of_role.map(|reported| reported.presence.clone()).collect()
     }
 
-    /// Returns when the reachable core instance that has run for longest started, in milliseconds
-    /// since the Unix epoch; `None` if none is reachable.
-    pub fn earliest_core_start_ms(&self, now: Timestamp) -> Option<u64> {
-        let reachable = self.reachable_cores(now).filter_map(|core| self.cores.get(&core));
-        reachable.map(|view| view.start).min()
+    /// Returns since when a reachable core instance has listed all processes that it hears, in
+    /// milliseconds since the Unix epoch: since it started, or always if it has run since the first
+    /// start of the whole system. `None` if no core instance is reachable.
+    pub fn listed_since_ms(&self, now: Timestamp) -> Option<u64> {
+        let since = |core: SocketAddr| {
+            let view = self.cores.get(&core)?;
+            let of_core = |reported: &&ReportedPresence| {
+                let ReportedPresence { presence, heard } = reported;
+                *heard && presence.role == Role::Core && address_of(&presence.name) == Some(core)
+            };
+            let own = view.instances.values().find(of_core);
+            let is_founder = own.is_some_and(|reported| reported.presence.is_founder);
+            Some(if is_founder { 0 } else { view.start })
+        };
+        self.reachable_cores(now).filter_map(since).min()
     }
 
     /// Returns whether a majority of the voters of the control group answers; also `true` while no
