--- a/coriandergw/src/kept_turns/store/server.rs
+++ b/coriandergw/src/kept_turns/store/server.rs
@@ -10,6 +10,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -39,6 +40,10 @@
 /// fewer; further ones are refused, since their callers would give up before the disk gets to them.
 const QUEUE_WRITES: usize = 256;
 
+/// The bytes of writes that may wait, in KiB. A batch is held up to three times while it is written, and a
+/// journal instance has 120 MB; one message has 8 MiB at most.
+const QUEUE_KIB: usize = 12 * 1024;
+
 /// The number of reads at the same time. Each holds a chain in memory, about 1 MB for the longest.
 const READS_MAX: usize = 8;
 
@@ -61,6 +66,8 @@
 struct Write {
     records: Vec<TurnRecord>,
     reply: oneshot::Sender<KeepOutcome>,
+    /// Its share of [`QUEUE_KIB`].
+    room: OwnedSemaphorePermit,
 }
 
 /// Answers requests of other instances from the store.
@@ -69,6 +76,7 @@
     store: Arc<TurnStore>,
     retirement: Arc<dyn Retirement>,
     queue: mpsc::Sender<Write>,
+    room: Arc<Semaphore>,
     reads: Semaphore,
     /// The writes that were accepted since the start, whether they have ended or not.
     accepted: AtomicU64,
@@ -98,6 +106,7 @@
         store: store.clone(),
         retirement,
         queue: sender,
+        room: Arc::new(Semaphore::new(QUEUE_KIB)),
         reads: Semaphore::new(READS_MAX),
         accepted: AtomicU64::new(0),
         settled: Arc::default(),
@@ -152,9 +161,13 @@
         if records.is_empty() || self.retirement.is_retiring() {
             return KeepOutcome::Refused;
         }
+        let bytes: usize = records.iter().map(|one| one.input.len() + one.output.len()).sum();
+        let Ok(room) = self.room.clone().try_acquire_many_owned((bytes / 1024 + 1) as u32) else {
+            return KeepOutcome::Refused;
+        };
         let (reply, outcome) = oneshot::channel();
         self.accepted.fetch_add(1, Ordering::SeqCst);
-        if self.queue.try_send(Write { records, reply }).is_err() {
+        if self.queue.try_send(Write { records, reply, room }).is_err() {
             self.settled.fetch_add(1, Ordering::SeqCst);
             return KeepOutcome::Refused;
         }
@@ -232,8 +245,8 @@
     }
 
     async fn write(&mut self, writes: Vec<Write>) {
-        let (requests, replies): (Vec<_>, Vec<_>) =
-            writes.into_iter().map(|write| (write.records, write.reply)).unzip();
+        let (requests, waiting): (Vec<_>, Vec<_>) =
+            writes.into_iter().map(|write| (write.records, (write.reply, write.room))).unzip();
         let now_ms = self.cx.clock.wall().0;
         let store = self.store.clone();
         let writing = tokio::task::spawn_blocking(move || store.write_batch(&requests, now_ms));
@@ -246,7 +259,7 @@
             self.has_failed = false;
             self.report(EventNumber::TurnStoreRegained, "the disk takes writes again");
         }
-        for (reply, outcome) in replies.into_iter().zip(outcomes) {
+        for ((reply, _room), outcome) in waiting.into_iter().zip(outcomes) {
             // The caller may have given up.
             let _ = reply.send(outcome);
         }
--- a/coriandergw/src/kept_turns/store/server/tests.rs
+++ b/coriandergw/src/kept_turns/store/server/tests.rs
@@ -16,6 +16,7 @@
 use crate::kept_turns::generated as raw;
 use crate::kept_turns::generated::answer;
 use crate::kept_turns::generated::request;
+use crate::kept_turns::store::KeepOutcome;
 use crate::kept_turns::store::StoreOptions;
 use crate::kept_turns::store::TurnStore;
 use crate::kept_turns::store::server::KeptTurnsServer;
@@ -132,6 +133,25 @@
     assert!(syncs < 10, "{syncs} syncs");
 }
 
+// Guards against a process that runs out of memory while many long chains wait for its disk.
+#[tokio::test]
+async fn writes_beyond_the_bound_of_the_queue_are_refused() {
+    let fixture = Fixture::start();
+    let records: Vec<TurnRecord> = (0..20)
+        .map(|number| TurnRecord {
+            input: vec![0; 1 << 20].into(),
+            ..living(&number.to_string(), None)
+        })
+        .collect();
+    let room = fixture.server.room.available_permits();
+    let writes: Vec<_> =
+        records.iter().map(|record| fixture.server.keep(vec![record.clone()])).collect();
+    let outcomes = join_all(writes).await;
+    assert!(outcomes.iter().skip(12).all(|outcome| *outcome == KeepOutcome::Refused));
+    assert_eq!(fixture.server.room.available_permits(), room);
+    assert_eq!(fixture.keep(&[living("x", None)]).await, (true, false));
+}
+
 // Guards against a store that takes nothing any more after its disk was full, or does not report it.
 #[tokio::test]
 async fn writes_are_refused_while_the_disk_is_full() {
