--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -11,6 +11,7 @@
 mod foreign;
 mod groups;
 mod kept;
+mod kept_turns;
 mod leaving;
 mod limits;
 mod links;
