test(account-limits): test the limits of accounts with real processes

Cause: the limits of accounts were tested without messages between processes.

Change: tests that two entry instances keep the limit of an account together, that permits of requests which no endpoint got are returned, that requests are refused as not run without a keeper, and that the next leader grants permits. Unit tests of the server's terms, of the settings and of the number of entry instances.

--- a/coriandergw/src/account_limits/client.rs
+++ b/coriandergw/src/account_limits/client.rs
@@ -346,3 +346,5 @@
         Some(self.present.max(self.previous)).filter(|count| *count > 0)
     }
 }
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/account_limits/server.rs
+++ b/coriandergw/src/account_limits/server.rs
@@ -181,3 +181,6 @@
         Ok(answer.encode_to_vec().into())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of complete entry-path processes over loopback, with scripted endpoints, some of them
 //! faulty.
 
+mod account_limits;
 mod budgets;
 mod crashes;
 mod cut_off;
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -15,6 +15,9 @@
 use tokio::net::TcpStream;
 
 use crate::account_limits::LimitTolerance;
+use crate::accounts::Account;
+use crate::accounts::AccountLimit;
+use crate::accounts::AccountTable;
 use crate::accounts::Credential;
 use crate::dialer::Dialer;
 use crate::dialer::TcpDialer;
@@ -73,7 +76,8 @@
             affinity: None,
             last_event: number(headers, "last-event"),
             resumes: text(headers, "resumes"),
-            credential: Credential::Missing,
+            credential: text(headers, "key")
+                .map_or(Credential::Missing, |key| Credential::Key((&*key).into())),
             previous_turn: text(headers, "previous-turn"),
         })
     }
@@ -100,7 +104,9 @@
     }
 }
 
-/// Reads a configuration that consists of its version only; the routes are fixed.
+/// Reads a configuration that consists of its version and, separated by blanks, the limit of the
+/// account `limited` in requests a second. Without a limit there are no accounts, else also the
+/// account `free`. The key of an account is `k-` and its name. The routes are fixed.
 struct TestConfig;
 
 fn route(name: &str, retry_policy: RetryPolicy, service: &str) -> Route {
@@ -121,10 +127,23 @@
     }
 }
 
+fn accounts(per_second: f64) -> AccountTable {
+    let account = |name: &str, limit| Account { name: name.into(), limit, priority: None };
+    let limit = AccountLimit { per_second, burst: 0.0 };
+    let accounts = [account("limited", Some(limit)), account("free", None)];
+    let keyed = accounts.map(|account| {
+        let key = format!("k-{}", account.name);
+        (account, vec![key.as_str().into()])
+    });
+    AccountTable::new(keyed.into()).expect("different keys")
+}
+
 impl ConfigReader for TestConfig {
     fn read(&self, document: &[u8]) -> Result<RouteTable, String> {
-        let version = std::str::from_utf8(document).ok().and_then(|text| text.parse().ok());
-        let version = version.ok_or("no version")?;
+        let text = std::str::from_utf8(document).map_err(|cause| cause.to_string())?;
+        let mut words = text.split(' ');
+        let version = words.next().and_then(|word| word.parse().ok()).ok_or("no version")?;
+        let per_second: Option<f64> = words.next().and_then(|word| word.parse().ok());
         let routes = vec![
             route("safe", RetryPolicy::Idempotent, "plain"),
             route("once", RetryPolicy::Once, "plain"),
@@ -136,12 +155,17 @@
         let service =
             |name: &str, engine| Service { name: name.into(), connections_max: 100, engine };
         let services = vec![service("plain", None), service("engines", Some(engine))];
-        RouteTable::new(version, routes, services, CallerLimits::default())
-            .map_err(|fault| fault.to_string())
+        let table = RouteTable::new(version, routes, services, CallerLimits::default());
+        let table = table.map_err(|fault| fault.to_string())?;
+        Ok(match per_second {
+            Some(per_second) => table.with_accounts(accounts(per_second)),
+            None => table,
+        })
     }
 }
 
-fn adapters(dialer: Arc<dyn Dialer>) -> ForwarderAdapters {
+/// Returns what the entry instances of the tests are given.
+pub fn adapters(dialer: Arc<dyn Dialer>) -> ForwarderAdapters {
     ForwarderAdapters { header_codec: Arc::new(PlainHeaders), reader: Arc::new(TestConfig), dialer }
 }
 
