--- a/coriandergw/src/account_limits/own_share.rs
+++ b/coriandergw/src/account_limits/own_share.rs
@@ -9,8 +9,9 @@
 use crate::rendezvous::hash_of;
 
 /// The distance of the mean of all own shares from half of the tolerated excess, in standard
-/// deviations of a Poisson variable. With 3.5, fewer than one in 10,000 windows has more.
-const SAFETY_DEVIATIONS: f64 = 3.5;
+/// deviations of a Poisson variable. With 4, fewer than one in 10,000 windows has more; with 3.5 it
+/// would be up to 1.8 in 10,000 for a limit of 2,000 requests a second.
+const SAFETY_DEVIATIONS: f64 = 4.0;
 
 /// The windows of an instance's clock that a time window can overlap.
 const WINDOWS_OVERLAPPED: f64 = 2.0;
