--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -17,6 +17,7 @@
 use crate::account_limits::LimitTolerance;
 use crate::accounts::Account;
 use crate::accounts::AccountKey;
+use crate::accounts::AccountLimit;
 use crate::accounts::AccountTable;
 use crate::accounts::Credential;
 use crate::dialer::Dialer;
@@ -78,7 +79,7 @@
             last_event: number(headers, "last-event"),
             resumes: text(headers, "resumes"),
             credential: text(headers, "key")
-                .map_or(Credential::Missing, |key| Credential::Key(AccountKey::from(&*key))),
+                .map_or(Credential::Missing, |key| Credential::Key((&*key).into())),
             previous_turn: text(headers, "previous-turn"),
         })
     }
@@ -109,12 +110,14 @@
     }
 }
 
-/// Reads a configuration that consists of its version, and of the names of accounts, whose keys are
-/// the same texts; the routes are fixed.
+/// Reads a configuration that consists of its version and, separated by blanks, the client accounts:
+/// either the limit of the account `limited` in requests a second, beside the account `free`, or the
+/// names of accounts without a limit. Without either there are no accounts. The key of `limited` and
+/// `free` is `k-` and the name, that of the others the name. The routes are fixed.
 struct TestConfig;
 
 /// Returns the table of accounts that are named like their keys.
-fn accounts(names: &[&str]) -> AccountTable {
+fn named_accounts(names: &[&str]) -> AccountTable {
     let account = |name: &&str| {
         let account = Account { name: (*name).into(), limit: None, priority: None };
         (account, vec![AccountKey::from(*name)])
@@ -140,12 +143,23 @@
     }
 }
 
+fn limited_accounts(per_second: f64) -> AccountTable {
+    let account = |name: &str, limit| Account { name: name.into(), limit, priority: None };
+    let limit = AccountLimit { per_second, burst: 0.0 };
+    let accounts = [account("limited", Some(limit)), account("free", None)];
+    let keyed = accounts.map(|account| {
+        let key = format!("k-{}", account.name);
+        (account, vec![key.as_str().into()])
+    });
+    AccountTable::new(keyed.into()).expect("different keys")
+}
+
 impl ConfigReader for TestConfig {
     fn read(&self, document: &[u8]) -> Result<RouteTable, String> {
         let text = std::str::from_utf8(document).map_err(|fault| fault.to_string())?;
         let mut words = text.split(' ');
         let version = words.next().and_then(|text| text.parse().ok()).ok_or("no version")?;
-        let names: Vec<&str> = words.collect();
+        let words: Vec<&str> = words.collect();
         let routes = vec![
             route("safe", RetryPolicy::Idempotent, "plain"),
             route("once", RetryPolicy::Once, "plain"),
@@ -161,13 +175,18 @@
         let service =
             |name: &str, engine| Service { name: name.into(), connections_max: 100, engine };
         let services = vec![service("plain", None), service("engines", Some(engine))];
-        let table = RouteTable::new(version, routes, services, CallerLimits::default())
-            .map_err(|fault| fault.to_string())?;
-        Ok(if names.is_empty() { table } else { table.with_accounts(accounts(&names)) })
+        let table = RouteTable::new(version, routes, services, CallerLimits::default());
+        let table = table.map_err(|fault| fault.to_string())?;
+        Ok(match words.first().map(|word| word.parse()) {
+            None => table,
+            Some(Ok(per_second)) => table.with_accounts(limited_accounts(per_second)),
+            Some(Err(_)) => table.with_accounts(named_accounts(&words)),
+        })
     }
 }
 
-fn adapters(dialer: Arc<dyn Dialer>) -> ForwarderAdapters {
+/// Returns what the entry instances of the tests are given.
+pub fn adapters(dialer: Arc<dyn Dialer>) -> ForwarderAdapters {
     ForwarderAdapters { header_codec: Arc::new(PlainHeaders), reader: Arc::new(TestConfig), dialer }
 }
 
