fix(account-limits): let the log of a core instance end with its process

Cause: the handler of account permits held the log node. The transport keeps its handlers, so a core process that was dropped went on as a voter, and `an_instance_that_lost_its_disk_rejoins_as_a_new_member` and `losing_two_disks_one_after_the_other_loses_no_configuration` failed in 4 runs of 4: the lost voter was not replaced.

Change: the handler has a weak reference to the log node.

Result: the 14 tests of `roles::tests::groups` and `roles::tests::account_limits` pass in 2 runs of 2.

--- a/coriandergw/src/account_limits/server.rs
+++ b/coriandergw/src/account_limits/server.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::Weak;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -38,10 +39,17 @@
 /// fault of its sender.
 const RETURNED_MAX: u32 = 10_000;
 
-impl Keepership for LogNode {
+/// The keepership of an instance with the control group, which has no leases.
+///
+/// The reference is weak, as the transport keeps its handlers: a strong one would let the log go on
+/// after its process has ended.
+pub struct NodeKeepership(pub Weak<LogNode>);
+
+impl Keepership for NodeKeepership {
     fn term(&self, now: Timestamp) -> Option<u64> {
-        let leadership = self.leadership(CONTROL_GROUP)?.borrow().clone();
-        let lease_until = self.lease_until(CONTROL_GROUP);
+        let node = self.0.upgrade()?;
+        let leadership = node.leadership(CONTROL_GROUP)?.borrow().clone();
+        let lease_until = node.lease_until(CONTROL_GROUP);
         let heard_at = lease_until.before(UNLEASED_LEASE);
         let leads = leadership.is_leader && lease_until > Timestamp::default();
         (leads && now < heard_at + UNLEASED_SOLE_LEADER).then_some(leadership.term)
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -13,6 +13,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::account_limits::server::AccountPermitServer;
+use crate::account_limits::server::NodeKeepership;
 use crate::context::Context;
 use crate::crashes::Crash;
 use crate::crashes::server::CrashServer;
@@ -108,8 +109,9 @@
         };
         let node = LogNode::start(base.cx.clone(), base.transport.clone(), options)?;
         let versions = Versions::new(node.clone());
+        let keepership = Arc::new(NodeKeepership(Arc::downgrade(&node)));
         let account_permits =
-            AccountPermitServer::new(base.cx.clone(), node.clone(), settings.limit_tolerance);
+            AccountPermitServer::new(base.cx.clone(), keepership, settings.limit_tolerance);
         base.transport.register(Kind::AccountPermit, account_permits.clone());
         if let Some(leadership) = node.leadership(CONTROL_GROUP) {
             let following = account_permits.follow_leadership(leadership);
