fix(kept-turns): copy to all instances at once, split long chains, report turns before the first poll

Cause: an instance that did not answer delayed the copies to all others by a second for each 512 turns; a chain beyond 8 MiB would never have been copied; each repeated pass offered all turns to all instances; a retiring instance that started again said for a moment that it held no turns. Change: targets are served side by side at one shared rate, given up at the first failure and left out once they have all; records are sent in messages of 1 MiB; the store is opened before the first poll.

--- a/coriandergw/src/kept_turns/store/repair.rs
+++ b/coriandergw/src/kept_turns/store/repair.rs
@@ -5,10 +5,13 @@
 //! nothing is missing any more.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
+
 use crate::context::Context;
 use crate::events::EventNumber;
 use crate::events::Subject;
@@ -46,6 +49,10 @@
 /// How long an instance may take to write a chain, which waits for its disk.
 const KEEP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The size from which the records of a chain are split into several messages, in bytes. Small ones take
+/// little of the receiver's memory; the transport takes 8 MiB.
+const MESSAGE_BYTES: usize = 1 << 20;
+
 /// The rate at which an instance sends copies, in bytes a second. It is a tenth of what a disk writes,
 /// and sends the 45 MB of an instance at the planned load in 4 s.
 const SEND_BYTES_PER_SECOND: u64 = 12_000_000;
@@ -95,6 +102,27 @@
     first.map_or(&[], |first| &chain[first..])
 }
 
+fn body_bytes(record: &TurnRecord) -> usize {
+    record.input.len() + record.output.len()
+}
+
+/// Splits records into parts of at most [`MESSAGE_BYTES`], or of one record.
+pub fn messages(records: &[TurnRecord]) -> Vec<&[TurnRecord]> {
+    let mut parts = Vec::new();
+    let (mut start, mut bytes) = (0, 0);
+    for (at, record) in records.iter().enumerate() {
+        if at > start && bytes + body_bytes(record) > MESSAGE_BYTES {
+            parts.push(&records[start..at]);
+            (start, bytes) = (at, 0);
+        }
+        bytes += body_bytes(record);
+    }
+    if start < records.len() {
+        parts.push(&records[start..]);
+    }
+    parts
+}
+
 /// Copies the turns of this instance to those that are to hold them.
 pub struct Repair {
     /// Context of the instance.
@@ -122,6 +150,36 @@
     /// The turns for which there are fewer instances than copies, and those that cannot be read here and
     /// have to be copied by another holder. Repeating the pass does not help these.
     without_copies: usize,
+    /// The instances that have all that was offered to them.
+    reached: BTreeSet<InstanceName>,
+}
+
+impl Pass {
+    fn new(situation: Situation, settled: u64, without_copies: usize) -> Self {
+        Self { situation, settled, failed: 0, without_copies, reached: BTreeSet::new() }
+    }
+}
+
+/// How fast copies are sent: all instances that are sent to at the same time share one rate.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    targets: u64,
+}
+
+impl Pace {
+    fn pause_after(self, bytes: usize) -> Duration {
+        Duration::from_micros(bytes as u64 * 1_000_000 * self.targets / SEND_BYTES_PER_SECOND)
+    }
+}
+
+/// What became of the offers to an instance.
+#[derive(Debug, Default)]
+struct Copied {
+    sent: Sent,
+    /// The turns that could not be offered or sent.
+    failed: usize,
+    /// The instance, if it has all that was offered.
+    reached: Option<InstanceName>,
 }
 
 /// What was sent to an instance.
@@ -144,9 +202,10 @@
         let mut changes = self.roster.changes();
         let mut last: Option<Pass> = None;
         loop {
+            self.publish(last.as_ref());
             if self.is_due(last.as_ref()) {
                 tokio::time::sleep(START_DELAY_MAX.mul_f64(rand::random())).await;
-                let pass = self.pass().await;
+                let pass = self.pass(last.take()).await;
                 let short = (pass.failed + pass.without_copies) as i64;
                 self.cx.metrics.states.with_label_values(&["kept_turns_short"]).set(short);
                 last = Some(pass);
@@ -193,39 +252,67 @@
         })
     }
 
-    /// Offers all turns, and sends those that are missing.
-    async fn pass(&self) -> Pass {
+    /// Offers all turns, and sends those that are missing. Instances that have taken all in the last pass
+    /// are left out while nothing has changed.
+    async fn pass(&self, last: Option<Pass>) -> Pass {
         let situation = self.situation();
         let settled = self.server.settled();
         let chains = self.store.chains();
         let listed = chains.iter().map(|((account, root), turns)| (&**account, &**root, &**turns));
         let offers = plan(listed, &situation.candidates, self.copies, &self.cx.instance);
-        let (mut sent, mut failed) = (0, 0);
-        let mut without_copies = offers.without_place;
-        for (target, turns) in &offers.by_instance {
-            for part in turns.chunks(OFFER_TURNS) {
-                match self.offer(target, part).await {
-                    Ok(part) => {
-                        sent += part.turns;
-                        without_copies += part.unreadable;
-                    }
-                    Err(cause) => {
-                        log::debug!("kept turns could not be copied to {target}: {cause}");
-                        failed += part.len();
-                    }
-                }
-            }
+        let mut pass = Pass::new(situation, settled, offers.without_place);
+        if let Some(last) = last.filter(|last| last.situation == pass.situation) {
+            let is_current = !last.situation.is_retiring || last.settled == settled;
+            pass.reached = last.reached.into_iter().filter(|_| is_current).collect();
+        }
+        let targets = offers.by_instance.iter();
+        let targets: Vec<_> = targets.filter(|(name, _)| !pass.reached.contains(*name)).collect();
+        let pace = Pace { targets: targets.len() as u64 };
+        let copies = targets.into_iter().map(|(target, turns)| self.copy(target, turns, pace));
+        let mut sent = 0;
+        for copied in join_all(copies).await {
+            sent += copied.sent.turns;
+            pass.failed += copied.failed;
+            pass.without_copies += copied.sent.unreadable;
+            pass.reached.extend(copied.reached);
         }
         if sent > 0 {
             self.cx.metrics.kept_turns.with_label_values(&["copied"]).inc_by(sent as u64);
-            let detail = format!("sent={sent} failed={failed}");
+            let detail = format!("sent={sent} failed={}", pass.failed);
             self.cx.events.record(EventNumber::TurnsCopied, Subject::default(), detail);
         }
-        Pass { situation, settled, failed, without_copies }
+        pass
+    }
+
+    /// Offers turns to an instance, and gives up at the first failure: one that does not answer would
+    /// otherwise take a time limit for each offer.
+    async fn copy(&self, target: &InstanceName, turns: &[TurnKey], pace: Pace) -> Copied {
+        let mut copied = Copied::default();
+        for (number, part) in turns.chunks(OFFER_TURNS).enumerate() {
+            match self.offer(target, part, pace).await {
+                Ok(sent) => {
+                    copied.sent.turns += sent.turns;
+                    copied.sent.unreadable += sent.unreadable;
+                }
+                Err(cause) => {
+                    log::debug!("kept turns could not be copied to {target}: {cause}");
+                    copied.failed = turns.len() - number * OFFER_TURNS;
+                    return copied;
+                }
+            }
+        }
+        // What cannot be read here is counted again in the next pass.
+        copied.reached = (copied.sent.unreadable == 0).then(|| target.clone());
+        copied
     }
 
     /// Offers turns to an instance and sends those that it lacks; returns what was sent.
-    async fn offer(&self, target: &InstanceName, turns: &[TurnKey]) -> Result<Sent, String> {
+    async fn offer(
+        &self,
+        target: &InstanceName,
+        turns: &[TurnKey],
+        pace: Pace,
+    ) -> Result<Sent, String> {
         let keys = turns.iter().map(raw::Key::from).collect();
         let body = request::Body::Offer(raw::Offer { keys });
         let answer::Body::Offer(answer) = self.call(target, body, OFFER_TIMEOUT).await? else {
@@ -240,7 +327,7 @@
             if missing.contains(key) {
                 match self.server.read(key.clone()).await? {
                     Found::Chain(chain) => {
-                        sent.turns += self.send_chain(target, &chain, &mut missing).await?;
+                        sent.turns += self.send_chain(target, &chain, &mut missing, pace).await?;
                     }
                     // It expired since it was listed.
                     Found::Absent => {}
@@ -256,12 +343,13 @@
         target: &InstanceName,
         chain: &[TurnRecord],
         missing: &mut HashSet<TurnKey>,
+        pace: Pace,
     ) -> Result<usize, String> {
         let mut part = missing_part(chain, missing);
-        let mut answer = self.keep(target, part).await?;
+        let mut answer = self.keep(target, part, pace).await?;
         if answer.previous_missing {
             part = chain;
-            answer = self.keep(target, part).await?;
+            answer = self.keep(target, part, pace).await?;
         }
         if !answer.written {
             return Err("the write was refused".to_owned());
@@ -272,20 +360,29 @@
         Ok(part.len())
     }
 
+    /// Sends records in messages of bounded size; returns the last answer, or the first that is not
+    /// "written".
     async fn keep(
         &self,
         target: &InstanceName,
         records: &[TurnRecord],
+        pace: Pace,
     ) -> Result<raw::KeepAnswer, String> {
-        let bytes: usize = records.iter().map(|one| one.input.len() + one.output.len()).sum();
-        let micros = bytes as u64 * 1_000_000 / SEND_BYTES_PER_SECOND;
-        let body = request::Body::Keep(raw::Keep { records: wire::encode_records(records) });
-        let answer = self.call(target, body, KEEP_TIMEOUT).await?;
-        tokio::time::sleep(Duration::from_micros(micros)).await;
-        match answer {
-            answer::Body::Keep(answer) => Ok(answer),
-            _ => Err("another answer than to a write".to_owned()),
+        let mut answer = raw::KeepAnswer { written: true, previous_missing: false };
+        for message in messages(records) {
+            let bytes: usize = message.iter().map(body_bytes).sum();
+            let records = wire::encode_records(message);
+            let body = request::Body::Keep(raw::Keep { records });
+            answer = match self.call(target, body, KEEP_TIMEOUT).await? {
+                answer::Body::Keep(answer) => answer,
+                _ => return Err("another answer than to a write".to_owned()),
+            };
+            if !answer.written {
+                break;
+            }
+            tokio::time::sleep(pace.pause_after(bytes)).await;
         }
+        Ok(answer)
     }
 
     async fn call(
--- a/coriandergw/src/kept_turns/store/repair/tests.rs
+++ b/coriandergw/src/kept_turns/store/repair/tests.rs
@@ -5,7 +5,9 @@
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
 use crate::kept_turns::TurnKey;
+use crate::kept_turns::TurnRecord;
 use crate::kept_turns::placement::Holder;
+use crate::kept_turns::store::repair::messages;
 use crate::kept_turns::store::repair::missing_part;
 use crate::kept_turns::store::repair::plan;
 use crate::kept_turns::store::tests::turn;
@@ -49,3 +51,21 @@
     assert_eq!(missing_part(&chain, &missing(&[1, 2])), &chain[1..]);
     assert!(missing_part(&chain, &missing(&[])).is_empty());
 }
+
+// Guards against a chain that is too long for one message and is never copied.
+#[test]
+fn a_long_chain_is_sent_in_several_messages_in_order() {
+    let sizes = [600 << 10, 600 << 10, 2 << 20, 10, 20];
+    let records: Vec<TurnRecord> = sizes
+        .iter()
+        .enumerate()
+        .map(|(at, size)| TurnRecord {
+            input: vec![0; *size].into(),
+            ..turn(&at.to_string(), None)
+        })
+        .collect();
+    let parts = messages(&records);
+    let lengths: Vec<usize> = parts.iter().map(|part| part.len()).collect();
+    assert_eq!(lengths, [1, 1, 1, 2]);
+    assert_eq!(parts.concat(), records);
+}
--- a/coriandergw/src/roles/journal.rs
+++ b/coriandergw/src/roles/journal.rs
@@ -61,9 +61,10 @@
         let disk = open_disk(settings)?;
         let name = load_or_create_name(settings, Role::Journal, &*disk)?;
         let mut base = ProcessParts::start(settings, Role::Journal, name.clone()).await?;
-        base.start_polling(settings);
-        // Turns are kept by all journal instances, also by those that are not voters yet.
+        // Turns are kept by all journal instances, also by those that are not voters yet. The first poll
+        // says whether this one has any.
         let kept_turns = start_kept_turns(settings, &mut base).await?;
+        base.start_polling(settings);
         let voters = tokio::select! {
             voters = first_voters(&base.roster, &name, &*disk) => voters?,
             cause = base.cx.supervisor.failed() => return Err(StartError::Task { cause }),
@@ -154,6 +155,8 @@
     });
     let opened = opening.await.map_err(std::io::Error::other).flatten();
     let store = Arc::new(opened.map_err(|cause| StartError::Folder { folder, cause })?);
+    let holds_turns = store.counts().turns > 0;
+    base.roster.update_presence(|presence| presence.holds_turns = holds_turns);
     let (server, writer) = server::server(base.cx.clone(), store.clone(), base.roster.clone());
     base.transport.register(Kind::KeptTurns, server.clone());
     let token = CancellationToken::new();
