feat(memory): an account of the bytes that clients make a process hold

Cause: nothing bounds the bodies, answers, documents and connections that outsiders make a process hold.

New: event 112, `cgw_memory_held_bytes` and `cgw_memory_denied_total`.

--- a/coriandergw/src/context.rs
+++ b/coriandergw/src/context.rs
@@ -6,6 +6,7 @@
 use crate::events::Recorder;
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
+use crate::memory::shared::MemoryBudget;
 use crate::supervision::Supervisor;
 
 /// Shared by all features of one instance.
@@ -21,6 +22,8 @@
     pub events: Arc<Recorder>,
     /// Counts and times what happens.
     pub metrics: Arc<crate::metrics::Metrics>,
+    /// Bounds the bytes that clients make the process hold.
+    pub memory: Arc<MemoryBudget>,
     /// Keeps the first failure of a background task.
     pub supervisor: Arc<Supervisor>,
 }
--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -64,6 +64,8 @@
     ProcessStalled = 109, Warning;
     /// A background task ended before the process was asked to stop; the process ends.
     TaskEnded = 111, Error;
+    /// Bodies or connections of clients were evicted or refused, since there is no room for them.
+    MemoryShort = 112, Warning;
     /// Other keys are in use between instances.
     KeysReloaded = 105, Info;
     /// New keys could not be used; the old ones stay in use.
--- a/coriandergw/src/instance/mod.rs
+++ b/coriandergw/src/instance/mod.rs
@@ -117,6 +117,7 @@
         clock,
         events: Arc::new(events),
         metrics: Arc::new(Metrics::new().map_err(|cause| RunError::Metrics { cause })?),
+        memory: Arc::default(),
         supervisor: Arc::default(),
     })
 }
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod leases;
 pub mod log_groups;
 pub mod membership;
+pub mod memory;
 pub mod metrics;
 pub mod operators;
 pub mod orders;
--- a/coriandergw/src/membership/tests/driver.rs
+++ b/coriandergw/src/membership/tests/driver.rs
@@ -69,6 +69,7 @@
             clock: self.clock.clone(),
             events: Arc::new(Recorder::new(name(number), self.clock.clone())),
             metrics: Arc::new(Metrics::new().unwrap()),
+            memory: Arc::default(),
             supervisor: Arc::default(),
         };
         let transport = self.network.join(name(number));
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -47,6 +47,11 @@
     pub tasks_failed: IntCounterVec,
     /// Partitions held and similar states, by name.
     pub states: IntGaugeVec,
+    /// Bytes that clients make the process hold, by kind.
+    pub memory_held: IntGaugeVec,
+    /// Bodies, answers, documents and connections that were evicted or refused for want of room, by
+    /// kind and reason.
+    pub memory_denied: IntCounterVec,
     /// Messages of control traffic by kind and direction.
     pub control_messages: IntCounterVec,
     /// Bytes of control traffic by kind and direction.
@@ -78,7 +83,18 @@
         };
         let states = IntGaugeVec::new(Opts::new("cgw_state", "States by name"), &["name"])?;
         registry.register(Box::new(states.clone()))?;
+        let memory_held = IntGaugeVec::new(
+            Opts::new("cgw_memory_held_bytes", "Bytes that clients make the process hold"),
+            &["kind"],
+        )?;
+        registry.register(Box::new(memory_held.clone()))?;
         Ok(Self {
+            memory_held,
+            memory_denied: counters(
+                "cgw_memory_denied_total",
+                "What was evicted or refused for want of room",
+                &["kind", "reason"],
+            )?,
             program_seconds: histogram(
                 "cgw_program_seconds",
                 "Seconds from a program's creation to its end",
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -22,6 +22,8 @@
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
 use crate::log_groups::node::LogStartError;
+use crate::memory::MachineLimits;
+use crate::memory::shared::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::roster::GroupStatus;
 use crate::roster::Presence;
@@ -85,6 +87,8 @@
     pub caller_address: Option<SocketAddr>,
     /// Period after the start in which requests may wait for the configuration and for endpoints.
     pub warm_up: Duration,
+    /// What the machine gives to this process.
+    pub limits: MachineLimits,
 }
 
 impl ProcessSettings {
@@ -218,8 +222,10 @@
             clock: clock.clone(),
             events: Arc::new(events),
             metrics: Arc::new(metrics),
+            memory: Arc::new(MemoryBudget::new(settings.limits)),
             supervisor: Arc::default(),
         };
+        cx.memory.report_to(cx.metrics.clone(), cx.events.clone());
         let address = SocketAddr::new(settings.ip, settings.port(role));
         let transport = TcpTransport::start(&cx, address)
             .await
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -191,6 +191,7 @@
             endpoint_silence: Duration::from_secs(60),
             caller_address: Some(SocketAddr::new(ip, self.first_port + 5)),
             warm_up: Duration::ZERO,
+            limits: Default::default(),
         };
         Machine { settings, _folder: folder }
     }
--- a/coriandergw/src/test_support.rs
+++ b/coriandergw/src/test_support.rs
@@ -56,6 +56,7 @@
         clock: clock.clone(),
         events: Arc::new(Recorder::new(instance, clock)),
         metrics: Arc::new(Metrics::new().expect("metrics")),
+        memory: Arc::default(),
         supervisor: Arc::default(),
     }
 }
--- a/testkit/src/bench_log/cluster.rs
+++ b/testkit/src/bench_log/cluster.rs
@@ -171,6 +171,7 @@
         clock: clock.clone(),
         events: Arc::new(Recorder::new(name.clone(), clock)),
         metrics: Arc::new(Metrics::new().expect("each metric is registered once")),
+        memory: Arc::default(),
         supervisor: Arc::default(),
     }
 }
--- a/testkit/src/bench_programs.rs
+++ b/testkit/src/bench_programs.rs
@@ -237,6 +237,7 @@
         clock: clock.clone(),
         events: Arc::new(Recorder::new(instance, clock)),
         metrics,
+        memory: Arc::default(),
         supervisor: Arc::default(),
     };
     let limits = json!({"tokens": 100_000_000, "turns": 1_000, "calls": 1_000});
--- a/testkit/src/experiment/site.rs
+++ b/testkit/src/experiment/site.rs
@@ -132,6 +132,7 @@
         clock: clock.clone(),
         events: Arc::new(Recorder::new(name.clone(), clock)),
         metrics: Arc::new(Metrics::new().expect("metrics can be registered once")),
+        memory: Arc::default(),
         supervisor: Arc::default(),
     }
 }
--- a/testkit/tests/orders.rs
+++ b/testkit/tests/orders.rs
@@ -94,6 +94,7 @@
             clock: self.clock.clone(),
             events: Arc::new(Recorder::new(name, self.clock.clone())),
             metrics: Arc::new(Metrics::new().expect("metrics can be registered")),
+            memory: Arc::default(),
             supervisor: Arc::default(),
         };
         let leader = Arc::new(leader.clone());
