feat(memory): read bodies and accept connections within the budget

Cause: 60 bodies of 4 MiB that stop short took an entry process to 281 MB, and each connection kept its descriptor for 15 s whatever it sent.

Change: `buffer_request` and the buffering of answers moved to `forwarding/body.rs` and read under the budget. An announced length over the limit is refused before reading; a body that is evicted gets 408, one without room 503, and the connection is closed. An answer without room is passed through. The servers of callers and of endpoints, operators, readiness and metrics bound their connections and close those without a request for new ones; heads of callers end within `header_timeout_ms`. The handling of a request is boxed, so that an idle connection does not keep the memory for it. Bodies of calls at the other ports are read under the budget too.

Result: all nine tests of `platform/tests/crowds.rs` pass (debug build, 18.7 MB before, bound 88 MB). Resident memory with the crowd: whole bodies 38.5 MB (52.1 MB peak), in pieces 38.3 MB, large chunks 38.7 MB, small chunks 24.2 MB, announced over the limit 19.9 MB, chunked over the limit 38.7 MB, documents at a core process 39.0 MB; half-open heads and idle connections 73 descriptors. Three seconds after memory fell under the bound, 22.1 to 24.8 MB are resident (three forms), so no other allocator is needed. Tests of `forwarding`, `http_server`, `roles`, `transport`, `events` and `memory` pass (164), those of the binary in `platform` pass (23).

--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -11,12 +11,8 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -34,11 +30,13 @@
 use crate::forwarding::RequestHeaders;
 use crate::forwarding::attempt::UpstreamRequest;
 use crate::forwarding::attempt::UpstreamResponse;
+use crate::forwarding::body;
+use crate::forwarding::body::BUFFERED_RESPONSE_MAX_BYTES;
+use crate::forwarding::body::Collected;
 use crate::forwarding::choice;
 use crate::forwarding::connecting::Connector;
 use crate::forwarding::drain;
 use crate::forwarding::drain::Drain;
-use crate::forwarding::headers;
 use crate::forwarding::leaving::LeavingEndpoints;
 use crate::forwarding::loads::Loads;
 use crate::forwarding::pool::Pool;
@@ -53,6 +51,7 @@
 use crate::forwarding::warm_up::WARM_UP;
 use crate::forwarding::warm_up::WarmUp;
 use crate::ids::EndpointName;
+use crate::memory::shared::MemoryBudget;
 use crate::relays::server::DirectLinks;
 use crate::rendezvous::hash_of;
 use crate::result_code::Refusal;
@@ -71,9 +70,6 @@
 /// The maximum number of log lines on new foreign claims after one update from the roster.
 const FOREIGN_CLAIMS_REPORTED_MAX: usize = 8;
 
-/// The largest response that is buffered completely before it is passed on, in bytes.
-const BUFFERED_RESPONSE_MAX_BYTES: u64 = 1 << 20;
-
 /// Parses configurations in the format that operators send.
 pub trait ConfigReader: Send + Sync {
     /// Parses and validates a configuration.
@@ -240,6 +236,11 @@
         self.table.load().as_ref().map(|table| table.limits()).unwrap_or_default()
     }
 
+    /// Returns the budget for what callers make this instance hold.
+    pub fn memory(&self) -> Arc<MemoryBudget> {
+        self.cx.memory.clone()
+    }
+
     /// Adds `Connection: close` to every response from now on, refuses requests that may take longer
     /// than until `ends_at`, and ends those that are still running then.
     pub fn drain(&self, ends_at: Instant) {
@@ -382,11 +383,13 @@
     /// Handles one request; refusals become error responses.
     pub async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<ResponseBody> {
         let started = Instant::now();
-        let mut res = match self.clone().forward(req, started).await {
-            Ok(res) => res,
-            Err(refusal) => refusal::to_response(&refusal),
+        let (mut res, is_body_unread) = match self.clone().forward(req, started).await {
+            Ok(res) => (res, false),
+            Err(refusal) => {
+                (refusal::to_response(&refusal), body::leaves_body_unread(refusal.code))
+            }
         };
-        if self.drain.is_started() {
+        if self.drain.is_started() || is_body_unread {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         res
@@ -428,7 +431,8 @@
         let mut open = OpenRequest { cx: self.cx.clone(), plan, is_open: true };
         let handling = async {
             let body_max_bytes = table.limits().body_bytes;
-            let upstream_request = buffer_request(req, head, body_max_bytes, deadline).await?;
+            let buffering = body::buffer_request(&self.cx, req, head, body_max_bytes, deadline);
+            let upstream_request = buffering.await?;
             self.clone().run(&mut open.plan, upstream_request, turn).await
         };
         let result = tokio::select! {
@@ -515,7 +519,8 @@
     /// Runs a request with a response that is not a stream.
     ///
     /// The response is buffered, so that the request can be retried until the response is complete.
-    /// A response that exceeds [`BUFFERED_RESPONSE_MAX_BYTES`] is passed through instead.
+    /// A response that exceeds [`BUFFERED_RESPONSE_MAX_BYTES`], or for which there is no memory, is
+    /// passed through instead.
     async fn run_buffered(
         self: Arc<Self>,
         plan: &mut RequestPlan,
@@ -535,7 +540,8 @@
                 ));
             }
             let is_repeatable = plan.route.retry_policy.allows_retry();
-            let collecting = collect(&self.connector, &mut response, is_repeatable);
+            let collecting =
+                body::collect_response(&self.cx, &self.connector, &mut response, is_repeatable);
             let collected = tokio::time::timeout_at(plan.deadline, collecting).await;
             let reason = match collected {
                 Ok(Ok(Collected::Beginning(beginning))) => {
@@ -603,30 +609,6 @@
     }
 }
 
-/// The part of a response body that was read.
-enum Collected {
-    Whole(Bytes),
-    /// The beginning of a body that exceeds [`BUFFERED_RESPONSE_MAX_BYTES`].
-    Beginning(Bytes),
-}
-
-async fn collect(
-    connector: &Connector,
-    response: &mut UpstreamResponse,
-    is_repeatable: bool,
-) -> Result<Collected, String> {
-    let mut body = BytesMut::new();
-    while let Some(frame) = response.watched_frame(connector, is_repeatable).await? {
-        if let Ok(data) = frame.map_err(|cause| cause.to_string())?.into_data() {
-            body.extend_from_slice(&data);
-        }
-        if body.len() as u64 > BUFFERED_RESPONSE_MAX_BYTES {
-            return Ok(Collected::Beginning(body.freeze()));
-        }
-    }
-    Ok(Collected::Whole(body.freeze()))
-}
-
 /// Returns the client account of a request; `None` if it needs and has none.
 fn identify(
     cx: &Context,
@@ -648,34 +630,3 @@
     let host = req.uri().host().or(header).unwrap_or_default();
     host.split(':').next().unwrap_or_default().to_owned()
 }
-
-/// Buffers the body and builds a request that can be sent several times.
-async fn buffer_request(
-    req: Request<Incoming>,
-    head: RequestHeaders,
-    body_max_bytes: usize,
-    deadline: Instant,
-) -> Result<UpstreamRequest, Refusal> {
-    let (mut parts, body) = req.into_parts();
-    let too_large = || {
-        let message = format!("the request body exceeds the limit of {body_max_bytes} bytes");
-        Refusal::not_run(ResultCode::BodyTooLarge, message)
-    };
-    let collecting = Limited::new(body, body_max_bytes).collect();
-    let collected = tokio::time::timeout_at(deadline, collecting).await.map_err(|_| {
-        Refusal::not_run(
-            ResultCode::BodyTimeout,
-            "the request body did not arrive before the deadline",
-        )
-    })?;
-    let body = collected.map_err(|cause| match cause.is::<http_body_util::LengthLimitError>() {
-        true => too_large(),
-        false => Refusal::not_run(ResultCode::MalformedRequest, cause.to_string()),
-    })?;
-    headers::strip_hop_by_hop(&mut parts.headers);
-    parts.headers.remove(header::CONTENT_LENGTH);
-    parts.headers.remove(header::EXPECT);
-    let path = parts.uri.path_and_query().cloned();
-    let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
-    Ok(UpstreamRequest::new(parts.method, uri, parts.headers, body.to_bytes(), head))
-}
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -15,6 +15,7 @@
 use crate::ids::EndpointName;
 
 mod attempt;
+mod body;
 mod bounded_reader;
 pub mod choice;
 mod connecting;
--- a/coriandergw/src/http_server/connection.rs
+++ b/coriandergw/src/http_server/connection.rs
@@ -3,6 +3,7 @@
 //! A stopping server finishes the requests that have begun. A connection on which none has begun
 //! is closed at once, so that a silent peer does not hold up the stop.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -12,6 +13,7 @@
 use axum::Router;
 use axum::extract::ConnectInfo;
 use hyper::Request;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
@@ -26,6 +28,10 @@
 use tokio_rustls::TlsAcceptor;
 use tower::ServiceExt;
 
+use crate::memory::open_connections::AnswerBody;
+use crate::memory::open_connections::NotedStream;
+use crate::memory::open_connections::OpenConnection;
+
 /// The largest head of a request, in bytes.
 pub(super) const HEAD_MAX_BYTES: usize = 32 * 1024;
 
@@ -63,11 +69,17 @@
 }
 
 impl ConnectionServer {
-    pub(super) async fn serve(self, stream: TcpStream, peer: SocketAddr, watcher: Watcher) {
+    pub(super) async fn serve(
+        self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        open: Arc<OpenConnection>,
+        watcher: Watcher,
+    ) {
         // Small answers must not wait for more data.
         let _ = stream.set_nodelay(true);
         let Some(tls) = self.tls.clone() else {
-            return self.serve_http(stream, peer, watcher).await;
+            return self.serve_http(stream, peer, open, watcher).await;
         };
         let handshake = tokio::time::timeout(self.limits.handshake, tls.accept(stream));
         let shaken = tokio::select! {
@@ -76,24 +88,41 @@
             () = stopped(self.stop.clone()) => return,
         };
         if let Ok(Ok(stream)) = shaken {
-            self.serve_http(stream, peer, watcher).await;
+            self.serve_http(stream, peer, open, watcher).await;
         }
     }
 
-    async fn serve_http<S>(self, stream: S, peer: SocketAddr, watcher: Watcher)
-    where
+    async fn serve_http<S>(
+        self,
+        stream: S,
+        peer: SocketAddr,
+        open: Arc<OpenConnection>,
+        watcher: Watcher,
+    ) where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
         let has_begun = Arc::new(AtomicBool::new(false));
         let routes = self.routes.layer(axum::Extension(ConnectInfo(peer)));
         let noted = has_begun.clone();
+        let streamed = open.clone();
         let service = routes.map_request(move |req: Request<Incoming>| {
             noted.store(true, Ordering::Relaxed);
             req
         });
+        let service = tower::service_fn(move |mut req: Request<Incoming>| {
+            req.extensions_mut().insert(open.clone());
+            let request = open.start_request(!req.body().is_end_stream());
+            let answering = service.clone().oneshot(req);
+            async move {
+                Ok::<_, Infallible>(answering.await?.map(|body| AnswerBody::new(body, request)))
+            }
+        });
         let builder = builder(self.limits);
         let service = TowerToHyperService::new(service);
-        let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
+        let connection = builder.serve_connection_with_upgrades(
+            TokioIo::new(NotedStream::new(stream, streamed)),
+            service,
+        );
         tokio::select! {
             // What has arrived is read first: it may hold a whole request.
             biased;
--- a/coriandergw/src/http_server/mod.rs
+++ b/coriandergw/src/http_server/mod.rs
@@ -18,12 +18,13 @@
 use rustls::pki_types::PrivateKeyDer;
 use rustls::pki_types::pem::PemObject;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio_rustls::TlsAcceptor;
 
 use crate::http_server::connection::ConnectionServer;
 use crate::http_server::connection::PeerLimits;
+use crate::memory::open_connections::OpenConnections;
+use crate::memory::shared::MemoryBudget;
 use crate::supervision;
 
 mod connection;
@@ -79,6 +80,7 @@
     address: SocketAddr,
     tls: Option<TlsAcceptor>,
     limits: PeerLimits,
+    open: Arc<OpenConnections>,
 }
 
 impl HttpServer {
@@ -89,7 +91,14 @@
     pub async fn bind(address: SocketAddr, tls: Option<TlsAcceptor>) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        Ok(Self { listener, address, tls, limits: PeerLimits::default() })
+        let open = OpenConnections::new(CONNECTIONS_MAX, Arc::default());
+        Ok(Self { listener, address, tls, limits: PeerLimits::default(), open })
+    }
+
+    /// Serves at most `max` connections at once and reports those that are closed to `memory`.
+    pub fn limit_connections(mut self, max: usize, memory: Arc<MemoryBudget>) -> Self {
+        self.open = OpenConnections::new(max, memory);
+        self
     }
 
     /// Returns the bound address.
@@ -102,24 +111,32 @@
         let graceful = GracefulShutdown::new();
         let (tls, limits) = (self.tls, self.limits);
         let connections = ConnectionServer { routes, tls, limits, stop: stop.clone() };
-        let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
                 _ = stop.wait_for(|stop| *stop) => break,
             };
-            let Ok((stream, peer)) = accepted else {
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
-            let Ok(place) = places.clone().acquire_owned().await else {
-                break;
+            let (stream, peer) = match accepted {
+                Ok(accepted) => accepted,
+                Err(cause) => {
+                    log::warn!("a connection was not accepted: {cause}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
             };
+            tokio::select! {
+                () = self.open.make_room() => {}
+                _ = stop.wait_for(|stop| *stop) => break,
+            }
+            let open = self.open.open(peer.ip());
             let watcher = graceful.watcher();
             let connection = connections.clone();
             let serving = async move {
-                connection.serve(stream, peer, watcher).await;
-                drop(place);
+                tokio::select! {
+                    biased;
+                    () = open.told_to_close() => {}
+                    () = connection.serve(stream, peer, open.clone(), watcher) => {}
+                }
             };
             tokio::spawn(supervision::isolated("serve a connection", serving));
         }
--- a/coriandergw/src/routes/mod.rs
+++ b/coriandergw/src/routes/mod.rs
@@ -110,8 +110,7 @@
     pub head_bytes: usize,
     /// The maximum size of a request body, in bytes.
     pub body_bytes: usize,
-    /// How long the request headers may take to arrive. The server for callers does not apply it;
-    /// it limits the headers by `idle_timeout`.
+    /// How long the request headers may take to arrive, from their first byte.
     pub head_timeout: Duration,
     /// How long a connection may stay idle between requests.
     pub idle_timeout: Duration,
