feat(memory): bound what slow readers and strangers between instances cost

Cause: a connection to an endpoint reads up to 400 KiB ahead, which each caller that reads slowly costs; the port between instances kept connections that say nothing for ever, in any number; a caller's connection that was accepted in the moment of a stop could be dropped, since serving it is a second step now.

Change: 32 KiB are read ahead from an endpoint. Connections between instances end without a hello within 2 s, and at most a quarter of the descriptors are accepted. An accepted connection is served when a stop begins.

The memory for answers to slow readers is not measured.

--- a/coriandergw/src/forwarding/pool.rs
+++ b/coriandergw/src/forwarding/pool.rs
@@ -155,6 +155,10 @@
     }
 }
 
+/// The most bytes of an answer that a connection to an endpoint reads ahead, and the largest head of
+/// one. The library's own limit is 400 KiB, which each caller that reads slowly would cost.
+const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
+
 /// Starts HTTP on a stream to an endpoint.
 ///
 /// # Errors
@@ -165,7 +169,9 @@
 {
     let unproductive = UnproductiveBytes::default();
     let reader = BoundedReader::new(stream, unproductive.clone());
-    let handshake = http1::Builder::new().handshake(TokioIo::new(reader)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BUFFER_MAX_BYTES);
+    let handshake = builder.handshake(TokioIo::new(reader)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     let driver = async move {
         if let Err(cause) = connection.await {
--- a/coriandergw/src/forwarding/server.rs
+++ b/coriandergw/src/forwarding/server.rs
@@ -63,6 +63,11 @@
     let later_phases = phase.clone();
     let memory = forwarder.memory();
     let open = OpenConnections::new(memory.limits().caller_connections(), memory.clone());
+    let serve_accepted = |connections: &mut JoinSet<()>, stream, peer: SocketAddr| {
+        let connection = open.open(peer.ip());
+        let serving = serve_connection(stream, connection, forwarder.clone(), later_phases.clone());
+        connections.spawn(supervision::isolated("serve a caller", serving));
+    };
     let mut heads_look = tokio::time::interval(HEADS_LOOK);
     // The connection that was accepted and waits for a place.
     let mut waiting: Option<(TcpStream, SocketAddr)> = None;
@@ -71,10 +76,7 @@
             accepted = listener.accept(), if waiting.is_none() => accepted,
             () = open.make_room(), if waiting.is_some() => {
                 if let Some((stream, peer)) = waiting.take() {
-                    let connection = open.open(peer.ip());
-                    let serving =
-                        serve_connection(stream, connection, forwarder.clone(), later_phases.clone());
-                    connections.spawn(supervision::isolated("serve a caller", serving));
+                    serve_accepted(&mut connections, stream, peer);
                 }
                 continue;
             }
@@ -93,6 +95,10 @@
             }
         }
     }
+    // The request of a connection that was accepted is not lost in a stop.
+    if let Some((stream, peer)) = waiting {
+        serve_accepted(&mut connections, stream, peer);
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
--- a/coriandergw/src/transport/tcp.rs
+++ b/coriandergw/src/transport/tcp.rs
@@ -19,6 +19,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -46,6 +47,10 @@
 /// How long a peer that refused or did not answer a connection is left alone.
 const CONNECT_PAUSE: Duration = Duration::from_millis(40);
 
+/// How long a peer may take to say who it is: a few round trips between regions. Until then it may
+/// be any client.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// After this silence of a peer a sign of life is asked for with the next frame.
 const PROBE_AFTER: Duration = Duration::from_millis(400);
 
@@ -95,7 +100,8 @@
         let listener = TcpListener::bind(listen).await?;
         let handlers = Arc::<Handlers>::default();
         let name = cx.instance.clone();
-        let accepting = accept(listener, name.clone(), handlers.clone());
+        let connections_max = cx.memory.limits().service_connections();
+        let accepting = accept(listener, name.clone(), handlers.clone(), connections_max);
         let accepting = supervision::essential(cx.clone(), "accept other instances", accepting);
         let accepting = tokio::spawn(accepting);
         Ok(Arc::new(Self {
@@ -322,12 +328,17 @@
     let _ = tx.send(result);
 }
 
-async fn accept(listener: TcpListener, own: InstanceName, handlers: Arc<Handlers>) {
+async fn accept(
+    listener: TcpListener,
+    own: InstanceName,
+    handlers: Arc<Handlers>,
+    connections_max: usize,
+) {
     // Connections end with the transport.
     let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(), if connections.len() < connections_max => accepted,
             Some(_) = connections.join_next() => continue,
         };
         match accepted {
@@ -358,13 +369,10 @@
 ) -> std::io::Result<()> {
     let (mut reader, mut writer) = stream.into_split();
     let mut incoming = BytesMut::new();
-    let (from, to) = loop {
-        if let Some(hello) = frame::take_hello(&mut incoming)? {
-            break hello;
-        }
-        if reader.read_buf(&mut incoming).await? == 0 {
-            return Ok(());
-        }
+    let hello = read_hello(&mut reader, &mut incoming);
+    let hello = tokio::time::timeout(HELLO_TIMEOUT, hello).await;
+    let Some((from, to)) = hello.map_err(|_| std::io::ErrorKind::TimedOut)?? else {
+        return Ok(());
     };
     let from = InstanceName::try_from(from).map_err(std::io::Error::other)?;
     if !names(&to, &own) {
@@ -395,6 +403,21 @@
     }
 }
 
+/// Reads the names of sender and receiver; `None` if the peer closes the connection first.
+async fn read_hello(
+    reader: &mut OwnedReadHalf,
+    incoming: &mut BytesMut,
+) -> std::io::Result<Option<(String, String)>> {
+    loop {
+        if let Some(hello) = frame::take_hello(incoming)? {
+            return Ok(Some(hello));
+        }
+        if reader.read_buf(incoming).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
+
 async fn answer(
     frame: Frame,
     from: &InstanceName,
--- a/coriandergw/src/transport/tcp/frame.rs
+++ b/coriandergw/src/transport/tcp/frame.rs
@@ -14,7 +14,7 @@
 use crate::transport::PAYLOAD_MAX_BYTES;
 
 /// Leads every connection, so that a stray peer is noticed at once.
-const MAGIC: u32 = 0x4347_5731;
+pub(super) const MAGIC: u32 = 0x4347_5731;
 
 /// The bytes of a frame besides its length and payload: kind, number, kind of message.
 const HEAD_BYTES: usize = 10;
--- a/coriandergw/src/transport/tcp/tests.rs
+++ b/coriandergw/src/transport/tcp/tests.rs
@@ -6,7 +6,10 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use bytes::BytesMut;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 use crate::clock::SystemClock;
 use crate::ids::InstanceName;
@@ -16,8 +19,10 @@
 use crate::transport::Transport;
 use crate::transport::TransportError;
 use crate::transport::tcp::TcpTransport;
+use crate::transport::tcp::address_of;
 use crate::transport::tcp::frame::Frame;
 use crate::transport::tcp::frame::FrameKind;
+use crate::transport::tcp::frame::MAGIC;
 use crate::transport::tcp::frame::put_hello;
 use crate::transport::tcp::frame::take_hello;
 
@@ -127,3 +132,14 @@
     let taken = take_hello(&mut whole).expect("no fault");
     assert_eq!(taken, Some(("a".to_owned(), "b".to_owned())));
 }
+
+/// Guards against connections of strangers that say nothing and keep their descriptors.
+#[tokio::test]
+async fn a_connection_without_a_hello_is_closed() {
+    let (name, _transport) = start("0").await;
+    let address = address_of(&name).expect("an address");
+    let mut stream = TcpStream::connect(address).await.expect("connected");
+    stream.write_all(&MAGIC.to_be_bytes()).await.expect("sent");
+    let read = tokio::time::timeout(TIMEOUT, stream.read_u8()).await.expect("closed in time");
+    assert!(read.is_err(), "{read:?}");
+}
