fix(memory): do not take the rest of a refused body for a half-open head

Cause: a request that is refused before its body is read, for example with 401, leaves a body that still arrives. Its bytes counted as the start of a head, so that the connection was closed after `header_timeout_ms` although its caller may use it again until the idle timeout.

Change: such a connection counts as idle, whatever arrives, until its next request; the idle timeout of the HTTP library ends it.

--- a/coriandergw/src/memory/connections.rs
+++ b/coriandergw/src/memory/connections.rs
@@ -21,6 +21,8 @@
     Head,
     /// The body of a request arrives.
     Receiving,
+    /// A request was answered before its body was read; what arrives may be the rest of the body.
+    Unread,
     /// So many requests are served.
     Running(u32),
 }
@@ -83,7 +85,7 @@
             }
             Activity::Receiving => connection.since = now,
             // The time of a head counts from its first byte, however slowly the others come.
-            Activity::Head | Activity::Running(_) => {}
+            Activity::Head | Activity::Unread | Activity::Running(_) => {}
         }
     }
 
@@ -113,6 +115,7 @@
         if let Some(connection) = self.open.get_mut(&id) {
             connection.activity = match connection.activity {
                 Activity::Running(running) if running > 1 => Activity::Running(running - 1),
+                Activity::Receiving => Activity::Unread,
                 _ => Activity::Idle,
             };
             connection.since = now;
@@ -129,7 +132,7 @@
         let waiting = self.open.iter_mut().filter(|(_, connection)| {
             !connection.is_closing
                 && match connection.activity {
-                    Activity::Idle | Activity::Head => true,
+                    Activity::Idle | Activity::Head | Activity::Unread => true,
                     Activity::Receiving => now.since(connection.since) >= STALLED_AFTER,
                     Activity::Running(_) => false,
                 }
--- a/coriandergw/src/memory/connections/tests.rs
+++ b/coriandergw/src/memory/connections/tests.rs
@@ -51,3 +51,16 @@
     assert_eq!(table.displace(at(1_800)), None);
     assert_eq!(table.displace(at(900) + STALLED_AFTER), Some(id));
 }
+
+/// Guards against a connection that is closed as half-open because the rest of a refused request's body
+/// was taken for a head.
+#[test]
+fn the_rest_of_a_refused_body_is_no_head() {
+    let mut table = ConnectionTable::default();
+    let id = table.open(at(0));
+    table.start_request(id, true, at(10));
+    table.end_request(id, at(20));
+    table.note_read(id, at(30));
+    assert!(table.take_late_heads(Duration::from_secs(3), at(60_000)).is_empty());
+    assert_eq!(table.displace(at(60_000)), Some(id));
+}
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -10,6 +10,7 @@
 mod endpoint;
 mod foreign;
 mod groups;
+mod heads;
 mod leaving;
 mod limits;
 mod links;
