--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -17,6 +17,7 @@
 mod account_permit;
 pub mod admission;
 mod attempt;
+mod body;
 mod bounded_reader;
 pub mod choice;
 mod connecting;
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -23,6 +23,8 @@
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
 use crate::log_groups::node::LogStartError;
+use crate::memory::MachineLimits;
+use crate::memory::shared::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::roster::GroupStatus;
 use crate::roster::Presence;
@@ -90,6 +92,8 @@
     pub warm_up: Duration,
     /// By how much the requests of a client account may exceed its limit.
     pub limit_tolerance: LimitTolerance,
+    /// What the machine gives to this process.
+    pub limits: MachineLimits,
 }
 
 impl ProcessSettings {
@@ -223,8 +227,10 @@
             clock: clock.clone(),
             events: Arc::new(events),
             metrics: Arc::new(metrics),
+            memory: Arc::new(MemoryBudget::new(settings.limits)),
             supervisor: Arc::default(),
         };
+        cx.memory.report_to(cx.metrics.clone(), cx.events.clone());
         let address = SocketAddr::new(settings.ip, settings.port(role));
         let transport = TcpTransport::start(&cx, address)
             .await
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -11,6 +11,7 @@
 mod endpoint;
 mod foreign;
 mod groups;
+mod heads;
 mod kept;
 mod kept_turns;
 mod leaving;
--- a/coriandergw/src/roles/tests/world.rs
+++ b/coriandergw/src/roles/tests/world.rs
@@ -239,6 +239,7 @@
             caller_address: Some(SocketAddr::new(ip, self.first_port + 5)),
             warm_up: Duration::ZERO,
             limit_tolerance: LimitTolerance::default(),
+            limits: Default::default(),
         };
         Machine { settings, _folder: folder }
     }
