--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -64,6 +64,8 @@
     ProcessStalled = 109, Warning;
     /// A background task ended before the process was asked to stop; the process ends.
     TaskEnded = 111, Error;
+    /// Bodies or connections of clients were evicted or refused, since there is no room for them.
+    MemoryShort = 112, Warning;
     /// Other keys are in use between instances.
     KeysReloaded = 105, Info;
     /// New keys could not be used; the old ones stay in use.
@@ -183,6 +185,12 @@
     /// A record that states a service without a configuration claims the name or the address of an
     /// endpoint; it is ignored.
     ForeignClaim = 415, Warning;
+    /// The instance grants permits of client accounts from now on.
+    LimitKeeperStarted = 420, Info;
+    /// A client account has reached its limit.
+    AccountLimited = 421, Info;
+    /// No instance decides on permits of client accounts.
+    LimitKeeperLost = 422, Warning;
     /// An attempt of a call failed at its endpoint.
     AttemptFailed = 403, Warning;
     /// An engine confirmed an order.
@@ -217,4 +225,16 @@
     ReadDecided = 513, Info;
     /// The configuration last in force could not be read from or written to the disk.
     LastConfigFailed = 514, Error;
+    /// Too few of the instances that may hold a kept turn answered.
+    TurnLookUpFailed = 520, Warning;
+    /// A turn is on fewer disks than it has to be; its answer was broken off.
+    TurnWriteFailed = 521, Warning;
+    /// The disk refused a write of kept turns, or failed while they were read.
+    TurnStoreFailed = 530, Error;
+    /// The disk takes writes of kept turns again.
+    TurnStoreRegained = 531, Info;
+    /// Records of kept turns were not as they were written.
+    TurnsDamaged = 532, Error;
+    /// Kept turns were copied to other instances.
+    TurnsCopied = 533, Info;
 }
--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -104,6 +104,8 @@
     body: Incoming,
     pub(super) head: ResponseHeaders,
     pub(super) endpoint: EndpointRecord,
+    /// When the attempt began.
+    pub(super) sent_at: Timestamp,
     connection: Connection,
     closes_connection: bool,
     _in_flight: InFlightGuard,
@@ -140,6 +142,28 @@
         frame
     }
 
+    /// Returns whether the connection may carry another request after this response, which says that
+    /// the request was not executed.
+    ///
+    /// On a connection that has been used, a response must state its request. An endpoint that does
+    /// not do so in refusals therefore gets a new connection after each one.
+    pub(super) fn is_reusable_refusal(&self) -> bool {
+        let is_meant = self.status != StatusCode::MISDIRECTED_REQUEST;
+        is_meant && self.head.attempt.is_some() && !self.closes_connection
+    }
+
+    /// Reads and discards the rest of the body; returns the response if that took at most `bytes_max`.
+    pub(super) async fn drained(mut self, bytes_max: usize) -> Option<Self> {
+        let mut bytes = 0;
+        while let Some(frame) = self.frame().await {
+            bytes += frame.ok()?.data_ref().map_or(0, Bytes::len);
+            if bytes > bytes_max {
+                return None;
+            }
+        }
+        Some(self)
+    }
+
     /// Returns the connection to the pool after the whole response has been read.
     pub(super) fn finish(mut self, pool: &Pool, now: Timestamp) {
         if !self.closes_connection {
@@ -246,6 +270,7 @@
             body,
             head,
             endpoint: self.endpoint,
+            sent_at: self.now,
             connection,
             closes_connection,
             _in_flight: self.in_flight,
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -11,18 +11,16 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::account_limits::client::AccountPermit;
+use crate::account_limits::client::AccountPermitClient;
 use crate::accounts::Account;
 use crate::context::Context;
 use crate::crashes::reporter::CrashReporter;
@@ -32,13 +30,17 @@
 use crate::forwarding::AccountHeader;
 use crate::forwarding::HeaderCodec;
 use crate::forwarding::RequestHeaders;
+use crate::forwarding::account_permit;
 use crate::forwarding::attempt::UpstreamRequest;
 use crate::forwarding::attempt::UpstreamResponse;
+use crate::forwarding::body;
+use crate::forwarding::body::BUFFERED_RESPONSE_MAX_BYTES;
+use crate::forwarding::body::Collected;
 use crate::forwarding::choice;
 use crate::forwarding::connecting::Connector;
 use crate::forwarding::drain;
 use crate::forwarding::drain::Drain;
-use crate::forwarding::headers;
+use crate::forwarding::kept::KeptTurn;
 use crate::forwarding::leaving::LeavingEndpoints;
 use crate::forwarding::loads::Loads;
 use crate::forwarding::pool::Pool;
@@ -53,6 +55,8 @@
 use crate::forwarding::warm_up::WARM_UP;
 use crate::forwarding::warm_up::WarmUp;
 use crate::ids::EndpointName;
+use crate::kept_turns::KeptTurns;
+use crate::memory::shared::MemoryBudget;
 use crate::relays::server::DirectLinks;
 use crate::rendezvous::hash_of;
 use crate::result_code::Refusal;
@@ -71,9 +75,6 @@
 /// The maximum number of log lines on new foreign claims after one update from the roster.
 const FOREIGN_CLAIMS_REPORTED_MAX: usize = 8;
 
-/// The largest response that is buffered completely before it is passed on, in bytes.
-const BUFFERED_RESPONSE_MAX_BYTES: u64 = 1 << 20;
-
 /// Parses configurations in the format that operators send.
 pub trait ConfigReader: Send + Sync {
     /// Parses and validates a configuration.
@@ -102,8 +103,12 @@
     pub budgets: BudgetClient,
     /// Acquires permits for requests to limited endpoints.
     pub permits: PermitClient,
+    /// Acquires permits for requests of client accounts with a limit.
+    pub account_permits: Arc<AccountPermitClient>,
     /// Reports crashes of endpoints.
     pub crashes: Arc<CrashReporter>,
+    /// Reads and writes kept turns.
+    pub kept_turns: Arc<dyn KeptTurns>,
 }
 
 /// Forwards callers' requests to endpoints; the roster provides the configuration and the
@@ -122,7 +127,9 @@
     /// The ignored records that claim the name or the address of an endpoint.
     foreign_claims: Mutex<BTreeSet<EndpointKey>>,
     pub(super) permits: PermitClient,
+    pub(super) account_permits: Arc<AccountPermitClient>,
     pub(super) crashes: Arc<CrashReporter>,
+    pub(super) kept_turns: Arc<dyn KeptTurns>,
     /// The number of entry instances (those that serve callers) that accept requests, including
     /// this one.
     pub(super) entry_instances: AtomicUsize,
@@ -154,6 +161,8 @@
     pub(super) recorded_version: Option<Arc<str>>,
     /// The version whose endpoints alone may run the request, since the caller has events of it.
     pub(super) required_version: Option<Arc<str>>,
+    /// Whether the request is certainly the first turn of its program.
+    pub(super) is_first_turn: bool,
     /// Whether any endpoint may have run the request, other than in the current attempt.
     pub(super) may_have_run: bool,
     /// Whether an attempt is under way, or an endpoint's answer is being read.
@@ -161,6 +170,8 @@
     /// The endpoints that may have run the request and are not known to have ended.
     pub(super) ran_on: Vec<EndpointName>,
     pub(super) report: RequestReport,
+    /// What is kept of the turn, on a route that keeps turns.
+    pub(super) kept: Option<KeptTurn>,
 }
 
 impl RequestPlan {
@@ -189,6 +200,7 @@
             required_version: self.required_version.take(),
             ran_on: std::mem::take(&mut self.ran_on),
             report: self.report.clone(),
+            kept: self.kept.take(),
             ..*self
         }
     }
@@ -204,7 +216,7 @@
         clients: Clients,
         warm_up: WarmUp,
     ) -> Arc<Self> {
-        let Clients { budgets, permits, crashes } = clients;
+        let Clients { budgets, permits, account_permits, crashes, kept_turns } = clients;
         let pool = SharedPool::new(Pool::default());
         let dialer = adapters.dialer.clone();
         let connector = Connector::new(cx.clone(), dialer, pool.clone(), roster.clone());
@@ -221,7 +233,9 @@
             leaving: LeavingEndpoints::default(),
             foreign_claims: Mutex::default(),
             permits,
+            account_permits,
             crashes,
+            kept_turns,
             entry_instances: AtomicUsize::new(1),
             refreshes: watch::Sender::default(),
             warm_up,
@@ -240,6 +254,11 @@
         self.table.load().as_ref().map(|table| table.limits()).unwrap_or_default()
     }
 
+    /// Returns the budget for what callers make this instance hold.
+    pub fn memory(&self) -> Arc<MemoryBudget> {
+        self.cx.memory.clone()
+    }
+
     /// Adds `Connection: close` to every response from now on, refuses requests that may take longer
     /// than until `ends_at`, and ends those that are still running then.
     pub fn drain(&self, ends_at: Instant) {
@@ -282,6 +301,7 @@
         // An instance that has lost contact with the control group keeps the last known value.
         if let Some(entry_instances) = entry_instances {
             self.entry_instances.store(entry_instances.max(1), Ordering::Relaxed);
+            self.account_permits.note_entry_instances(entry_instances);
         }
         let table = self.table.load_full();
         let is_configured =
@@ -344,7 +364,7 @@
     /// this remaining time may wait during warm-up.
     ///
     /// The calling function refuses the request if `is_known` still does not hold.
-    async fn wait_until_known<F>(&self, time_left: Duration, is_known: F)
+    pub(super) async fn wait_until_known<F>(&self, time_left: Duration, is_known: F)
     where
         F: Fn() -> bool,
     {
@@ -382,11 +402,13 @@
     /// Handles one request; refusals become error responses.
     pub async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Response<ResponseBody> {
         let started = Instant::now();
-        let mut res = match self.clone().forward(req, started).await {
-            Ok(res) => res,
-            Err(refusal) => refusal::to_response(&refusal),
+        let (mut res, is_body_unread) = match self.clone().forward(req, started).await {
+            Ok(res) => (res, false),
+            Err(refusal) => {
+                (refusal::to_response(&refusal), body::leaves_body_unread(refusal.code))
+            }
         };
-        if self.drain.is_started() {
+        if self.drain.is_started() || is_body_unread {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         res
@@ -425,10 +447,15 @@
         if table.accounts().is_some() {
             plan.set_account(account.as_deref());
         }
-        let mut open = OpenRequest { cx: self.cx.clone(), plan, is_open: true };
+        let ask = account_permit::ask(account.as_deref(), table.version(), &head);
+        let mut open = OpenRequest { cx: self.cx.clone(), plan, permit: None, is_open: true };
         let handling = async {
             let body_max_bytes = table.limits().body_bytes;
-            let upstream_request = buffer_request(req, head, body_max_bytes, deadline).await?;
+            let buffering = body::buffer_request(&self.cx, req, head, body_max_bytes, deadline);
+            let upstream_request = buffering.await?;
+            if let Some(ask) = &ask {
+                open.permit = Some(self.acquire_account_permit(ask, deadline).await?);
+            }
             self.clone().run(&mut open.plan, upstream_request, turn).await
         };
         let result = tokio::select! {
@@ -437,6 +464,7 @@
         };
         let result = result.unwrap_or_else(|| Err(stopped_refusal(&open.plan)));
         open.is_open = false;
+        account_permit::settle(open.permit.take(), !is_not_run(&result));
         result.inspect_err(|refusal| open.plan.report.refused(&self.cx, refusal))
     }
 
@@ -485,10 +513,12 @@
                 connections_max,
                 self.entry_instances.load(Ordering::Relaxed),
             ),
+            is_first_turn: false,
             may_have_run: false,
             is_sent: false,
             ran_on: Vec::new(),
             report,
+            kept: None,
             route,
         };
         Ok((plan, turn))
@@ -497,9 +527,11 @@
     async fn run(
         self: Arc<Self>,
         plan: &mut RequestPlan,
-        upstream_request: UpstreamRequest,
+        mut upstream_request: UpstreamRequest,
         mut turn: Option<TurnGuard>,
     ) -> Result<Response<ResponseBody>, Refusal> {
+        // Comes before the admission, which depends on the whole prompt.
+        self.prepend_chain(plan, &mut upstream_request).await?;
         self.admit(plan, &upstream_request).await?;
         if let Some(turn) = &mut turn {
             self.reserve(plan, &upstream_request.head, turn).await?;
@@ -515,7 +547,8 @@
     /// Runs a request with a response that is not a stream.
     ///
     /// The response is buffered, so that the request can be retried until the response is complete.
-    /// A response that exceeds [`BUFFERED_RESPONSE_MAX_BYTES`] is passed through instead.
+    /// A response that exceeds [`BUFFERED_RESPONSE_MAX_BYTES`], or for which there is no memory, is
+    /// passed through instead.
     async fn run_buffered(
         self: Arc<Self>,
         plan: &mut RequestPlan,
@@ -535,7 +568,8 @@
                 ));
             }
             let is_repeatable = plan.route.retry_policy.allows_retry();
-            let collecting = collect(&self.connector, &mut response, is_repeatable);
+            let collecting =
+                body::collect_response(&self.cx, &self.connector, &mut response, is_repeatable);
             let collected = tokio::time::timeout_at(plan.deadline, collecting).await;
             let reason = match collected {
                 Ok(Ok(Collected::Beginning(beginning))) => {
@@ -565,10 +599,7 @@
         *res.headers_mut() = response.headers.clone();
         res.headers_mut().remove(header::CONTENT_LENGTH);
         let now = self.cx.clock.now();
-        self.loads.note_success(&response.endpoint.id);
-        if let Some(load) = response.head.load {
-            self.loads.note_report(&response.endpoint.id, load, now);
-        }
+        self.note_ended(&response, now);
         response.finish(&self.pool, now);
         res
     }
@@ -587,46 +618,31 @@
     Refusal::not_run(ResultCode::Draining, message).retry_after(TRANSIENT_RETRY_AFTER)
 }
 
+/// Returns whether the request was refused and certainly has not run.
+fn is_not_run(result: &Result<Response<ResponseBody>, Refusal>) -> bool {
+    result.as_ref().is_err_and(|refusal| refusal.not_run)
+}
+
 /// A request without an answer yet. Dropping it while it is open, which happens when its caller
 /// leaves, records that.
 struct OpenRequest {
     cx: Context,
     plan: RequestPlan,
+    /// The permit of the client account, if that has a limit.
+    permit: Option<AccountPermit>,
     is_open: bool,
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         if self.is_open {
+            let may_have_run = self.plan.is_sent || self.plan.may_have_run;
+            account_permit::settle(self.permit.take(), may_have_run);
             self.plan.report.abandoned(&self.cx);
         }
     }
 }
 
-/// The part of a response body that was read.
-enum Collected {
-    Whole(Bytes),
-    /// The beginning of a body that exceeds [`BUFFERED_RESPONSE_MAX_BYTES`].
-    Beginning(Bytes),
-}
-
-async fn collect(
-    connector: &Connector,
-    response: &mut UpstreamResponse,
-    is_repeatable: bool,
-) -> Result<Collected, String> {
-    let mut body = BytesMut::new();
-    while let Some(frame) = response.watched_frame(connector, is_repeatable).await? {
-        if let Ok(data) = frame.map_err(|cause| cause.to_string())?.into_data() {
-            body.extend_from_slice(&data);
-        }
-        if body.len() as u64 > BUFFERED_RESPONSE_MAX_BYTES {
-            return Ok(Collected::Beginning(body.freeze()));
-        }
-    }
-    Ok(Collected::Whole(body.freeze()))
-}
-
 /// Returns the client account of a request; `None` if it needs and has none.
 fn identify(
     cx: &Context,
@@ -648,34 +664,3 @@
     let host = req.uri().host().or(header).unwrap_or_default();
     host.split(':').next().unwrap_or_default().to_owned()
 }
-
-/// Buffers the body and builds a request that can be sent several times.
-async fn buffer_request(
-    req: Request<Incoming>,
-    head: RequestHeaders,
-    body_max_bytes: usize,
-    deadline: Instant,
-) -> Result<UpstreamRequest, Refusal> {
-    let (mut parts, body) = req.into_parts();
-    let too_large = || {
-        let message = format!("the request body exceeds the limit of {body_max_bytes} bytes");
-        Refusal::not_run(ResultCode::BodyTooLarge, message)
-    };
-    let collecting = Limited::new(body, body_max_bytes).collect();
-    let collected = tokio::time::timeout_at(deadline, collecting).await.map_err(|_| {
-        Refusal::not_run(
-            ResultCode::BodyTimeout,
-            "the request body did not arrive before the deadline",
-        )
-    })?;
-    let body = collected.map_err(|cause| match cause.is::<http_body_util::LengthLimitError>() {
-        true => too_large(),
-        false => Refusal::not_run(ResultCode::MalformedRequest, cause.to_string()),
-    })?;
-    headers::strip_hop_by_hop(&mut parts.headers);
-    parts.headers.remove(header::CONTENT_LENGTH);
-    parts.headers.remove(header::EXPECT);
-    let path = parts.uri.path_and_query().cloned();
-    let uri = path.map_or_else(|| Uri::from_static("/"), Uri::from);
-    Ok(UpstreamRequest::new(parts.method, uri, parts.headers, body.to_bytes(), head))
-}
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -14,15 +14,21 @@
 use crate::endpoint_limits::RateLimit;
 use crate::ids::EndpointName;
 
+mod account_permit;
+pub mod admission;
 mod attempt;
+mod body;
 mod bounded_reader;
 pub mod choice;
 mod connecting;
 mod crash_check;
 mod drain;
+mod event_data;
 mod events;
 pub mod forwarder;
 mod headers;
+mod held_events;
+mod kept;
 mod leaving;
 pub mod loads;
 pub mod paths;
@@ -33,6 +39,7 @@
 mod reserving;
 mod sending;
 pub mod server;
+mod shedding;
 mod turn_guard;
 mod versions;
 pub mod warm_up;
@@ -118,6 +125,9 @@
     pub waiting: u32,
     /// The number of requests that the endpoint can process at once.
     pub slots: u32,
+    /// How long work takes there now, in percent of the usual time; never 0. `None` if the endpoint
+    /// does not state it.
+    pub pace: Option<u32>,
 }
 
 /// The headers of an endpoint's response, decoded by a [`HeaderCodec`].
--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -4,6 +4,7 @@
 //! instance keeps its history and budget, runs its calls in dependent order and journals each step
 //! in a replicated log. `docs/DESIGN.md` gives the design.
 
+pub mod account_limits;
 pub mod accounts;
 pub mod addresses;
 pub mod admission;
@@ -32,6 +33,7 @@
 pub mod leases;
 pub mod log_groups;
 pub mod membership;
+pub mod memory;
 pub mod metrics;
 pub mod operators;
 pub mod orders;
--- a/coriandergw/src/metrics.rs
+++ b/coriandergw/src/metrics.rs
@@ -41,12 +41,26 @@
     pub endpoint_connections: IntCounterVec,
     /// Connections to endpoints that were to be opened, by path and outcome.
     pub endpoint_connects: IntCounterVec,
+    /// Turns that were refused since engines were nearly full, by kind of turn and reason.
+    pub turns_shed: IntCounterVec,
     /// Permits for requests to limited endpoints, by source and outcome.
     pub permits: IntCounterVec,
+    /// What happened to kept turns on this journal instance: writes by outcome, syncs, damaged records and
+    /// copies sent to other instances.
+    pub kept_turns: IntCounterVec,
+    /// Seconds of look-ups and writes of kept turns, by operation and result.
+    pub kept_turn_seconds: HistogramVec,
+    /// Requests for permits of client accounts with a limit, by account and outcome.
+    pub account_permits: IntCounterVec,
     /// Background tasks that ended before the process was asked to stop, by task.
     pub tasks_failed: IntCounterVec,
     /// Partitions held and similar states, by name.
     pub states: IntGaugeVec,
+    /// Bytes that clients make the process hold, by kind.
+    pub memory_held: IntGaugeVec,
+    /// Bodies, answers, documents and connections that were evicted or refused for want of room, by
+    /// kind and reason.
+    pub memory_denied: IntCounterVec,
     /// Messages of control traffic by kind and direction.
     pub control_messages: IntCounterVec,
     /// Bytes of control traffic by kind and direction.
@@ -78,7 +92,18 @@
         };
         let states = IntGaugeVec::new(Opts::new("cgw_state", "States by name"), &["name"])?;
         registry.register(Box::new(states.clone()))?;
+        let memory_held = IntGaugeVec::new(
+            Opts::new("cgw_memory_held_bytes", "Bytes that clients make the process hold"),
+            &["kind"],
+        )?;
+        registry.register(Box::new(memory_held.clone()))?;
         Ok(Self {
+            memory_held,
+            memory_denied: counters(
+                "cgw_memory_denied_total",
+                "What was evicted or refused for want of room",
+                &["kind", "reason"],
+            )?,
             program_seconds: histogram(
                 "cgw_program_seconds",
                 "Seconds from a program's creation to its end",
@@ -111,6 +136,11 @@
                 "Seconds from a forwarded request's arrival to a step of it",
                 &["step"],
             )?,
+            kept_turn_seconds: histogram(
+                "cgw_kept_turn_seconds",
+                "Seconds of look-ups and writes of kept turns",
+                &["operation", "result"],
+            )?,
             endpoint_connections: counters(
                 "cgw_endpoint_connections_total",
                 "Connections to endpoints, opened or used again",
@@ -121,11 +151,26 @@
                 "Connections to endpoints that were to be opened",
                 &["path", "outcome"],
             )?,
+            turns_shed: counters(
+                "cgw_turns_shed_total",
+                "Turns that were refused since engines were nearly full",
+                &["kind", "reason"],
+            )?,
             permits: counters(
                 "cgw_permits_total",
                 "Permits for requests to limited endpoints",
                 &["source", "outcome"],
             )?,
+            kept_turns: counters(
+                "cgw_kept_turns_total",
+                "Kept turns on a journal instance by what happened",
+                &["what"],
+            )?,
+            account_permits: counters(
+                "cgw_account_permits_total",
+                "Requests for permits of client accounts with a limit",
+                &["account", "outcome"],
+            )?,
             refusals: counters("cgw_refusals_total", "Refusals by result code", &["code"])?,
             retries: counters("cgw_retries_total", "Retries by kind of call", &["kind"])?,
             orders: counters("cgw_orders_total", "Orders to engines", &["kind", "result"])?,
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -12,6 +12,8 @@
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::account_limits::server::AccountPermitServer;
+use crate::account_limits::server::NodeKeepership;
 use crate::context::Context;
 use crate::crashes::Crash;
 use crate::crashes::server::CrashServer;
@@ -42,6 +44,7 @@
 use crate::roster::state::ConfigState;
 use crate::roster::state::UnknownEndpoint;
 use crate::storage::Disk;
+use crate::storage::identity::Identity;
 use crate::supervision;
 use crate::transport::Kind;
 use crate::versions::Versions;
@@ -80,8 +83,13 @@
     /// Fails if its address or its data folder cannot be used.
     pub async fn start(settings: &ProcessSettings) -> Result<Self, StartError> {
         let disk = open_disk(settings)?;
+        let had_identity = Identity::read(&*disk)?.is_some();
         let name = load_or_create_name(settings, Role::Core, &*disk)?;
         let mut base = ProcessParts::start(settings, Role::Core, name.clone()).await?;
+        if had_identity {
+            // The settings may still name the first start after a restart.
+            base.roster.update_presence(|presence| presence.is_founder = false);
+        }
         let voters = first_voters(settings, &name, &*disk)?;
         let roster_server = RosterServer::new(base.cx.clone(), settings.endpoint_silence);
         base.transport.register(Kind::Roster, roster_server.clone());
@@ -107,6 +115,14 @@
         };
         let node = LogNode::start(base.cx.clone(), base.transport.clone(), options)?;
         let versions = Versions::new(node.clone());
+        let keepership = Arc::new(NodeKeepership(Arc::downgrade(&node)));
+        let account_permits =
+            AccountPermitServer::new(base.cx.clone(), keepership, settings.limit_tolerance);
+        base.transport.register(Kind::AccountPermit, account_permits.clone());
+        if let Some(leadership) = node.leadership(CONTROL_GROUP) {
+            let following = account_permits.follow_leadership(leadership);
+            base.spawn_finite("follow the leadership for account limits", following);
+        }
         base.roster.update_presence(|presence| presence.ready = true);
         base.start_polling(settings);
         base.spawn("expire silent endpoints", roster_server.clone().expire_silent());
--- a/coriandergw/src/roles/mod.rs
+++ b/coriandergw/src/roles/mod.rs
@@ -13,6 +13,7 @@
 use derive_more::Error;
 use tokio::task::JoinSet;
 
+use crate::account_limits::LimitTolerance;
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::context::Context;
@@ -22,6 +23,8 @@
 use crate::ids::DataCentre;
 use crate::ids::InstanceName;
 use crate::log_groups::node::LogStartError;
+use crate::memory::MachineLimits;
+use crate::memory::shared::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::roster::GroupStatus;
 use crate::roster::Presence;
@@ -60,7 +63,7 @@
 const RELAY_PORT_OFFSET: u16 = 3;
 
 /// Settings shared by all processes of the entry path.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ProcessSettings {
     /// Name that the operator gave to the machine.
     pub node: Arc<str>,
@@ -79,12 +82,18 @@
     pub is_first_start: bool,
     /// Number of instances with a disk that may fail at the same time.
     pub tolerated_losses: usize,
+    /// Bytes of the disk that kept turns may take.
+    pub kept_turns_max_bytes: u64,
     /// Time without a message after which an endpoint receives no more requests.
     pub endpoint_silence: Duration,
     /// Address for callers' connections, if this process accepts any.
     pub caller_address: Option<SocketAddr>,
     /// Period after the start in which requests may wait for the configuration and for endpoints.
     pub warm_up: Duration,
+    /// By how much the requests of a client account may exceed its limit.
+    pub limit_tolerance: LimitTolerance,
+    /// What the machine gives to this process.
+    pub limits: MachineLimits,
 }
 
 impl ProcessSettings {
@@ -218,8 +227,10 @@
             clock: clock.clone(),
             events: Arc::new(events),
             metrics: Arc::new(metrics),
+            memory: Arc::new(MemoryBudget::new(settings.limits)),
             supervisor: Arc::default(),
         };
+        cx.memory.report_to(cx.metrics.clone(), cx.events.clone());
         let address = SocketAddr::new(settings.ip, settings.port(role));
         let transport = TcpTransport::start(&cx, address)
             .await
@@ -238,6 +249,7 @@
             watchers: Vec::new(),
             relay_address: None,
             lost_endpoints: false,
+            holds_turns: false,
         };
         let roster = Roster::new(cx.clone(), presence);
         let mut base = Self { cx, transport, roster, tasks: JoinSet::new() };
--- a/coriandergw/src/roles/tests.rs
+++ b/coriandergw/src/roles/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of complete entry-path processes over loopback, with scripted endpoints, some of them
 //! faulty.
 
+mod account_limits;
 mod budgets;
 mod crashes;
 mod cut_off;
@@ -10,9 +11,13 @@
 mod endpoint;
 mod foreign;
 mod groups;
+mod heads;
+mod kept;
+mod kept_turns;
 mod leaving;
 mod limits;
 mod links;
+mod nearly_full;
 mod paths;
 mod routing;
 mod stopping;
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -458,6 +458,40 @@
         found.into_values().filter(|presence| !is_silent(presence)).collect()
     }
 
+    /// Returns whether a journal instance of a node, live or not, last reported that its disk is needed
+    /// for kept turns. While no core instance is reachable, the last reports of all of them are used.
+    pub fn holds_turns(&self, node: &str, now: Timestamp) -> bool {
+        let reachable: Vec<SocketAddr> = self.reachable_cores(now).collect();
+        let is_counted = |core: &SocketAddr| reachable.is_empty() || reachable.contains(core);
+        let views = self.cores.iter().filter(|(core, _)| is_counted(core)).map(|(_, view)| view);
+        let mut presences = views.flat_map(|view| view.instances.values()).map(|one| &one.presence);
+        presences.any(|one| one.role == Role::Journal && &*one.node == node && one.holds_turns)
+    }
+
+    /// Returns the processes of a role that any core instance lists, also those that are not heard.
+    pub fn listed(&self, role: Role) -> Vec<Presence> {
+        let all = self.cores.values().flat_map(|view| view.instances.values());
+        let of_role = all.filter(|reported| reported.presence.role == role);
+        of_role.map(|reported| reported.presence.clone()).collect()
+    }
+
+    /// Returns since when a reachable core instance has listed all processes that it hears, in
+    /// milliseconds since the Unix epoch: since it started, or always if it has run since the first
+    /// start of the whole system. `None` if no core instance is reachable.
+    pub fn listed_since_ms(&self, now: Timestamp) -> Option<u64> {
+        let since = |core: SocketAddr| {
+            let view = self.cores.get(&core)?;
+            let of_core = |reported: &&ReportedPresence| {
+                let ReportedPresence { presence, heard } = reported;
+                *heard && presence.role == Role::Core && address_of(&presence.name) == Some(core)
+            };
+            let own = view.instances.values().find(of_core);
+            let is_founder = own.is_some_and(|reported| reported.presence.is_founder);
+            Some(if is_founder { 0 } else { view.start })
+        };
+        self.reachable_cores(now).filter_map(since).min()
+    }
+
     /// Returns whether a majority of the voters of the control group answers; also `true` while no
     /// leader is known.
     pub fn reaches_quorum(&self, now: Timestamp) -> bool {
