fix(memory): give room for large bodies to the first that waits

The event lines show one eviction a second: the room of an evicted body went to several others in steps, all of which counted as progress and waited again.

Change: among large bodies and documents that lack room, only the first gets it and has others evicted. It is woken by its own signal.

Result: `room_goes_to_the_first_large_holder_that_waits` passes with the other 14 tests of `memory::`.

--- a/coriandergw/src/memory/budget.rs
+++ b/coriandergw/src/memory/budget.rs
@@ -5,6 +5,7 @@
 //! flood of large bodies leaves room for ordinary requests.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::clock::Timestamp;
@@ -105,6 +106,9 @@
     by_kind: BTreeMap<HolderKind, u64>,
     /// The bytes of small and of large holders that were evicted and are not closed yet.
     leaving: (u64, u64),
+    /// The arriving holders that lack room to be large. Room goes to the first of them, so that it is
+    /// soon complete; if each got a step, all would wait for each other.
+    waiting: BTreeSet<HolderId>,
 }
 
 impl Budget {
@@ -119,6 +123,7 @@
             large_answers: 0,
             by_kind: BTreeMap::new(),
             leaving: (0, 0),
+            waiting: BTreeSet::new(),
         }
     }
 
@@ -142,7 +147,15 @@
         };
         let (kind, before) = (holder.kind, holder.bytes);
         let after = before + bytes;
+        if after > SMALL_MAX_BYTES && kind != HolderKind::Answer {
+            let is_first = self.waiting.first().is_none_or(|first| *first >= id);
+            self.waiting.insert(id);
+            if !is_first {
+                return Reservation::Full { evicted: None, retry_at: None };
+            }
+        }
         if self.has_room(kind, before, after, (0, 0)) {
+            self.waiting.remove(&id);
             self.set_bytes(id, after);
             self.note_progress(id, now);
             return Reservation::Granted;
@@ -169,6 +182,11 @@
         Reservation::Full { evicted: Some(oldest), retry_at }
     }
 
+    /// Returns the holder that the next room for large ones goes to.
+    pub fn first_waiting(&self) -> Option<HolderId> {
+        self.waiting.first().copied()
+    }
+
     /// Returns whether an arriving holder was evicted; it must be closed then.
     pub fn is_evicted(&self, id: HolderId) -> bool {
         self.holders.get(&id).is_none_or(|holder| holder.is_evicted)
@@ -187,6 +205,7 @@
         match self.holders.get_mut(&id) {
             Some(holder) if !holder.is_evicted => {
                 holder.is_arriving = false;
+                self.waiting.remove(&id);
                 true
             }
             _ => false,
@@ -204,6 +223,7 @@
     pub fn close(&mut self, id: HolderId) {
         self.set_bytes(id, 0);
         self.holders.remove(&id);
+        self.waiting.remove(&id);
     }
 
     /// Returns the bytes that are reserved for holders of a kind.
@@ -246,6 +266,7 @@
     }
 
     fn evict(&mut self, id: HolderId) {
+        self.waiting.remove(&id);
         self.remove_from_sums(id);
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.is_evicted = true;
--- a/coriandergw/src/memory/budget/tests.rs
+++ b/coriandergw/src/memory/budget/tests.rs
@@ -54,6 +54,24 @@
     assert_eq!(budget.reserve(id, third, stalled_at), Reservation::Granted);
 }
 
+/// Guards against many bodies that each get a step of the room and wait for each other.
+#[test]
+fn room_goes_to_the_first_large_holder_that_waits() {
+    let mut budget = Budget::new(TOTAL);
+    let step = budget.largest() / 4;
+    let ids: Vec<HolderId> =
+        (0..4).map(|_| granted(&mut budget, HolderKind::Body, step, at(0))).collect();
+    let late = at(2_000);
+    for id in &ids {
+        budget.reserve(*id, step, late);
+    }
+    // The first one had another evicted; no one else had.
+    assert_eq!(ids.iter().filter(|id| budget.is_evicted(**id)).count(), 1);
+    budget.close(ids[1]);
+    assert!(matches!(budget.reserve(ids[2], step, late), Reservation::Full { evicted: None, .. }));
+    assert_eq!(budget.reserve(ids[0], step, late), Reservation::Granted);
+}
+
 /// Guards against callers that read nothing and keep bodies from being taken.
 #[test]
 fn large_answers_use_a_part_only() {
--- a/coriandergw/src/memory/shared.rs
+++ b/coriandergw/src/memory/shared.rs
@@ -24,8 +24,8 @@
 use crate::memory::network_of;
 use crate::metrics::Metrics;
 
-/// How often a waiting holder looks for room by itself. Each release wakes one waiter of each size
-/// only, which may not be able to use the room.
+/// How often a waiting holder looks for room by itself. Each release wakes one small waiter and the
+/// first large one only, which may not be able to use the room.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The shortest time between two log lines on short memory, so that a flood does not fill the log.
@@ -44,8 +44,8 @@
 pub struct MemoryBudget {
     started: Instant,
     state: Mutex<State>,
-    /// Wakes one waiter that is small, or large, after a release.
-    freed: [Notify; 2],
+    /// Wakes one waiter after a release. The first large one is woken by its own signal too.
+    freed: Notify,
     limits: MachineLimits,
     /// Where to count and report; set once the process has them.
     reports: OnceLock<(Arc<Metrics>, Arc<Recorder>)>,
@@ -53,8 +53,8 @@
 
 struct State {
     budget: Budget,
-    /// Tells holders that they are evicted.
-    evictions: BTreeMap<HolderId, Arc<Notify>>,
+    /// Tells holders that they are evicted or may find room.
+    signals: BTreeMap<HolderId, Arc<Notify>>,
     reported_at: Option<Instant>,
     unreported: u64,
 }
@@ -70,14 +70,14 @@
     pub fn new(limits: MachineLimits) -> Self {
         let state = State {
             budget: Budget::new(limits.budget_bytes()),
-            evictions: BTreeMap::new(),
+            signals: BTreeMap::new(),
             reported_at: None,
             unreported: 0,
         };
         Self {
             started: Instant::now(),
             state: Mutex::new(state),
-            freed: Default::default(),
+            freed: Notify::new(),
             limits,
             reports: OnceLock::new(),
         }
@@ -99,7 +99,7 @@
         let (now, evicted) = (self.now(), Arc::<Notify>::default());
         let mut state = self.lock();
         let id = state.budget.open(kind, now);
-        state.evictions.insert(id, evicted.clone());
+        state.signals.insert(id, evicted.clone());
         drop(state);
         Held { memory: self.clone(), id, kind, remote, bytes: 0, evicted }
     }
@@ -123,7 +123,12 @@
     }
 
     fn wake(&self) {
-        self.freed.iter().for_each(Notify::notify_one);
+        self.freed.notify_one();
+        let state = self.lock();
+        let first = state.budget.first_waiting();
+        if let Some(signal) = first.and_then(|id| state.signals.get(&id)) {
+            signal.notify_one();
+        }
     }
 
     /// Sets the gauge of a kind.
@@ -199,10 +204,10 @@
             let pause = retry_at.unwrap_or(RECHECK_INTERVAL).min(RECHECK_INTERVAL);
             // A millisecond at least, so that a holder that cannot go on does not keep the thread busy.
             let pause = pause.max(Duration::from_millis(1));
-            let size = usize::from(self.bytes + bytes > SMALL_MAX_BYTES);
+            let is_small = self.bytes + bytes <= SMALL_MAX_BYTES;
             tokio::select! {
-                () = self.memory.freed[size].notified() => {}
-                () = self.evicted.notified() => return Err(Denied::Evicted),
+                () = self.memory.freed.notified(), if is_small => {}
+                () = self.evicted.notified() => {}
                 () = tokio::time::sleep_until(deadline.min(now + pause)) => {}
             }
         }
@@ -213,7 +218,7 @@
         let mut state = memory.lock();
         let outcome = state.budget.reserve(self.id, bytes, memory.now());
         if let Reservation::Full { evicted: Some(evicted), .. } = &outcome
-            && let Some(evicted) = state.evictions.get(evicted)
+            && let Some(evicted) = state.signals.get(evicted)
         {
             evicted.notify_one();
         }
@@ -268,7 +273,7 @@
     fn drop(&mut self) {
         let mut state = self.memory.lock();
         state.budget.close(self.id);
-        state.evictions.remove(&self.id);
+        state.signals.remove(&self.id);
         let held = state.budget.held(self.kind);
         drop(state);
         self.memory.show(self.kind, held);
