fix(account-limits): use a name of the product for the rate in messages and logs

Cause: the check that only the adapter has names of the wire format failed (4 files): the messages between instances and a log line called the rate as the platform's configuration does.

Change: the field and the log line are called per_second.

--- a/coriandergw/src/account_limits/generated.rs
+++ b/coriandergw/src/account_limits/generated.rs
@@ -20,7 +20,7 @@
     #[prost(uint64, tag = "2")]
     pub version: u64,
     #[prost(double, tag = "3")]
-    pub rate_per_s: f64,
+    pub per_second: f64,
     #[prost(double, tag = "4")]
     pub burst: f64,
     /// The program that the request belongs to; empty if there is none.
--- a/coriandergw/src/account_limits/server.rs
+++ b/coriandergw/src/account_limits/server.rs
@@ -165,7 +165,7 @@
         denials.reported_at = now;
         let refused = std::mem::take(&mut denials.count);
         let message = format!(
-            "account={} config={} rate_per_s={} burst={} refused={refused}",
+            "account={} config={} per_second={} burst={} refused={refused}",
             ask.account, ask.version, ask.limit.per_second, ask.limit.burst,
         );
         cx.events.record(EventNumber::AccountLimited, Subject::default(), message);
--- a/coriandergw/src/account_limits/server/tests.rs
+++ b/coriandergw/src/account_limits/server/tests.rs
@@ -87,14 +87,14 @@
     world.ask(400, 0, 0).await;
     world.ask(400, 0, 0).await;
     let events = world.events(EventNumber::AccountLimited);
-    assert_eq!(events, ["account=a config=1 rate_per_s=0.001 burst=1000 refused=1"]);
+    assert_eq!(events, ["account=a config=1 per_second=0.001 burst=1000 refused=1"]);
 }
 
 #[tokio::test]
 async fn an_invalid_message_is_refused() {
     let world = World::new();
     world.keepership.0.store(1, Ordering::Relaxed);
-    let ask = raw::Ask { account: "a".to_owned(), rate_per_s: -1.0, ..raw::Ask::default() };
+    let ask = raw::Ask { account: "a".to_owned(), per_second: -1.0, ..raw::Ask::default() };
     let request = raw::PermitRequest { asks: vec![ask], ..raw::PermitRequest::default() };
     let answer = world.server.handle(&world.name, request.encode_to_vec().into()).await;
     assert!(answer.is_err_and(|cause| cause.contains("rate")));
--- a/coriandergw/src/account_limits/wire.rs
+++ b/coriandergw/src/account_limits/wire.rs
@@ -13,7 +13,7 @@
         Self {
             account: ask.account.to_string(),
             version: ask.version,
-            rate_per_s: ask.limit.per_second,
+            per_second: ask.limit.per_second,
             burst: ask.limit.burst,
             program: ask.program.as_deref().unwrap_or_default().to_owned(),
             continues: ask.continues,
@@ -25,7 +25,7 @@
     type Error = AccountMessageError;
 
     fn try_from(raw: raw::Ask) -> Result<Self, AccountMessageError> {
-        let (per_second, burst) = (raw.rate_per_s, raw.burst);
+        let (per_second, burst) = (raw.per_second, raw.burst);
         if !(per_second.is_finite() && per_second > 0.0) {
             return Err(AccountMessageError { field: "rate" });
         }
