fix(crashes): tell equal requests of two accounts apart

Cause: requests that crash endpoints are counted by content alone, so a request that one account sends could be blocked for another account that sends the same one.

Change: the digest of a request of a client account depends on the account.

--- a/coriandergw/src/crashes/mod.rs
+++ b/coriandergw/src/crashes/mod.rs
@@ -71,6 +71,18 @@
         Self { class, content: truncated(hash) }
     }
 
+    /// Returns the digest of the same request sent by a client account. Requests of two accounts are
+    /// never the same one, so that what one of them sends is not held against the other.
+    pub fn sent_by(self, account: &str) -> Self {
+        let keyed = |part: &[u8]| {
+            let mut hash = Sha256::new();
+            hash.update(part);
+            hash.update(account);
+            truncated(hash)
+        };
+        Self { class: keyed(&self.class), content: keyed(&self.content) }
+    }
+
     /// Returns the digest that stands for all requests of the same class.
     pub fn of_class(self) -> Self {
         Self { content: [0; DIGEST_BYTES], ..self }
--- a/coriandergw/src/crashes/tests.rs
+++ b/coriandergw/src/crashes/tests.rs
@@ -28,6 +28,16 @@
     }
 }
 
+// Guards against a request that is blocked because another account sent the same one.
+#[test]
+fn equal_requests_of_two_accounts_have_different_digests_and_classes() {
+    let request = digest("host", "/a", "body");
+    let (first, second) = (request.sent_by("a"), request.sent_by("b"));
+    assert_eq!(first, request.sent_by("a"));
+    assert!(first != second && first != request && !first.has_class_of(&second));
+    assert!(first.has_class_of(&first.of_class()));
+}
+
 // Guards against a conversation that crashes endpoints and is another request each time since it
 // grows.
 #[test]
--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt to send a request to one endpoint.
 
+use std::sync::Arc;
 use std::sync::OnceLock;
 use std::time::Duration;
 
@@ -72,6 +73,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) head: RequestHeaders,
+    /// The client account that sent it.
+    pub(super) account: Option<Arc<str>>,
     digest: OnceLock<RequestDigest>,
 }
 
@@ -84,15 +87,17 @@
         body: Bytes,
         head: RequestHeaders,
     ) -> Self {
-        Self { method, uri, headers, body, head, digest: OnceLock::new() }
+        Self { method, uri, headers, body, head, account: None, digest: OnceLock::new() }
     }
 
-    /// Returns the digest of the request's content.
+    /// Returns the digest of the request's content and its account.
     pub(super) fn digest(&self) -> RequestDigest {
         *self.digest.get_or_init(|| {
             let host = self.headers.get(header::HOST).and_then(|value| value.to_str().ok());
             let path = self.uri.path_and_query().map_or("/", PathAndQuery::as_str);
-            RequestDigest::of(&self.method, host.unwrap_or_default(), path, &self.body)
+            let digest =
+                RequestDigest::of(&self.method, host.unwrap_or_default(), path, &self.body);
+            self.account.as_deref().map_or(digest, |account| digest.sent_by(account))
         })
     }
 }
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -452,7 +452,8 @@
         let handling = async {
             let body_max_bytes = table.limits().body_bytes;
             let buffering = body::buffer_request(&self.cx, req, head, body_max_bytes, deadline);
-            let upstream_request = buffering.await?;
+            let mut upstream_request = buffering.await?;
+            upstream_request.account = account.map(|account| account.name.clone());
             if let Some(ask) = &ask {
                 open.permit = Some(self.acquire_account_permit(ask, deadline).await?);
             }
