--- a/coriandergw/src/kept_turns/holders.rs
+++ b/coriandergw/src/kept_turns/holders.rs
@@ -41,7 +41,7 @@
 }
 
 impl KnownHolders {
-    /// Returns the instances that may hold turns, whether or not they are heard.
+    /// Returns how many instances may hold turns, heard or not.
     pub fn count(&self) -> usize {
         self.living.len() + self.silent.len()
     }
