feat(roster): report instances that have not received the configuration in time

What callers saw: requests handled by an older version than one acknowledged seconds before, at some instances, while event 223 said only that core instances did not answer polls.

Nothing told which version an instance had received, or which one a core instance published, so a document that does not arrive, one that is not used and one that is not published looked the same.

A core instance now compares the version that each entry instance states in its polls with what it published: event 227 names an instance that lacks a version a second after its publication, with the time since then, and 228 its return. The gauge config_version of a core instance is what it publishes, instances_behind the number of those reported. An entry instance writes event 515 when a document arrives, with its size and sender, and has the gauge config_version_received beside config_version, which is the version in force.

--- a/coriandergw/src/events/number.rs
+++ b/coriandergw/src/events/number.rs
@@ -106,6 +106,10 @@
     JournalLost = 225, Warning;
     /// A core instance does not hear another instance any more.
     InstanceSilent = 226, Warning;
+    /// An entry instance has not received the configuration a second after it was published.
+    InstanceBehind = 227, Warning;
+    /// An entry instance that was behind has the published configuration.
+    InstanceCaughtUp = 228, Info;
     /// The instance became the leader of a log group.
     LogLeaderElected = 200, Info;
     /// The instance stopped leading a log group.
@@ -225,6 +229,8 @@
     ReadDecided = 513, Info;
     /// The configuration last in force could not be read from or written to the disk.
     LastConfigFailed = 514, Error;
+    /// A configuration arrived from a core instance.
+    ConfigReceived = 515, Info;
     /// Too few of the instances that may hold a kept turn answered.
     TurnLookUpFailed = 520, Warning;
     /// A turn is on fewer disks than it has to be; its answer was broken off.
--- a/coriandergw/src/roster/mod.rs
+++ b/coriandergw/src/roster/mod.rs
@@ -22,6 +22,7 @@
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
 
+pub mod config_lag;
 pub mod departure;
 #[allow(missing_docs, clippy::all)]
 pub(crate) mod generated;
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -226,11 +226,29 @@
             limits.map(|limit| StatedLimit::decode(limit, now)).collect();
         let mut answer = PollAnswer::try_from(raw).map_err(|cause| cause.to_string())?;
         answer.limits = limits.map_err(|cause| cause.to_string())?;
-        if self.view.lock().expect("not poisoned").merge(core, answer, now) {
+        let (is_changed, received) = {
+            let mut view = self.view.lock().expect("not poisoned");
+            let held = view.config().0;
+            let is_changed = view.merge(core, answer, now);
+            let (version, document) = view.config();
+            (is_changed, (version > held).then_some((version, document.len())))
+        };
+        if let Some((version, bytes)) = received {
+            self.record_received(core, version, bytes);
+        }
+        if is_changed {
             self.increment_version();
         }
         Ok(is_known)
     }
+
+    fn record_received(&self, core: SocketAddr, version: u64, bytes: usize) {
+        let states = &self.cx.metrics.states;
+        states.with_label_values(&["config_version_received"]).set(version as i64);
+        let subject = Subject { peer: Some(core.to_string()), ..Subject::default() };
+        let detail = format!("version={version} bytes={bytes}");
+        self.cx.events.record(EventNumber::ConfigReceived, subject, detail);
+    }
 }
 
 impl TryFrom<raw::PollAnswer> for PollAnswer {
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -24,6 +24,7 @@
 use crate::roster::EndpointState;
 use crate::roster::Presence;
 use crate::roster::Role;
+use crate::roster::config_lag::LagChange;
 use crate::roster::departure::Departure;
 use crate::roster::generated as raw;
 use crate::roster::state::Audience;
@@ -226,7 +227,37 @@
 
     /// Applies the configuration state of the control group; returns whether anything changed.
     pub fn apply_config_state(&self, config_state: ConfigState) -> bool {
-        self.with_state(|roster| roster.apply_config_state(config_state))
+        let now = self.cx.clock.now();
+        let version = config_state.config_version;
+        let is_changed = self.with_state(|roster| roster.apply_config_state(config_state, now));
+        if is_changed {
+            let state = self.cx.metrics.states.with_label_values(&["config_version"]);
+            state.set(version as i64);
+        }
+        is_changed
+    }
+
+    /// Notes the version of the configuration that an entry instance states in a poll, and reports when
+    /// it lags and when it has caught up.
+    fn note_config_held(&self, instance: &InstanceName, held: u64) {
+        let now = self.cx.clock.now();
+        let (change, behind) = self.with_state(|roster| {
+            (roster.note_config_held(instance, held, now), roster.instances_behind())
+        });
+        let (number, detail) = match change {
+            None => return,
+            Some(LagChange::Behind { published, lag }) => {
+                let lag_ms = lag.as_millis();
+                let detail = format!("held={held} published={published} lag_ms={lag_ms}");
+                (EventNumber::InstanceBehind, detail)
+            }
+            Some(LagChange::CaughtUp { published }) => {
+                (EventNumber::InstanceCaughtUp, format!("held={held} published={published}"))
+            }
+        };
+        let subject = Subject { peer: Some(instance.to_string()), ..Subject::default() };
+        self.cx.events.record(number, subject, detail);
+        self.cx.metrics.states.with_label_values(&["instances_behind"]).set(behind as i64);
     }
 
     /// Returns the version of the configuration that is sent in responses to polls.
@@ -351,6 +382,9 @@
             }
         };
         self.note_copy(from, role, &poll);
+        if role == Some(Role::Entry) {
+            self.note_config_held(from, poll.config_version);
+        }
         // A process of unknown role gets everything, since its cursor advances with this response.
         let audience = role.map_or(Audience::AddressSource, Audience::from);
         if role.is_some() && !wants_relays {
--- a/coriandergw/src/roster/simulation.rs
+++ b/coriandergw/src/roster/simulation.rs
@@ -335,13 +335,15 @@
     }
 
     fn apply_config(&mut self, core: usize, version: u64) {
+        let now = self.now();
         let core = &mut self.cores[core];
         core.config_version = core.config_version.max(version);
-        core.state.apply_config_state(ConfigState {
+        let config_state = ConfigState {
             config_version: core.config_version,
             config: Bytes::from(core.config_version.to_string()),
             ..ConfigState::default()
-        });
+        };
+        core.state.apply_config_state(config_state, now);
     }
 
     fn step(&mut self) {
--- a/coriandergw/src/roster/state.rs
+++ b/coriandergw/src/roster/state.rs
@@ -22,6 +22,8 @@
 use crate::roster::Presence;
 use crate::roster::Relay;
 use crate::roster::Role;
+use crate::roster::config_lag::ConfigLag;
+use crate::roster::config_lag::LagChange;
 use crate::roster::departure::Departure;
 
 /// The longest time that a poll waits for a change.
@@ -193,6 +195,7 @@
     /// The number of the last change of each crash.
     crash_changes: BTreeMap<Incarnation, u64>,
     config_state: ConfigState,
+    config_lag: ConfigLag,
     checked_at: Timestamp,
 }
 
@@ -211,6 +214,7 @@
             crashes: CrashTable::default(),
             crash_changes: BTreeMap::new(),
             config_state: ConfigState::default(),
+            config_lag: ConfigLag::default(),
             checked_at: now,
         }
     }
@@ -289,16 +293,33 @@
 
     /// Applies the state of the control group; an older configuration does not replace a newer one.
     /// Returns whether anything changed.
-    pub fn apply_config_state(&mut self, config_state: ConfigState) -> bool {
+    pub fn apply_config_state(&mut self, config_state: ConfigState, now: Timestamp) -> bool {
         let is_changed = config_state.config_version >= self.config_state.config_version
             && config_state != self.config_state;
         if is_changed {
+            self.config_lag.note_published(config_state.config_version, now);
             self.config_state = config_state;
             self.next_change(ChangeScope::General);
         }
         is_changed
     }
 
+    /// Notes the version of the configuration that an instance states; returns what is new about its
+    /// lag behind the published one.
+    pub fn note_config_held(
+        &mut self,
+        instance: &InstanceName,
+        held: u64,
+        now: Timestamp,
+    ) -> Option<LagChange> {
+        self.config_lag.note_held(instance, held, now)
+    }
+
+    /// Returns the number of instances that have not received the published configuration in time.
+    pub fn instances_behind(&self) -> usize {
+        self.config_lag.instances_behind()
+    }
+
     /// Records an announcement; returns whether it changed more than the sequence number and the
     /// remaining warm-up time. The start or end of the warm-up counts as such a change.
     ///
@@ -558,6 +579,8 @@
         }
         self.endpoints.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         self.instances.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
+        let instances = &self.instances;
+        self.config_lag.retain(|name| instances.get(name).is_some_and(|entry| entry.value.heard));
         self.limits.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         self.departures.retain(|_, entry| now.since(entry.heard_at) < GONE_RETENTION);
         self.crashes.expire(now);
--- a/coriandergw/src/roster/tests.rs
+++ b/coriandergw/src/roster/tests.rs
@@ -151,9 +151,9 @@
 fn an_older_configuration_does_not_replace_a_newer_one() {
     let mut roster = RosterState::new(ENDPOINT_SILENCE, time_at(0));
     let state = |version| ConfigState { config_version: version, ..ConfigState::default() };
-    assert!(roster.apply_config_state(state(4)));
+    assert!(roster.apply_config_state(state(4), time_at(0)));
     assert!(
-        !roster.apply_config_state(state(3)),
+        !roster.apply_config_state(state(3), time_at(0)),
         "an older configuration is neither published nor stored"
     );
     assert_eq!(roster.config_state().config_version, 4);
