test(roster): show that a large configuration does not reach the instances

What callers saw: requests handled by an older version than one acknowledged more than 2.5 s before.

A document of 1,500 routes (0.35 MB) that is published is received by 0 of 77 instances after 2.5 s, and one of 2,000 routes by 0 of 1 instance with 4 Mbit/s left, which could take it in 0.9 s.

The third test, of changes in quick succession, passes on this code; it guards the same promise.

--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -296,3 +296,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
