fix(roster): fetch the configuration in pieces from one core instance at a time

Cause: the response to a poll of the roster carried the whole document, and every one of the six core instances sent it to every poller, also to those that need none. A response had 600 ms beyond its wait, whatever its size; one that was late was given up and asked for again from its first byte, of all core instances at the same time. From some size on no response arrived in time, what had been sent was wasted, and the repeated sends filled the links for as long as the change was missing. The class: work whose time limit does not grow with its size, repeated from the start by all at once.

Change: a response names the version only. An entry instance fetches the document, compressed, in pieces of up to 64 KiB from one core instance at a time, those of its data centre first. Each piece has its own time limit; one that is lost is asked for again, smaller, of the next core instance, and what has arrived is kept. A document that was begun is completed although a newer one is there, so changes in quick succession cannot starve it: core instances keep superseded documents for 4 s. A poller of an earlier build still gets the document in the response, and a core instance of one still sends it there.

Ruled out: a longer time for a response, which moves the size at which it fails; a response from one core instance only, which still starts from its first byte after each loss.

--- a/coriandergw/src/lib.rs
+++ b/coriandergw/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 #[cfg(test)]
 mod compatibility;
+pub mod config_fetch;
 pub mod context;
 pub mod control;
 pub mod crashes;
--- a/coriandergw/src/roles/core.rs
+++ b/coriandergw/src/roles/core.rs
@@ -14,6 +14,7 @@
 
 use crate::account_limits::server::AccountPermitServer;
 use crate::account_limits::server::NodeKeepership;
+use crate::config_fetch::server::ConfigServer;
 use crate::context::Context;
 use crate::crashes::Crash;
 use crate::crashes::server::CrashServer;
@@ -99,6 +100,8 @@
         base.transport.register(Kind::Permit, Arc::new(permit_server));
         let crash_server = CrashServer { roster_server: roster_server.clone() };
         base.transport.register(Kind::Crash, Arc::new(crash_server));
+        let config_server = ConfigServer { roster_server: roster_server.clone() };
+        base.transport.register(Kind::ConfigFetch, Arc::new(config_server));
         if let Some(config_state) = last_config::read(&base.cx, &*disk) {
             roster_server.apply_config_state(config_state);
         }
--- a/coriandergw/src/roles/entry.rs
+++ b/coriandergw/src/roles/entry.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::account_limits::client::AccountPermitClient;
+use crate::config_fetch::client::ConfigClient;
 use crate::context::Context;
 use crate::crashes::reporter::CrashReporter;
 use crate::endpoint_limits::client::PermitClient;
@@ -133,6 +134,12 @@
         let crashes = Arc::new(crashes);
         let clients = Clients { budgets, permits, account_permits, crashes, kept_turns };
         let forwarder = Forwarder::new(cx, adapters, roster.clone(), clients, warm_up);
+        let config_client = ConfigClient {
+            cx: base.cx.clone(),
+            roster: roster.clone(),
+            transport: base.transport.clone(),
+        };
+        base.spawn("fetch the configuration", config_client.run());
         base.spawn("follow the roster", forwarder.clone().follow_roster());
         base.spawn("regain paths", forwarder.clone().regain_paths());
         let relay_server = RelayServer::new(base.cx.clone(), roster.clone(), forwarder.links());
--- a/coriandergw/src/roles/tests/directory.rs
+++ b/coriandergw/src/roles/tests/directory.rs
@@ -19,7 +19,7 @@
     wait_for("a target", || target().is_some()).await;
     assert_eq!(target(), Some(with_disk.settings.ip));
     core.versions.put(1, "1".into()).await.expect("committed");
-    let is_known = || directory.roster.with_view(|view| view.config().0 == 1);
+    let is_known = || directory.roster.with_view(|view| view.config_named() == 1);
     wait_for("the configuration", is_known).await;
 }
 
--- a/coriandergw/src/roster/generated.rs
+++ b/coriandergw/src/roster/generated.rs
@@ -20,6 +20,10 @@
     /// The relays_as_of of the core instance's last answer; 0 before the first one.
     #[prost(uint64, tag = "6")]
     pub relays_as_of: u64,
+    /// Whether the asking process fetches the configuration by itself, or needs none. Earlier builds
+    /// need it in the answer.
+    #[prost(bool, tag = "7")]
+    pub fetches_config: bool,
 }
 /// What changed.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -34,7 +38,7 @@
     pub instances: ::prost::alloc::vec::Vec<Presence>,
     #[prost(uint64, tag = "5")]
     pub config_version: u64,
-    /// The configuration as the operator sent it; empty if the asking process has it.
+    /// The configuration as the operator sent it; empty if the asking process has it or fetches it.
     #[prost(bytes = "bytes", tag = "6")]
     pub config: ::prost::bytes::Bytes,
     /// The instances that make up the first voters of the journal group.
--- a/coriandergw/src/roster/poller.rs
+++ b/coriandergw/src/roster/poller.rs
@@ -1,6 +1,7 @@
 //! Polls the core instances and maintains this process's view of the roster.
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -212,6 +213,7 @@
             config_version: view.config().0,
             wait_ms: self.poll_wait.as_millis() as u32,
             relays_as_of,
+            fetches_config: true,
         };
         poll.encode_to_vec().into()
     }
@@ -226,28 +228,31 @@
             limits.map(|limit| StatedLimit::decode(limit, now)).collect();
         let mut answer = PollAnswer::try_from(raw).map_err(|cause| cause.to_string())?;
         answer.limits = limits.map_err(|cause| cause.to_string())?;
-        let (is_changed, received) = {
-            let mut view = self.view.lock().expect("not poisoned");
-            let held = view.config().0;
-            let is_changed = view.merge(core, answer, now);
-            let (version, document) = view.config();
-            (is_changed, (version > held).then_some((version, document.len())))
-        };
-        if let Some((version, bytes)) = received {
-            self.record_received(core, version, bytes);
-        }
-        if is_changed {
+        let config = answer.config.take();
+        let version = answer.config_version;
+        if self.view.lock().expect("not poisoned").merge(core, answer, now) {
             self.increment_version();
         }
+        if let Some(config) = config {
+            self.receive_config(&core, version, config);
+        }
         Ok(is_known)
     }
 
-    fn record_received(&self, core: SocketAddr, version: u64, bytes: usize) {
+    /// Stores a configuration that came from a core instance, unless it is not newer than the one known.
+    pub fn receive_config<S>(&self, source: &S, version: u64, config: Bytes)
+    where
+        S: Display,
+    {
+        let detail = format!("version={version} bytes={}", config.len());
+        if !self.view.lock().expect("not poisoned").receive_config(version, config) {
+            return;
+        }
         let states = &self.cx.metrics.states;
         states.with_label_values(&["config_version_received"]).set(version as i64);
-        let subject = Subject { peer: Some(core.to_string()), ..Subject::default() };
-        let detail = format!("version={version} bytes={bytes}");
+        let subject = Subject { peer: Some(source.to_string()), ..Subject::default() };
         self.cx.events.record(EventNumber::ConfigReceived, subject, detail);
+        self.increment_version();
     }
 }
 
--- a/coriandergw/src/roster/poller/tests.rs
+++ b/coriandergw/src/roster/poller/tests.rs
@@ -8,12 +8,16 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use prost::Message as _;
 use tokio::time::Instant;
 
 use crate::clock::SystemClock;
+use crate::config_fetch::client::ConfigClient;
+use crate::config_fetch::server::ConfigServer;
 use crate::ids::InstanceName;
 use crate::roster::Presence;
 use crate::roster::Role;
+use crate::roster::generated as raw;
 use crate::roster::poller::Roster;
 use crate::roster::server::RosterServer;
 use crate::roster::state::ConfigState;
@@ -117,6 +121,8 @@
     server.record_presence(own);
     let handlers = Arc::<Handlers>::default();
     handlers.register(Kind::Roster, server.clone());
+    let config_server = ConfigServer { roster_server: server.clone() };
+    handlers.register(Kind::ConfigFetch, Arc::new(config_server));
     (address, CoreInstance { handlers, uplink: Side::new(link), server })
 }
 
@@ -132,9 +138,11 @@
             let downlink = Side::new(entry_link);
             let name = presence.name.clone();
             let transport = LinkedTransport { name, cores: cores.clone(), downlink };
-            let roster = Roster::new(cx, presence);
+            let roster = Roster::new(cx.clone(), presence);
             let seeds = cores.keys().copied().collect();
-            tokio::spawn(roster.clone().run(Arc::new(transport), seeds));
+            let transport: Arc<dyn Transport> = Arc::new(transport);
+            tokio::spawn(roster.clone().run(transport.clone(), seeds));
+            tokio::spawn(ConfigClient { cx, roster: roster.clone(), transport }.run());
             roster
         };
         let entries = (1..=entries).map(start_entry).collect();
@@ -201,3 +209,22 @@
         }
     }
 }
+
+// Guards against an instance that does not get a configuration while all core instances run an earlier
+// build, which sends it with the answer and answers no requests for pieces.
+#[tokio::test]
+async fn a_document_in_an_answer_is_taken() {
+    let presence = presence("10.1.0.1:7401/0");
+    let cx = context(presence.name.clone(), "dc", Arc::new(SystemClock::default()));
+    let roster = Roster::new(cx, presence);
+    let core = SocketAddr::from(([10, 0, 0, 1], 7_400));
+    let document = document(1);
+    for (config_version, expected) in [(4, 4), (3, 4)] {
+        let config = document.clone();
+        let answer =
+            raw::PollAnswer { core_start: 1, config_version, config, ..Default::default() };
+        roster.merge(core, answer.encode_to_vec().into()).expect("an answer of use");
+        assert_eq!(roster.with_view(|view| view.config().0), expected);
+    }
+    assert_eq!(roster.with_view(|view| view.config().1.clone()), document);
+}
--- a/coriandergw/src/roster/server.rs
+++ b/coriandergw/src/roster/server.rs
@@ -9,6 +9,10 @@
 use prost::Message as _;
 use tokio::sync::watch;
 
+use crate::clock::Timestamp;
+use crate::config_fetch::generated::Piece;
+use crate::config_fetch::generated::PieceRequest;
+use crate::config_fetch::published::PublishedDocuments;
 use crate::context::Context;
 use crate::crashes::Crash;
 use crate::crashes::RequestDigest;
@@ -53,6 +57,7 @@
     start: u64,
     is_directory: bool,
     roster: Mutex<RosterState>,
+    documents: Mutex<PublishedDocuments>,
     changed: watch::Sender<LastChanges>,
     /// The highest change number that any other core instance has received.
     copied: watch::Sender<u64>,
@@ -75,7 +80,8 @@
         // The start time distinguishes successive processes at the same address.
         let start = cx.clock.wall().0.max(1);
         let (changed, copied) = (watch::Sender::default(), watch::Sender::default());
-        Arc::new(Self { cx, start, is_directory, roster, changed, copied })
+        let documents = Mutex::default();
+        Arc::new(Self { cx, start, is_directory, roster, documents, changed, copied })
     }
 
     fn with_state<T, F>(&self, action: F) -> T
@@ -229,6 +235,7 @@
     pub fn apply_config_state(&self, config_state: ConfigState) -> bool {
         let now = self.cx.clock.now();
         let version = config_state.config_version;
+        self.publish_document(&config_state, now);
         let is_changed = self.with_state(|roster| roster.apply_config_state(config_state, now));
         if is_changed {
             let state = self.cx.metrics.states.with_label_values(&["config_version"]);
@@ -237,6 +244,21 @@
         is_changed
     }
 
+    /// Offers the document before the polls name its version.
+    fn publish_document(&self, config_state: &ConfigState, now: Timestamp) {
+        let ConfigState { config_version, config, .. } = config_state;
+        let mut documents = self.documents.lock().expect("not poisoned");
+        if let Err(cause) = documents.publish(*config_version, config, now) {
+            log::error!("version {config_version} of the configuration is not offered: {cause}");
+        }
+    }
+
+    /// Returns the piece of the configuration that was asked for.
+    pub(crate) fn config_piece(&self, req: &PieceRequest) -> Piece {
+        let now = self.cx.clock.now();
+        self.documents.lock().expect("not poisoned").piece(req, now)
+    }
+
     /// Notes the version of the configuration that an entry instance states in a poll, and reports when
     /// it lags and when it has caught up.
     fn note_config_held(&self, instance: &InstanceName, held: u64) {
@@ -326,7 +348,8 @@
         let changes = roster.changes_after(cursor, audience);
         let config_state = roster.config_state();
         let has_newer_config = config_state.config_version > poll.config_version;
-        let config = if has_newer_config { config_state.config.clone() } else { Bytes::new() };
+        let needs_config = has_newer_config && !poll.fetches_config;
+        let config = if needs_config { config_state.config.clone() } else { Bytes::new() };
         let relays_as_of = roster.last_entry_change();
         let has_relays = poll.core_start == self.start && poll.relays_as_of == relays_as_of;
         // Processes that answer address look-ups send nothing to endpoints.
--- a/coriandergw/src/roster/server/tests.rs
+++ b/coriandergw/src/roster/server/tests.rs
@@ -1,8 +1,10 @@
-//! Tests of what a core instance waits for before it acknowledges a departure.
+//! Tests of what a core instance waits for before it acknowledges a departure, and of what it answers
+//! to instances of an earlier build.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::FutureExt;
 use prost::Message as _;
 
@@ -15,6 +17,7 @@
 use crate::roster::Role;
 use crate::roster::generated as raw;
 use crate::roster::server::RosterServer;
+use crate::roster::state::ConfigState;
 use crate::test_support::context;
 use crate::test_support::presence;
 use crate::transport::Handler;
@@ -57,6 +60,7 @@
         config_version: 0,
         wait_ms: 0,
         relays_as_of: 0,
+        fetches_config: false,
     };
     let answered = server.handle(&presence.name, poll.encode_to_vec().into()).await;
     raw::PollAnswer::decode(answered.expect("an answer")).expect("valid")
@@ -95,3 +99,27 @@
     let waited = tokio::time::timeout(Duration::from_secs(1), server.wait_for_copy()).await;
     assert!(waited.is_ok());
 }
+
+// Guards against an instance of an earlier build that never gets a configuration, and against one of
+// this build that is sent a document with each answer.
+#[tokio::test]
+async fn the_document_is_sent_only_to_instances_that_do_not_fetch_it() {
+    let server = server();
+    let config = Bytes::from_static(b"routes");
+    server.apply_config_state(ConfigState {
+        config_version: 3,
+        config: config.clone(),
+        ..ConfigState::default()
+    });
+    for (fetches_config, expected) in [(false, config), (true, Bytes::new())] {
+        let presence = presence("10.0.0.3:7401/0");
+        let poll = raw::Poll {
+            presence: Some(raw::Presence::from(&presence)),
+            fetches_config,
+            ..raw::Poll::default()
+        };
+        let answered = server.handle(&presence.name, poll.encode_to_vec().into()).await;
+        let answer = raw::PollAnswer::decode(answered.expect("an answer")).expect("valid");
+        assert_eq!((answer.config_version, answer.config), (3, expected));
+    }
+}
--- a/coriandergw/src/roster/view.rs
+++ b/coriandergw/src/roster/view.rs
@@ -13,8 +13,10 @@
 use crate::crashes::Crash;
 use crate::crashes::table::CrashTable;
 use crate::endpoint_limits::StatedLimit;
+use crate::ids::DataCentre;
 use crate::ids::EndpointName;
 use crate::ids::InstanceName;
+use crate::rendezvous::hash_of;
 use crate::roster::EndpointKey;
 use crate::roster::EndpointRecord;
 use crate::roster::EndpointState;
@@ -56,9 +58,10 @@
     pub endpoints: Vec<EndpointRecord>,
     /// The processes that changed since the last poll.
     pub instances: Vec<ReportedPresence>,
-    /// The version of the configuration that the core instance has.
+    /// The version of the configuration that the core instance publishes.
     pub config_version: u64,
-    /// The configuration, if it is newer than the version given in the poll.
+    /// The configuration, if it is newer than the version given in the poll; only core instances of an
+    /// earlier build send it.
     pub config: Option<Bytes>,
     /// The initial voters of the journal group; empty until they are committed.
     pub first_journal_voters: Vec<InstanceName>,
@@ -86,6 +89,7 @@
     start: u64,
     cursor: u64,
     answered_at: Timestamp,
+    config_version: u64,
     is_directory: bool,
     entry_instances: usize,
     instances: BTreeMap<InstanceName, ReportedPresence>,
@@ -173,7 +177,7 @@
     /// Merges a response of the core instance at `core`; returns whether it carried any change.
     pub fn merge(&mut self, core: SocketAddr, answer: PollAnswer, now: Timestamp) -> bool {
         let mut is_changed = !answer.instances.is_empty()
-            || answer.config_version > self.config_version
+            || answer.config_version > self.config_named().max(self.config_version)
             || (!answer.first_journal_voters.is_empty() && self.first_journal_voters.is_empty())
             || answer.retiring.len() > self.retiring.len();
         let view = self.cores.entry(core).or_default();
@@ -184,6 +188,7 @@
         let view = self.cores.entry(core).or_default();
         view.cursor = answer.cursor;
         view.answered_at = now;
+        view.config_version = answer.config_version;
         view.is_directory = answer.is_directory;
         view.entry_instances = answer.entry_instances;
         if view.relays_as_of != answer.relays_as_of {
@@ -205,11 +210,8 @@
         for crash in answer.crashes {
             is_changed |= self.crashes.merge(crash, now);
         }
-        if let Some(config) = answer.config
-            && answer.config_version > self.config_version
-        {
-            self.config_version = answer.config_version;
-            self.config = config;
+        if let Some(config) = answer.config {
+            self.receive_config(answer.config_version, config);
         }
         if !answer.first_journal_voters.is_empty() {
             self.first_journal_voters = answer.first_journal_voters;
@@ -221,6 +223,16 @@
         is_changed
     }
 
+    /// Stores a configuration; returns whether it is newer than the one before.
+    pub fn receive_config(&mut self, version: u64, config: Bytes) -> bool {
+        let is_newer = version > self.config_version;
+        if is_newer {
+            self.config_version = version;
+            self.config = config;
+        }
+        is_newer
+    }
+
     /// Merges a record; returns whether it changed more than the sequence number and the remaining
     /// warm-up time.
     fn merge_endpoint(
@@ -580,6 +592,43 @@
         names
     }
 
+    /// Returns the newest version of the configuration that a core instance last named.
+    pub fn config_named(&self) -> u64 {
+        self.cores.values().map(|view| view.config_version).max().unwrap_or_default()
+    }
+
+    /// Returns the reachable core instances that have a newer configuration than this process, in the
+    /// order in which the instance `own` asks them: those of its data centre first.
+    pub fn config_sources(
+        &self,
+        own: &InstanceName,
+        data_centre: &DataCentre,
+        now: Timestamp,
+    ) -> Vec<InstanceName> {
+        let has_newer = |core: &SocketAddr| {
+            self.cores.get(core).is_some_and(|view| view.config_version > self.config_version)
+        };
+        let mut sources: Vec<&Presence> = self
+            .reachable_cores(now)
+            .filter(has_newer)
+            .filter_map(|core| self.core_presence(core))
+            .collect();
+        sources.sort_by_cached_key(|presence| {
+            let weight = hash_of(own.as_str(), presence.name.as_str());
+            (presence.data_centre != *data_centre, std::cmp::Reverse(weight))
+        });
+        sources.into_iter().map(|presence| presence.name.clone()).collect()
+    }
+
+    /// Returns the presence that the core instance at an address reports of itself.
+    fn core_presence(&self, core: SocketAddr) -> Option<&Presence> {
+        let mut reported = self.cores.get(&core)?.instances.values();
+        let is_own = |presence: &&Presence| {
+            presence.role == Role::Core && address_of(&presence.name) == Some(core)
+        };
+        reported.by_ref().filter(|one| one.heard).map(|one| &one.presence).find(is_own)
+    }
+
     /// Returns the version and the content of the newest known configuration; the version is 0
     /// before the first configuration.
     pub fn config(&self) -> (u64, &Bytes) {
--- a/coriandergw/src/transport/mod.rs
+++ b/coriandergw/src/transport/mod.rs
@@ -41,7 +41,7 @@
     Events = 6,
     /// Requests about programs between homes and journal replicas.
     Programs = 7,
-    /// Polls of the roster: who lives, which endpoints there are, the configuration.
+    /// Polls of the roster: who lives, which endpoints there are, the version of the configuration.
     Roster = 8,
     /// Signs of life of an instance between its polls of the roster.
     Pulse = 9,
@@ -53,6 +53,8 @@
     AccountPermit = 12,
     /// Reads and writes of kept turns.
     KeptTurns = 13,
+    /// Requests for pieces of the configuration.
+    ConfigFetch = 14,
 }
 
 impl Kind {
@@ -71,6 +73,7 @@
         Kind::Crash,
         Kind::AccountPermit,
         Kind::KeptTurns,
+        Kind::ConfigFetch,
     ];
 
     /// Returns the kind with this number on the wire.
