fix(forwarding): take an answer whose status is none of HTTP as lost

What callers saw, on other systems: an answer with the status 000. Here a status of 000, below 100, or of other than three digits is refused by the library and the answer counts as lost; one of 600 to 999 was passed on as it came, as the answer to the request.

Change: such an answer is lost: a request that may be repeated goes to another endpoint, any other one is answered 502.

The product's own interface takes every status outside 200 to 299 as a failure of the endpoint, and so does what sends orders to engines; nothing is passed on there. A relayed connection carries bytes, and the instance that relays through it decides.

Test: an_answer_without_a_status_of_http_is_lost, nine status lines on three kinds of route; before, it failed at "600 OK" on a route whose requests may be repeated: the caller got status 600.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -37,6 +37,9 @@
 use crate::ids::EndpointName;
 use crate::roster::EndpointRecord;
 
+/// The highest status that HTTP defines; the library accepts up to 999, and refuses those below 100.
+const STATUS_MAX: u16 = 599;
+
 /// Why an attempt produced no response that can be passed on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Display)]
@@ -247,6 +250,9 @@
         if parts.status.is_informational() {
             return Err(lost("the endpoint switched to another protocol", is_reused));
         }
+        if parts.status.as_u16() > STATUS_MAX {
+            return Err(lost("the response has no status of HTTP", is_reused));
+        }
         let head = self.header_codec.read_response(parts.status, &parts.headers);
         match &head.attempt {
             Some(attempt) if *attempt != upstream_request.head.attempt => {
--- a/coriandergw/src/roles/tests/dishonest.rs
+++ b/coriandergw/src/roles/tests/dishonest.rs
@@ -315,3 +315,35 @@
     let (reply, ran) = reply_and_paths(&raw).await;
     assert_eq!(ran, ["/once/x"], "{reply}");
 }
+
+/// Numbers that are no status of HTTP/1.1, and status lines without a number.
+const NO_STATUSES: [&str; 9] =
+    ["000 OK", "000", "099 OK", "600 OK", "999 OK", "20 OK", "2000 OK", "-01 OK", "OK"];
+
+fn without_status(status: &str, attempt: &str) -> Vec<u8> {
+    let answer = String::from_utf8(answer(attempt, "no answer")).expect("text");
+    answer.replacen("200 OK", status, 1).into_bytes()
+}
+
+// Guards against an answer with a status such as 000 that a caller gets as an answer.
+#[tokio::test]
+async fn an_answer_without_a_status_of_http_is_lost() {
+    for status_line in NO_STATUSES {
+        for (path, expected) in [("/safe/x", "200"), ("/once/x", "502"), ("/fragile/x", "502")] {
+            let world = World::start().await;
+            let endpoint = Endpoint::start(move |number, seen| {
+                let attempt = seen.header("attempt").unwrap_or_default();
+                match number {
+                    0 => vec![Step::Send(without_status(status_line, &attempt))],
+                    _ => vec![Step::Send(answer(&attempt, "good"))],
+                }
+            })
+            .await;
+            world.announce("a", "plain", &endpoint).await;
+            world.announce("b", "engines", &endpoint).await;
+            let reply = world.ask(&post(path, "t1", "", "pay")).await;
+            assert_eq!(status(&reply), expected, "{status_line}, {path}: {reply}");
+            assert!(!reply.contains("no answer"), "{status_line}, {path}: {reply}");
+        }
+    }
+}
