fix(endpoints): cut off the answer of an engine that does not end

What callers saw, on other systems: bytes without end from one endpoint filled the memory of the instance that had called it.

Cause: on the product's own interface, the answer to a model call was read for as long as bytes came. Bytes without the end of a line were kept whole, and so was the text of events without end; each arrival began the time limit anew. Only answers to tools and services had a limit (4 MiB).

Change: that limit holds for the answers of engines too; a longer one is lost.

Test: an_answer_without_end_is_cut_off, with bytes that are no event, empty lines, comments and events; without the limit it takes all of the 8 MiB that the test has.

--- a/coriandergw/src/endpoints/client.rs
+++ b/coriandergw/src/endpoints/client.rs
@@ -32,7 +32,7 @@
 /// The time-out for connecting to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The largest body of an answer that is read as a whole, in bytes.
+/// The largest body of an answer, in bytes.
 const ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
 
 /// Why a call failed.
@@ -323,7 +323,7 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        for text in parser.feed(&data) {
+        for text in parser.feed(&data)? {
             progress.first_token.get_or_init(|| progress.started_at.elapsed());
             if let Some(sink) = sink {
                 progress.text_passed_on.store(true, Ordering::Relaxed);
@@ -341,11 +341,21 @@
     text: String,
     usage: Usage,
     done: bool,
+    /// The bytes of the answer so far.
+    bytes: usize,
 }
 
 impl CompletionParser {
     /// Parses bytes as they arrive and returns the texts of the events that they complete.
-    fn feed(&mut self, data: &[u8]) -> Vec<String> {
+    ///
+    /// # Errors
+    /// Fails once the answer exceeds [`ANSWER_MAX_BYTES`].
+    fn feed(&mut self, data: &[u8]) -> Result<Vec<String>, SendError> {
+        self.bytes += data.len();
+        if self.bytes > ANSWER_MAX_BYTES {
+            let reason = format!("the answer exceeds the limit of {ANSWER_MAX_BYTES} bytes");
+            return Err(SendError::Lost { reason });
+        }
         self.pending.extend_from_slice(data);
         let mut texts = Vec::new();
         while let Some(end) = self.pending.iter().position(|b| *b == b'\n') {
@@ -355,7 +365,7 @@
                 texts.extend(self.parse_event(data.trim()));
             }
         }
-        texts
+        Ok(texts)
     }
 
     fn parse_event(&mut self, data: &str) -> Option<String> {
@@ -388,3 +398,6 @@
         completion_tokens: number("/completion_tokens"),
     }
 }
+
+#[cfg(test)]
+mod tests;
