fix(forwarding): count large incomplete events against the memory budget

What callers saw, on other systems: a faulty endpoint sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of other callers ended with it.

Cause: an incomplete event of a stream was kept up to 1 MiB whatever the memory. One endpoint cannot fill an instance, but as many streams as callers open can: 80 streams with 900 KiB each are 72 MB, on machines of 88 MB.

Change: an incomplete event of more than 16 KiB is reserved in the budget like a buffered answer. A stream for which there is no room is broken off; the others go on.

What was checked beside it and holds: heads, interim answers, chunk sizes and trailers without end are cut off after 2 MiB and take 32 KiB each; a body without end waits for its caller or passes through; refusals are read up to 16 KiB (roles/tests/endless.rs).

--- a/coriandergw/src/forwarding/body.rs
+++ b/coriandergw/src/forwarding/body.rs
@@ -123,7 +123,7 @@
 }
 
 /// Reserves twice the bytes of an answer, which is what a buffer that doubles takes at most.
-fn has_room(held: &mut Held, bytes: usize) -> bool {
+pub(super) fn has_room(held: &mut Held, bytes: usize) -> bool {
     let wanted = 2 * bytes as u64;
     wanted <= held.bytes() || held.try_reserve(wanted - held.bytes())
 }
--- a/coriandergw/src/forwarding/events.rs
+++ b/coriandergw/src/forwarding/events.rs
@@ -80,6 +80,11 @@
         !self.buf.is_empty()
     }
 
+    /// Returns the size of the buffered incomplete event, in bytes.
+    pub(super) fn partial_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Discards the buffered incomplete event, for example before the stream is resumed.
     pub(super) fn discard_partial_event(&mut self) {
         self.buf.clear();
--- a/coriandergw/src/forwarding/relay.rs
+++ b/coriandergw/src/forwarding/relay.rs
@@ -17,6 +17,7 @@
 
 use crate::forwarding::attempt::UpstreamRequest;
 use crate::forwarding::attempt::UpstreamResponse;
+use crate::forwarding::body;
 use crate::forwarding::drain;
 use crate::forwarding::events::EventFault;
 use crate::forwarding::events::EventSplitter;
@@ -26,10 +27,16 @@
 use crate::forwarding::refusal::BodyError;
 use crate::forwarding::refusal::ResponseBody;
 use crate::forwarding::turn_guard::TurnGuard;
+use crate::memory::budget::HolderKind;
+use crate::memory::shared::Held;
 
 /// The maximum number of resumptions of a stream without a new event between them.
 const RESUMPTIONS_MAX: u32 = 8;
 
+/// The size up to which an incomplete event is held outside the memory budget, in bytes: events of
+/// ordinary streams are smaller, and the connection that they arrive on is part of the budget.
+const UNRESERVED_EVENT_BYTES: usize = 16 * 1024;
+
 /// An event stream being relayed. Dropping it closes the connection to the endpoint and settles the
 /// turn.
 pub(super) struct StreamRelay {
@@ -38,6 +45,8 @@
     upstream_request: UpstreamRequest,
     response: Option<UpstreamResponse>,
     splitter: EventSplitter,
+    /// The memory of a large incomplete event.
+    partial_event: Option<Held>,
     turn: Option<TurnGuard>,
     events: u64,
     /// The resumptions since the last new event.
@@ -73,6 +82,7 @@
         }
         let relay = Self {
             splitter: EventSplitter::after(upstream_request.head.last_event),
+            partial_event: None,
             forwarder,
             plan: plan.take(),
             upstream_request,
@@ -111,6 +121,23 @@
         res
     }
 
+    /// Reserves the memory of the incomplete event; returns whether there was room.
+    fn has_room_for_partial_event(&mut self) -> bool {
+        let bytes = self.splitter.partial_bytes();
+        if bytes <= UNRESERVED_EVENT_BYTES {
+            self.partial_event = None;
+            return true;
+        }
+        let memory = &self.forwarder.cx.memory;
+        let held = self.partial_event.get_or_insert_with(|| {
+            let mut held = memory.open(HolderKind::Answer, None);
+            // It is not evicted: its endpoint runs the request.
+            let _ = held.complete(0);
+            held
+        });
+        body::has_room(held, bytes)
+    }
+
     async fn next(&mut self) -> StreamStep {
         loop {
             let Some(response) = &mut self.response else {
@@ -137,6 +164,10 @@
                 Ok(Ok(Some(Ok(frame)))) => match frame.into_data() {
                     Err(_) => continue,
                     Ok(data) => match self.splitter.push(&data) {
+                        Ok(_) if !self.has_room_for_partial_event() => {
+                            let reason = "there is no memory for an incomplete event".to_owned();
+                            return self.abort(reason).await;
+                        }
                         Ok(events) if events.count == 0 => continue,
                         Ok(events) => {
                             if let Err(reason) = self.keep_version().await {
--- a/coriandergw/src/roles/tests/endless.rs
+++ b/coriandergw/src/roles/tests/endless.rs
@@ -8,6 +8,7 @@
 use crate::roles::tests::endpoint::Endpoint;
 use crate::roles::tests::endpoint::Step;
 use crate::roles::tests::endpoint::answer;
+use crate::roles::tests::endpoint::chunk;
 use crate::roles::tests::endpoint::stream_head;
 use crate::roles::tests::world::World;
 use crate::roles::tests::world::get;
@@ -192,3 +193,41 @@
     assert_eq!(body.matches('x').count(), LENGTH);
     assert!(reply.ends_with("\r\n0\r\n\r\n"), "the end of the body is missing");
 }
+
+/// The time after which the routes of the tests end a stream by themselves.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The callers whose streams stop within an event.
+const CALLERS: usize = 80;
+
+/// The size of the incomplete event of each stream, in bytes; below the limit of one event.
+const INCOMPLETE_EVENT_BYTES: usize = 900 << 10;
+
+// Guards against many endpoints that together fill the memory of an instance with events that do not
+// end, so that the requests of other callers end with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn incomplete_events_of_many_streams_take_bounded_memory() {
+    let endpoint = Endpoint::start(|_, seen| {
+        let attempt = seen.header("attempt").unwrap_or_default();
+        let event = chunk(&"x".repeat(INCOMPLETE_EVENT_BYTES));
+        vec![Step::Send(stream_head(&attempt)), Step::Send(event), Step::Hang]
+    })
+    .await;
+    let world = World::start().await;
+    world.announce("b", "engines", &endpoint).await;
+    let budget = world.entry.cx.memory.limits().budget_bytes() as usize;
+    assert!(CALLERS * INCOMPLETE_EVENT_BYTES > budget, "the streams exceed the budget");
+    let mut callers = Vec::new();
+    for number in 0..CALLERS {
+        let mut caller = world.connect().await;
+        let req = get("/fragile/x", &format!("t{number}"), "");
+        caller.write_all(req.as_bytes()).await.expect("sent");
+        callers.push(caller);
+    }
+    wait_for("all requests", || endpoint.seen().len() == CALLERS).await;
+    let bounded = || (CALLERS - endpoint.closed()) * INCOMPLETE_EVENT_BYTES <= budget;
+    let ended = wait_for("the end of the streams for which there is no memory", bounded);
+    let ended = tokio::time::timeout(ROUTE_TIMEOUT / 2, ended).await;
+    assert!(ended.is_ok(), "{} streams are open", CALLERS - endpoint.closed());
+    assert!(endpoint.closed() < CALLERS, "those for which there is memory go on");
+}
