fix(transport): limit the time of the next bytes of a message and not of all

What callers saw: with a large configuration core instances lost each other (event 223) although none of them was down, and changes were not acknowledged.

Cause: the same class as a configuration that does not arrive. All bytes that were collected for a connection, one message of up to 8 MiB among them, had to be written within 0.8 s; then the connection was closed, with all calls on it, and the message was sent again from its first byte. The comment spoke of a peer that takes nothing. A sign of life that was asked for behind a large message was due 0.8 s after it was put into the buffer, so before the peer could see it.

Change: 0.8 s without any byte taken end a connection, and a sign of life is due 0.8 s after the request for it was written.

--- a/coriandergw/src/transport/tcp.rs
+++ b/coriandergw/src/transport/tcp.rs
@@ -267,10 +267,15 @@
                         let Ok(outbound) = self.rx.try_recv() else { break };
                         put_outbound(&mut out, outbound, &mut next_id, waiting);
                     }
-                    if live.wants_probe(Instant::now()) {
+                    let is_probe = live.wants_probe(Instant::now());
+                    if is_probe {
                         Frame::bare(FrameKind::Probe, 0).put(&mut out);
                     }
                     write_out(&mut writer, &mut out).await?;
+                    if is_probe {
+                        // The peer can answer only now.
+                        live.probed = Some(Instant::now());
+                    }
                 }
                 read = reader.read_buf(&mut incoming) => {
                     if read? == 0 {
@@ -289,9 +294,13 @@
 
 /// Writes what was collected; a peer that takes nothing for long is given up.
 async fn write_out(writer: &mut OwnedWriteHalf, out: &mut BytesMut) -> std::io::Result<()> {
-    let write = tokio::time::timeout(PROBE_ANSWER, writer.write_all(out));
-    write.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
-    out.clear();
+    while !out.is_empty() {
+        // The time is for the next bytes and not for all: a large message over a narrow link takes longer.
+        let write = tokio::time::timeout(PROBE_ANSWER, writer.write_buf(out));
+        if write.await.map_err(|_| std::io::ErrorKind::TimedOut)?? == 0 {
+            return Err(std::io::ErrorKind::WriteZero.into());
+        }
+    }
     Ok(())
 }
 
--- a/coriandergw/src/transport/tcp/tests.rs
+++ b/coriandergw/src/transport/tcp/tests.rs
@@ -143,3 +143,33 @@
     let read = tokio::time::timeout(TIMEOUT, stream.read_u8()).await.expect("closed in time");
     assert!(read.is_err(), "{read:?}");
 }
+
+/// A payload that no socket buffer takes whole.
+const LARGE_BYTES: usize = 7 << 20;
+
+// Guards against a large message that is given up and sent again from its first byte although the peer
+// takes it, more slowly than a time limit for the whole allows.
+#[tokio::test]
+async fn a_large_message_arrives_at_a_peer_that_reads_slowly() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("a socket");
+    socket.set_recv_buffer_size(64 * 1024).expect("set");
+    let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).expect("bound");
+    socket.listen(1).expect("listens");
+    socket.set_nonblocking(true).expect("set");
+    let listener = TcpListener::from_std(socket.into()).expect("a listener");
+    let peer = name(&format!("{}/0", listener.local_addr().expect("address")));
+    let (_, from) = start("0").await;
+    from.send(&peer, Kind::Control, vec![1; LARGE_BYTES].into());
+    let (mut stream, _) = listener.accept().await.expect("accepted");
+    let mut buf = vec![0; 64 * 1024];
+    let mut received = 0;
+    while received < LARGE_BYTES {
+        let read = tokio::time::timeout(TIMEOUT, stream.read(&mut buf)).await;
+        let read = read.expect("in time").expect("open");
+        assert!(read > 0, "the connection was closed after {received} bytes");
+        received += read;
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+}
