fix(endpoints): limit what adds nothing to an answer, not the length of its events

What callers would have seen: a long answer of an engine cut off at 4 MiB of events, since each token has an event of some 50 bytes or more.

Change: the limit of 4 MiB holds for the text and for the bytes since the text last grew, an incomplete event among them. The end of a line is searched for in new bytes only: before, each arrival searched all that had been kept.

--- a/coriandergw/src/endpoints/client.rs
+++ b/coriandergw/src/endpoints/client.rs
@@ -32,7 +32,8 @@
 /// The time-out for connecting to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The largest body of an answer, in bytes.
+/// The largest body of an answer that is read as a whole, the longest text of a completion, and the most
+/// bytes of one that add nothing to its text, in bytes.
 const ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
 
 /// Why a call failed.
@@ -341,30 +342,39 @@
     text: String,
     usage: Usage,
     done: bool,
-    /// The bytes of the answer so far.
-    bytes: usize,
+    /// The bytes since the text last grew.
+    unproductive_bytes: usize,
 }
 
 impl CompletionParser {
     /// Parses bytes as they arrive and returns the texts of the events that they complete.
     ///
     /// # Errors
-    /// Fails once the answer exceeds [`ANSWER_MAX_BYTES`].
+    /// Fails once the text, or the bytes that add nothing to it, exceed [`ANSWER_MAX_BYTES`].
     fn feed(&mut self, data: &[u8]) -> Result<Vec<String>, SendError> {
-        self.bytes += data.len();
-        if self.bytes > ANSWER_MAX_BYTES {
-            let reason = format!("the answer exceeds the limit of {ANSWER_MAX_BYTES} bytes");
+        self.unproductive_bytes += data.len();
+        if self.unproductive_bytes.max(self.text.len()) > ANSWER_MAX_BYTES {
+            let (unproductive, text) = (self.unproductive_bytes, self.text.len());
+            let reason = format!(
+                "{text} bytes of text and {unproductive} bytes without text exceed the limit of \
+                 {ANSWER_MAX_BYTES} bytes"
+            );
             return Err(SendError::Lost { reason });
         }
+        let mut searched = self.pending.len();
         self.pending.extend_from_slice(data);
         let mut texts = Vec::new();
-        while let Some(end) = self.pending.iter().position(|b| *b == b'\n') {
-            let line: Vec<u8> = self.pending.drain(..=end).collect();
+        while let Some(end) = self.pending[searched..].iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = self.pending.drain(..=searched + end).collect();
+            searched = 0;
             let line = String::from_utf8_lossy(&line);
             if let Some(data) = line.trim().strip_prefix("data:") {
                 texts.extend(self.parse_event(data.trim()));
             }
         }
+        if texts.iter().any(|text| !text.is_empty()) {
+            self.unproductive_bytes = 0;
+        }
         Ok(texts)
     }
 
