fix(config): ask for the next piece at the core instance that answered

Found by reading: each piece was asked for first at the preferred core instance, also after it had not answered the piece before. One that hangs would have cost 0.4 s a piece until it counts as unreachable. The client now stays with the one that answered until the document is whole.

The tests of roster/poller and config_fetch pass.

--- a/coriandergw/src/config_fetch/client.rs
+++ b/coriandergw/src/config_fetch/client.rs
@@ -17,7 +17,7 @@
 /// How long a piece may take. The smallest one passes a link of 50 kbit/s in that time.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The pause after each core instance that has the document was asked in vain.
+/// The pause after each core instance that has the document was asked in vain: they may all be busy.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// How often it is checked whether a core instance with a newer configuration is reachable again.
@@ -55,11 +55,11 @@
             }
             let source = &sources[failures % sources.len()];
             match self.fetch_piece(source, &mut transfer).await {
-                Ok(received) => {
+                // The next piece is asked for at the core instance that answered.
+                Ok(None) => {}
+                Ok(Some(Received { version, document })) => {
                     failures = 0;
-                    if let Some(Received { version, document }) = received {
-                        self.roster.receive_config(source, version, document);
-                    }
+                    self.roster.receive_config(source, version, document);
                 }
                 Err(reason) => {
                     log::debug!("a piece of the configuration from {source} is missing: {reason}");
