--- a/review/standins-2/cluster.rs
+++ b/review/standins-2/cluster.rs
@@ -69,25 +69,10 @@
         self.folder.join(format!("{}-{}-data", self.node, self.role))
     }
 
-    /// Returns what the process has written to its standard output.
-    pub fn output(&self) -> String {
-        fs::read_to_string(self.output_file()).unwrap_or_default()
-    }
-
     fn output_file(&self) -> PathBuf {
         self.folder.join(format!("{}-{}.out", self.node, self.role))
     }
 
-    /// Returns the address of the process for traffic between instances, as logs name it.
-    pub fn instance_prefix(&self) -> String {
-        let offset = match self.role {
-            "core" => 0,
-            "entry" => 1,
-            _ => 2,
-        };
-        format!("{}:{}/", self.ip, INTERNAL_PORTS.0 + offset)
-    }
-
     fn settings(&self, seeds: &[SocketAddr], is_first_start: bool, sheet: Sheet) -> String {
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let (class, memory_mb, disk_mb) = match self.role {
@@ -146,23 +131,11 @@
         Ok(())
     }
 
-    /// Returns whether the process was started and not killed since.
-    pub fn is_started(&self) -> bool {
-        self.child.is_some()
-    }
-
     /// Returns whether the process has not ended by itself.
     pub fn is_running(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
-    /// Sends a signal to the process, by its name without `SIG`.
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
-        }
-    }
-
     /// Kills the process with SIGKILL and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -171,14 +144,6 @@
         }
     }
 
-    /// Removes the data folder of a process that does not run.
-    ///
-    /// # Errors
-    /// Fails if the folder cannot be removed.
-    pub fn lose_disk(&self) -> io::Result<()> {
-        fs::remove_dir_all(self.data_folder())
-    }
-
     /// Returns the most memory that the running process has had resident, in bytes.
     pub fn peak_memory(&self) -> Option<u64> {
         let id = self.child.as_ref()?.id();
@@ -206,7 +171,6 @@
     /// The first two numbers of the network after 127.
     octets: [u8; 2],
     seeds: Vec<SocketAddr>,
-    sheet: Sheet,
     folder: PathBuf,
     _guard: TcpListener,
 }
@@ -255,8 +219,7 @@
         let journal = prepare("journal", "storage", counts[1]);
         let entry = prepare("entry", "front", counts[2]);
         let seeds = core.iter().take(3).map(Process::control).collect();
-        let mut cluster =
-            Self { core, journal, entry, octets, seeds, sheet, folder, _guard: guard };
+        let mut cluster = Self { core, journal, entry, octets, seeds, folder, _guard: guard };
         let all = cluster.core.iter_mut().chain(&mut cluster.journal).chain(&mut cluster.entry);
         for process in all {
             process.start(&cluster.seeds, true, sheet)?;
@@ -264,14 +227,6 @@
         Ok(cluster)
     }
 
-    /// Starts a journal process again, on its address and with the disk as it is.
-    ///
-    /// # Errors
-    /// Fails if the process cannot be started.
-    pub fn restart_journal(&mut self, at: usize) -> io::Result<()> {
-        self.journal[at].start(&self.seeds, false, self.sheet)
-    }
-
     /// Returns an address of this network for a stand-in.
     pub fn stand_in_ip(&self, number: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.octets[0], self.octets[1], 100 + number)
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,7 +10,6 @@
 mod late_copies;
 mod memory;
 mod record;
-mod retirement;
 mod turns;
 mod unmarked;
 mod worker;
@@ -50,7 +49,6 @@
         "late-copies" => late_copies::play(&base, &record, has_trouble),
         "full-stores" => full_stores::play(&base, &record, has_trouble),
         "memory" => memory::play(&base, &record, has_trouble),
-        "retirement" => retirement::play(&base, &record, has_trouble),
         "unmarked" => unmarked::play(&base, &record, has_trouble),
         _ => Err(std::io::Error::other("there is no such case")),
     };
