feat(forwarding): name the connection of each send and answer in the log

The 502 line of a refused or lost send and the 500 line of an answer now have `connection=17/3`: the third request on the 17th connection that the process has opened to endpoints. It replaces "on a reused connection" and "on a new connection" in the reasons of lost sends, which told only whether the second number is above 1.

No behaviour changes, and no test guards a log field.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -32,6 +32,7 @@
 use crate::forwarding::headers;
 use crate::forwarding::loads::InFlightGuard;
 use crate::forwarding::pool::Connection;
+use crate::forwarding::pool::ConnectionUse;
 use crate::forwarding::pool::Pool;
 use crate::forwarding::pool::SharedPool;
 use crate::ids::EndpointName;
@@ -125,6 +126,11 @@
         self.connection.is_reused
     }
 
+    /// Returns the use of the connection that brought the response.
+    pub(super) fn connection_use(&self) -> ConnectionUse {
+        self.connection.last_use
+    }
+
     /// Reads the next part of the body; `None` at its end.
     pub(super) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
         let frame = self.body.frame().await;
@@ -221,6 +227,7 @@
         };
         let is_reused = connection.is_reused;
         let req = self.build_request(upstream_request, id)?;
+        let sent_on = connection.note_sent();
         connection.unproductive.reset();
         let sending = connection.sender.try_send_request(req);
         let watched = self.connector.watch(
@@ -233,14 +240,14 @@
         let sent = tokio::time::timeout_at(self.head_deadline, watched).await;
         let response = match sent {
             Err(_) => {
-                return Err(lost("the response headers did not arrive in time", is_reused));
+                return Err(lost("the response headers did not arrive in time", sent_on));
             }
-            Ok(Err(reason)) => return Err(lost(&reason, is_reused)),
+            Ok(Err(reason)) => return Err(lost(&reason, sent_on)),
             Ok(Ok(Err(mut cause))) => {
                 // hyper returns the request if it has not written any of it.
                 return Err(match cause.take_message() {
                     Some(_) => not_sent(cause.into_error(), is_reused),
-                    None => lost(&cause.into_error().to_string(), is_reused),
+                    None => lost(&cause.into_error().to_string(), sent_on),
                 });
             }
             Ok(Ok(Ok(response))) => response,
@@ -248,20 +255,20 @@
         connection.unproductive.reset();
         let (parts, body) = response.into_parts();
         if parts.status.is_informational() {
-            return Err(lost("the endpoint switched to another protocol", is_reused));
+            return Err(lost("the endpoint switched to another protocol", sent_on));
         }
         if parts.status.as_u16() > STATUS_MAX {
-            return Err(lost("the response has no status of HTTP", is_reused));
+            return Err(lost("the response has no status of HTTP", sent_on));
         }
         let head = self.header_codec.read_response(parts.status, &parts.headers);
         match &head.attempt {
             Some(attempt) if *attempt != upstream_request.head.attempt => {
-                return Err(lost("the response belongs to another request", is_reused));
+                return Err(lost("the response belongs to another request", sent_on));
             }
             // Only the attempt tells a late copy of an earlier response, also of a refusal, from
             // this one.
             None if parts.status.is_success() || connection.has_answered => {
-                return Err(lost("the response does not state its request", is_reused));
+                return Err(lost("the response does not state its request", sent_on));
             }
             _ => {}
         }
@@ -325,7 +332,6 @@
     Failure::NoConnection { kind, reason: format!("no connection: {reason}") }
 }
 
-fn lost(reason: &str, is_reused: bool) -> Failure {
-    let connection = if is_reused { "reused" } else { "new" };
-    Failure::Lost { reason: format!("{reason}, on a {connection} connection") }
+fn lost(reason: &str, sent_on: ConnectionUse) -> Failure {
+    Failure::Lost { reason: format!("connection={sent_on} {reason}") }
 }
--- a/coriandergw/src/forwarding/pool.rs
+++ b/coriandergw/src/forwarding/pool.rs
@@ -7,9 +7,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::Display;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -50,6 +53,19 @@
     since: Timestamp,
 }
 
+/// The number of connections that this process has opened to endpoints.
+static CONNECTIONS_OPENED: AtomicU64 = AtomicU64::new(0);
+
+/// Identifies a use of a connection in log lines: the number of the connection and that of the request
+/// on it, both from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
+#[display("{connection}/{request}")]
+pub(super) struct ConnectionUse {
+    connection: u64,
+    request: u64,
+}
+
 /// Whose connection to the endpoint is used.
 #[derive(Debug)]
 pub(super) enum ConnectionPath {
@@ -70,6 +86,8 @@
     /// How long the endpoint keeps the connection open while idle.
     pub(super) keep_alive: Duration,
     pub(super) is_reused: bool,
+    /// The latest request that was sent on it.
+    pub(super) last_use: ConnectionUse,
     /// Whether a response has been read from it, of which a copy may follow.
     pub(super) has_answered: bool,
     /// What was read since the last head or content.
@@ -92,6 +110,14 @@
     connections.drain(..long_idle.saturating_sub(LONG_IDLE_MAX));
 }
 
+impl Connection {
+    /// Counts a request that is sent on the connection.
+    pub(super) fn note_sent(&mut self) -> ConnectionUse {
+        self.last_use.request += 1;
+        self.last_use
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -198,9 +224,17 @@
     };
     let driver = tokio::spawn(supervision::isolated("drive a connection to an endpoint", driver));
     let driver = driver.abort_handle();
-    let keep_alive = IDLE_TIMEOUT;
-    let (is_reused, has_answered) = (false, false);
-    Ok(Connection { sender, driver, keep_alive, is_reused, has_answered, unproductive, path })
+    let number = CONNECTIONS_OPENED.fetch_add(1, Ordering::Relaxed) + 1;
+    Ok(Connection {
+        sender,
+        driver,
+        keep_alive: IDLE_TIMEOUT,
+        is_reused: false,
+        last_use: ConnectionUse { connection: number, request: 0 },
+        has_answered: false,
+        unproductive,
+        path,
+    })
 }
 
 /// The pool, shared between the requests of an instance.
--- a/coriandergw/src/forwarding/report.rs
+++ b/coriandergw/src/forwarding/report.rs
@@ -141,7 +141,8 @@
     /// Records the endpoint's response: once its body was received, or before that if the body is
     /// passed through without inspection.
     pub(super) fn ended(&self, cx: &Context, response: &UpstreamResponse, events: u64) {
-        let outcome = format!("status={} events={events}", response.status.as_u16());
+        let (status, connection) = (response.status.as_u16(), response.connection_use());
+        let outcome = format!("status={status} events={events} connection={connection}");
         let peer = Some(response.endpoint.id.to_string());
         let status = response.status.as_str();
         self.observe_durations(cx, status);
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -289,7 +289,11 @@
         plan.report.attempt_failed(
             &self.cx,
             id,
-            &format!("the endpoint refused the request with status {}", response.status.as_u16()),
+            &format!(
+                "connection={} the endpoint refused the request with status {}",
+                response.connection_use(),
+                response.status.as_u16()
+            ),
         );
     }
 
