fix(forwarding): never send an attempt again on a connection that refused it

Cause: the connection of a refusal goes back to the pool. A late copy of the first refusal echoes the attempt's id, so it is taken for the answer of the second send, which the endpoint accepts and runs. The id names the attempt and not the send.

Ruled out: an endpoint that refuses what it runs, and a copy of another attempt's refusal, which ends as lost.

Fix: a connection remembers the attempts that were refused on it (a hash each, 128 at most, then it is closed), and the pool passes over it for them. It works since what comes late on a connection was answered there before, and no answer to the same attempt was.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -178,6 +178,14 @@
         Some(self)
     }
 
+    /// Returns the connection to the pool after a refusal has been read, for other attempts only.
+    pub(super) fn finish_refusal(mut self, pool: &Pool, now: Timestamp) {
+        if let Some(attempt) = &self.head.attempt {
+            self.connection.note_refused(attempt);
+        }
+        self.finish(pool, now);
+    }
+
     /// Returns the connection to the pool after the whole response has been read.
     pub(super) fn finish(mut self, pool: &Pool, now: Timestamp) {
         if !self.closes_connection {
@@ -219,7 +227,8 @@
         upstream_request: &UpstreamRequest,
     ) -> Result<UpstreamResponse, Failure> {
         let EndpointRecord { id, address, .. } = &self.endpoint;
-        let pooled = self.pool.take(id, *address, self.idle_limit, self.now);
+        let attempt = &upstream_request.head.attempt;
+        let pooled = self.pool.take(id, *address, attempt, self.idle_limit, self.now);
         let pooled = pooled.filter(|connection| self.connector.is_usable(&connection.path));
         let mut connection = match pooled {
             Some(connection) => connection,
@@ -262,7 +271,7 @@
         }
         let head = self.header_codec.read_response(parts.status, &parts.headers);
         match &head.attempt {
-            Some(attempt) if *attempt != upstream_request.head.attempt => {
+            Some(stated) if stated != attempt => {
                 return Err(lost("the response belongs to another request", sent_on));
             }
             // Only the attempt tells a late copy of an earlier response, also of a refusal, from
--- a/coriandergw/src/forwarding/pool.rs
+++ b/coriandergw/src/forwarding/pool.rs
@@ -25,6 +25,7 @@
 use crate::forwarding::bounded_reader::UnproductiveBytes;
 use crate::forwarding::connecting::RelayUseGuard;
 use crate::ids::EndpointName;
+use crate::rendezvous::hash_of;
 use crate::roster::Relay;
 use crate::supervision;
 
@@ -45,6 +46,10 @@
 /// whether the request ran; this is more likely the longer the connection was idle.
 pub(super) const NON_REPEATABLE_IDLE_LIMIT: Duration = Duration::from_millis(700);
 
+/// The most refused attempts that a connection remembers, at 8 bytes each. It is closed when it has that
+/// many, which costs one new connection in as many refusals.
+const REFUSED_ATTEMPTS_MAX: usize = 128;
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// A pooled connection and the time at which it became idle.
@@ -90,6 +95,9 @@
     pub(super) last_use: ConnectionUse,
     /// Whether a response has been read from it, of which a copy may follow.
     pub(super) has_answered: bool,
+    /// The hashes of the attempts that were refused on it. If one of them were sent on it again, a late
+    /// copy of its refusal could not be told from its answer.
+    refused_attempts: Vec<u64>,
     /// What was read since the last head or content.
     pub(super) unproductive: UnproductiveBytes,
     pub(super) path: ConnectionPath,
@@ -101,6 +109,14 @@
         let limit = self.connection.keep_alive.min(IDLE_TIMEOUT_MAX);
         !self.connection.sender.is_closed() && now.since(self.since) < limit
     }
+
+    /// Returns whether the connection has been idle for less than `idle_limit` and may carry the
+    /// attempt with this hash.
+    fn is_usable(&self, attempt_hash: u64, idle_limit: Duration, now: Timestamp) -> bool {
+        now.since(self.since) < idle_limit
+            && self.connection.sender.is_ready()
+            && !self.connection.refused_attempts.contains(&attempt_hash)
+    }
 }
 
 /// Closes the connections that have been idle for too long. The longest idle ones come first.
@@ -116,6 +132,11 @@
         self.last_use.request += 1;
         self.last_use
     }
+
+    /// Records that an attempt was refused on the connection and may be sent again on another one.
+    pub(super) fn note_refused(&mut self, attempt: &str) {
+        self.refused_attempts.push(hash_of(attempt, ""));
+    }
 }
 
 impl Drop for Connection {
@@ -131,11 +152,13 @@
 }
 
 impl Pool {
-    /// Takes a connection that has been idle for less than `idle_limit`.
+    /// Takes a connection for an attempt which has been idle for less than `idle_limit` and did not
+    /// bring a refusal of the same attempt.
     pub(super) fn take(
         &self,
         endpoint: &EndpointName,
         address: SocketAddr,
+        attempt: &str,
         idle_limit: Duration,
         now: Timestamp,
     ) -> Option<Connection> {
@@ -148,10 +171,10 @@
         close_idle(connections, now);
         // The most recently used connection is the least likely to have been closed by the
         // endpoint.
-        let last = connections.pop_if(|idle| {
-            now.since(idle.since) < idle_limit && idle.connection.sender.is_ready()
-        })?;
-        let mut connection = last.connection;
+        let attempt_hash = hash_of(attempt, "");
+        let position =
+            connections.iter().rposition(|idle| idle.is_usable(attempt_hash, idle_limit, now))?;
+        let mut connection = connections.remove(position).connection;
         connection.is_reused = true;
         Some(connection)
     }
@@ -164,7 +187,8 @@
         connection: Connection,
         now: Timestamp,
     ) {
-        if connection.sender.is_closed() {
+        let is_used_up = connection.refused_attempts.len() >= REFUSED_ATTEMPTS_MAX;
+        if is_used_up || connection.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock().expect("not poisoned");
@@ -232,6 +256,7 @@
         is_reused: false,
         last_use: ConnectionUse { connection: number, request: 0 },
         has_answered: false,
+        refused_attempts: Vec::new(),
         unproductive,
         path,
     })
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -308,7 +308,7 @@
             let drained = response.drained(REFUSAL_BODY_MAX_BYTES);
             // At the timeout, the connection is closed.
             if let Ok(Some(response)) = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, drained).await {
-                response.finish(&pool, cx.clock.now());
+                response.finish_refusal(&pool, cx.clock.now());
             }
         };
         tokio::spawn(supervision::isolated("read the rest of a refusal", draining));
--- a/coriandergw/src/roles/tests/dishonest.rs
+++ b/coriandergw/src/roles/tests/dishonest.rs
@@ -1,5 +1,7 @@
 //! Tests with faulty endpoints: truncated, duplicate, misattributed, unsigned and non-HTTP answers.
 
+use std::collections::HashMap;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use crate::roles::tests::endpoint::Endpoint;
@@ -201,6 +203,40 @@
     }
 }
 
+/// Starts an endpoint that refuses the first `refused` requests as full and runs all others. Before its
+/// answer to a request, it sends a copy of what it answered last on the same connection.
+async fn copying(refusal: &'static str, refused: usize) -> Endpoint {
+    let last_sent: Mutex<HashMap<usize, Vec<u8>>> = Mutex::default();
+    Endpoint::start(move |number, seen| {
+        let answer = match number < refused {
+            true => refusal_of(refusal, seen.header("attempt").as_deref()),
+            false => whole_answer(seen),
+        };
+        let mut last_sent = last_sent.lock().expect("not poisoned");
+        let copy = last_sent.insert(seen.connection, answer.clone());
+        copy.into_iter().chain([answer]).map(Step::Send).collect()
+    })
+    .await
+}
+
+// Guards against a late copy of a refusal that is taken for the answer when the same attempt is sent
+// again on the connection of the refusal: told as not run while it runs, or run twice.
+#[tokio::test]
+async fn a_late_copy_of_a_refusal_is_not_the_answer_to_the_same_attempt() {
+    for path in ["/once/x", "/fragile/x"] {
+        for (refusal, refused) in REFUSALS[..4].iter().flat_map(|one| [(one, 1), (one, 2)]) {
+            let world = World::start().await;
+            let endpoint = copying(refusal, refused).await;
+            world.announce("a", "plain", &endpoint).await;
+            world.announce("b", "engines", &endpoint).await;
+            let reply = world.ask(&post(path, "t1", "", "pay")).await;
+            assert!(reply.contains("of t1"), "{path}, {refusal}, {refused}: {reply}");
+            let runs = endpoint.seen().len() - refused;
+            assert_eq!(runs, 1, "{path}, {refusal}, {refused}");
+        }
+    }
+}
+
 // Guards against refusals that do not state the attempt being taken for lost answers although no
 // other request was sent on their connection.
 #[tokio::test]
--- a/coriandergw/src/roles/tests/endpoint.rs
+++ b/coriandergw/src/roles/tests/endpoint.rs
@@ -19,6 +19,8 @@
 pub struct Seen {
     pub head: String,
     pub body: Vec<u8>,
+    /// The connection that it came on, from 0.
+    pub connection: usize,
 }
 
 impl Seen {
@@ -60,6 +62,7 @@
 pub struct Endpoint {
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Seen>>>,
+    opened: Arc<AtomicUsize>,
     closed: Arc<Mutex<usize>>,
     flooded: Arc<AtomicUsize>,
     crashed: CancellationToken,
@@ -94,8 +97,14 @@
     }
 
     fn at(address: SocketAddr) -> Self {
-        let (seen, closed, flooded) = (Arc::default(), Arc::default(), Arc::default());
-        Self { address, seen, closed, flooded, crashed: CancellationToken::new() }
+        Self {
+            address,
+            seen: Arc::default(),
+            opened: Arc::default(),
+            closed: Arc::default(),
+            flooded: Arc::default(),
+            crashed: CancellationToken::new(),
+        }
     }
 
     /// Starts an endpoint that accepts one connection and then stops listening.
@@ -131,8 +140,10 @@
     }
 
     async fn serve(&self, mut stream: TcpStream, script: Arc<Script>) {
+        let connection = self.opened.fetch_add(1, Ordering::Relaxed);
         let mut buf = BytesMut::new();
-        while let Some(request) = read_request(&mut stream, &mut buf).await {
+        while let Some(mut request) = read_request(&mut stream, &mut buf).await {
+            request.connection = connection;
             let number = {
                 let mut seen = self.seen.lock().expect("not poisoned");
                 seen.push(request.clone());
@@ -188,7 +199,7 @@
         }
     };
     let head = String::from_utf8(buf.split_to(end).to_vec()).ok()?;
-    let mut request = Seen { head, body: Vec::new() };
+    let mut request = Seen { head, body: Vec::new(), connection: 0 };
     let length = request.header("content-length").and_then(|text| text.parse().ok());
     let length: usize = length.unwrap_or(0);
     while buf.len() < length {
