fix(forwarding): pass on no status that promises what the endpoint did not state

An endpoint ran a request that must not be repeated and answered 503 without stating that it had not run.

Cause: a response without that statement was passed on whatever its status. 408, 421, 429 and 503 promise to callers, and 402 does to a turn with a token budget.

Ruled out: a refusal of our own, and a late copy.

Change: forwarding/evidence.rs decides alone what a response proves. It counts as a failure of the endpoint and not as a crash. This works since no such status of an endpoint reaches a caller any more, only those of our own refusals, which are decided by the table in docs/PROMISES.md, "What proves that a request has not run".

Four tests in roles/tests/dishonest.rs failed before ("503" instead of "502" and the like).

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -156,8 +156,8 @@
         frame
     }
 
-    /// Returns whether the connection may carry another request after this response, which says that
-    /// the request was not executed.
+    /// Returns whether the connection may carry another request after this refusal or failure, which is
+    /// not passed on.
     ///
     /// On a connection that has been used, a response must state its request. An endpoint that does
     /// not do so in refusals therefore gets a new connection after each one.
@@ -178,7 +178,8 @@
         Some(self)
     }
 
-    /// Returns the connection to the pool after a refusal has been read, for other attempts only.
+    /// Returns the connection to the pool after a response that is not passed on has been read, for
+    /// other attempts only.
     pub(super) fn finish_refusal(mut self, pool: &Pool, now: Timestamp) {
         if let Some(attempt) = &self.head.attempt {
             self.connection.note_refused(attempt);
--- a/coriandergw/src/forwarding/forwarder.rs
+++ b/coriandergw/src/forwarding/forwarder.rs
@@ -180,6 +180,11 @@
         self.account_priority.unwrap_or(self.route.priority)
     }
 
+    /// Returns whether only endpoints that may have run the request may be sent it again.
+    pub(super) fn has_reached_endpoint_limit(&self) -> bool {
+        self.ran_on.len() >= self.route.endpoints_max as usize
+    }
+
     /// Sets the client account in a configuration that lists accounts.
     fn set_account(&mut self, account: Option<&Account>) {
         self.account_priority = account.and_then(|account| account.priority);
@@ -491,8 +496,7 @@
         let service_config = table.service(&service);
         let engine = service_config.and_then(|service| service.engine);
         let connections_max = service_config.map_or(u32::MAX, |service| service.connections_max);
-        let has_budget = head.program.as_ref().is_some_and(|program| program.budget.is_some());
-        let is_turn = has_budget && head.tokens.is_some() && route.retry_policy.is_stream();
+        let is_turn = head.has_budget() && head.tokens.is_some() && route.retry_policy.is_stream();
         let is_resumed = head.last_event.is_some()
             && head.resumes.is_some()
             && route.retry_policy == RetryPolicy::ResumableStream;
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -25,6 +25,7 @@
 mod drain;
 mod event_data;
 mod events;
+mod evidence;
 pub mod forwarder;
 mod headers;
 mod held_events;
@@ -89,6 +90,13 @@
     pub previous_turn: Option<Arc<str>>,
 }
 
+impl RequestHeaders {
+    /// Returns whether the program of the request has a token budget.
+    pub fn has_budget(&self) -> bool {
+        self.program.as_ref().is_some_and(|program| program.budget.is_some())
+    }
+}
+
 /// What an endpoint is told of the client account of a request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub enum AccountHeader {
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -16,6 +16,7 @@
 use crate::forwarding::choice;
 use crate::forwarding::choice::EndpointCandidate;
 use crate::forwarding::connecting::NoConnection;
+use crate::forwarding::evidence::Evidence;
 use crate::forwarding::forwarder::Forwarder;
 use crate::forwarding::forwarder::RequestPlan;
 use crate::forwarding::forwarder::TRANSIENT_RETRY_AFTER;
@@ -52,6 +53,8 @@
 struct RetryState {
     /// The endpoints that are not tried again in this round.
     excluded: Vec<EndpointName>,
+    /// The endpoints whose answers left open whether they ran the request. They are not tried again.
+    unproven: Vec<EndpointName>,
     rounds_done: u32,
     /// How often endpoints refused the request.
     refused_sends: u32,
@@ -103,27 +106,76 @@
     ) -> Result<(), Refusal> {
         let check = self.check_for_crash(plan, upstream_request, record);
         let endpoint = &record.id;
+        let message = format!("the response of endpoint {endpoint} was lost: {reason}");
+        self.note_may_have_run(plan, endpoint, reason, &message)?;
+        // Whether and where the request may be sent again depends on the check.
+        match check.await {
+            Ok(true) => plan.ran_on.retain(|ran_on| ran_on != endpoint),
+            Ok(false) => {}
+            Err(cause) => {
+                log::error!("the check of endpoint {endpoint} for a crash failed: {cause}");
+            }
+        }
+        Ok(())
+    }
+
+    /// Records that an endpoint answered with a status that promises that the request has not run, and
+    /// did not state that. The endpoint is not sent the request again, so that a request that always
+    /// ends in this way runs at `endpoints_max` endpoints once.
+    ///
+    /// # Errors
+    /// Fails if the request must not be sent again, or if each endpoint that may run it answered so.
+    fn record_unproven_promise(
+        &self,
+        plan: &mut RequestPlan,
+        retries: &mut RetryState,
+        response: &UpstreamResponse,
+    ) -> Result<(), Refusal> {
+        let endpoint = &response.endpoint.id;
+        let status = response.status.as_u16();
+        let reason = format!(
+            "connection={} status {status} without a statement that the request has not run",
+            response.connection_use()
+        );
+        let message = format!(
+            "endpoint {endpoint} answered with status {status} and did not state that the request \
+             has not run"
+        );
+        self.note_may_have_run(plan, endpoint, &reason, &message)?;
+        if let Some(load) = response.head.load {
+            self.loads.note_report(endpoint, load, self.cx.clock.now());
+        }
+        retries.unproven.push(endpoint.clone());
+        let is_unproven = |ran_on: &EndpointName| retries.unproven.contains(ran_on);
+        match plan.has_reached_endpoint_limit() && plan.ran_on.iter().all(is_unproven) {
+            true => Err(Refusal::may_have_run(ResultCode::EndpointFailed, message)),
+            false => Ok(()),
+        }
+    }
+
+    /// Records that an endpoint may have run the request and that its answer cannot be passed on.
+    ///
+    /// # Errors
+    /// Fails with `message` if the request must not be sent again.
+    fn note_may_have_run(
+        &self,
+        plan: &mut RequestPlan,
+        endpoint: &EndpointName,
+        reason: &str,
+        message: &str,
+    ) -> Result<(), Refusal> {
         self.loads.note_failure(endpoint, self.cx.clock.now());
         plan.report.attempt_failed(&self.cx, endpoint, reason);
         plan.may_have_run = true;
         if !plan.ran_on.contains(endpoint) {
             plan.ran_on.push(endpoint.clone());
         }
-        let message = format!("the response of endpoint {endpoint} was lost: {reason}");
         if !plan.route.retry_policy.allows_retry() {
             return Err(Refusal::may_have_run(ResultCode::OutcomeUnknown, message));
         }
         if Instant::now() >= plan.deadline {
             return Err(Refusal::may_have_run(ResultCode::AnswerLate, message));
         }
-        // Whether and where the request may be sent again depends on the check.
-        match check.await {
-            Ok(true) => plan.ran_on.retain(|ran_on| ran_on != endpoint),
-            Ok(false) => {}
-            Err(cause) => {
-                log::error!("the check of endpoint {endpoint} for a crash failed: {cause}");
-            }
-        }
         Ok(())
     }
 
@@ -160,6 +212,7 @@
             };
             let is_candidate = |id: &EndpointName| {
                 !retries.excluded.contains(id)
+                    && !retries.unproven.contains(id)
                     && admitted.as_ref().is_none_or(|admitted| admitted.contains(id))
             };
             let was_refused = !retries.excluded.is_empty();
@@ -226,18 +279,27 @@
             }
         }
         let required_new_connection = std::mem::take(&mut retries.new_connection_only);
+        let result = result.map(|response| {
+            let has_budget = upstream_request.head.has_budget();
+            (Evidence::of(response.status, &response.head, has_budget), response)
+        });
         match result {
-            Ok(response) if response.head.not_run => {
+            Ok((Evidence::NotRun, response)) => {
                 self.record_not_run(plan, &response);
                 self.keep_connection(response);
                 retries.refused_sends += 1;
                 retries.excluded.push(id.clone());
             }
-            Ok(response) if response.status.is_success() && !response.head.is_signed => {
+            Ok((Evidence::UnprovenPromise, response)) => {
+                let recorded = self.record_unproven_promise(plan, retries, &response);
+                self.keep_connection(response);
+                recorded?;
+            }
+            Ok((Evidence::Unsigned, _)) => {
                 let reason = "the endpoint did not sign the response";
                 self.record_lost_response(plan, upstream_request, endpoint, reason).await?;
             }
-            Ok(response) => {
+            Ok((Evidence::Answered, response)) => {
                 self.loads.note_accepted(id, response.head.load, self.cx.clock.now());
                 let used = if response.is_reused() { "again" } else { "first" };
                 self.cx.metrics.endpoint_connections.with_label_values(&[used]).inc();
@@ -322,6 +384,14 @@
         {
             return refusal.retry_after(TRANSIENT_RETRY_AFTER);
         }
+        if !retries.unproven.is_empty() {
+            let message = format!(
+                "no endpoint of service {service} gave an answer; {} answered with a status that \
+                 promises what they did not state",
+                retries.unproven.len()
+            );
+            return Refusal::may_have_run(ResultCode::EndpointFailed, message);
+        }
         if plan.may_have_run {
             let message = format!("no endpoint of service {service} responded");
             return Refusal::may_have_run(ResultCode::AnswerLate, message);
@@ -405,7 +475,7 @@
         let now = self.cx.clock.now();
         let endpoints = self.endpoints.load();
         let known = endpoints.get(&plan.service).map(Vec::as_slice).unwrap_or_default();
-        let is_endpoint_limit_reached = plan.ran_on.len() >= plan.route.endpoints_max as usize;
+        let is_endpoint_limit_reached = plan.has_reached_endpoint_limit();
         let is_allowed = |(_, record): &(usize, &EndpointRecord)| {
             is_candidate(&record.id)
                 && plan.required_version.as_ref().is_none_or(|one| *one == record.version)
--- a/coriandergw/src/roles/tests/dishonest.rs
+++ b/coriandergw/src/roles/tests/dishonest.rs
@@ -1,7 +1,10 @@
 //! Tests with faulty endpoints: truncated, duplicate, misattributed, unsigned and non-HTTP answers.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::roles::tests::endpoint::Endpoint;
@@ -148,7 +151,7 @@
 fn whole_answer(seen: &Seen) -> Vec<u8> {
     let attempt = seen.header("attempt").unwrap_or_default();
     match seen.path() {
-        "/fragile/x" => {
+        "/fragile/x" | "/stream/x" => {
             [stream_head(&attempt), chunk(&format!("id: 1\ndata: of {attempt}\n\n")), last_chunk()]
                 .concat()
         }
@@ -237,6 +240,120 @@
     }
 }
 
+/// Statuses that tell callers that a request has not run, as endpoints write them after they ran it.
+const UNPROVEN: [&str; 3] = ["408 Request Timeout", "429 Too Many Requests", "503 Unavailable"];
+
+/// Returns an answer of an endpoint that does not state that the request has not run.
+fn unproven(status_line: &str, attempt: Option<&str>) -> Vec<u8> {
+    let attempt = attempt.map(|attempt| format!("attempt: {attempt}\r\n")).unwrap_or_default();
+    format!(
+        "HTTP/1.1 {status_line}\r\n{attempt}signed: yes\r\nretry-after: 1\r\ncontent-length: 9\r\n\r\n\
+         no stores"
+    )
+    .into_bytes()
+}
+
+// Guards against a request that ran and whose caller is told that it has not: a caller sends it again.
+#[tokio::test]
+async fn a_status_that_promises_is_not_passed_on_for_a_request_that_may_have_run() {
+    for path in ["/once/x", "/fragile/x"] {
+        for (status_line, attempt) in
+            UNPROVEN.iter().flat_map(|one| [(one, None), (one, Some("t1"))])
+        {
+            let world = World::start().await;
+            let endpoint =
+                Endpoint::start(move |_, _| vec![Step::Send(unproven(status_line, attempt))]).await;
+            world.announce("a", "plain", &endpoint).await;
+            world.announce("b", "engines", &endpoint).await;
+            let reply = world.ask(&post(path, "t1", "", "pay")).await;
+            assert_eq!(status(&reply), "502", "{path}, {status_line}, {attempt:?}: {reply}");
+            assert!(reply.contains("\"not_run\":false"), "{path}, {status_line}: {reply}");
+            assert!(!reply.contains("signed: ") && !reply.contains("retry-after: "), "{reply}");
+            assert_eq!(endpoint.seen().len(), 1, "{path}, {status_line}, {attempt:?}");
+        }
+    }
+}
+
+/// Starts endpoints of both services. The first `failing` requests that reach any of them are answered
+/// with `status_line` without proof, all others with a whole answer.
+async fn start_unproven(
+    world: &World,
+    status_line: &'static str,
+    count: usize,
+    failing: usize,
+) -> Vec<Endpoint> {
+    let served = Arc::new(AtomicUsize::new(0));
+    let mut endpoints = Vec::new();
+    for number in 0..count {
+        let served = served.clone();
+        let endpoint = Endpoint::start(move |_, seen| {
+            let is_failing = served.fetch_add(1, Ordering::Relaxed) < failing;
+            let attempt = seen.header("attempt");
+            vec![Step::Send(match is_failing {
+                true => unproven(status_line, attempt.as_deref()),
+                false => whole_answer(seen),
+            })]
+        })
+        .await;
+        world.announce(&format!("p{number}"), "plain", &endpoint).await;
+        world.announce(&format!("e{number}"), "engines", &endpoint).await;
+        endpoints.push(endpoint);
+    }
+    endpoints
+}
+
+fn sends(endpoints: &[Endpoint]) -> Vec<usize> {
+    endpoints.iter().map(|endpoint| endpoint.seen().len()).collect()
+}
+
+// Guards against a failure of one endpoint that reaches a caller whose request another one could serve.
+#[tokio::test]
+async fn a_repeatable_request_goes_to_another_endpoint_after_a_status_without_proof() {
+    for path in ["/safe/x", "/stream/x"] {
+        for status_line in UNPROVEN {
+            let world = World::start().await;
+            let endpoints = start_unproven(&world, status_line, 2, 1).await;
+            let reply = world.ask(&post(path, "t1", "", "")).await;
+            assert!(reply.contains("of t1"), "{path}, {status_line}: {reply}");
+            assert_eq!(sends(&endpoints), [1, 1], "{path}, {status_line}");
+        }
+    }
+}
+
+// Guards against a request that is run again and again because each endpoint fails it, and against a
+// status that promises at the end of the attempts.
+#[tokio::test]
+async fn a_repeatable_request_that_all_endpoints_fail_runs_once_at_as_many_as_the_route_allows() {
+    for path in ["/safe/x", "/stream/x"] {
+        for (count, ran) in [(1, 1), (2, 2), (4, 2)] {
+            let world = World::start().await;
+            let endpoints = start_unproven(&world, UNPROVEN[2], count, usize::MAX).await;
+            let reply = world.ask(&post(path, "t1", "", "")).await;
+            assert_eq!(status(&reply), "502", "{path}, {count}: {reply}");
+            assert!(reply.contains("CG-3002"), "{path}, {count}: {reply}");
+            assert!(reply.contains("\"not_run\":false"), "{path}, {count}: {reply}");
+            let sends = sends(&endpoints);
+            assert!(sends.iter().all(|sends| *sends <= 1), "{path}, {count}: {sends:?}");
+            assert_eq!(sends.iter().sum::<usize>(), ran, "{path}, {count}");
+        }
+    }
+}
+
+// Guards against a turn that ran and is told that its budget is spent, which also promises that it has
+// not run and ends the program.
+#[tokio::test]
+async fn a_spent_budget_is_never_the_word_of_an_engine() {
+    let more = "program: p1\r\nbudget: 1000\r\noutput-max: 10\r\n";
+    for (path, more, expected) in
+        [("/fragile/x", more, "502"), ("/stream/x", more, "200"), ("/once/x", "", "402")]
+    {
+        let world = World::start().await;
+        start_unproven(&world, "402 Payment Required", 2, 1).await;
+        let reply = world.ask(&post(path, "t1", more, "")).await;
+        assert_eq!(status(&reply), expected, "{path}: {reply}");
+    }
+}
+
 // Guards against refusals that do not state the attempt being taken for lost answers although no
 // other request was sent on their connection.
 #[tokio::test]
