fix(forwarding): take a 421 for "not run" only if another endpoint sends it

Cause: platform/src/headers.rs took every 421 for that statement. PROTOCOL.md says that "any other worker" answers 421 and does not run the request, and of the mark that "no other response states this".

Fix: the codec reads the name of the endpoint that answers, and forwarding/evidence.rs takes a 421 for "not run" if it is marked or names another endpoint than the one that was meant. It works since only the one that was meant can have run the request.

--- a/coriandergw/src/forwarding/attempt.rs
+++ b/coriandergw/src/forwarding/attempt.rs
@@ -270,7 +270,7 @@
         if parts.status.as_u16() > STATUS_MAX {
             return Err(lost("the response has no status of HTTP", sent_on));
         }
-        let head = self.header_codec.read_response(parts.status, &parts.headers);
+        let head = self.header_codec.read_response(&parts.headers);
         match &head.attempt {
             Some(stated) if stated != attempt => {
                 return Err(lost("the response belongs to another request", sent_on));
--- a/coriandergw/src/forwarding/evidence.rs
+++ b/coriandergw/src/forwarding/evidence.rs
@@ -5,6 +5,7 @@
 use hyper::StatusCode;
 
 use crate::forwarding::ResponseHeaders;
+use crate::ids::EndpointName;
 
 /// What a response proves about the request that it answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,9 +23,15 @@
 }
 
 impl Evidence {
-    /// Judges a response; `has_budget` says whether the program of its request has a token budget.
-    pub(super) fn of(status: StatusCode, head: &ResponseHeaders, has_budget: bool) -> Self {
-        if head.not_run {
+    /// Judges a response to a request that was sent to `endpoint`; `has_budget` says whether the
+    /// program of the request has a token budget.
+    pub(super) fn of(
+        status: StatusCode,
+        head: &ResponseHeaders,
+        endpoint: &EndpointName,
+        has_budget: bool,
+    ) -> Self {
+        if head.not_run || is_misdirected(status, head, endpoint) {
             return Self::NotRun;
         }
         if promises_not_run(status, has_budget) {
@@ -37,6 +44,12 @@
     }
 }
 
+/// Returns whether another endpoint answers, which does not run what is meant for this one.
+fn is_misdirected(status: StatusCode, head: &ResponseHeaders, endpoint: &EndpointName) -> bool {
+    let is_other = |answered_by: &str| answered_by != endpoint.as_str();
+    status == StatusCode::MISDIRECTED_REQUEST && head.answered_by.as_deref().is_some_and(is_other)
+}
+
 /// Returns whether a status tells callers that their request has not run and never will.
 fn promises_not_run(status: StatusCode, has_budget: bool) -> bool {
     match status {
--- a/coriandergw/src/forwarding/evidence/tests.rs
+++ b/coriandergw/src/forwarding/evidence/tests.rs
@@ -4,13 +4,18 @@
 
 use crate::forwarding::ResponseHeaders;
 use crate::forwarding::evidence::Evidence;
+use crate::ids::EndpointName;
 
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
 fn judge(status: u16, not_run: bool, is_signed: bool, has_budget: bool) -> Evidence {
     let status = StatusCode::from_u16(status).expect("a status");
     let head = ResponseHeaders { not_run, is_signed, ..ResponseHeaders::default() };
-    Evidence::of(status, &head, has_budget)
+    Evidence::of(status, &head, &endpoint(), has_budget)
+}
+
+fn endpoint() -> EndpointName {
+    EndpointName::try_from("i-1").expect("a name")
 }
 
 // Guards against a status that is passed on as a promise which the endpoint did not make.
@@ -41,3 +46,20 @@
     assert_eq!(judge(500, false, false, false), Evidence::Answered);
     assert_eq!(judge(200, false, false, false), Evidence::Unsigned);
 }
+
+// Guards against a request that the endpoint ran and then answered with 421, which is sent again, and
+// against one that the next endpoint at the same address refused, which is not.
+#[test]
+fn a_misdirected_request_has_not_run_if_another_endpoint_says_so() {
+    let judge = |status: u16, answered_by: Option<&str>| {
+        let status = StatusCode::from_u16(status).expect("a status");
+        let answered_by = answered_by.map(Into::into);
+        let head = ResponseHeaders { answered_by, is_signed: true, ..ResponseHeaders::default() };
+        Evidence::of(status, &head, &endpoint(), false)
+    };
+    assert_eq!(judge(421, Some("i-2")), Evidence::NotRun);
+    for answered_by in [None, Some("i-1")] {
+        assert_eq!(judge(421, answered_by), Evidence::UnprovenPromise, "{answered_by:?}");
+    }
+    assert_eq!(judge(503, Some("i-2")), Evidence::UnprovenPromise);
+}
--- a/coriandergw/src/forwarding/mod.rs
+++ b/coriandergw/src/forwarding/mod.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use hyper::StatusCode;
 
 use crate::accounts::Credential;
 use crate::endpoint_limits::RateLimit;
@@ -148,6 +147,8 @@
     pub is_signed: bool,
     /// Whether the endpoint states that the request has not run.
     pub not_run: bool,
+    /// The name of the endpoint that answered, if it states it.
+    pub answered_by: Option<Arc<str>>,
     /// The endpoint's current load, if reported.
     pub load: Option<ReportedLoad>,
     /// Whether the endpoint states that it is shutting down.
@@ -178,7 +179,7 @@
     fn write_forwarded(&self, headers: &mut HeaderMap, head: &ForwardingHeaders);
 
     /// Decodes the headers of an endpoint's response.
-    fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHeaders;
+    fn read_response(&self, headers: &HeaderMap) -> ResponseHeaders;
 }
 
 #[cfg(test)]
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -281,7 +281,7 @@
         let required_new_connection = std::mem::take(&mut retries.new_connection_only);
         let result = result.map(|response| {
             let has_budget = upstream_request.head.has_budget();
-            (Evidence::of(response.status, &response.head, has_budget), response)
+            (Evidence::of(response.status, &response.head, id, has_budget), response)
         });
         match result {
             Ok((Evidence::NotRun, response)) => {
