docs(forwarding): say which connection the pool takes, and what an unproven answer is

Read as a newcomer would: two doc comments left open what was idle and what was refused, and one message said "promises what they did not state".

--- a/coriandergw/src/forwarding/pool.rs
+++ b/coriandergw/src/forwarding/pool.rs
@@ -110,8 +110,8 @@
         !self.connection.sender.is_closed() && now.since(self.since) < limit
     }
 
-    /// Returns whether the connection has been idle for less than `idle_limit` and may carry the
-    /// attempt with this hash.
+    /// Returns whether the connection can carry a request now, has been idle for less than `idle_limit`
+    /// and has brought no refusal of the attempt with this hash.
     fn is_usable(&self, attempt_hash: u64, idle_limit: Duration, now: Timestamp) -> bool {
         now.since(self.since) < idle_limit
             && self.connection.sender.is_ready()
@@ -152,8 +152,8 @@
 }
 
 impl Pool {
-    /// Takes a connection for an attempt which has been idle for less than `idle_limit` and did not
-    /// bring a refusal of the same attempt.
+    /// Takes the youngest connection that has been idle for less than `idle_limit` and has brought no
+    /// refusal of `attempt`.
     pub(super) fn take(
         &self,
         endpoint: &EndpointName,
--- a/coriandergw/src/forwarding/sending.rs
+++ b/coriandergw/src/forwarding/sending.rs
@@ -53,7 +53,8 @@
 struct RetryState {
     /// The endpoints that are not tried again in this round.
     excluded: Vec<EndpointName>,
-    /// The endpoints whose answers left open whether they ran the request. They are not tried again.
+    /// The endpoints that answered with a promise without proof, see [`Evidence::UnprovenPromise`]. They
+    /// are not tried again.
     unproven: Vec<EndpointName>,
     rounds_done: u32,
     /// How often endpoints refused the request.
@@ -386,8 +387,8 @@
         }
         if !retries.unproven.is_empty() {
             let message = format!(
-                "no endpoint of service {service} gave an answer; {} answered with a status that \
-                 promises what they did not state",
+                "no endpoint of service {service} gave an answer that can be passed on; {} answered with \
+                 a status that promises that the request has not run and did not state so",
                 retries.unproven.len()
             );
             return Refusal::may_have_run(ResultCode::EndpointFailed, message);
