--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -14,6 +14,8 @@
 mod http;
 mod record;
 mod retired_voter;
+mod same_id;
+mod stream_client;
 mod system;
 mod worker;
 
@@ -50,6 +52,7 @@
     std::thread::spawn(move || {
         let result = match name.as_str() {
             "retired-voter" => retired_voter::run(&running, has_trouble),
+            "same-id" => same_id::run(&running, has_trouble),
             _ => Err(format!("there is no case {name}")),
         };
         let _ = sender.send(result);
