--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -13,6 +13,7 @@
 mod cluster;
 mod http;
 mod record;
+mod repeated_crash;
 mod retired_voter;
 mod same_id;
 mod stream_client;
@@ -51,6 +52,7 @@
     // A panic drops the processes of the case with its thread.
     std::thread::spawn(move || {
         let result = match name.as_str() {
+            "repeated-crash" => repeated_crash::run(&running, has_trouble),
             "retired-voter" => retired_voter::run(&running, has_trouble),
             "same-id" => same_id::run(&running, has_trouble),
             _ => Err(format!("there is no case {name}")),
