--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -10,6 +10,7 @@
 
 use crate::record::Record;
 
+mod blocked_route;
 mod cluster;
 mod foreign_program;
 mod http;
@@ -55,6 +56,7 @@
         let result = match name.as_str() {
             "repeated-crash" => repeated_crash::run(&running, has_trouble),
             "retired-voter" => retired_voter::run(&running, has_trouble),
+            "blocked-route" => blocked_route::run(&running, has_trouble),
             "foreign-program" => foreign_program::run(&running, has_trouble),
             "same-id" => same_id::run(&running, has_trouble),
             _ => Err(format!("there is no case {name}")),
