--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/cases ] && [ -x target/release/cgw-platform ] || exit 2
-exec target/review-3/cases same-id review/12/record.txt
+exec target/review-3/cases repeated-crash review/12/record.txt
--- a/review/standins-3/cluster.rs
+++ b/review/standins-3/cluster.rs
@@ -219,19 +219,6 @@
             end(child);
         }
     }
-
-    /// Removes the data folder of a process that does not run.
-    ///
-    /// # Errors
-    /// Fails if the folder cannot be removed.
-    pub fn lose_disk(&self) -> std::io::Result<()> {
-        std::fs::remove_dir_all(self.data_dir())
-    }
-
-    /// Returns the standard output of the process so far.
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(self.log_file()).unwrap_or_default()
-    }
 }
 
 impl Drop for Node {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -10,15 +10,11 @@
 
 use crate::record::Record;
 
-mod blocked_route;
 mod cluster;
 mod foreign_program;
 mod http;
 mod record;
 mod repeated_crash;
-mod retired_voter;
-mod same_id;
-mod stream_client;
 mod system;
 mod worker;
 
@@ -55,10 +51,7 @@
     std::thread::spawn(move || {
         let result = match name.as_str() {
             "repeated-crash" => repeated_crash::run(&running, has_trouble),
-            "retired-voter" => retired_voter::run(&running, has_trouble),
-            "blocked-route" => blocked_route::run(&running, has_trouble),
             "foreign-program" => foreign_program::run(&running, has_trouble),
-            "same-id" => same_id::run(&running, has_trouble),
             _ => Err(format!("there is no case {name}")),
         };
         let _ = sender.send(result);
--- a/review/standins-3/system.rs
+++ b/review/standins-3/system.rs
@@ -109,7 +109,7 @@
         self.entry.iter().map(Node::front).collect()
     }
 
-    /// Starts a worker of version `v1` with an address of its own, whose turns have [`TURN_EVENTS`].
+    /// Starts a worker with an address of its own, whose turns have [`TURN_EVENTS`].
     pub fn worker(&mut self, id: &str, service: &str, work_ms: u64) -> Result<Worker, String> {
         let options = self.worker_options(id, service, work_ms);
         self.start_worker(options)
@@ -125,17 +125,15 @@
             address: SocketAddr::from((ip, 8_080)),
             control: self.control(),
             work_ms,
-            version: "v1".to_owned(),
             events: TURN_EVENTS,
             event_ms: 1,
-            first_beat_ms: 0,
         }
     }
 
     /// Starts a worker as a new incarnation.
     pub fn start_worker(&self, options: WorkerOptions) -> Result<Worker, String> {
-        let WorkerOptions { id, version, address, .. } = &options;
-        self.record.note(&format!("worker {id} starts with version {version} at {address}"));
+        let WorkerOptions { id, address, .. } = &options;
+        self.record.note(&format!("worker {id} starts at {address}"));
         Worker::start(options, &self.record).map_err(|cause| cause.to_string())
     }
 
@@ -212,11 +210,6 @@
     format!("{:016x}", NUMBERS.fetch_add(1, Ordering::Relaxed) + 0x5000_0000_0000_0000)
 }
 
-/// Sends the first turn of a new program, whose budget holds just this turn.
-pub fn turn(front: SocketAddr, body: &str) -> Call {
-    turn_of(front, &fresh_id(), TURN_EVENTS, body)
-}
-
 /// Sends a turn of a program.
 pub fn turn_of(front: SocketAddr, program: &str, budget: u64, body: &str) -> Call {
     Call::new("POST", front, "/turns/next", CLIENT_DEADLINE)
@@ -308,23 +301,6 @@
         (sent, served)
     }
 
-    /// Waits until `count` requests have been served; returns whether that was in time.
-    pub fn wait_for_served(&self, count: usize, limit: Duration) -> bool {
-        let end = Instant::now() + limit;
-        loop {
-            let outcomes = self.outcomes.lock().expect("not poisoned");
-            let served = outcomes.iter().filter(|one| one.status == 200).count();
-            drop(outcomes);
-            if served >= count {
-                return true;
-            }
-            if Instant::now() >= end {
-                return false;
-            }
-            std::thread::sleep(Duration::from_millis(50));
-        }
-    }
-
     /// Stops the clients and waits until their last requests have ended.
     pub fn stop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
@@ -359,6 +335,17 @@
     )
 }
 
+/// Returns the same with a route of turns that keeps them.
+pub fn document_that_keeps(version: u64) -> String {
+    document(version).replacen("\"retention_enabled\":false", "\"retention_enabled\":true", 1)
+}
+
+/// Returns the same with a limit on the heads of requests, in bytes.
+pub fn document_with_heads(version: u64, max_header_bytes: usize) -> String {
+    let limit = format!("\"max_header_bytes\":{max_header_bytes}");
+    document(version).replacen("\"max_header_bytes\":16384", &limit, 1)
+}
+
 /// Returns the same with a client account for each of these keys.
 pub fn document_with_tenants(version: u64, keys: &[&str]) -> String {
     let tenant = |(number, key): (usize, &&str)| {
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -48,20 +48,14 @@
     pub control: Vec<SocketAddr>,
     /// How long it works on a request before its answer begins, in milliseconds.
     pub work_ms: u64,
-    /// The version of its software.
-    pub version: String,
     /// The events of a stream, each of one token.
     pub events: u64,
     /// The pause between two events, in milliseconds.
     pub event_ms: u64,
-    /// How much later than it is sent the first announcement arrives, in milliseconds.
-    pub first_beat_ms: u64,
 }
 
 /// A running worker process; it is killed when this is dropped.
 pub struct Worker {
-    /// How it was started.
-    pub options: WorkerOptions,
     child: Option<Child>,
 }
 
@@ -80,10 +74,8 @@
             .arg(options.address.to_string())
             .arg(control.join(","))
             .arg(options.work_ms.to_string())
-            .arg(&options.version)
             .arg(options.events.to_string())
             .arg(options.event_ms.to_string())
-            .arg(options.first_beat_ms.to_string())
             .stdin(Stdio::null())
             .stdout(Stdio::piped());
         let mut child = cluster::spawn(&mut command)?;
@@ -94,7 +86,7 @@
                 lines.map_while(Result::ok).for_each(|line| record.detail(&format!("{id} {line}")));
             });
         }
-        Ok(Self { options, child: Some(child) })
+        Ok(Self { child: Some(child) })
     }
 
     /// Returns whether the worker has ended by itself.
@@ -119,9 +111,7 @@
 
 /// Runs as a worker process until it is killed; `arguments` are those of [`Worker::start`].
 pub fn run(arguments: &[String]) -> Option<()> {
-    let [id, service, address, control, work_ms, version, events, event_ms, first_beat_ms] =
-        arguments
-    else {
+    let [id, service, address, control, work_ms, events, event_ms] = arguments else {
         return None;
     };
     let address: SocketAddr = address.parse().ok()?;
@@ -131,10 +121,8 @@
         address,
         control: control.split(',').filter_map(|one| one.parse().ok()).collect(),
         work_ms: work_ms.parse().ok()?,
-        version: version.clone(),
         events: events.parse().ok()?,
         event_ms: event_ms.parse().ok()?,
-        first_beat_ms: first_beat_ms.parse().ok()?,
     };
     let listener = TcpListener::bind(address).ok()?;
     let options = Arc::new(options);
@@ -151,14 +139,13 @@
 fn announce_forever(options: &WorkerOptions) {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let born = now.as_millis();
-    std::thread::sleep(Duration::from_millis(options.first_beat_ms));
     let mut at = 0;
     for sequence in 1_u64.. {
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z-1\",\"version\":\"{}\",\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z-1\",\"version\":\"v1\",\
              \"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\
              \"born\":{born}}}",
-            options.service, options.address, options.version
+            options.service, options.address
         );
         let path = format!("/Instances.Heartbeat/{}", options.id);
         let to = options.control[at % options.control.len()];
@@ -213,8 +200,7 @@
     }
     let last = request.header("last-event-id").and_then(|last| last.parse::<u64>().ok());
     if let Ok(mut output) = output.lock() {
-        let version = &options.version;
-        writeln!(output, "{version} runs {attempt} {} last_event={last:?}", request.start)?;
+        writeln!(output, "runs {attempt} {} last_event={last:?}", request.start)?;
         output.flush()?;
     }
     let path = request.start.split(' ').nth(1).unwrap_or_default();
@@ -234,7 +220,7 @@
     let stream_head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     stream.write_all(format!("{head}{stream_head}").as_bytes())?;
     for number in last.unwrap_or(0) + 1..=options.events {
-        let event = format!("id: {number}\ndata: {}\n\n", options.version);
+        let event = format!("id: {number}\ndata: token\n\n");
         stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         std::thread::sleep(Duration::from_millis(options.event_ms));
     }
