--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -13,8 +13,10 @@
 mod cluster;
 mod foreign_program;
 mod http;
+mod kept_stream;
 mod record;
 mod repeated_crash;
+mod stream_client;
 mod system;
 mod worker;
 
@@ -51,6 +53,7 @@
     std::thread::spawn(move || {
         let result = match name.as_str() {
             "repeated-crash" => repeated_crash::run(&running, has_trouble),
+            "kept-stream" => kept_stream::run(&running, has_trouble),
             "foreign-program" => foreign_program::run(&running, has_trouble),
             _ => Err(format!("there is no case {name}")),
         };
