--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -12,6 +12,7 @@
 
 mod cluster;
 mod foreign_program;
+mod forgotten_block;
 mod http;
 mod kept_stream;
 mod record;
@@ -54,6 +55,7 @@
         let result = match name.as_str() {
             "repeated-crash" => repeated_crash::run(&running, has_trouble),
             "kept-stream" => kept_stream::run(&running, has_trouble),
+            "forgotten-block" => forgotten_block::run(&running, has_trouble),
             "foreign-program" => foreign_program::run(&running, has_trouble),
             _ => Err(format!("there is no case {name}")),
         };
