--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -14,6 +14,7 @@
 mod foreign_program;
 mod forgotten_block;
 mod http;
+mod kept_limit;
 mod kept_stream;
 mod record;
 mod repeated_crash;
@@ -56,6 +57,7 @@
             "repeated-crash" => repeated_crash::run(&running, has_trouble),
             "kept-stream" => kept_stream::run(&running, has_trouble),
             "forgotten-block" => forgotten_block::run(&running, has_trouble),
+            "kept-limit" => kept_limit::run(&running, has_trouble),
             "foreign-program" => foreign_program::run(&running, has_trouble),
             _ => Err(format!("there is no case {name}")),
         };
